--- /dev/null
+++ b/crates/wagtailarch-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator command line.
--- /dev/null
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry instance.
--- /dev/null
+++ b/crates/wagtailarch-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! The load and experiment tool.
--- /dev/null
+++ b/crates/wagtailarch-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client for the platform object API and the fault-injecting in-memory fake.
--- /dev/null
+++ b/crates/wagtailarch-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for outside systems; not for production.
--- /dev/null
+++ b/crates/wagtailarch-traffic/src/lib.rs
@@ -0,0 +1,1 @@
+//! Traffic decisions without I/O: routing, admission, retry, claims, quarantine, answers.
--- /dev/null
+++ b/crates/wagtailarch-types/src/lib.rs
@@ -0,0 +1,1 @@
+//! Identifiers, units and closed sets shared by every crate.
--- /dev/null
+++ b/crates/wagtailarch-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between instances and the protocol towards engines.
