Describe the design and define the shared types

The identifiers, the fleet file's data model and the engine and platform protocols exist as code, so that all crates can be built against them.

--- a/crates/wagtailarch-fleet/src/lib.rs
+++ b/crates/wagtailarch-fleet/src/lib.rs
@@ -1,1 +1,10 @@
-//! The fleet file: data model, parser, validation with spans, parts and diff.
+//! The fleet file: what an operator applies as a whole.
+//!
+//! [`Fleet`] is the typed form of the TOML file. This crate does no I/O.
+
+mod model;
+
+pub use model::{
+    Fleet, FleetSection, Group, GroupKind, Model, Policy, RoleBounds, RoleTable, Route, Service,
+    Team,
+};
