Add the platform boundary, its HTTP client and the in-memory fake

Every crate that talks to the platform needs one boundary with the failure semantics of section 6 of the design page. Futures are boxed so that callers can hold an Arc<dyn Platform>; generic methods were ruled out because they would make every caller generic for calls that are network exchanges anyway.

HttpPlatform limits the time of every call and never repeats a request. An answer that is lost after a write was sent is Unknown, a failed connect is Unavailable.

The new dependency base64 decodes the values of list answers.

--- /dev/null
+++ b/crates/wagtailarch-platform/src/http.rs
@@ -0,0 +1,408 @@
+//! Platform client over HTTP/1.1.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::header::{ETAG, IF_MATCH, IF_NONE_MATCH, RETRY_AFTER};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use serde::de::DeserializeOwned;
+use wagtailarch_types::ObjectVersion;
+use wagtailarch_wire::platform::{
+    INSTANCES_PATH, InstanceList, LIST_PATH, ListAnswer, MAX_VALUE_BYTES, OBJECTS_PATH_PREFIX,
+    WATCH_PATH, WatchAnswer,
+};
+
+use crate::{
+    Expect, ListPage, ListedObject, Platform, PlatformError, PlatformFuture, PlatformResult,
+    Versioned,
+};
+
+/// Greatest size of a list or watch answer; a page of base64 values stays well below it.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Pause after a 429 without a usable `Retry-After`.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest pause that a `Retry-After` may ask for.
+const MAX_RETRY_AFTER_S: f64 = 60.0;
+/// Characters of keys that stay as they are; the slash separates path segments.
+const KEY_ESCAPES: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.')
+    .remove(b'~')
+    .remove(b'/');
+
+/// Platform client over HTTP/1.1 with pooled connections and a time limit on every call.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    client: Client<HttpConnector, Full<Bytes>>,
+    config: HttpPlatformConfig,
+}
+
+/// Address and time limits of an [`HttpPlatform`].
+#[derive(Debug, Clone)]
+pub struct HttpPlatformConfig {
+    /// Address of the platform.
+    pub address: SocketAddr,
+    /// Limit on establishing a connection; a call that fails here was not sent.
+    pub connect_timeout: Duration,
+    /// Limit on a whole call, on top of the waiting time of a watch.
+    pub call_timeout: Duration,
+    /// Idle connections that are kept open.
+    pub max_idle_connections: usize,
+}
+
+impl HttpPlatformConfig {
+    /// Returns the default limits for the platform at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            connect_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(2),
+            max_idle_connections: 16,
+        }
+    }
+
+    /// Parses `http://ip:port` and returns the default limits for that address.
+    pub fn parse(url: &str) -> Option<Self> {
+        let rest = url.strip_prefix("http://")?;
+        let address = rest.strip_suffix('/').unwrap_or(rest).parse().ok()?;
+        Some(Self::new(address))
+    }
+}
+
+/// What a call changes when its answer is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    Read,
+    Write,
+}
+
+/// Status, headers and whole body of an answer.
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl HttpPlatform {
+    /// Creates a client; no connection is made before the first call.
+    pub fn new(config: HttpPlatformConfig) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(config.connect_timeout));
+        connector.set_nodelay(true);
+        // A write must reach the platform at most once per call, so that the caller alone decides
+        // on a repetition.
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(config.max_idle_connections)
+            .pool_idle_timeout(Duration::from_secs(30))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client, config }
+    }
+
+    async fn call(
+        &self,
+        effect: Effect,
+        request: Request<Full<Bytes>>,
+        extra_time: Duration,
+        limit_bytes: usize,
+    ) -> PlatformResult<Answer> {
+        let exchange = self.exchange(effect, request, limit_bytes);
+        let limit = self.config.call_timeout + extra_time;
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(lost(effect, format!("no answer within {limit:?}"))),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        effect: Effect,
+        request: Request<Full<Bytes>>,
+        limit_bytes: usize,
+    ) -> PlatformResult<Answer> {
+        let response = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                return PlatformError::Unavailable(describe(&error));
+            }
+            lost(effect, describe(&error))
+        })?;
+        let (parts, body) = response.into_parts();
+        let body = match Limited::new(body, limit_bytes).collect().await {
+            Ok(body) => body.to_bytes(),
+            // The status line of a write already tells its outcome.
+            Err(_) if effect == Effect::Write => Bytes::new(),
+            Err(error) if error.is::<LengthLimitError>() => {
+                return Err(PlatformError::Protocol(format!(
+                    "answer above {limit_bytes} bytes"
+                )));
+            }
+            Err(error) => return Err(PlatformError::Unavailable(error.to_string())),
+        };
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    async fn read_json<T: DeserializeOwned>(
+        &self,
+        path_and_query: &str,
+        extra_time: Duration,
+    ) -> PlatformResult<T> {
+        let request = self.request(Method::GET, path_and_query, Bytes::new())?;
+        let answer = self
+            .call(Effect::Read, request, extra_time, MAX_ANSWER_BYTES)
+            .await?;
+        if answer.status != StatusCode::OK {
+            return Err(refusal(Effect::Read, &answer));
+        }
+        serde_json::from_slice(&answer.body)
+            .map_err(|error| PlatformError::Protocol(error.to_string()))
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path_and_query: &str,
+        body: Bytes,
+    ) -> PlatformResult<Request<Full<Bytes>>> {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path_and_query}", self.config.address))
+            .body(Full::new(body))
+            .map_err(|error| PlatformError::Protocol(error.to_string()))
+    }
+
+    async fn get_object(&self, key: &str) -> PlatformResult<Option<Versioned>> {
+        let request = self.request(Method::GET, &object_path(key), Bytes::new())?;
+        let answer = self
+            .call(Effect::Read, request, Duration::ZERO, MAX_VALUE_BYTES)
+            .await?;
+        match answer.status {
+            StatusCode::OK => {
+                let version = etag(&answer.headers)
+                    .ok_or_else(|| PlatformError::Protocol("missing or malformed ETag".into()))?;
+                Ok(Some(Versioned {
+                    version,
+                    value: answer.body,
+                }))
+            }
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(refusal(Effect::Read, &answer)),
+        }
+    }
+
+    async fn put_object(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+    ) -> PlatformResult<ObjectVersion> {
+        check_size(&value)?;
+        let mut request = self.request(Method::PUT, &object_path(key), value)?;
+        match expect {
+            Expect::Absent => insert_header(&mut request, IF_NONE_MATCH, "*".into()),
+            Expect::Version(version) => {
+                insert_header(&mut request, IF_MATCH, format!("\"{version}\""));
+            }
+            Expect::Any => {}
+        }
+        let answer = self
+            .call(Effect::Write, request, Duration::ZERO, MAX_VALUE_BYTES)
+            .await?;
+        if answer.status != StatusCode::OK {
+            return Err(refusal(Effect::Write, &answer));
+        }
+        // The write took effect, but without its version the caller has to read it back.
+        etag(&answer.headers)
+            .ok_or_else(|| PlatformError::Unknown("missing or malformed ETag".into()))
+    }
+
+    async fn delete_object(&self, key: &str, version: Option<ObjectVersion>) -> PlatformResult<()> {
+        let mut request = self.request(Method::DELETE, &object_path(key), Bytes::new())?;
+        if let Some(version) = version {
+            insert_header(&mut request, IF_MATCH, format!("\"{version}\""));
+        }
+        let answer = self
+            .call(Effect::Write, request, Duration::ZERO, MAX_VALUE_BYTES)
+            .await?;
+        match answer.status {
+            StatusCode::NO_CONTENT | StatusCode::OK => Ok(()),
+            _ => Err(refusal(Effect::Write, &answer)),
+        }
+    }
+
+    async fn list_objects(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: usize,
+    ) -> PlatformResult<ListPage> {
+        let mut path = format!("{LIST_PATH}?prefix={}&limit={limit}", escape(prefix));
+        if let Some(after) = after {
+            // Writing to a String cannot fail.
+            let _ = write!(path, "&after={}", escape(after));
+        }
+        let answer: ListAnswer = self.read_json(&path, Duration::ZERO).await?;
+        let mut items = Vec::with_capacity(answer.items.len());
+        for item in answer.items {
+            let value = STANDARD
+                .decode(item.value_base64)
+                .map_err(|error| PlatformError::Protocol(format!("{}: {error}", item.key)))?;
+            items.push(ListedObject {
+                key: item.key,
+                version: item.version,
+                value: value.into(),
+            });
+        }
+        Ok(ListPage {
+            revision: answer.revision,
+            items,
+            next: answer.next,
+        })
+    }
+}
+
+impl Platform for HttpPlatform {
+    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Versioned>> {
+        Box::pin(self.get_object(key))
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: Bytes,
+        expect: Expect,
+    ) -> PlatformFuture<'a, ObjectVersion> {
+        Box::pin(self.put_object(key, value, expect))
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a str,
+        version: Option<ObjectVersion>,
+    ) -> PlatformFuture<'a, ()> {
+        Box::pin(self.delete_object(key, version))
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+        limit: usize,
+    ) -> PlatformFuture<'a, ListPage> {
+        Box::pin(self.list_objects(prefix, after, limit))
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: ObjectVersion,
+        wait: Duration,
+    ) -> PlatformFuture<'a, WatchAnswer> {
+        Box::pin(async move {
+            let wait_ms = wait.as_millis();
+            let prefix = escape(prefix);
+            let path = format!("{WATCH_PATH}?prefix={prefix}&since={since}&wait_ms={wait_ms}");
+            self.read_json(&path, wait).await
+        })
+    }
+
+    fn instances(&self) -> PlatformFuture<'_, InstanceList> {
+        Box::pin(self.read_json(INSTANCES_PATH, Duration::ZERO))
+    }
+}
+
+/// Refuses values above the limit before anything is sent.
+pub(crate) fn check_size(value: &Bytes) -> PlatformResult<()> {
+    if value.len() > MAX_VALUE_BYTES {
+        return Err(PlatformError::TooLarge {
+            size_bytes: value.len(),
+            limit_bytes: MAX_VALUE_BYTES,
+        });
+    }
+    Ok(())
+}
+
+/// Returns the error of a call whose answer did not arrive.
+fn lost(effect: Effect, reason: String) -> PlatformError {
+    match effect {
+        Effect::Read => PlatformError::Unavailable(reason),
+        Effect::Write => PlatformError::Unknown(reason),
+    }
+}
+
+/// Returns the error of a complete answer that is not a success.
+fn refusal(effect: Effect, answer: &Answer) -> PlatformError {
+    let status = answer.status;
+    match status {
+        StatusCode::PRECONDITION_FAILED => PlatformError::Conflict,
+        StatusCode::NOT_FOUND => PlatformError::NotFound,
+        StatusCode::GONE => PlatformError::Expired,
+        StatusCode::TOO_MANY_REQUESTS => PlatformError::RateLimited {
+            retry_after: retry_after(&answer.headers),
+        },
+        StatusCode::PAYLOAD_TOO_LARGE => PlatformError::TooLarge {
+            size_bytes: MAX_VALUE_BYTES,
+            limit_bytes: MAX_VALUE_BYTES,
+        },
+        // The protocol defines 503 as an outage in which nothing is written.
+        StatusCode::SERVICE_UNAVAILABLE => PlatformError::Unavailable(status.to_string()),
+        _ if status.is_server_error() => lost(effect, status.to_string()),
+        _ => PlatformError::Protocol(format!("unexpected status {status}")),
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Duration {
+    let seconds = headers
+        .get(RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse::<f64>().ok())
+        .filter(|seconds| seconds.is_finite() && *seconds >= 0.0);
+    seconds.map_or(DEFAULT_RETRY_AFTER, |s| {
+        Duration::from_secs_f64(s.min(MAX_RETRY_AFTER_S))
+    })
+}
+
+fn etag(headers: &HeaderMap) -> Option<ObjectVersion> {
+    let text = headers.get(ETAG)?.to_str().ok()?;
+    text.strip_prefix('"')?.strip_suffix('"')?.parse().ok()
+}
+
+fn insert_header(request: &mut Request<Full<Bytes>>, name: http::HeaderName, value: String) {
+    // Conditions consist of digits, quotes and asterisks, which header values permit.
+    if let Ok(value) = http::HeaderValue::try_from(value) {
+        request.headers_mut().insert(name, value);
+    }
+}
+
+fn object_path(key: &str) -> String {
+    format!("{OBJECTS_PATH_PREFIX}{}", escape(key))
+}
+
+fn escape(text: &str) -> impl std::fmt::Display + '_ {
+    utf8_percent_encode(text, KEY_ESCAPES)
+}
+
+/// Joins an error with its causes.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        let _ = write!(text, ": {inner}");
+        cause = inner.source();
+    }
+    text
+}
--- a/crates/wagtailarch-platform/src/lib.rs
+++ b/crates/wagtailarch-platform/src/lib.rs
@@ -1,1 +1,14 @@
 //! Client for the platform object API and the fault-injecting in-memory fake.
+//!
+//! [`Platform`] is the boundary; [`HttpPlatform`] speaks the protocol of section 6 of the design
+//! page and [`FakePlatform`] answers from memory with seeded faults.
+
+mod error;
+mod fake;
+mod http;
+mod platform;
+
+pub use error::{PlatformError, PlatformResult};
+pub use fake::{FakeFaults, FakePlatform};
+pub use http::{HttpPlatform, HttpPlatformConfig};
+pub use platform::{Expect, ListPage, ListedObject, Platform, PlatformFuture, Versioned};
