Test the platform client and fake against the protocol

The tests guard the classification of lost answers, conditions and escapes on the wire, watch wake-ups and paging. Scripted servers listen on loopback.

--- /dev/null
+++ b/crates/wagtailarch-platform/tests/fake.rs
@@ -0,0 +1,109 @@
+//! Checks the in-memory platform against the protocol that callers rely on.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use rstest::rstest;
+use wagtailarch_platform::{Expect, FakeFaults, FakePlatform, Platform, PlatformError};
+
+fn value(text: &'static str) -> Bytes {
+    Bytes::from_static(text.as_bytes())
+}
+
+/// Guards against a conditional write that overwrites a newer version.
+#[rstest]
+#[tokio::test]
+async fn conditional_writes_are_refused_on_a_mismatch() {
+    let platform = FakePlatform::new(1, FakeFaults::default());
+    let v1 = platform.put("a", value("1"), Expect::Absent).await.unwrap();
+    assert_eq!(
+        platform.put("a", value("2"), Expect::Absent).await,
+        Err(PlatformError::Conflict)
+    );
+    let v2 = platform
+        .put("a", value("2"), Expect::Version(v1))
+        .await
+        .unwrap();
+    assert!(v2 > v1);
+    let old = platform.put("a", value("3"), Expect::Version(v1)).await;
+    assert_eq!(old, Err(PlatformError::Conflict));
+    assert_eq!(
+        platform.delete("a", Some(v1)).await,
+        Err(PlatformError::Conflict)
+    );
+    platform.delete("a", Some(v2)).await.unwrap();
+    assert_eq!(
+        platform.delete("a", None).await,
+        Err(PlatformError::NotFound)
+    );
+}
+
+/// Guards against an ambiguous write that is reported as a definite failure or success.
+#[rstest]
+#[case::took_effect(FakeFaults { lost_answer_ratio: 1.0, ..FakeFaults::default() }, true, true)]
+#[case::never(FakeFaults { lost_write_ratio: 1.0, ..FakeFaults::default() }, false, false)]
+#[case::late(FakeFaults { late_write_ratio: 1.0, ..FakeFaults::default() }, false, true)]
+#[tokio::test]
+async fn a_lost_answer_is_unknown(
+    #[case] faults: FakeFaults,
+    #[case] now: bool,
+    #[case] in_the_end: bool,
+) {
+    let platform = FakePlatform::new(2, faults);
+    let result = platform.put("a", value("1"), Expect::Absent).await;
+    assert!(
+        matches!(result, Err(PlatformError::Unknown(_))),
+        "{result:?}"
+    );
+    assert_eq!(platform.peek("a").is_some(), now);
+    platform.settle();
+    assert_eq!(platform.peek("a").is_some(), in_the_end);
+}
+
+/// Guards against a watch that misses a change or reports one outside its prefix.
+#[rstest]
+#[tokio::test]
+async fn a_watch_wakes_for_its_prefix_only() {
+    let platform = FakePlatform::new(3, FakeFaults::default());
+    let write = async {
+        platform.put("b/1", value("1"), Expect::Any).await.unwrap();
+        platform.put("a/1", value("1"), Expect::Any).await.unwrap();
+    };
+    let (answer, ()) = tokio::join!(platform.watch("a/", 0, Duration::from_secs(60)), write);
+    let answer = answer.unwrap();
+    assert_eq!(answer.events.len(), 1);
+    assert_eq!(answer.events[0].key, "a/1");
+    let idle = platform
+        .watch("a/", answer.revision, Duration::from_millis(5))
+        .await
+        .unwrap();
+    assert!(idle.events.is_empty());
+}
+
+/// Guards against pages that overlap or leave out keys.
+#[rstest]
+#[tokio::test]
+async fn pages_cover_every_key_once() {
+    let platform = FakePlatform::new(4, FakeFaults::default());
+    for n in 0..7 {
+        platform
+            .put(&format!("k/{n}"), value("v"), Expect::Absent)
+            .await
+            .unwrap();
+    }
+    platform
+        .put("l/0", value("v"), Expect::Absent)
+        .await
+        .unwrap();
+    let mut keys = Vec::new();
+    let mut after = None;
+    loop {
+        let page = platform.list("k/", after.as_deref(), 3).await.unwrap();
+        keys.extend(page.items.into_iter().map(|item| item.key));
+        after = page.next;
+        if after.is_none() {
+            break;
+        }
+    }
+    assert_eq!(keys, (0..7).map(|n| format!("k/{n}")).collect::<Vec<_>>());
+}
--- /dev/null
+++ b/crates/wagtailarch-platform/tests/http.rs
@@ -0,0 +1,168 @@
+//! Checks the HTTP client against scripted answers on loopback connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use wagtailarch_platform::{Expect, HttpPlatform, HttpPlatformConfig, Platform, PlatformError};
+
+/// Accepts connections, answers the first request of each with `answer` and closes it.
+///
+/// Returns the address and a receiver of the raw requests.
+async fn serve(answer: &'static str) -> (SocketAddr, tokio::sync::mpsc::Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = tokio::sync::mpsc::channel(16);
+    tokio::spawn(async move {
+        for _ in 0..16 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = vec![0; 4096];
+            let len = stream.read(&mut buffer).await.unwrap();
+            let _ = sender
+                .send(String::from_utf8_lossy(&buffer[..len]).into_owned())
+                .await;
+            if answer == "silence" {
+                tokio::time::sleep(Duration::from_secs(5)).await;
+            }
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    (address, receiver)
+}
+
+fn client(address: SocketAddr) -> HttpPlatform {
+    let mut config = HttpPlatformConfig::new(address);
+    config.call_timeout = Duration::from_millis(300);
+    HttpPlatform::new(config)
+}
+
+fn short(error: &PlatformError) -> &'static str {
+    match error {
+        PlatformError::Conflict => "conflict",
+        PlatformError::NotFound => "not_found",
+        PlatformError::RateLimited { .. } => "rate_limited",
+        PlatformError::Unavailable(_) => "unavailable",
+        PlatformError::Unknown(_) => "unknown",
+        PlatformError::Expired => "expired",
+        PlatformError::TooLarge { .. } => "too_large",
+        PlatformError::Protocol(_) => "protocol",
+    }
+}
+
+/// Guards against a write that may have taken effect being reported as failed, and the reverse.
+#[rstest]
+#[case::refused("HTTP/1.1 412 x\r\ncontent-length: 0\r\n\r\n", "conflict", "conflict")]
+#[case::limited(
+    "HTTP/1.1 429 x\r\ncontent-length: 0\r\n\r\n",
+    "rate_limited",
+    "rate_limited"
+)]
+#[case::outage(
+    "HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n",
+    "unavailable",
+    "unavailable"
+)]
+#[case::gateway(
+    "HTTP/1.1 502 x\r\ncontent-length: 0\r\n\r\n",
+    "unknown",
+    "unavailable"
+)]
+#[case::closed("", "unknown", "unavailable")]
+#[case::silent("silence", "unknown", "unavailable")]
+#[case::garbage("SMTP ready\r\n\r\n", "unknown", "unavailable")]
+#[case::no_etag("HTTP/1.1 200 x\r\ncontent-length: 0\r\n\r\n", "unknown", "protocol")]
+#[tokio::test]
+async fn failures_are_classified(
+    #[case] answer: &'static str,
+    #[case] write_error: &str,
+    #[case] read_error: &str,
+) {
+    let (address, mut requests) = serve(answer).await;
+    let platform = client(address);
+    let write = platform
+        .put("k", Bytes::from_static(b"v"), Expect::Absent)
+        .await
+        .unwrap_err();
+    assert_eq!(short(&write), write_error, "{write}");
+    assert!(
+        requests
+            .recv()
+            .await
+            .unwrap()
+            .starts_with("PUT /v1/objects/k ")
+    );
+    assert!(requests.try_recv().is_err(), "the client repeated a write");
+    let read = platform.get("k").await.unwrap_err();
+    assert_eq!(short(&read), read_error, "{read}");
+}
+
+/// Guards against a write that was never sent being reported as possibly done.
+#[rstest]
+#[tokio::test]
+async fn a_failed_connect_is_unavailable() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let error = client(address)
+        .put("k", Bytes::new(), Expect::Any)
+        .await
+        .unwrap_err();
+    assert_eq!(short(&error), "unavailable", "{error}");
+}
+
+/// Guards against wrong conditions, escapes and versions on the wire.
+#[rstest]
+#[tokio::test]
+async fn requests_follow_the_protocol() {
+    let (address, mut requests) =
+        serve("HTTP/1.1 200 x\r\netag: \"42\"\r\ncontent-length: 1\r\n\r\nv").await;
+    let platform = client(address);
+    let version = platform
+        .put("a b/ü?", Bytes::new(), Expect::Version(7))
+        .await
+        .unwrap();
+    assert_eq!(version, 42);
+    let request = requests.recv().await.unwrap();
+    assert!(
+        request.starts_with("PUT /v1/objects/a%20b/%C3%BC%3F HTTP/1.1\r\n"),
+        "{request}"
+    );
+    assert!(request.contains("if-match: \"7\"\r\n"), "{request}");
+    platform
+        .put("k", Bytes::new(), Expect::Absent)
+        .await
+        .unwrap();
+    assert!(
+        requests
+            .recv()
+            .await
+            .unwrap()
+            .contains("if-none-match: *\r\n")
+    );
+    let object = platform.get("k").await.unwrap().unwrap();
+    assert_eq!(
+        (object.version, object.value),
+        (42, Bytes::from_static(b"v"))
+    );
+}
+
+/// Guards against list values that are left in base64 and against a page mark that is lost.
+#[rstest]
+#[tokio::test]
+async fn list_values_are_decoded() {
+    const BODY: &str = "HTTP/1.1 200 x\r\ncontent-length: 87\r\n\r\n\
+        {\"revision\":5,\"items\":[{\"key\":\"k/1\",\"version\":3,\"value_base64\":\"dsO8\"}],\
+        \"next\":\"k/1\"}    ";
+    let (address, mut requests) = serve(BODY).await;
+    let page = client(address).list("k/", Some("k/0"), 1).await.unwrap();
+    assert_eq!((page.revision, page.next.as_deref()), (5, Some("k/1")));
+    assert_eq!(page.items[0].value, "vü".as_bytes());
+    let request = requests.recv().await.unwrap();
+    assert!(
+        request.starts_with("GET /v1/list?prefix=k/&limit=1&after=k/0 "),
+        "{request}"
+    );
+}
