Parse and validate the fleet file with all findings at once

serde stops at the first fault of a file, so an operator with twenty mistakes would need twenty runs. The parser walks the syntax tree with spans instead, keeps every value that is usable and checks references between tables whether or not other values are wrong. Decoding with serde after a first pass was ruled out for the same reason.

Each finding has file, line, column, the source line and a hint. A test file with twenty mistakes reports exactly these. The example files of both operators pass.

--- /dev/null
+++ b/crates/wagtailarch-fleet/src/parse.rs
@@ -0,0 +1,63 @@
+//! Parsing and validation of a fleet file.
+
+use toml::de::DeTable;
+
+use crate::check::check;
+use crate::draft::FleetDraft;
+use crate::reader::Field;
+use crate::sink::Sink;
+use crate::{Finding, Fleet};
+
+/// Greatest size of a fleet file in bytes; 29,000 teams take up about 7 MB.
+pub const MAX_FILE_BYTES: usize = 64 * 1024 * 1024;
+
+impl Fleet {
+    /// Parses and validates a fleet file.
+    ///
+    /// `file_name` appears in the findings. On failure the result holds every finding, in the
+    /// order of their places.
+    pub fn parse(file_name: &str, text: &str) -> Result<Self, Vec<Finding>> {
+        let mut sink = Sink::new(file_name, text);
+        if text.len() > MAX_FILE_BYTES {
+            let message = format!("the file has {} bytes", text.len());
+            sink.report(
+                &(0..0),
+                message,
+                format!("the limit is {MAX_FILE_BYTES} bytes"),
+            );
+            return Err(sink.finish());
+        }
+        let (root, errors) = DeTable::parse_recoverable(text);
+        for error in &errors {
+            report_syntax(&mut sink, error);
+        }
+        let root_table = Field {
+            value: root.get_ref(),
+            span: 0..0,
+        };
+        let draft = FleetDraft::read(&mut sink, root_table);
+        check(&mut sink, &draft);
+        if !sink.is_empty() {
+            return Err(sink.finish());
+        }
+        draft.build().ok_or_else(|| {
+            sink.report(
+                &(0..0),
+                "a required value is absent",
+                "compare docs/configuration.md",
+            );
+            sink.finish()
+        })
+    }
+}
+
+fn report_syntax(sink: &mut Sink<'_>, error: &toml::de::Error) {
+    let span = error.span().unwrap_or(0..0);
+    if error.message().starts_with("duplicate key") {
+        sink.report(&span, error.message(), "remove one of the two");
+        return;
+    }
+    sink.repaired = true;
+    let message = format!("not valid TOML: {}", error.message().replace('\n', ", "));
+    sink.report(&span, message, "check quotes, brackets and equals signs");
+}
--- /dev/null
+++ b/crates/wagtailarch-fleet/tests/parse.rs
@@ -0,0 +1,221 @@
+//! Checks that a fleet file is read correctly and that every fault of a file is reported.
+
+use rstest::rstest;
+use wagtailarch_fleet::{Finding, Fleet};
+
+const BUDAPEST: &str = include_str!("../../../examples/budapest.toml");
+const LISSE: &str = include_str!("../../../examples/lisse.toml");
+const TWENTY: &str = include_str!("data/twenty-mistakes.toml");
+
+fn findings(text: &str) -> Vec<Finding> {
+    Fleet::parse("fleet.toml", text).expect_err("the file has a fault")
+}
+
+/// Replaces one text of the Budapest example, which must occur in it.
+fn budapest_with(from: &str, to: &str) -> String {
+    assert!(BUDAPEST.contains(from), "{from:?} is not in the example");
+    BUDAPEST.replacen(from, to, 1)
+}
+
+/// Guards against examples that operators cannot apply.
+#[rstest]
+#[case::budapest(BUDAPEST, "budapest", 2)]
+#[case::lisse(LISSE, "lisse", 2)]
+fn the_examples_are_valid(#[case] text: &str, #[case] name: &str, #[case] groups: usize) {
+    let fleet = Fleet::parse("example", text).unwrap_or_else(|findings| {
+        panic!(
+            "{}",
+            findings
+                .iter()
+                .map(|f| format!("{f}\n"))
+                .collect::<String>()
+        )
+    });
+    assert_eq!(
+        (fleet.fleet.name.as_str(), fleet.groups.len()),
+        (name, groups)
+    );
+    assert_eq!((fleet.teams.len(), fleet.services.len()), (3, 2));
+}
+
+/// Guards against a parser that differs from the data model in keys, shapes or defaults.
+#[rstest]
+#[case::budapest(BUDAPEST)]
+#[case::lisse(LISSE)]
+fn the_parser_agrees_with_the_data_model(#[case] text: &str) {
+    let by_serde: Fleet = toml::from_str(text).unwrap();
+    assert_eq!(Fleet::parse("example", text), Ok(by_serde));
+}
+
+/// Guards against findings that hide further ones: each marked line must be reported.
+#[rstest]
+fn twenty_mistakes_give_twenty_findings() {
+    let mut expected = Vec::new();
+    for (index, line) in TWENTY.lines().enumerate() {
+        if line.contains("# MISTAKE") {
+            expected.push(index as u32 + 1);
+        }
+    }
+    assert_eq!(expected.len(), 20);
+    let findings = findings(TWENTY);
+    let text: String = findings.iter().map(|f| format!("{f}\n")).collect();
+    let lines: Vec<u32> = findings.iter().map(|finding| finding.line).collect();
+    assert_eq!(lines, expected, "{text}");
+    assert!(
+        findings.iter().all(|finding| !finding.hint.is_empty()),
+        "{text}"
+    );
+}
+
+/// Guards against a fault that is not found, or is reported at a wrong place or several times.
+#[rstest]
+#[case::unit(
+    "role_change_cost_s = 6.0",
+    "role_change_cost_ms = 6000",
+    "unit is missing or wrong"
+)]
+#[case::no_unit(
+    "mix_horizon_s = 120.0",
+    "mix_horizon = 120.0",
+    "unit is missing or wrong"
+)]
+#[case::unit_in_value(
+    "mix_horizon_s = 120.0",
+    "mix_horizon_s = \"2min\"",
+    "wrong type: string"
+)]
+#[case::typo("max_running = 32", "max_runing = 32", "unknown key")]
+#[case::stray("max_running = 32", "max_running = 32\ncolour = 1", "unknown key")]
+#[case::bounds(
+    "retry_budget_ratio = 0.1",
+    "retry_budget_ratio = 1.5",
+    "out of bounds"
+)]
+#[case::not_a_number("mix_horizon_s = 120.0", "mix_horizon_s = nan", "out of bounds")]
+#[case::fraction("max_running = 32", "max_running = 3.2", "wrong type: float")]
+#[case::missing("region = \"kozep-hu\"\n", "", "lacks the key region")]
+#[case::missing_for_kind("model = \"fedel\"\nversion", "version", "lacks the key model")]
+#[case::weights("goodput_weight = 0.8", "goodput_weight = 0.7", "sum to 0.8999")]
+#[case::zones("[\"buda-a\", \"pest-b\", \"obuda-c\"]", "[]", "zones has 0 names")]
+#[case::zone_twice("\"pest-b\"", "\"buda-a\"", "twice")]
+#[case::team_twice("name = \"kitchen\"", "name = \"counter-east\"", "two of team")]
+#[case::key_twice("name = \"fedel\"", "name = \"fedel\"\nname = \"x\"", "duplicate key")]
+#[case::version("version = \"2026-11\"", "version = \"2026-12\"", "no version")]
+#[case::adapter(
+    "adapters = [\"jam\", \"lids\"]\nmax",
+    "adapters = [\"ham\"]\nmax",
+    "no adapter"
+)]
+#[case::service(
+    "services = [\"fedel\"]",
+    "services = [\"fedl\"]",
+    "no service \"fedl\""
+)]
+#[case::group("group = \"fedel-app\"", "group = \"fedel\"", "no group")]
+#[case::min_max("min = 1\nmax = 8", "min = 9\nmax = 8", "min = 9 is above max = 8")]
+#[case::demand("min = 1\nmax = 8", "min = 1300\nmax = 9000", "demand 3900 engines")]
+#[case::no_decode("max = 4", "max = 0", "")]
+#[case::hash_length("blake3:", "blake3:0", "65 digits")]
+#[case::hash_prefix("blake3:", "sha256:", "does not begin with")]
+#[case::prefix(
+    "path_prefix = \"/lids/\"",
+    "path_prefix = \"/lids\"",
+    "not a path prefix"
+)]
+#[case::reserved("path_prefix = \"/lids/\"", "path_prefix = \"/v1/\"", "clashes")]
+#[case::method("method = \"POST\"", "method = \"post\"", "cannot be \"post\"")]
+#[case::route(
+    "path = \"/lids/reservations\"",
+    "path = \"/lid/x\"",
+    "outside the path_prefix"
+)]
+#[case::name("name = \"kitchen\"", "name = \"the kitchen\"", "cannot be a name")]
+#[case::syntax("max_running = 32", "max_running = ", "not valid TOML")]
+#[case::kind(
+    "kind = \"service\"\n",
+    "kind = \"service\"\nmodel = \"fedel\"\n",
+    "cannot have model"
+)]
+fn a_fault_is_reported(#[case] from: &str, #[case] to: &str, #[case] message: &str) {
+    let text = budapest_with(from, to);
+    if message.is_empty() {
+        Fleet::parse("fleet.toml", &text).unwrap();
+        return;
+    }
+    let findings = findings(&text);
+    let shown: String = findings.iter().map(|f| format!("{f}\n")).collect();
+    assert!(
+        findings
+            .iter()
+            .any(|finding| finding.message.contains(message)),
+        "{shown}"
+    );
+    assert!(findings.len() <= 3, "{shown}");
+}
+
+/// Guards against faults between two tables that go unnoticed.
+#[rstest]
+#[case::clash(
+    "[[service]]\nname = \"jam\"\ngroup = \"fedel-app\"\npath_prefix = \"/lids/jam/\"\n",
+    "clashes with \"/lids/\""
+)]
+#[case::same_prefix(
+    "[[service]]\nname = \"jam\"\ngroup = \"fedel-app\"\npath_prefix = \"/lids/\"\n",
+    "clashes with \"/lids/\""
+)]
+#[case::shared_key(
+    "[[team]]\nname = \"x\"\nkey_hash = \"HASH\"\nrequests_per_s = 1\ntokens_per_s = 1\n",
+    "team \"kitchen\" has the same key_hash"
+)]
+#[case::no_engine_can_generate(
+    "[[group]]\nname = \"g\"\nkind = \"engine\"\nmodel = \"fedel\"\nversion = \"2026-10\"\n\
+     max_running = 1\nroles = { decode = { min = 0, max = 0 }, mixed = { min = 0, max = 0 } }\n",
+    "no engine may generate"
+)]
+#[case::wrong_model(
+    "[[service]]\nname = \"b\"\ngroup = \"fedel-lm\"\nmodel = \"bollen\"\n",
+    "the group serves model \"fedel\""
+)]
+fn a_contradiction_is_reported(#[case] addition: &str, #[case] message: &str) {
+    let fleet = Fleet::parse("budapest.toml", BUDAPEST).unwrap();
+    let text = format!(
+        "{BUDAPEST}\n{}",
+        addition.replace("HASH", &fleet.teams[1].key_hash)
+    );
+    let findings = findings(&text);
+    assert_eq!(findings.len(), 1, "{findings:?}");
+    assert!(findings[0].message.contains(message), "{findings:?}");
+}
+
+/// Guards against a display without place, source line, marker or hint.
+#[rstest]
+fn a_finding_shows_its_line() {
+    let text = budapest_with("max_running = 32", "max_running = \"32\"");
+    let shown = findings(&text)[0].to_string();
+    let line = text
+        .lines()
+        .position(|line| line.starts_with("max_running"))
+        .unwrap()
+        + 1;
+    let expected = format!(
+        "fleet.toml:{line}:15: max_running has a value of the wrong type: string\n  \
+         {line} | max_running = \"32\"\n     |               ^^^^\n  \
+         hint: write a whole number from 1 to 100000"
+    );
+    assert_eq!(shown, expected);
+}
+
+/// Guards against a panic or an endless report on input that is no fleet file.
+#[rstest]
+#[case::empty("")]
+#[case::binary("\u{0}\u{1}ÿ")]
+#[case::wrong_tables("fleet = 1\npolicy = []\nmodel = 1\ngroup = [1]\nteam = {}\n")]
+#[case::cut("[[team]]\nname = \"ü")]
+#[case::many(&"[[team]]\n".repeat(3_000))]
+fn odd_input_is_refused(#[case] text: &str) {
+    let findings = findings(text);
+    assert!(!findings.is_empty() && findings.len() <= 1_000);
+    for finding in findings {
+        assert!(!finding.to_string().is_empty());
+    }
+}
