Split the fleet file into content-addressed parts and compare files

A file of 29,000 teams does not fit in one object, and a change of one team must not move the others. Teams are split into buckets by the hash of their names; above 32 buckets the manifest names index parts of 32 buckets each. A bucket holds its teams as JSON arrays, since field names would make up a third of its bytes.

--- a/crates/wagtailarch-fleet/src/lib.rs
+++ b/crates/wagtailarch-fleet/src/lib.rs
@@ -1,23 +1,35 @@
 //! The fleet file: what an operator applies as a whole.
 //!
 //! [`Fleet`] is the typed form of the TOML file; [`Fleet::parse`] collects every fault of a file
-//! as a [`Finding`]. This crate does no I/O.
+//! as a [`Finding`]. [`split`] makes content-addressed parts of it, which a [`Manifest`] names, and
+//! [`assemble`] puts them together. This crate does no I/O.
 
 mod check;
 mod check_services;
 mod check_teams;
+mod diff;
 mod draft;
 mod finding;
+mod manifest;
 mod model;
 mod parse;
+mod part;
 mod reader;
 mod schema;
 mod sink;
+mod split;
 
 pub use check_teams::{format_key_hash, parse_key_hash};
+pub use diff::{Change, ChangeKind, FieldChange, FleetDiff, diff};
 pub use finding::Finding;
+pub use manifest::{
+    FleetContent, MANIFEST_KEY, MAX_APPLIED_BY_CHARS, MAX_RECENT_APPLIES, Manifest, RecentApply,
+    TeamIndex,
+};
 pub use model::{
     Fleet, FleetSection, Group, GroupKind, Model, Policy, RoleBounds, RoleTable, Route, Service,
     Team,
 };
 pub use parse::MAX_FILE_BYTES;
+pub use part::{PART_KEY_PREFIX, PartError, PartHash, Parts, check_part, part_hash, part_key};
+pub use split::{assemble, missing_parts, referenced_parts, split};
--- /dev/null
+++ b/crates/wagtailarch-fleet/src/split.rs
@@ -0,0 +1,192 @@
+//! Splitting a fleet file into parts, and the reverse.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use wagtailarch_types::{Priority, ServiceName, TeamName};
+
+use crate::model::{Fleet, Team};
+use crate::{FleetContent, PartError, PartHash, Parts, TeamIndex, part_hash};
+
+/// Teams per bucket on average, before rounding up to a power of two of buckets.
+const TEAMS_PER_BUCKET: usize = 32;
+/// Buckets that a manifest or an index part names.
+const BUCKETS_PER_INDEX: usize = 32;
+/// Text that every key hash begins with; the parts leave it out.
+const KEY_HASH_PREFIX: &str = "blake3:";
+
+/// A team as a JSON array; without the field names a bucket takes up two thirds of the bytes.
+type TeamRow = (TeamName, SmolStr, f64, f64, f64, Priority, Vec<ServiceName>);
+
+/// Splits a valid fleet into content-addressed parts.
+///
+/// Equal fleets give equal parts, whatever the order of their teams.
+pub fn split(fleet: &Fleet) -> (FleetContent, Parts) {
+    let mut parts = Parts::new();
+    let core = add_part(&mut parts, &without_teams(fleet));
+    let mut buckets = Vec::new();
+    for teams in bucket_teams(&fleet.teams) {
+        let rows: Vec<TeamRow> = teams.into_iter().map(to_row).collect();
+        buckets.push(add_part(&mut parts, &rows));
+    }
+    if buckets.len() <= BUCKETS_PER_INDEX {
+        return (
+            FleetContent {
+                core,
+                teams: TeamIndex::Buckets(buckets),
+            },
+            parts,
+        );
+    }
+    let mut index_parts = Vec::new();
+    for hashes in buckets.chunks(BUCKETS_PER_INDEX) {
+        index_parts.push(add_part(&mut parts, &hashes));
+    }
+    (
+        FleetContent {
+            core,
+            teams: TeamIndex::IndexParts(index_parts),
+        },
+        parts,
+    )
+}
+
+/// Returns the parts that are needed and that `find` does not have, as far as they are known.
+///
+/// The buckets of an index part are known only once `find` has it, so the caller fetches and asks
+/// again until the result is empty.
+pub fn missing_parts<'p>(
+    content: &FleetContent,
+    find: impl Fn(&str) -> Option<&'p [u8]>,
+) -> Result<Vec<PartHash>, PartError> {
+    let mut missing = Vec::new();
+    let known = referenced_parts(content, &find)?;
+    for hash in known {
+        if find(&hash).is_none() {
+            missing.push(hash);
+        }
+    }
+    missing.sort_unstable();
+    missing.dedup();
+    Ok(missing)
+}
+
+/// Returns the parts that a configuration refers to, as far as `find` has its index parts.
+pub fn referenced_parts<'p>(
+    content: &FleetContent,
+    find: impl Fn(&str) -> Option<&'p [u8]>,
+) -> Result<Vec<PartHash>, PartError> {
+    let mut known = vec![content.core.clone()];
+    match &content.teams {
+        TeamIndex::Buckets(buckets) => known.extend_from_slice(buckets),
+        TeamIndex::IndexParts(index_parts) => {
+            known.extend_from_slice(index_parts);
+            for hash in index_parts {
+                if let Some(value) = find(hash) {
+                    known.extend(decode::<Vec<PartHash>>(hash, value)?);
+                }
+            }
+        }
+    }
+    Ok(known)
+}
+
+/// Puts a configuration together; its teams are in the order of their names.
+pub fn assemble<'p>(
+    content: &FleetContent,
+    find: impl Fn(&str) -> Option<&'p [u8]>,
+) -> Result<Fleet, PartError> {
+    let value = |hash: &PartHash| find(hash).ok_or_else(|| PartError::Absent(hash.clone()));
+    let mut fleet: Fleet = decode(&content.core, value(&content.core)?)?;
+    let mut buckets = Vec::new();
+    match &content.teams {
+        TeamIndex::Buckets(hashes) => buckets.extend_from_slice(hashes),
+        TeamIndex::IndexParts(hashes) => {
+            for hash in hashes {
+                buckets.extend(decode::<Vec<PartHash>>(hash, value(hash)?)?);
+            }
+        }
+    }
+    for hash in &buckets {
+        let rows: Vec<TeamRow> = decode(hash, value(hash)?)?;
+        fleet.teams.extend(rows.into_iter().map(from_row));
+    }
+    fleet.teams.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    Ok(fleet)
+}
+
+/// Copies everything but the teams.
+fn without_teams(fleet: &Fleet) -> Fleet {
+    Fleet {
+        fleet: fleet.fleet.clone(),
+        policy: fleet.policy.clone(),
+        models: fleet.models.clone(),
+        groups: fleet.groups.clone(),
+        services: fleet.services.clone(),
+        teams: Vec::new(),
+    }
+}
+
+/// Distributes teams over buckets by the hash of their names; each bucket is sorted by name.
+fn bucket_teams(teams: &[Team]) -> Vec<Vec<&Team>> {
+    let bucket_count = teams.len().div_ceil(TEAMS_PER_BUCKET).next_power_of_two();
+    let mut buckets = vec![Vec::new(); bucket_count];
+    for team in teams {
+        buckets[bucket_of(&team.name, bucket_count)].push(team);
+    }
+    for bucket in &mut buckets {
+        bucket.sort_unstable_by(|a: &&Team, b: &&Team| a.name.cmp(&b.name));
+    }
+    buckets
+}
+
+/// Returns the bucket of a team; `bucket_count` is a power of two.
+fn bucket_of(name: &str, bucket_count: usize) -> usize {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
+    u64::from_le_bytes(bytes) as usize & (bucket_count - 1)
+}
+
+fn add_part<T: Serialize>(parts: &mut Parts, value: &T) -> PartHash {
+    // The model has string keys and finite numbers only, which JSON can always express.
+    let bytes = serde_json::to_vec(value).expect("the fleet model is expressible as JSON");
+    let hash = part_hash(&bytes);
+    parts.insert(hash.clone(), bytes);
+    hash
+}
+
+fn decode<T: DeserializeOwned>(hash: &PartHash, value: &[u8]) -> Result<T, PartError> {
+    serde_json::from_slice(value).map_err(|error| PartError::Malformed {
+        hash: hash.clone(),
+        reason: error.to_string(),
+    })
+}
+
+fn to_row(team: &Team) -> TeamRow {
+    let hash = team
+        .key_hash
+        .strip_prefix(KEY_HASH_PREFIX)
+        .unwrap_or(&team.key_hash);
+    (
+        team.name.clone(),
+        SmolStr::new(hash),
+        team.requests_per_s,
+        team.tokens_per_s,
+        team.weight,
+        team.priority,
+        team.services.clone(),
+    )
+}
+
+fn from_row(row: TeamRow) -> Team {
+    let (name, hash, requests_per_s, tokens_per_s, weight, priority, services) = row;
+    Team {
+        name,
+        key_hash: SmolStr::from(format!("{KEY_HASH_PREFIX}{hash}")),
+        requests_per_s,
+        tokens_per_s,
+        weight,
+        priority,
+        services,
+    }
+}
