Add the configuration store

Operators race each other and answers of the platform get lost. An apply writes its parts first and then decides by one conditional update of the manifest; after a lost answer it reads back and compares the nonce, and sends the same conditional write again only while the base is still in force. An observer keeps the highest manifest that it has seen, so that reads that are out of date never take it back.

--- a/crates/wagtailarch-platform/src/lib.rs
+++ b/crates/wagtailarch-platform/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! [`Platform`] is the boundary; [`HttpPlatform`] speaks the protocol of section 6 of the design
 //! page and [`FakePlatform`] answers from memory with seeded faults.
+//! [`ConfigStore`] reads and applies configurations.
 
+mod config_store;
 mod error;
 mod fake;
 mod http;
 mod platform;
 
+pub use config_store::{ApplyOutcome, ConfigError, ConfigStore, RetryLimits};
 pub use error::{PlatformError, PlatformResult};
 pub use fake::{FakeFaults, FakePlatform};
 pub use http::{HttpPlatform, HttpPlatformConfig};
