Add wagtailctl: validate, apply, diff, get, status and hash-key

Operators control the system only by applying whole files and reading back. The command talks to the object API of the platform and has an exit code for each outcome on which a script may act. status says everywhere only if every zone of the file has a fresh record at or above the generation without an unknown instance; records from a clock that differs by 15 s count as stale.

Two faults were found by running the binary against a platform that loses every answer: a part whose answer was lost is now read back instead of written until the attempts are used up, and get leaves out keys that the validator refuses for the kind of a group, so that its output can be applied.

--- /dev/null
+++ b/crates/wagtailarch-cli/src/args.rs
@@ -0,0 +1,345 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use displaydoc::Display;
+use pico_args::Arguments;
+use wagtailarch_platform::HttpPlatformConfig;
+use wagtailarch_types::Generation;
+
+/// Text of `--help`.
+pub const HELP: &str = "\
+Validates, applies and reads back fleet files.
+
+usage: wagtailctl <command> [options]
+
+commands:
+  validate <file>...                  report every fault of fleet files
+  apply <file> --base <n>|current     apply a file if generation n (or the one read now) is in force
+  diff <file>                         compare the configuration in force with a file
+  diff <old file> <new file>          compare two files
+  get                                 print the configuration in force as a fleet file
+  status [--wait] [--generation <n>]  tell whether a generation is in force everywhere
+  hash-key                            read a bearer key from standard input and print its key_hash
+
+options:
+  --platform <http://ip:port>  object API of the platform; for apply, get, status and diff <file>
+  --output text|json           form of the output (default: text)
+  --by <name>                  apply: name of the operator in the manifest (default: $USER)
+  --wait                       status: wait until the generation is in force everywhere
+  --timeout-s <seconds>        status: longest wait (default: 30)
+  --generation <n>             status: generation to ask for (default: the one in force)
+  --help, --version
+
+exit codes:
+  0  done; for status: in force everywhere
+  1  the file has faults
+  2  wrong usage, or a file cannot be read
+  3  conflict: another generation is in force than --base says
+  4  the platform is unreachable, or the outcome is unknown
+  5  the generation is not in force everywhere
+";
+
+/// Default of `--timeout-s`.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Greatest `--timeout-s`.
+const MAX_TIMEOUT_S: u64 = 3_600;
+
+/// A parsed command line.
+#[derive(Debug, Clone)]
+pub struct Args {
+    /// What to do.
+    pub command: Command,
+    /// Form of the output.
+    pub output: OutputFormat,
+}
+
+/// What to do.
+#[derive(Debug, Clone)]
+pub enum Command {
+    /// Print the help text.
+    Help,
+    /// Print the version.
+    Version,
+    /// Report every fault of fleet files.
+    Validate {
+        /// Files; not empty.
+        files: Vec<PathBuf>,
+    },
+    /// Apply a file.
+    Apply {
+        /// File.
+        file: PathBuf,
+        /// Generation that must be in force.
+        base: Base,
+        /// Name of the operator.
+        by: String,
+        /// Platform.
+        platform: HttpPlatformConfig,
+    },
+    /// Compare two configurations.
+    Diff {
+        /// Old configuration.
+        before: DiffSource,
+        /// New configuration.
+        after: PathBuf,
+    },
+    /// Print the configuration in force.
+    Get {
+        /// Platform.
+        platform: HttpPlatformConfig,
+    },
+    /// Tell whether a generation is in force everywhere.
+    Status {
+        /// Generation; the one in force if none is given.
+        generation: Option<Generation>,
+        /// Longest wait; zero to look once.
+        wait: Duration,
+        /// Platform.
+        platform: HttpPlatformConfig,
+    },
+    /// Read a bearer key and print its hash.
+    HashKey,
+}
+
+/// Generation that must be in force for an apply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Base {
+    /// This one; 0 stands for no configuration.
+    Generation(Generation),
+    /// The one that is in force when the command reads it.
+    Current,
+}
+
+/// Old side of a comparison.
+#[derive(Debug, Clone)]
+pub enum DiffSource {
+    /// A file.
+    File(PathBuf),
+    /// The configuration in force.
+    Platform(HttpPlatformConfig),
+}
+
+/// Form of the output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OutputFormat {
+    /// For readers.
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+/// Why a command line is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum UsageError {
+    /// no command is given
+    NoCommand,
+    /// unknown command {0}
+    UnknownCommand(String),
+    /// unexpected argument {0}
+    Unexpected(String),
+    /// {0} is missing
+    Missing(&'static str),
+    /// {option} cannot be {value}: {expected}
+    Invalid {
+        /// Option.
+        option: &'static str,
+        /// Its value.
+        value: String,
+        /// What it must be.
+        expected: &'static str,
+    },
+    /// {0}
+    Syntax(String),
+}
+
+impl std::error::Error for UsageError {}
+
+impl From<pico_args::Error> for UsageError {
+    fn from(error: pico_args::Error) -> Self {
+        Self::Syntax(error.to_string())
+    }
+}
+
+/// Parses a command line without the program name.
+pub fn parse_args(arguments: Vec<OsString>) -> Result<Args, UsageError> {
+    let mut arguments = Arguments::from_vec(arguments);
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Args {
+            command: Command::Help,
+            output: OutputFormat::Text,
+        });
+    }
+    if arguments.contains(["-V", "--version"]) {
+        return Ok(Args {
+            command: Command::Version,
+            output: OutputFormat::Text,
+        });
+    }
+    let name = arguments.subcommand()?.ok_or(UsageError::NoCommand)?;
+    let output = parse_output(&mut arguments)?;
+    let platform = parse_platform(&mut arguments)?;
+    let command = match name.as_str() {
+        "validate" => Command::Validate {
+            files: free_files(&mut arguments)?,
+        },
+        "apply" => parse_apply(&mut arguments, platform)?,
+        "diff" => parse_diff(&mut arguments, platform)?,
+        "get" => Command::Get {
+            platform: required(platform)?,
+        },
+        "status" => parse_status(&mut arguments, platform)?,
+        "hash-key" => Command::HashKey,
+        _ => return Err(UsageError::UnknownCommand(name)),
+    };
+    match arguments.finish().first() {
+        Some(argument) => Err(UsageError::Unexpected(argument.to_string_lossy().into())),
+        None => Ok(Args { command, output }),
+    }
+}
+
+fn parse_apply(
+    arguments: &mut Arguments,
+    platform: Option<HttpPlatformConfig>,
+) -> Result<Command, UsageError> {
+    let base = option(
+        arguments,
+        "--base",
+        "a generation or current",
+        |text| match text {
+            "current" => Some(Base::Current),
+            _ => text.parse().ok().map(Base::Generation),
+        },
+    )?;
+    let by = option(arguments, "--by", "a name", |text| Some(text.to_owned()))?;
+    let default_by = || std::env::var("USER").unwrap_or_else(|_| "wagtailctl".into());
+    let file = only_file(free_files(arguments)?)?;
+    Ok(Command::Apply {
+        file,
+        base: base.ok_or(UsageError::Missing("--base <n> or --base current"))?,
+        by: by.unwrap_or_else(default_by),
+        platform: required(platform)?,
+    })
+}
+
+fn parse_diff(
+    arguments: &mut Arguments,
+    platform: Option<HttpPlatformConfig>,
+) -> Result<Command, UsageError> {
+    let mut files = free_files(arguments)?.into_iter();
+    let first = files.next().ok_or(UsageError::Missing("<file>"))?;
+    let Some(second) = files.next() else {
+        return Ok(Command::Diff {
+            before: DiffSource::Platform(required(platform)?),
+            after: first,
+        });
+    };
+    match files.next() {
+        Some(third) => Err(UsageError::Unexpected(third.display().to_string())),
+        None => Ok(Command::Diff {
+            before: DiffSource::File(first),
+            after: second,
+        }),
+    }
+}
+
+fn parse_status(
+    arguments: &mut Arguments,
+    platform: Option<HttpPlatformConfig>,
+) -> Result<Command, UsageError> {
+    let waits = arguments.contains("--wait");
+    let timeout = option(
+        arguments,
+        "--timeout-s",
+        "whole seconds up to 3600",
+        |text| {
+            let seconds = text
+                .parse()
+                .ok()
+                .filter(|seconds| *seconds <= MAX_TIMEOUT_S)?;
+            Some(Duration::from_secs(seconds))
+        },
+    )?;
+    let generation = option(arguments, "--generation", "a generation", |text| {
+        text.parse().ok()
+    })?;
+    let wait = if waits {
+        timeout.unwrap_or(DEFAULT_TIMEOUT)
+    } else {
+        Duration::ZERO
+    };
+    Ok(Command::Status {
+        generation,
+        wait,
+        platform: required(platform)?,
+    })
+}
+
+fn parse_output(arguments: &mut Arguments) -> Result<OutputFormat, UsageError> {
+    let output = option(arguments, "--output", "text or json", |text| match text {
+        "text" => Some(OutputFormat::Text),
+        "json" => Some(OutputFormat::Json),
+        _ => None,
+    })?;
+    Ok(output.unwrap_or(OutputFormat::Text))
+}
+
+fn parse_platform(arguments: &mut Arguments) -> Result<Option<HttpPlatformConfig>, UsageError> {
+    option(
+        arguments,
+        "--platform",
+        "http://ip:port",
+        HttpPlatformConfig::parse,
+    )
+}
+
+fn required(platform: Option<HttpPlatformConfig>) -> Result<HttpPlatformConfig, UsageError> {
+    platform.ok_or(UsageError::Missing("--platform <http://ip:port>"))
+}
+
+fn option<T>(
+    arguments: &mut Arguments,
+    name: &'static str,
+    expected: &'static str,
+    parse: impl Fn(&str) -> Option<T>,
+) -> Result<Option<T>, UsageError> {
+    let Some(value) = arguments.opt_value_from_str::<_, String>(name)? else {
+        return Ok(None);
+    };
+    match parse(&value) {
+        Some(parsed) => Ok(Some(parsed)),
+        None => Err(UsageError::Invalid {
+            option: name,
+            value,
+            expected,
+        }),
+    }
+}
+
+/// Takes the remaining arguments as files; an unknown option among them is an error.
+fn free_files(arguments: &mut Arguments) -> Result<Vec<PathBuf>, UsageError> {
+    let rest = std::mem::replace(arguments, Arguments::from_vec(Vec::new())).finish();
+    let mut files = Vec::with_capacity(rest.len());
+    for argument in rest {
+        let text = argument.to_string_lossy();
+        if text.len() > 1 && text.starts_with('-') {
+            return Err(UsageError::Unexpected(text.into()));
+        }
+        files.push(PathBuf::from(argument));
+    }
+    if files.is_empty() {
+        return Err(UsageError::Missing("<file>"));
+    }
+    Ok(files)
+}
+
+fn only_file(files: Vec<PathBuf>) -> Result<PathBuf, UsageError> {
+    let mut files = files.into_iter();
+    let file = files.next().ok_or(UsageError::Missing("<file>"))?;
+    match files.next() {
+        Some(other) => Err(UsageError::Unexpected(other.display().to_string())),
+        None => Ok(file),
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-cli/src/run.rs
@@ -0,0 +1,233 @@
+//! Execution of commands.
+
+use std::io::Read;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use futures_util::future::try_join_all;
+use wagtailarch_fleet::{Finding, Fleet, MAX_FILE_BYTES, Manifest, diff, format_key_hash};
+use wagtailarch_platform::{
+    ConfigError, ConfigStore, HttpPlatform, HttpPlatformConfig, Platform, RetryLimits,
+};
+use wagtailarch_types::{Generation, hash_key};
+use wagtailarch_wire::status::status_key;
+
+use crate::args::{Base, Command, DiffSource};
+use crate::report::Report;
+use crate::status::{StatusReport, evaluate};
+
+/// Pause between two looks at the status.
+const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+/// Greatest length of a bearer key.
+const MAX_KEY_BYTES: u64 = 4_096;
+/// Attempts per step; with 2 s per call a silent platform is given up on within some 20 s.
+const ATTEMPTS: u32 = 4;
+
+/// Why a command ended without its result.
+type Stop = Box<Report>;
+
+/// Carries a command out.
+pub async fn run(command: Command) -> Report {
+    match execute(command).await {
+        Ok(report) => report,
+        Err(report) => *report,
+    }
+}
+
+/// Validates the text of a file.
+pub fn validate(name: &str, text: &str) -> Result<Fleet, Vec<Finding>> {
+    Fleet::parse(name, text)
+}
+
+async fn execute(command: Command) -> Result<Report, Stop> {
+    match command {
+        Command::Help => Ok(Report::Text(crate::HELP.into())),
+        Command::Version => Ok(Report::Text(format!("{}\n", env!("CARGO_PKG_VERSION")))),
+        Command::Validate { files } => validate_files(&files),
+        Command::Apply {
+            file,
+            base,
+            by,
+            platform,
+        } => {
+            let fleet = read_fleet(&file)?;
+            apply(&connect(platform, &by), base, &fleet).await
+        }
+        Command::Diff { before, after } => {
+            let after = read_fleet(&after)?;
+            let before = match before {
+                DiffSource::File(file) => read_fleet(&file)?,
+                DiffSource::Platform(platform) => load(&connect(platform, "")).await?.1,
+            };
+            Ok(Report::Diff(diff(&before, &after)))
+        }
+        Command::Get { platform } => {
+            let (manifest, fleet) = load(&connect(platform, "")).await?;
+            Ok(Report::Fleet {
+                manifest: Box::new(manifest),
+                fleet: Box::new(fleet),
+            })
+        }
+        Command::Status {
+            generation,
+            wait,
+            platform,
+        } => {
+            let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(platform));
+            wait_for_status(platform, generation, wait).await
+        }
+        Command::HashKey => hash_key_from(std::io::stdin().lock()),
+    }
+}
+
+fn connect(platform: HttpPlatformConfig, by: &str) -> ConfigStore {
+    let limits = RetryLimits {
+        attempts: ATTEMPTS,
+        ..RetryLimits::default()
+    };
+    ConfigStore::with_limits(Arc::new(HttpPlatform::new(platform)), by, limits)
+}
+
+fn validate_files(files: &[PathBuf]) -> Result<Report, Stop> {
+    let mut findings = Vec::new();
+    for file in files {
+        if let Err(found) = validate(&file.display().to_string(), &read_text(file)?) {
+            findings.extend(found);
+        }
+    }
+    Ok(Report::Findings(findings))
+}
+
+fn read_fleet(file: &Path) -> Result<Fleet, Stop> {
+    let text = read_text(file)?;
+    validate(&file.display().to_string(), &text)
+        .map_err(|findings| Box::new(Report::Findings(findings)))
+}
+
+/// Reads a file; one that is far too long is cut, and the validation reports its length.
+fn read_text(file: &Path) -> Result<String, Stop> {
+    let usage = |error: std::io::Error| {
+        Box::new(Report::Usage(format!(
+            "{} cannot be read: {error}",
+            file.display()
+        )))
+    };
+    let mut text = String::new();
+    let reader = std::fs::File::open(file).map_err(usage)?;
+    reader
+        .take(MAX_FILE_BYTES as u64 + 1)
+        .read_to_string(&mut text)
+        .map_err(usage)?;
+    Ok(text)
+}
+
+async fn apply(store: &ConfigStore, base: Base, fleet: &Fleet) -> Result<Report, Stop> {
+    let base = match base {
+        Base::Generation(generation) => generation,
+        Base::Current => store
+            .current()
+            .await
+            .map_err(failed)?
+            .map_or(0, |m| m.generation),
+    };
+    let outcome = store
+        .apply(base, fleet, rand::random())
+        .await
+        .map_err(failed)?;
+    Ok(Report::Applied(outcome))
+}
+
+async fn load(store: &ConfigStore) -> Result<(Manifest, Fleet), Stop> {
+    let manifest = store.current().await.map_err(failed)?;
+    let manifest = manifest.ok_or_else(|| Box::new(Report::NoConfiguration))?;
+    let fleet = store.load(&manifest).await.map_err(failed)?;
+    Ok((manifest, fleet))
+}
+
+/// Looks at the status until it is everywhere or the time is over.
+async fn wait_for_status(
+    platform: Arc<dyn Platform>,
+    generation: Option<Generation>,
+    wait: Duration,
+) -> Result<Report, Stop> {
+    let limits = RetryLimits {
+        attempts: ATTEMPTS,
+        ..RetryLimits::default()
+    };
+    let store = ConfigStore::with_limits(Arc::clone(&platform), "", limits);
+    let start = Instant::now();
+    let mut target = generation;
+    loop {
+        let result = read_status(&platform, &store, target).await;
+        let report = match result {
+            Ok(Some(status)) if status.everywhere => return Ok(Report::Status(status)),
+            Ok(Some(status)) => {
+                // A file that is applied during the wait does not move the goal.
+                target = Some(status.generation);
+                Report::Status(status)
+            }
+            Ok(None) => Report::NoConfiguration,
+            Err(error) => Report::Failed(error),
+        };
+        if start.elapsed() + STATUS_INTERVAL > wait {
+            return Ok(report);
+        }
+        tokio::time::sleep(STATUS_INTERVAL).await;
+    }
+}
+
+/// Reads the status once; `None` if nothing was ever applied.
+async fn read_status(
+    platform: &Arc<dyn Platform>,
+    store: &ConfigStore,
+    generation: Option<Generation>,
+) -> Result<Option<StatusReport>, ConfigError> {
+    let Some(manifest) = store.current().await? else {
+        return Ok(None);
+    };
+    let zones = store.load_core(&manifest).await?.fleet.zones;
+    let reads = zones.into_iter().map(|zone| async move {
+        let object = platform.get(&status_key(&zone)).await?;
+        Ok::<_, ConfigError>((zone, object.map(|object| object.value.to_vec())))
+    });
+    let records = try_join_all(reads).await?;
+    let newest = manifest.generation;
+    Ok(Some(evaluate(
+        generation.unwrap_or(newest),
+        newest,
+        records,
+        now_ms(),
+    )))
+}
+
+fn hash_key_from(input: impl Read) -> Result<Report, Stop> {
+    let usage = |message: String| Box::new(Report::Usage(message));
+    let mut text = String::new();
+    let mut input = input.take(MAX_KEY_BYTES + 1);
+    input
+        .read_to_string(&mut text)
+        .map_err(|error| usage(format!("the key cannot be read: {error}")))?;
+    let key = text.trim_end_matches(['\r', '\n']);
+    // A key travels in a header, after "Bearer ".
+    if key.is_empty() || !key.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(usage(
+            "the key must consist of visible ASCII characters, no blanks".into(),
+        ));
+    }
+    if text.len() as u64 > MAX_KEY_BYTES {
+        return Err(usage(format!(
+            "the key is longer than {MAX_KEY_BYTES} bytes"
+        )));
+    }
+    Ok(Report::KeyHash(format_key_hash(&hash_key(key))))
+}
+
+fn failed(error: ConfigError) -> Stop {
+    Box::new(Report::Failed(error))
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/wagtailarch-cli/tests/common/mod.rs
@@ -0,0 +1,88 @@
+//! Object API over HTTP in front of the in-memory platform, for the process under test.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use wagtailarch_platform::{Expect, FakePlatform, Platform, PlatformError};
+use wagtailarch_wire::platform::OBJECTS_PATH_PREFIX;
+
+type Answer = Response<Full<Bytes>>;
+
+/// Serves `platform` on a loopback address until the runtime ends.
+pub async fn serve(platform: Arc<FakePlatform>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let platform = Arc::clone(&platform);
+            let service = service_fn(move |request| answer(Arc::clone(&platform), request));
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(connection);
+        }
+    });
+    address
+}
+
+/// Answers object reads and writes; a lost answer closes the connection.
+async fn answer(platform: Arc<FakePlatform>, request: Request<Incoming>) -> Result<Answer, String> {
+    let key = request
+        .uri()
+        .path()
+        .strip_prefix(OBJECTS_PATH_PREFIX)
+        .unwrap_or_default();
+    let key = percent_encoding::percent_decode_str(key)
+        .decode_utf8_lossy()
+        .into_owned();
+    if request.method() == Method::GET {
+        return match platform.get(&key).await {
+            Ok(Some(object)) => Ok(respond(StatusCode::OK, object.version, object.value)),
+            Ok(None) => Ok(respond(StatusCode::NOT_FOUND, 0, Bytes::new())),
+            Err(error) => refuse(error),
+        };
+    }
+    let expect = match (
+        request.headers().get("if-none-match"),
+        request.headers().get("if-match"),
+    ) {
+        (Some(_), _) => Expect::Absent,
+        (None, Some(version)) => {
+            Expect::Version(version.to_str().unwrap().trim_matches('"').parse().unwrap())
+        }
+        (None, None) => Expect::Any,
+    };
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .map_err(|error| error.to_string())?
+        .to_bytes();
+    match platform.put(&key, body, expect).await {
+        Ok(version) => Ok(respond(StatusCode::OK, version, Bytes::new())),
+        Err(error) => refuse(error),
+    }
+}
+
+fn refuse(error: PlatformError) -> Result<Answer, String> {
+    match error {
+        PlatformError::Conflict => Ok(respond(StatusCode::PRECONDITION_FAILED, 0, Bytes::new())),
+        PlatformError::Unknown(reason) => Err(reason),
+        _ => Ok(respond(StatusCode::SERVICE_UNAVAILABLE, 0, Bytes::new())),
+    }
+}
+
+fn respond(status: StatusCode, version: u64, body: Bytes) -> Answer {
+    let etag = format!("\"{version}\"");
+    Response::builder()
+        .status(status)
+        .header("etag", etag)
+        .body(Full::new(body))
+        .unwrap()
+}
--- /dev/null
+++ b/crates/wagtailarch-cli/tests/status.rs
@@ -0,0 +1,63 @@
+//! Checks the condition under which a generation is said to be in force everywhere.
+
+use rstest::rstest;
+use wagtailarch_cli::{ZoneState, evaluate};
+use wagtailarch_wire::status::{LaggingInstance, ZoneStatusRecord};
+
+const NOW_MS: u64 = 1_000_000;
+
+fn record(generation: u64, written_at_ms: u64, lagging: Vec<LaggingInstance>) -> Vec<u8> {
+    let record = ZoneStatusRecord {
+        zone: "a".into(),
+        generation,
+        instance_count: 3,
+        lagging,
+        written_at_ms,
+        lease_number: 4,
+    };
+    serde_json::to_vec(&record).unwrap()
+}
+
+fn lagging(generation: Option<u64>) -> Vec<LaggingInstance> {
+    vec![LaggingInstance {
+        instance: "entry-1".into(),
+        generation,
+        reason: "silent".into(),
+    }]
+}
+
+/// Guards against "everywhere" with a zone of which nothing certain is known.
+#[rstest]
+#[case::in_force(Some(record(7, NOW_MS, vec![])), ZoneState::InForce)]
+#[case::newer(Some(record(8, NOW_MS - 14_999, lagging(Some(7)))), ZoneState::InForce)]
+#[case::behind(Some(record(6, NOW_MS, vec![])), ZoneState::Behind)]
+#[case::one_behind(Some(record(7, NOW_MS, lagging(Some(6)))), ZoneState::Behind)]
+#[case::unknown(Some(record(7, NOW_MS, lagging(None))), ZoneState::UnknownInstances)]
+#[case::old(Some(record(7, NOW_MS - 15_000, vec![])), ZoneState::Stale)]
+#[case::future(Some(record(7, NOW_MS + 15_000, vec![])), ZoneState::Stale)]
+#[case::absent(None, ZoneState::NoRecord)]
+#[case::garbage(Some(b"{".to_vec()), ZoneState::Malformed)]
+fn a_zone_counts_only_if_certain(#[case] value: Option<Vec<u8>>, #[case] state: ZoneState) {
+    let status = evaluate(7, 8, vec![("a".into(), value)], NOW_MS);
+    assert_eq!(status.zones[0].state, state);
+    assert_eq!(status.everywhere, state == ZoneState::InForce);
+}
+
+/// Guards against "everywhere" from a part of the zones, no zones or a record of another zone.
+#[rstest]
+fn every_zone_counts() {
+    let fine = || Some(record(7, NOW_MS, vec![]));
+    assert!(evaluate(7, 7, vec![("a".into(), fine())], NOW_MS).everywhere);
+    let zones = vec![("a".into(), fine()), ("b".into(), fine())];
+    let status = evaluate(7, 7, zones, NOW_MS);
+    assert_eq!(
+        (status.everywhere, &status.zones[1].state),
+        (false, &ZoneState::Malformed)
+    );
+    assert!(!evaluate(7, 7, vec![], NOW_MS).everywhere);
+    assert!(
+        !evaluate(7, 6, vec![("a".into(), fine())], NOW_MS).everywhere,
+        "never applied"
+    );
+    assert!(!evaluate(0, 7, vec![("a".into(), fine())], NOW_MS).everywhere);
+}
--- a/crates/wagtailarch-fleet/src/lib.rs
+++ b/crates/wagtailarch-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod parse;
 mod part;
 mod reader;
+mod render;
 mod schema;
 mod sink;
 mod split;
--- a/crates/wagtailarch-fleet/tests/parse.rs
+++ b/crates/wagtailarch-fleet/tests/parse.rs
@@ -47,6 +47,18 @@
     assert_eq!(Fleet::parse("example", text), Ok(by_serde));
 }
 
+/// Guards against a configuration that is read back and cannot be applied again.
+#[rstest]
+#[case::budapest(BUDAPEST)]
+#[case::lisse(LISSE)]
+fn the_rendered_file_parses_to_the_same_fleet(#[case] text: &str) {
+    let fleet = Fleet::parse("example", text).unwrap();
+    assert_eq!(
+        Fleet::parse("rendered", &fleet.to_toml().unwrap()),
+        Ok(fleet)
+    );
+}
+
 /// Guards against findings that hide further ones: each marked line must be reported.
 #[rstest]
 fn twenty_mistakes_give_twenty_findings() {
--- a/crates/wagtailarch-platform/src/config_store.rs
+++ b/crates/wagtailarch-platform/src/config_store.rs
@@ -175,6 +175,19 @@
         Ok(fleet)
     }
 
+    /// Reads everything but the teams of the configuration that a manifest names.
+    pub async fn load_core(&self, manifest: &Manifest) -> Result<Fleet, ConfigError> {
+        let teams = TeamIndex::Buckets(Vec::new());
+        let content = FleetContent {
+            core: manifest.content.core.clone(),
+            teams,
+        };
+        let parts = self.fetch_parts(&content).await?;
+        Ok(assemble(&content, |hash| {
+            parts.get(hash).map(Bytes::as_ref)
+        })?)
+    }
+
     /// Applies `fleet` if the generation in force is `base`; 0 stands for no configuration.
     ///
     /// `Unchanged` rests on a read of the manifest, every other outcome on the conditional write.
@@ -435,7 +448,12 @@
                 Ok(_) | Err(PlatformError::Conflict) => return Ok(()),
                 Err(error) => error,
             };
-            let passing = is_passing(&error) || matches!(error, PlatformError::Unknown(_));
+            // Only this content can be under the key, so that its presence settles a lost answer.
+            let is_lost = matches!(error, PlatformError::Unknown(_));
+            if is_lost && matches!(self.platform.get(&key).await, Ok(Some(_))) {
+                return Ok(());
+            }
+            let passing = is_passing(&error) || is_lost;
             if !passing || attempt >= self.limits.attempts {
                 // No manifest refers to the part yet, so nothing was applied.
                 return Err(match error {
