--- a/crates/wagtailarch-control/src/lib.rs
+++ b/crates/wagtailarch-control/src/lib.rs
@@ -1,1 +1,27 @@
 //! Control decisions without I/O: lease, orders, role plan, leaving, generations.
+//!
+//! Every type takes events and `now` (a monotonic time since an arbitrary epoch of the process)
+//! and returns actions. One control thread owns them all; nothing here has a clock, a socket or
+//! randomness of its own.
+
+mod generation;
+mod gossip;
+mod lease;
+mod ledger;
+mod lifecycle;
+mod membership;
+mod outcome;
+mod planner;
+mod rollout;
+mod zone_status;
+
+pub use generation::GenerationTracker;
+pub use gossip::{EngineNews, Gossip, GossipConfig, GossipEvent, PeerView};
+pub use lease::{Authority, Lease, LeaseAction, LeaseConfig};
+pub use ledger::{EngineProof, OrderAction, OrderLedger, OrderProgress, OrderRequest, SendOutcome};
+pub use lifecycle::{EngineLifecycle, LifecycleEvent, LifecyclePhase};
+pub use membership::{BackendStatus, LeavingSign, Membership, MembershipConfig};
+pub use outcome::{ReadOutcome, WriteOutcome};
+pub use planner::{Demand, Planner, PlannerConfig, PlannerGroup, RoleChange, ZoneEngine, ZoneView};
+pub use rollout::{Rollout, RolloutAction, RolloutEngine, RolloutGroup, RolloutView};
+pub use zone_status::ZoneStatus;
--- /dev/null
+++ b/crates/wagtailarch-control/src/zone_status.rs
@@ -0,0 +1,115 @@
+//! What is in force where in one zone.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use wagtailarch_types::{BootId, FencingNumber, Generation, InstanceId, ZoneName};
+use wagtailarch_wire::records::{BehindReason, InstanceBehind, ZoneStatusRecord};
+
+/// Age of an acknowledgement beyond which an instance counts as silent; three gossip lags of 5 s.
+const SILENT_AFTER: Duration = Duration::from_secs(15);
+/// Greatest number of instances named in a status, so that the object stays small.
+const MAX_BEHIND: usize = 64;
+/// Greatest number of instances of a zone.
+const MAX_INSTANCES: usize = 1_024;
+
+/// Acknowledged generations of the instances of one zone.
+#[derive(Debug)]
+pub struct ZoneStatus {
+    zone: ZoneName,
+    /// Listed instances, at most `MAX_INSTANCES`; `None` until one is heard.
+    acks: IndexMap<InstanceId, Option<Ack>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Ack {
+    boot_id: BootId,
+    generation: Generation,
+    heard_at: Duration,
+}
+
+impl ZoneStatus {
+    /// Returns the status of a zone without instances.
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            acks: IndexMap::new(),
+        }
+    }
+
+    /// Takes the instances that the platform lists in the zone; others are forgotten.
+    pub fn on_list(&mut self, listed: &[InstanceId]) {
+        self.acks.retain(|instance, _| listed.contains(instance));
+        for instance in listed.iter().take(MAX_INSTANCES) {
+            self.acks.entry(instance.clone()).or_insert(None);
+        }
+    }
+
+    /// Takes the generation that an instance has in force. A lower one is ignored unless the
+    /// process is a later one.
+    pub fn on_ack(
+        &mut self,
+        now: Duration,
+        instance: &InstanceId,
+        boot_id: BootId,
+        generation: Generation,
+    ) {
+        let Some(slot) = self.acks.get_mut(instance) else {
+            return;
+        };
+        let known = slot.filter(|ack| ack.boot_id >= boot_id);
+        if known.is_some_and(|ack| ack.boot_id > boot_id) {
+            return;
+        }
+        let floor = known.map_or(0, |ack| ack.generation);
+        *slot = Some(Ack {
+            boot_id,
+            generation: generation.max(floor),
+            heard_at: now,
+        });
+    }
+
+    /// Returns the status for the platform; `newest` is the newest generation that the writer
+    /// knows.
+    pub fn record(
+        &self,
+        now: Duration,
+        newest: Generation,
+        written_at_ms: u64,
+        lease_number: FencingNumber,
+    ) -> ZoneStatusRecord {
+        let mut behind = Vec::new();
+        let mut lowest = newest;
+        for (instance, ack) in &self.acks {
+            lowest = lowest.min(ack.map_or(0, |ack| ack.generation));
+            let Some(reason) = behind_reason(now, newest, ack.as_ref()) else {
+                continue;
+            };
+            if behind.len() < MAX_BEHIND {
+                behind.push(InstanceBehind {
+                    instance: instance.clone(),
+                    generation: ack.map(|ack| ack.generation),
+                    reason,
+                });
+            }
+        }
+        ZoneStatusRecord {
+            zone: self.zone.clone(),
+            generation: lowest,
+            instances: self.acks.len() as u32,
+            behind,
+            written_at_ms,
+            lease_number,
+        }
+    }
+}
+
+fn behind_reason(now: Duration, newest: Generation, ack: Option<&Ack>) -> Option<BehindReason> {
+    let Some(ack) = ack else {
+        return Some(BehindReason::NeverHeard);
+    };
+    if now.saturating_sub(ack.heard_at) > SILENT_AFTER {
+        return Some(BehindReason::Silent);
+    }
+    (ack.generation < newest).then_some(BehindReason::OlderGeneration)
+}
