--- a/crates/wagtailarch-control/src/gossip.rs
+++ b/crates/wagtailarch-control/src/gossip.rs
@@ -2,12 +2,34 @@
 
 use std::time::Duration;
 
+use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
-use wagtailarch_types::{BootId, Generation, InstanceId, TeamName, ZoneName};
+use wagtailarch_types::{Assignment, BootId, Generation, InstanceId, TeamName, ZoneName};
 use wagtailarch_wire::peer::{
-    Delta, Digest, EngineLoad, Hello, InstanceInfo, RemoteSummary, Urgent, UrgentBody,
+    Delta, Digest, EngineLoad, Hello, InstanceInfo, Item, OriginDelta, OriginVersion, PackedUsage,
+    RemoteSummary, Urgent, UrgentBody,
 };
 
+use crate::gossip_origin::{Origin, OwnIndexes, item_bytes};
+
+/// Greatest number of origins; the design size has 370 instances in all.
+const MAX_ORIGINS: usize = 512;
+/// Greatest number of engines that one instance gossips of.
+const MAX_ENGINES: usize = 512;
+/// Greatest number of teams that one instance gossips of.
+const MAX_TEAMS: usize = 60;
+/// Greatest number of urgent messages remembered as seen; the oldest is forgotten first.
+const MAX_SEEN: usize = 4_096;
+/// Own urgent messages kept for peers that the flood missed.
+const URGENT_SLOTS: u64 = 64;
+/// Time for which an urgent message is gossiped. It exceeds the 10 rounds within which gossip
+/// reaches every instance of a zone almost surely.
+const URGENT_FOR: Duration = Duration::from_secs(30);
+/// Encoded size of the head of an origin without its name, from above.
+const ORIGIN_BYTES: usize = 32;
+/// Bound on the items of one delta, below the frame bound of 64 KB, since sizes are estimated.
+const MAX_DELTA_BYTES: usize = 48 * 1024;
+
 /// Identity of the gossiping instance.
 #[derive(Debug, Clone)]
 pub struct GossipConfig {
@@ -29,7 +51,7 @@
     /// An origin is alive.
     Heartbeat(InstanceId),
     /// Load of an engine.
-    Engine(InstanceId, EngineLoad),
+    Engine(InstanceId, Assignment, EngineLoad),
     /// Usage of a team at an instance: requests and tokens per second.
     Team(InstanceId, TeamName, f64, f64),
     /// A new urgent message; it comes once.
@@ -43,6 +65,8 @@
 pub struct EngineNews {
     /// Engine.
     pub engine: InstanceId,
+    /// What it serves.
+    pub assignment: Assignment,
     /// Load.
     pub load: EngineLoad,
 }
@@ -61,80 +85,309 @@
 }
 
 /// Gossip state of one instance.
+///
+/// Every fact belongs to one origin, which numbers its facts. A delta holds the facts of an origin
+/// after the version that the receiver has, in order, so any prefix of it can be merged.
 #[derive(Debug)]
 pub struct Gossip {
     config: GossipConfig,
+    info: InstanceInfo,
+    /// Facts by origin, this instance first; at most `MAX_ORIGINS`.
+    origins: IndexMap<InstanceId, Origin>,
+    engines: OwnIndexes,
+    teams: OwnIndexes,
+    /// Sequence number of the last own urgent message.
+    urgent_seq: u64,
+    /// At most `MAX_SEEN`.
+    seen: IndexSet<(InstanceId, BootId, u64)>,
 }
 
 impl Gossip {
     /// Returns the state of an instance that knows only itself.
     pub fn new(config: GossipConfig) -> Self {
-        Self { config }
+        let info = InstanceInfo {
+            generation: 0,
+            peer_address: config.peer_address.clone(),
+            draining: false,
+        };
+        let mut origins = IndexMap::new();
+        let mut own = Origin::new(config.boot_id, Duration::ZERO);
+        own.push(Duration::ZERO, Item::Instance(info.clone()));
+        origins.insert(config.instance.clone(), own);
+        Self {
+            config,
+            info,
+            origins,
+            engines: OwnIndexes::new(MAX_ENGINES),
+            teams: OwnIndexes::new(MAX_TEAMS),
+            urgent_seq: 0,
+            seen: IndexSet::new(),
+        }
     }
 
     /// Returns the introduction of this instance.
     pub fn hello(&self) -> Hello {
-        todo!("{:?}", self.config)
+        Hello {
+            instance: self.config.instance.clone(),
+            boot_id: self.config.boot_id,
+            zone: self.config.zone.clone(),
+            generation: self.info.generation,
+        }
     }
 
-    /// Begins a round: raises the heartbeat.
-    pub fn beat(&mut self) {
-        todo!()
+    /// Begins a round: raises the heartbeat and drops urgent messages that are no longer gossiped.
+    pub fn beat(&mut self, now: Duration) {
+        for origin in self.origins.values_mut() {
+            origin.expire_urgent(now, URGENT_FOR);
+        }
+        self.own().push(now, Item::Heartbeat);
     }
 
     /// Sets the generation in force and whether this instance drains.
-    pub fn set_self(&mut self, _generation: Generation, _draining: bool) {
-        todo!()
+    pub fn set_self(&mut self, now: Duration, generation: Generation, draining: bool) {
+        let info = InstanceInfo {
+            generation: generation.max(self.info.generation),
+            draining,
+            ..self.info.clone()
+        };
+        if info == self.info {
+            return;
+        }
+        self.info = info.clone();
+        self.own().push(now, Item::Instance(info));
     }
 
-    /// Sets the load of an engine that this instance polls.
-    pub fn set_engine(&mut self, _news: &EngineNews) {
-        todo!()
+    /// Sets the load of an engine that this instance polls. Each call costs about 10 bytes to every
+    /// peer of the zone, so the caller paces them (4 s at the design size).
+    pub fn set_engine(&mut self, now: Duration, news: &EngineNews) {
+        let Some(index) = self.engines.index(&news.engine) else {
+            return;
+        };
+        let name = Item::EngineName {
+            index,
+            engine: news.engine.clone(),
+            assignment: news.assignment.clone(),
+        };
+        let load = Item::Engine {
+            index,
+            load: news.load.pack(),
+        };
+        self.own().push_if_changed(now, name);
+        self.own().push(now, load);
+    }
+
+    /// Stops gossiping of engines that this instance no longer polls.
+    pub fn retain_engines(&mut self, keep: impl Fn(&InstanceId) -> bool) {
+        for index in self.engines.retain(keep) {
+            self.own().remove_engine(index);
+        }
     }
 
     /// Sets the heaviest teams of this instance, at most 60: requests and tokens per second.
-    pub fn set_teams(&mut self, _teams: &[(TeamName, f64, f64)]) {
-        todo!()
+    pub fn set_teams(&mut self, now: Duration, teams: &[(TeamName, f64, f64)]) {
+        let heavy: IndexSet<&TeamName> = teams.iter().map(|(team, ..)| team).collect();
+        for index in self.teams.retain(|team| heavy.contains(team)) {
+            self.own().remove_team(index);
+        }
+        for (team, requests_per_s, tokens_per_s) in teams.iter().take(MAX_TEAMS) {
+            let Some(index) = self.teams.index(team) else {
+                continue;
+            };
+            let name = Item::TeamName {
+                index,
+                team: team.clone(),
+            };
+            let usage = Item::Team {
+                index,
+                usage: PackedUsage::new(*requests_per_s, *tokens_per_s),
+            };
+            self.own().push_if_changed(now, name);
+            self.own().push_if_changed(now, usage);
+        }
     }
 
     /// Returns what this instance knows.
     pub fn digest(&self) -> Digest {
-        todo!()
+        let versions = self
+            .origins
+            .iter()
+            .map(|(instance, origin)| OriginVersion {
+                instance: instance.clone(),
+                boot_id: origin.boot_id,
+                version: origin.version,
+            })
+            .collect();
+        Digest { versions }
     }
 
     /// Returns what the sender of `digest` lacks, within the frame bound.
-    pub fn delta_for(&self, _digest: &Digest) -> Delta {
-        todo!()
+    pub fn delta_for(&self, digest: &Digest) -> Delta {
+        let known: IndexMap<&InstanceId, &OriginVersion> = digest
+            .versions
+            .iter()
+            .map(|version| (&version.instance, version))
+            .collect();
+        let mut delta = Delta::default();
+        let mut bytes = 0;
+        for (instance, origin) in &self.origins {
+            let after = match known.get(instance) {
+                Some(known) if known.boot_id > origin.boot_id => continue,
+                Some(known) if known.boot_id == origin.boot_id => known.version,
+                _ => 0,
+            };
+            bytes += ORIGIN_BYTES + instance.len();
+            let mut items = Vec::new();
+            for item in origin.items_after(after) {
+                bytes += item_bytes(&item.item);
+                if bytes > MAX_DELTA_BYTES {
+                    break;
+                }
+                items.push(item.clone());
+            }
+            if items.is_empty() {
+                continue;
+            }
+            delta.origins.push(OriginDelta {
+                instance: instance.clone(),
+                boot_id: origin.boot_id,
+                after,
+                items,
+            });
+            if bytes > MAX_DELTA_BYTES {
+                break;
+            }
+        }
+        delta
     }
 
     /// Takes a delta; returns what is new.
-    pub fn merge(&mut self, _now: Duration, _delta: Delta) -> Vec<GossipEvent> {
-        todo!()
+    pub fn merge(&mut self, now: Duration, delta: Delta) -> Vec<GossipEvent> {
+        let mut events = Vec::new();
+        for origin in delta.origins {
+            if origin.instance == self.config.instance {
+                continue;
+            }
+            self.merge_origin(now, origin, &mut events);
+        }
+        events
     }
 
     /// Creates an urgent message of this instance; the caller floods it.
-    pub fn urgent(&mut self, _body: UrgentBody) -> Urgent {
-        todo!()
+    pub fn urgent(&mut self, now: Duration, body: UrgentBody) -> Urgent {
+        self.urgent_seq += 1;
+        let urgent = Urgent {
+            origin: self.config.instance.clone(),
+            boot_id: self.config.boot_id,
+            seq: self.urgent_seq,
+            zone: self.config.zone.clone(),
+            body,
+        };
+        self.own().push(now, Item::Urgent(urgent.clone()));
+        urgent
     }
 
     /// Takes a flooded message; returns true if it is new. The caller then applies it and, if the
     /// message is from another zone, floods it in its own zone.
-    pub fn on_urgent(&mut self, _urgent: &Urgent) -> bool {
-        todo!()
+    pub fn on_urgent(&mut self, urgent: &Urgent) -> bool {
+        if urgent.origin == self.config.instance {
+            return false;
+        }
+        let key = (urgent.origin.clone(), urgent.boot_id, urgent.seq);
+        if !self.seen.insert(key) {
+            return false;
+        }
+        if self.seen.len() > MAX_SEEN {
+            self.seen.shift_remove_index(0);
+        }
+        true
     }
 
     /// Returns the summary for an instance of another zone; the caller adds quarantines.
     pub fn remote_summary(&self) -> RemoteSummary {
-        todo!()
+        let known = self
+            .origins
+            .values()
+            .filter_map(|origin| origin.info.as_ref())
+            .map(|info| info.generation)
+            .max();
+        RemoteSummary {
+            instance: self.config.instance.clone(),
+            generation: known.unwrap_or(0).max(self.info.generation),
+            quarantined: Vec::new(),
+        }
     }
 
     /// Returns the known peers of the zone, this instance excluded.
     pub fn peers(&self) -> Vec<PeerView> {
-        todo!()
+        let mut peers = Vec::new();
+        for (instance, origin) in &self.origins {
+            let Some(info) = origin.info.clone() else {
+                continue;
+            };
+            if *instance == self.config.instance {
+                continue;
+            }
+            peers.push(PeerView {
+                instance: instance.clone(),
+                boot_id: origin.boot_id,
+                info,
+                heard_at: origin.heard_at,
+            });
+        }
+        peers
     }
 
     /// Forgets peers that `listed` does not name and that were silent since `before`.
-    pub fn forget(&mut self, _before: Duration, _listed: impl Fn(&InstanceId) -> bool) {
-        todo!()
+    pub fn forget(&mut self, before: Duration, listed: impl Fn(&InstanceId) -> bool) {
+        let own = &self.config.instance;
+        self.origins.retain(|instance, origin| {
+            instance == own || listed(instance) || origin.heard_at >= before
+        });
+    }
+
+    fn own(&mut self) -> &mut Origin {
+        // The own origin is inserted first and `forget` keeps it.
+        &mut self.origins[0]
+    }
+
+    fn merge_origin(&mut self, now: Duration, delta: OriginDelta, events: &mut Vec<GossipEvent>) {
+        let instance = delta.instance;
+        let known_boot = self.origins.get(&instance).map(|origin| origin.boot_id);
+        match known_boot {
+            Some(boot_id) if boot_id > delta.boot_id => return,
+            Some(boot_id) if boot_id < delta.boot_id => {
+                events.push(GossipEvent::Restarted(instance.clone(), boot_id));
+                self.origins
+                    .insert(instance.clone(), Origin::new(delta.boot_id, now));
+            }
+            Some(_) => {}
+            None if self.origins.len() >= MAX_ORIGINS => return,
+            None => {
+                self.origins
+                    .insert(instance.clone(), Origin::new(delta.boot_id, now));
+            }
+        }
+        let mut urgent = Vec::new();
+        let origin = &mut self.origins[&instance];
+        if origin.version < delta.after {
+            return;
+        }
+        for item in delta.items {
+            if let Item::Urgent(message) = &item.item {
+                urgent.push(message.clone());
+            }
+            let event = origin.take(now, &instance, item);
+            events.extend(event);
+        }
+        for message in urgent {
+            if self.on_urgent(&message) {
+                events.push(GossipEvent::Urgent(message));
+            }
+        }
     }
 }
+
+/// Returns the slot in which an origin keeps an urgent message.
+pub(crate) fn urgent_slot(seq: u64) -> u64 {
+    seq % URGENT_SLOTS
+}
--- a/crates/wagtailarch-control/src/lease.rs
+++ b/crates/wagtailarch-control/src/lease.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
+use statig::blocking::{IntoStateMachineExt as _, StateMachine};
+use statig::prelude::*;
 use wagtailarch_types::{BootId, FencingNumber, InstanceId, ObjectVersion};
 use wagtailarch_wire::records::LeaseRecord;
 
 use crate::{ReadOutcome, WriteOutcome};
 
+/// Wait after a failed or doubtful platform call, so that an outage causes no busy loop.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Identity and times of a lease contender.
 #[derive(Debug, Clone)]
 pub struct LeaseConfig {
@@ -62,39 +67,387 @@
 }
 
 /// Contender for the lease of one zone.
-#[derive(Debug)]
+///
+/// The holder counts the term from before it sent the renewal; the others count it from when they
+/// saw the record change, and wait a margin more. So two instances have authority at once only if
+/// one of them does not look at its clock, that is, while it is paused.
 pub struct Lease {
-    config: LeaseConfig,
+    machine: StateMachine<Contender>,
+}
+
+impl std::fmt::Debug for Lease {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Lease")
+            .field("contender", self.machine.inner())
+            .field("state", self.machine.state())
+            .finish()
+    }
 }
 
 impl Lease {
     /// Returns a contender that knows nothing of the lease.
     pub fn new(config: LeaseConfig) -> Self {
-        Self { config }
+        let contender = Contender {
+            config,
+            pending: None,
+            last_write: None,
+            beat: 0,
+            next_at: Duration::ZERO,
+            resigning: false,
+        };
+        Self {
+            machine: contender.state_machine(),
+        }
     }
 
     /// Returns the platform call that is due at `now`, if any.
-    pub fn tick(&mut self, _now: Duration) -> Option<LeaseAction> {
-        todo!("{:?}", self.config)
+    pub fn tick(&mut self, now: Duration) -> Option<LeaseAction> {
+        self.dispatch(Event::Tick(now))
     }
 
     /// Takes the result of [`LeaseAction::Read`].
-    pub fn on_read(&mut self, _now: Duration, _outcome: ReadOutcome<LeaseRecord>) {
-        todo!()
+    pub fn on_read(&mut self, now: Duration, outcome: ReadOutcome<LeaseRecord>) {
+        self.dispatch(Event::Read(now, outcome));
     }
 
     /// Takes the result of [`LeaseAction::Write`].
-    pub fn on_write(&mut self, _now: Duration, _outcome: WriteOutcome) {
-        todo!()
+    pub fn on_write(&mut self, now: Duration, outcome: WriteOutcome) {
+        self.dispatch(Event::Write(now, outcome));
     }
 
     /// Gives the lease up at the next tick and does not take it again.
     pub fn resign(&mut self) {
-        todo!()
+        self.dispatch(Event::Resign);
     }
 
     /// Returns the permission to give orders at `now`.
-    pub fn authority(&self, _now: Duration) -> Option<Authority> {
-        todo!()
+    pub fn authority(&self, now: Duration) -> Option<Authority> {
+        let State::Holding { held } = self.machine.state() else {
+            return None;
+        };
+        let config = &self.machine.inner().config;
+        let until = held.valid_from? + config.term.checked_sub(config.stop_before)?;
+        let remaining = until.checked_sub(now).filter(|left| !left.is_zero())?;
+        Some(Authority {
+            number: held.record.number,
+            remaining,
+        })
+    }
+
+    fn dispatch(&mut self, event: Event) -> Option<LeaseAction> {
+        let mut action = None;
+        self.machine.handle_with_context(&event, &mut action);
+        action
+    }
+}
+
+/// Input of the state machine.
+#[derive(Debug)]
+enum Event {
+    Tick(Duration),
+    Read(Duration, ReadOutcome<LeaseRecord>),
+    Write(Duration, WriteOutcome),
+    Resign,
+}
+
+/// Platform call without a result so far.
+#[derive(Debug, Clone)]
+enum Pending {
+    Read,
+    Write(SentWrite),
+}
+
+/// A write and the time before it was sent.
+#[derive(Debug, Clone)]
+struct SentWrite {
+    record: LeaseRecord,
+    sent_at: Duration,
+}
+
+/// What a contender last saw of the lease.
+#[derive(Debug, Clone)]
+struct Seen {
+    /// Record with the version of its object; `None` if there was no object.
+    found: Option<(LeaseRecord, ObjectVersion)>,
+    /// When the record was first seen with this content.
+    changed_at: Duration,
+}
+
+/// The lease as its holder knows it.
+#[derive(Debug, Clone)]
+struct Held {
+    record: LeaseRecord,
+    version: ObjectVersion,
+    /// Start of the term; `None` while the write that gave the record its content is not known
+    /// to this process, and after resigning.
+    valid_from: Option<Duration>,
+    /// Whether the object must be read before the next renewal.
+    read_first: bool,
+}
+
+/// Shared storage of the state machine.
+#[derive(Debug)]
+struct Contender {
+    config: LeaseConfig,
+    /// At most one call is without a result.
+    pending: Option<Pending>,
+    /// Last write whose result was doubtful.
+    last_write: Option<SentWrite>,
+    /// Last beat written; each write has a beat of its own, so that a read tells them apart.
+    beat: u64,
+    /// No call is made before this time.
+    next_at: Duration,
+    resigning: bool,
+}
+
+#[state_machine(
+    initial = "State::following(None)",
+    state(derive(Debug)),
+    visibility = "pub(self)"
+)]
+impl Contender {
+    /// Another instance holds the lease, or nobody.
+    #[state]
+    fn following(
+        &mut self,
+        seen: &mut Option<Seen>,
+        event: &Event,
+        context: &mut Option<LeaseAction>,
+    ) -> Outcome<State> {
+        match event {
+            Event::Tick(now) => {
+                *context = self.follow(*now, seen.as_ref());
+                Handled
+            }
+            Event::Read(now, outcome) => self.followed_read(*now, seen, outcome),
+            Event::Write(now, outcome) => {
+                let Some(Pending::Write(write)) = self.pending.take() else {
+                    return Handled;
+                };
+                if let WriteOutcome::Written(version) = outcome {
+                    self.next_at = write.sent_at + self.config.beat_every;
+                    return Transition(State::holding(Held {
+                        valid_from: Some(write.sent_at),
+                        record: write.record,
+                        version: *version,
+                        read_first: false,
+                    }));
+                }
+                self.last_write = Some(write);
+                self.next_at = *now + RETRY_AFTER;
+                // The object is read before another attempt, since its version may have moved.
+                // A lost answer to the own write is found by that read as an own record.
+                if *outcome != WriteOutcome::Failed {
+                    *seen = None;
+                }
+                Handled
+            }
+            Event::Resign => {
+                self.resigning = true;
+                Handled
+            }
+        }
+    }
+
+    /// This instance wrote the record that it last saw.
+    #[state]
+    fn holding(
+        &mut self,
+        held: &mut Held,
+        event: &Event,
+        context: &mut Option<LeaseAction>,
+    ) -> Outcome<State> {
+        match event {
+            Event::Tick(now) => {
+                *context = self.hold(*now, held);
+                Handled
+            }
+            Event::Read(now, outcome) => self.held_read(*now, held, outcome),
+            Event::Write(now, outcome) => self.held_write(*now, held, *outcome),
+            Event::Resign => {
+                self.resigning = true;
+                self.next_at = Duration::ZERO;
+                held.valid_from = None;
+                Handled
+            }
+        }
+    }
+}
+
+impl Contender {
+    fn follow(&mut self, now: Duration, seen: Option<&Seen>) -> Option<LeaseAction> {
+        if self.pending.is_some() || self.resigning {
+            return None;
+        }
+        let Some(seen) = seen else {
+            return self.read(now);
+        };
+        let Some((record, version)) = &seen.found else {
+            return (now >= self.next_at).then(|| self.write(now, 1, self.config.term, None))?;
+        };
+        let patience = Duration::from_millis(record.term_ms) + self.config.margin;
+        if now < seen.changed_at + patience {
+            return self.read(now);
+        }
+        if now < self.next_at {
+            return None;
+        }
+        self.write(now, record.number + 1, self.config.term, Some(*version))
+    }
+
+    fn followed_read(
+        &mut self,
+        now: Duration,
+        seen: &mut Option<Seen>,
+        outcome: &ReadOutcome<LeaseRecord>,
+    ) -> Outcome<State> {
+        self.pending = None;
+        let found = match outcome {
+            ReadOutcome::Failed => return Handled,
+            ReadOutcome::Absent => None,
+            ReadOutcome::Found(record, version) => Some((record.clone(), *version)),
+        };
+        if let Some((record, version)) = &found
+            && self.is_own(record)
+            && !self.resigning
+        {
+            self.next_at = now;
+            return Transition(State::holding(Held {
+                valid_from: self.term_start(record),
+                record: record.clone(),
+                version: *version,
+                read_first: false,
+            }));
+        }
+        let same = seen.as_ref().is_some_and(|seen| seen.found == found);
+        if !same {
+            *seen = Some(Seen {
+                found,
+                changed_at: now,
+            });
+        }
+        Handled
+    }
+
+    fn hold(&mut self, now: Duration, held: &mut Held) -> Option<LeaseAction> {
+        if self.pending.is_some() || now < self.next_at {
+            return None;
+        }
+        if held.read_first {
+            return self.read(now);
+        }
+        if self.resigning {
+            if held.record.term_ms == 0 {
+                return None;
+            }
+            return self.write(now, held.record.number, Duration::ZERO, Some(held.version));
+        }
+        let number = held.record.number;
+        self.write(now, number, self.config.term, Some(held.version))
+    }
+
+    fn held_read(
+        &mut self,
+        now: Duration,
+        held: &mut Held,
+        outcome: &ReadOutcome<LeaseRecord>,
+    ) -> Outcome<State> {
+        self.pending = None;
+        let found = match outcome {
+            ReadOutcome::Failed => {
+                self.next_at = now + RETRY_AFTER;
+                return Handled;
+            }
+            ReadOutcome::Absent => None,
+            ReadOutcome::Found(record, version) => Some((record.clone(), *version)),
+        };
+        match found {
+            Some((record, version)) if self.is_own(&record) => {
+                if let Some(start) = self.term_start(&record) {
+                    held.valid_from = held.valid_from.max(Some(start));
+                }
+                if self.resigning {
+                    held.valid_from = None;
+                }
+                held.record = record;
+                held.version = version;
+                held.read_first = false;
+                Handled
+            }
+            found => Transition(State::following(Some(Seen {
+                found,
+                changed_at: now,
+            }))),
+        }
+    }
+
+    fn held_write(
+        &mut self,
+        now: Duration,
+        held: &mut Held,
+        outcome: WriteOutcome,
+    ) -> Outcome<State> {
+        let Some(Pending::Write(write)) = self.pending.take() else {
+            return Handled;
+        };
+        match outcome {
+            WriteOutcome::Written(version) => {
+                if !self.resigning {
+                    held.valid_from = Some(write.sent_at);
+                }
+                held.record = write.record;
+                held.version = version;
+                self.next_at = write.sent_at + self.config.beat_every;
+            }
+            WriteOutcome::Conflict | WriteOutcome::Unknown => {
+                self.last_write = Some(write);
+                held.read_first = true;
+                self.next_at = now;
+            }
+            WriteOutcome::Failed => self.next_at = now + RETRY_AFTER,
+        }
+        Handled
+    }
+
+    fn read(&mut self, now: Duration) -> Option<LeaseAction> {
+        if now < self.next_at {
+            return None;
+        }
+        self.next_at = now + self.config.beat_every;
+        self.pending = Some(Pending::Read);
+        Some(LeaseAction::Read)
+    }
+
+    fn write(
+        &mut self,
+        now: Duration,
+        number: u64,
+        term: Duration,
+        expect: Option<ObjectVersion>,
+    ) -> Option<LeaseAction> {
+        self.beat += 1;
+        let record = LeaseRecord {
+            holder: self.config.instance.clone(),
+            boot_id: self.config.boot_id,
+            number,
+            term_ms: term.as_millis() as u64,
+            beat: self.beat,
+        };
+        self.pending = Some(Pending::Write(SentWrite {
+            record: record.clone(),
+            sent_at: now,
+        }));
+        Some(LeaseAction::Write { record, expect })
+    }
+
+    fn is_own(&self, record: &LeaseRecord) -> bool {
+        record.holder == self.config.instance && record.boot_id == self.config.boot_id
+    }
+
+    /// Returns the start of the term of an own record that was read back. It is known only for
+    /// the last write; an earlier write that took effect late gives no authority.
+    fn term_start(&self, record: &LeaseRecord) -> Option<Duration> {
+        let write = self.last_write.as_ref()?;
+        (write.record == *record && record.term_ms > 0).then_some(write.sent_at)
     }
 }
--- a/crates/wagtailarch-control/src/lib.rs
+++ b/crates/wagtailarch-control/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod generation;
 mod gossip;
+mod gossip_origin;
 mod lease;
 mod ledger;
+mod ledger_slot;
 mod lifecycle;
 mod membership;
 mod outcome;
--- a/crates/wagtailarch-control/src/lifecycle.rs
+++ b/crates/wagtailarch-control/src/lifecycle.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use statig::blocking::{IntoStateMachineExt as _, StateMachine};
+use statig::prelude::*;
 use wagtailarch_types::BackendState;
 
 /// Phase of an engine's lifecycle.
@@ -24,41 +26,135 @@
 pub enum LifecycleEvent {
     /// A report arrived.
     Report(BackendState),
-    /// A drain order was given.
-    DrainOrdered,
     /// The engine was declared failed.
     Lost,
     /// Time passed.
     Tick,
 }
 
-/// Lifecycle of one engine.
-#[derive(Debug)]
+/// Lifecycle of one engine. It begins as crashed, until the first report.
 pub struct EngineLifecycle {
-    phase: LifecyclePhase,
+    machine: StateMachine<Inner>,
+}
+
+impl std::fmt::Debug for EngineLifecycle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EngineLifecycle")
+            .field("phase", &self.phase())
+            .field("since", &self.since())
+            .finish()
+    }
 }
 
 impl EngineLifecycle {
     /// Returns the lifecycle of an engine that was just discovered and that eases in over
     /// `ease_in`.
-    pub fn new(_now: Duration, _ease_in: Duration) -> Self {
+    pub fn new(now: Duration, ease_in: Duration) -> Self {
+        let inner = Inner {
+            ease_in,
+            since: now,
+        };
         Self {
-            phase: LifecyclePhase::Crashed,
+            machine: inner.state_machine(),
         }
     }
 
     /// Takes an event.
-    pub fn on_event(&mut self, _now: Duration, _event: LifecycleEvent) {
-        todo!()
+    pub fn on_event(&mut self, now: Duration, event: LifecycleEvent) {
+        self.machine.handle(&Timed { now, event });
     }
 
     /// Returns the present phase.
     pub fn phase(&self) -> LifecyclePhase {
-        self.phase
+        match self.machine.state() {
+            State::Serving {} => LifecyclePhase::Serving,
+            State::Draining {} => LifecyclePhase::Draining,
+            State::Changing {} => LifecyclePhase::Changing,
+            State::EasingIn {} => LifecyclePhase::EasingIn,
+            State::Crashed {} => LifecyclePhase::Crashed,
+        }
     }
 
     /// Returns the time at which the engine last began to serve, the start of its slow start.
     pub fn since(&self) -> Duration {
-        todo!()
+        self.machine.inner().since
+    }
+}
+
+/// Event with its time.
+#[derive(Debug)]
+struct Timed {
+    now: Duration,
+    event: LifecycleEvent,
+}
+
+/// Shared storage of the state machine.
+#[derive(Debug)]
+struct Inner {
+    ease_in: Duration,
+    since: Duration,
+}
+
+#[state_machine(
+    initial = "State::crashed()",
+    state(derive(Debug)),
+    visibility = "pub(self)"
+)]
+impl Inner {
+    #[state(superstate = "reporting")]
+    fn serving(event: &Timed) -> Outcome<State> {
+        match event.event {
+            LifecycleEvent::Report(BackendState::Serving) => Handled,
+            _ => Super,
+        }
+    }
+
+    /// An engine whose drain was taken back still has its caches, so it serves at once.
+    #[state(superstate = "reporting")]
+    fn draining(event: &Timed) -> Outcome<State> {
+        match event.event {
+            LifecycleEvent::Report(BackendState::Serving) => Transition(State::serving()),
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "reporting")]
+    fn changing(event: &Timed) -> Outcome<State> {
+        let _ = event;
+        Super
+    }
+
+    #[state(superstate = "reporting")]
+    fn easing_in(&mut self, event: &Timed) -> Outcome<State> {
+        let over = event.now >= self.since + self.ease_in;
+        match event.event {
+            LifecycleEvent::Report(BackendState::Serving) | LifecycleEvent::Tick if over => {
+                Transition(State::serving())
+            }
+            LifecycleEvent::Report(BackendState::Serving) => Handled,
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "reporting")]
+    fn crashed(event: &Timed) -> Outcome<State> {
+        match event.event {
+            LifecycleEvent::Lost => Handled,
+            _ => Super,
+        }
+    }
+
+    #[superstate]
+    fn reporting(&mut self, event: &Timed) -> Outcome<State> {
+        match event.event {
+            LifecycleEvent::Report(BackendState::Serving) => {
+                self.since = event.now;
+                Transition(State::easing_in())
+            }
+            LifecycleEvent::Report(BackendState::Draining) => Transition(State::draining()),
+            LifecycleEvent::Report(BackendState::Changing) => Transition(State::changing()),
+            LifecycleEvent::Lost => Transition(State::crashed()),
+            LifecycleEvent::Tick => Handled,
+        }
     }
 }
--- a/crates/wagtailarch-control/src/rollout.rs
+++ b/crates/wagtailarch-control/src/rollout.rs
@@ -2,15 +2,29 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use wagtailarch_fleet::RoleTable;
 use wagtailarch_types::{
-    AdapterName, Assignment, BackendState, Generation, GroupName, InstanceId, ModelName,
+    AdapterName, Assignment, BackendState, Generation, GroupName, InstanceId, ModelName, Role,
     VersionName,
 };
 use wagtailarch_wire::engine::OrderKind;
 
 use crate::{OrderProgress, OrderRequest, RoleChange};
 
+/// Number of engines of a group from which more than one may be away at once.
+const LARGE_POOL: usize = 20;
+/// Share of a large pool that may be away at once, as a divisor.
+const LARGE_POOL_DIVISOR: usize = 10;
+/// Time for which an engine must drain without a known change before the rollout takes it over.
+/// It exceeds the lag of the platform's list, so that an engine that is shutting down by itself is
+/// listed as leaving by then.
+const ADOPT_AFTER: Duration = Duration::from_secs(15);
+/// Time for which an engine is left alone after an older order blocked a change of it.
+const BLOCKED_PAUSE: Duration = Duration::from_secs(30);
+/// Greatest number of engines of one zone.
+const MAX_ENGINES: usize = 1_024;
+
 /// What the rollout sees of one zone.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RolloutView {
@@ -70,6 +84,11 @@
         /// Order.
         request: OrderRequest,
     },
+    /// Drop what was ordered and not sent yet.
+    Cancel {
+        /// Engine.
+        engine: InstanceId,
+    },
     /// Tell all peers that the engine takes no new work, or takes it again.
     Flood {
         /// Engine.
@@ -80,9 +99,40 @@
 }
 
 /// Changes in progress in one zone.
+///
+/// The state can be lost at any time: a new lease holder takes over drained engines that it finds
+/// and carries on from what the engines report.
 #[derive(Debug, Default)]
 pub struct Rollout {
-    orders: Vec<OrderKind>,
+    /// Changes by engine; at most `MAX_ENGINES`.
+    changes: IndexMap<InstanceId, Change>,
+    /// Engines that drain without a change and since when; at most `MAX_ENGINES`.
+    orphans: IndexMap<InstanceId, Duration>,
+    /// Engines that are left alone until a time; at most `MAX_ENGINES`.
+    paused: IndexMap<InstanceId, Duration>,
+}
+
+/// A change of one engine.
+#[derive(Debug, Clone)]
+struct Change {
+    target: Assignment,
+    group: GroupName,
+    step: Step,
+    /// Whether peers were told to send no work.
+    flooded: bool,
+}
+
+/// Step of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// The drain order is on its way.
+    Drain,
+    /// The drain order took effect at this time at the latest; running requests finish.
+    Wait(Duration),
+    /// The assign order is on its way.
+    Assign,
+    /// The undrain order is on its way.
+    Undrain,
 }
 
 impl Rollout {
@@ -91,18 +141,306 @@
         Self::default()
     }
 
+    /// Forgets all changes, when the lease is lost.
+    pub fn abandon(&mut self) {
+        self.changes.clear();
+        self.orphans.clear();
+        self.paused.clear();
+    }
+
+    /// Returns the engines under change.
+    pub fn changing(&self) -> Vec<InstanceId> {
+        self.changes.keys().cloned().collect()
+    }
+
     /// Advances the changes in progress and starts those that the bounds permit.
     pub fn step(
         &mut self,
-        _now: Duration,
-        _view: &RolloutView,
-        _planned: &[RoleChange],
+        now: Duration,
+        view: &RolloutView,
+        planned: &[RoleChange],
     ) -> Vec<RolloutAction> {
-        todo!("{:?}", self.orders)
+        let mut actions = Vec::new();
+        self.advance(now, view, &mut actions);
+        self.paused.retain(|_, until| now < *until);
+        self.adopt(now, view);
+        self.start(now, view, planned);
+        for (engine, change) in &self.changes {
+            if let Some(request) = request_for(view, change) {
+                actions.push(RolloutAction::Order {
+                    engine: engine.clone(),
+                    request,
+                });
+            }
+        }
+        actions
     }
 
-    /// Returns the engines under change.
-    pub fn changing(&self) -> Vec<InstanceId> {
-        todo!()
+    fn advance(&mut self, now: Duration, view: &RolloutView, actions: &mut Vec<RolloutAction>) {
+        let engines: IndexMap<&InstanceId, &RolloutEngine> = view
+            .engines
+            .iter()
+            .map(|engine| (&engine.id, engine))
+            .collect();
+        let mut ended = Vec::new();
+        for (id, change) in &mut self.changes {
+            let engine = engines.get(id).copied().filter(|engine| engine.healthy);
+            let Some(engine) = engine else {
+                // The engine crashed or left; what it serves when it is back is planned afresh.
+                actions.push(RolloutAction::Cancel { engine: id.clone() });
+                ended.push(id.clone());
+                continue;
+            };
+            if engine.order == OrderProgress::Blocked {
+                self.paused.insert(id.clone(), now + BLOCKED_PAUSE);
+                actions.push(RolloutAction::Cancel { engine: id.clone() });
+                ended.push(id.clone());
+                continue;
+            }
+            if let Some(group) = view.groups.iter().find(|group| group.name == change.group) {
+                change.follow(group);
+            }
+            if change.advance(now, engine) {
+                ended.push(id.clone());
+                continue;
+            }
+            let out = !matches!(change.step, Step::Drain)
+                || engine.order == OrderProgress::Sent
+                || engine.state == BackendState::Draining;
+            if out && !change.flooded {
+                change.flooded = true;
+                actions.push(RolloutAction::Flood {
+                    engine: id.clone(),
+                    drained: true,
+                });
+            }
+        }
+        for id in ended {
+            let change = self.changes.shift_remove(&id);
+            if change.is_some_and(|change| change.flooded) {
+                actions.push(RolloutAction::Flood {
+                    engine: id,
+                    drained: false,
+                });
+            }
+        }
+    }
+
+    /// Takes over engines that an earlier lease holder left drained.
+    fn adopt(&mut self, now: Duration, view: &RolloutView) {
+        let mut drained = IndexMap::new();
+        for engine in &view.engines {
+            let orphan = engine.healthy
+                && engine.state == BackendState::Draining
+                && !self.changes.contains_key(&engine.id);
+            if !orphan || drained.len() >= MAX_ENGINES {
+                continue;
+            }
+            let since = self.orphans.get(&engine.id).copied().unwrap_or(now);
+            drained.insert(engine.id.clone(), since);
+        }
+        self.orphans = drained;
+        for engine in &view.engines {
+            let due = self
+                .orphans
+                .get(&engine.id)
+                .is_some_and(|since| now >= *since + ADOPT_AFTER);
+            if !due || self.paused.contains_key(&engine.id) {
+                continue;
+            }
+            let Some(group) = view.groups.iter().find(|group| group.name == engine.group) else {
+                continue;
+            };
+            let target = group.assignment(engine.assignment.role);
+            let step = if target == engine.assignment {
+                Step::Undrain
+            } else {
+                Step::Drain
+            };
+            self.orphans.shift_remove(&engine.id);
+            self.insert(engine, target, step);
+        }
+    }
+
+    fn start(&mut self, now: Duration, view: &RolloutView, planned: &[RoleChange]) {
+        for group in &view.groups {
+            // Role changes come first; they carry the new version along.
+            for change in planned.iter().filter(|change| change.group == group.name) {
+                let engine = view
+                    .engines
+                    .iter()
+                    .find(|engine| engine.id == change.engine);
+                let Some(engine) = engine else {
+                    continue;
+                };
+                if engine.assignment.role == change.from
+                    && self.bounds_permit(view, group, change.from, change.to)
+                {
+                    self.start_one(now, view, engine, group.assignment(change.to));
+                }
+            }
+            for engine in view
+                .engines
+                .iter()
+                .filter(|engine| engine.group == group.name)
+            {
+                let target = group.assignment(engine.assignment.role);
+                if target != engine.assignment {
+                    self.start_one(now, view, engine, target);
+                }
+            }
+        }
     }
+
+    fn start_one(
+        &mut self,
+        now: Duration,
+        view: &RolloutView,
+        engine: &RolloutEngine,
+        target: Assignment,
+    ) {
+        let free = engine.healthy
+            && engine.state == BackendState::Serving
+            && !self.changes.contains_key(&engine.id)
+            && self
+                .paused
+                .get(&engine.id)
+                .is_none_or(|until| now >= *until);
+        if free && self.pool_permits(view, &engine.group) {
+            self.insert(engine, target, Step::Drain);
+        }
+    }
+
+    fn insert(&mut self, engine: &RolloutEngine, target: Assignment, step: Step) {
+        if self.changes.len() >= MAX_ENGINES {
+            return;
+        }
+        let change = Change {
+            target,
+            group: engine.group.clone(),
+            step,
+            flooded: false,
+        };
+        self.changes.insert(engine.id.clone(), change);
+    }
+
+    /// Tells whether one more engine of `group` may be away.
+    fn pool_permits(&self, view: &RolloutView, group: &GroupName) -> bool {
+        let pool = view.engines.iter().filter(|engine| engine.group == *group);
+        let (mut size, mut away) = (0, 0);
+        for engine in pool {
+            size += 1;
+            let serves = engine.healthy && engine.state == BackendState::Serving;
+            if !serves || self.changes.contains_key(&engine.id) {
+                away += 1;
+            }
+        }
+        let allowed = if size < LARGE_POOL {
+            1
+        } else {
+            size / LARGE_POOL_DIVISOR
+        };
+        away < allowed
+    }
+
+    /// Tells whether the bounds still hold after a change of role, whichever of the changes in
+    /// progress succeed.
+    fn bounds_permit(
+        &self,
+        view: &RolloutView,
+        group: &RolloutGroup,
+        from: Role,
+        to: Role,
+    ) -> bool {
+        let (mut least_from, mut most_to) = (0, 0);
+        for engine in view
+            .engines
+            .iter()
+            .filter(|engine| engine.group == group.name)
+        {
+            let now_role = engine.assignment.role;
+            let change = self.changes.get(&engine.id);
+            let then_role = change.map_or(now_role, |change| change.target.role);
+            least_from += u32::from(engine.healthy && now_role == from && then_role == from);
+            most_to += u32::from(now_role == to || then_role == to);
+        }
+        least_from > group.roles.bounds(from).min && most_to < group.roles.bounds(to).max
+    }
+}
+
+impl Change {
+    /// Takes over a newer version or newer adapters while nothing is assigned yet.
+    fn follow(&mut self, group: &RolloutGroup) {
+        if matches!(self.step, Step::Drain | Step::Wait(_)) {
+            self.target = group.assignment(self.target.role);
+        }
+    }
+
+    /// Moves to the next step as far as reports permit; returns true at the end.
+    fn advance(&mut self, now: Duration, engine: &RolloutEngine) -> bool {
+        let done = engine.order == OrderProgress::Effective;
+        match self.step {
+            Step::Drain => {
+                if done {
+                    self.step = Step::Wait(now);
+                }
+            }
+            Step::Wait(drained_at) => {
+                if engine.asked_at < drained_at {
+                    return false;
+                }
+                if engine.state == BackendState::Serving {
+                    // The engine restarted and takes work again.
+                    self.step = Step::Drain;
+                } else if engine.state == BackendState::Draining && engine.running == 0 {
+                    self.step = Step::Assign;
+                }
+            }
+            Step::Assign => {
+                let arrived = engine.assignment == self.target;
+                match (arrived, engine.state) {
+                    (true, BackendState::Serving) => return true,
+                    (true, BackendState::Draining) => self.step = Step::Undrain,
+                    // The engine restarted and takes work again. The drain request replaces an
+                    // assign order that was not sent yet.
+                    (false, BackendState::Serving) if engine.order != OrderProgress::Sent => {
+                        self.step = Step::Drain;
+                    }
+                    _ => {}
+                }
+            }
+            Step::Undrain => return engine.state == BackendState::Serving,
+        }
+        false
+    }
+}
+
+impl RolloutGroup {
+    fn assignment(&self, role: Role) -> Assignment {
+        Assignment {
+            role,
+            model: self.model.clone(),
+            version: self.version.clone(),
+            adapters: self.adapters.clone(),
+        }
+    }
+}
+
+/// Returns the order that the present step of a change needs. The ledger ignores repetitions.
+fn request_for(view: &RolloutView, change: &Change) -> Option<OrderRequest> {
+    let group = view
+        .groups
+        .iter()
+        .find(|group| group.name == change.group)?;
+    let kind = match change.step {
+        Step::Drain => OrderKind::Drain,
+        Step::Wait(_) => return None,
+        Step::Assign => OrderKind::Assign(change.target.clone()),
+        Step::Undrain => OrderKind::Undrain,
+    };
+    Some(OrderRequest {
+        generation: view.generation,
+        kind,
+        checks_fencing: group.checks_fencing,
+    })
 }
--- a/crates/wagtailarch-wire/src/peer.rs
+++ b/crates/wagtailarch-wire/src/peer.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use wagtailarch_types::{
-    BackendState, BootId, Fingerprint, Generation, InstanceId, Role, TeamName, ZoneName,
+    Assignment, BackendState, BootId, Fingerprint, Generation, InstanceId, Role, TeamName, ZoneName,
 };
 
 /// Greatest size of an encoded message in bytes.
@@ -101,12 +101,14 @@
     Heartbeat,
     /// About the origin itself.
     Instance(InstanceInfo),
-    /// Name of the engine with an index of the origin; precedes its loads.
+    /// Name and assignment of the engine with an index of the origin; precedes its loads.
     EngineName {
         /// Index within the origin.
         index: u16,
         /// Engine.
         engine: InstanceId,
+        /// What it serves.
+        assignment: Assignment,
     },
     /// Load of an engine.
     Engine {
