--- /dev/null
+++ b/crates/wagtailarch-traffic/src/claim_log.rs
@@ -0,0 +1,495 @@
+//! The claim log of one partition (G6).
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use wagtailarch_types::{InstanceId, Nonce};
+
+use crate::{ClaimBatch, ClaimKey, ClaimOutcome, ClaimRecord, MAX_OUTCOME_BYTES};
+
+/// Time that the first claim of a batch waits for others when nothing else is written.
+const MIN_INTERVAL: Duration = Duration::from_millis(5);
+/// Greatest time between writes under contention: 64 partitions over 300 writes per second.
+const MAX_INTERVAL: Duration = Duration::from_millis(213);
+/// Time after which a claim without result is refused.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Time for which entries are kept on the platform.
+const RETENTION: Duration = Duration::from_secs(24 * 3600);
+/// Age of the view of the log's end beyond which nothing is granted.
+///
+/// Half of `RETENTION`, so that an entry that the writer has not seen cannot have been removed.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(12 * 3600);
+/// Greatest number of waiting claims.
+const MAX_PENDING: usize = 4_096;
+/// Greatest number of waiting outcomes; the oldest are dropped and stay unknown.
+const MAX_OUTCOMES: usize = 1_024;
+/// Greatest number of claims in a batch.
+const MAX_BATCH_CLAIMS: usize = 1_024;
+/// Greatest number of outcomes in a batch: 32 bodies of 16 KB stay below 1 MB.
+const MAX_BATCH_OUTCOMES: usize = 32;
+/// Greatest number of keys in memory; beyond it claims are refused.
+const MAX_KEYS: usize = 1 << 18;
+/// Greatest size in bytes of all outcome bodies in memory; beyond it outcomes are unknown.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// Identifies a submitted claim; chosen by the caller and unique within the log.
+pub type ClaimTicket = u64;
+
+/// The claim log of one partition, as one writer sees it.
+///
+/// A key is granted only after the own batch has been seen at a number below which the writer
+/// has read every entry. A batch whose write has an unknown result is written again, unchanged
+/// and at the same number, until that number is known to hold it or another batch.
+#[derive(Debug)]
+pub struct ClaimLog {
+    instance: InstanceId,
+    rng: ChaCha8Rng,
+    /// Every entry below this number has been read or had been removed when the log was listed.
+    next_seq: u64,
+    /// Numbers below this one were listed; one that is absent has been removed since.
+    listed_end: u64,
+    /// An entry at or above `next_seq` was written after this time.
+    view_at: Duration,
+    /// Whether `next_seq` was absent when it was last read.
+    caught_up: bool,
+    /// Set when the view is too old; it never recovers.
+    stale: bool,
+    /// First claims by key; at most `MAX_KEYS`.
+    claimed: HashMap<ClaimKey, Claim>,
+    /// Keys of `claimed` in the order of their reading.
+    order: VecDeque<(Duration, ClaimKey)>,
+    /// Sum of the body sizes in `claimed`; at most `MAX_BODY_BYTES`.
+    body_bytes: usize,
+    /// Claims without result, oldest first; at most `MAX_PENDING`.
+    pending: VecDeque<Pending>,
+    /// Outcomes not yet written; at most `MAX_OUTCOMES`.
+    outcomes: VecDeque<(ClaimKey, ClaimOutcome)>,
+    /// Batch whose result at `next_seq` is not known.
+    batch: Option<ClaimBatch>,
+    io: Io,
+    /// Time before which nothing is written.
+    not_before: Duration,
+    interval: Duration,
+}
+
+/// The first claim of a key.
+#[derive(Debug)]
+struct Claim {
+    /// Own claim that no ticket has been granted yet.
+    ungranted: bool,
+    outcome: Option<ClaimOutcome>,
+}
+
+/// A claim without result.
+#[derive(Debug)]
+struct Pending {
+    ticket: ClaimTicket,
+    key: ClaimKey,
+    since: Duration,
+}
+
+/// The one operation under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Io {
+    Idle,
+    Reading { seq: u64, issued: Duration },
+    Creating { seq: u64, issued: Duration },
+}
+
+/// What the caller has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimAction {
+    /// Read the entry and call `on_read`.
+    Read {
+        /// Number of the entry.
+        seq: u64,
+    },
+    /// Create the entry if absent and call `on_created`.
+    Create {
+        /// Number of the entry.
+        seq: u64,
+        /// Content.
+        batch: ClaimBatch,
+    },
+    /// Answer a submitted claim.
+    Resolve {
+        /// The submitted claim.
+        ticket: ClaimTicket,
+        /// Result.
+        result: ClaimResult,
+    },
+}
+
+/// Result of a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimResult {
+    /// The call may be sent, once.
+    Granted,
+    /// The key was claimed before; the outcome, if it is known.
+    AlreadyClaimed(Option<ClaimOutcome>),
+    /// The claim was not granted and never will be; the call must not be sent.
+    Unavailable,
+}
+
+/// Result of reading an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadResult {
+    /// The entry.
+    Entry(ClaimBatch),
+    /// There is no such entry.
+    Absent,
+    /// The platform did not answer.
+    Failed,
+}
+
+/// Result of creating an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CreateResult {
+    /// Created.
+    Created,
+    /// An entry with this number exists.
+    Exists,
+    /// The write may have taken effect or may still do so.
+    Unknown,
+    /// The write has not taken effect.
+    Failed,
+}
+
+impl ClaimLog {
+    /// Creates the view of a log that was listed at `listed_at`.
+    ///
+    /// `first_seq` is the first listed number and `end_seq` the last one plus 1; both are 0 for
+    /// an empty log. `seed` must differ between all writers and all starts of a process.
+    pub fn new(
+        instance: InstanceId,
+        seed: u64,
+        listed_at: Duration,
+        first_seq: u64,
+        end_seq: u64,
+    ) -> Self {
+        Self {
+            instance,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next_seq: first_seq,
+            listed_end: end_seq,
+            view_at: listed_at,
+            caught_up: false,
+            stale: false,
+            claimed: HashMap::new(),
+            order: VecDeque::new(),
+            body_bytes: 0,
+            pending: VecDeque::new(),
+            outcomes: VecDeque::new(),
+            batch: None,
+            io: Io::Idle,
+            not_before: Duration::ZERO,
+            interval: MIN_INTERVAL,
+        }
+    }
+
+    /// Submits a claim of `key`; its result follows as `Resolve` with `ticket`.
+    pub fn submit(
+        &mut self,
+        now: Duration,
+        ticket: ClaimTicket,
+        key: ClaimKey,
+    ) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        let full = self.pending.len() >= MAX_PENDING || self.claimed.len() >= MAX_KEYS;
+        if self.stale || (full && !self.claimed.contains_key(&key)) {
+            actions.push(resolve(ticket, ClaimResult::Unavailable));
+            return actions;
+        }
+        self.pending.push_back(Pending {
+            ticket,
+            key,
+            since: now,
+        });
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Records the outcome of a granted call.
+    ///
+    /// A body above the size limit is not recorded; the outcome then stays unknown.
+    pub fn record_outcome(
+        &mut self,
+        now: Duration,
+        key: ClaimKey,
+        outcome: ClaimOutcome,
+    ) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        if outcome.body.len() > MAX_OUTCOME_BYTES {
+            return actions;
+        }
+        self.store_outcome(key, outcome.clone());
+        if self.outcomes.len() >= MAX_OUTCOMES {
+            self.outcomes.pop_front();
+        }
+        self.outcomes.push_back((key, outcome));
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Takes the result of a `Read`.
+    pub fn on_read(&mut self, now: Duration, seq: u64, result: ReadResult) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        let Io::Reading { seq: asked, issued } = self.io else {
+            return actions;
+        };
+        if asked != seq {
+            return actions;
+        }
+        self.io = Io::Idle;
+        match result {
+            ReadResult::Entry(batch) => self.apply(now, issued, batch),
+            ReadResult::Absent if seq < self.listed_end => self.next_seq += 1,
+            ReadResult::Absent => {
+                self.renew_view(now, issued);
+                self.caught_up = true;
+            }
+            ReadResult::Failed => self.back_off(now),
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Takes the result of a `Create`.
+    pub fn on_created(
+        &mut self,
+        now: Duration,
+        seq: u64,
+        result: CreateResult,
+    ) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        let Io::Creating { seq: asked, issued } = self.io else {
+            return actions;
+        };
+        if asked != seq {
+            return actions;
+        }
+        self.io = Io::Idle;
+        match result {
+            CreateResult::Created => {
+                self.interval = (self.interval / 2).max(MIN_INTERVAL);
+                self.not_before = now + self.interval;
+                if let Some(batch) = self.batch.clone() {
+                    self.apply(now, issued, batch);
+                }
+                self.caught_up = true;
+            }
+            CreateResult::Exists => {
+                self.caught_up = false;
+                self.interval = (self.interval * 2).min(MAX_INTERVAL);
+            }
+            CreateResult::Unknown => {
+                self.caught_up = false;
+                self.back_off(now);
+            }
+            CreateResult::Failed => self.back_off(now),
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Lets time pass: starts due writes and refuses claims that have waited too long.
+    pub fn tick(&mut self, now: Duration) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        self.forget_expired(now);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Returns the time at which `tick` is due, if anything waits.
+    pub fn next_tick(&self) -> Option<Duration> {
+        let expiry = self.pending.front().map(|pending| pending.since + MAX_WAIT);
+        if self.io != Io::Idle {
+            return expiry;
+        }
+        let waits = !self.pending.is_empty() || !self.outcomes.is_empty() || self.batch.is_some();
+        let due = waits.then(|| self.due());
+        match (expiry, due) {
+            (Some(expiry), Some(due)) => Some(expiry.min(due)),
+            (expiry, due) => expiry.or(due),
+        }
+    }
+
+    /// Tells whether the view is too old to grant anything; the log must be listed again and a
+    /// new `ClaimLog` made.
+    pub fn is_stale(&self) -> bool {
+        self.stale
+    }
+
+    /// Returns the number of the next entry that this writer has not seen.
+    pub fn next_seq(&self) -> u64 {
+        self.next_seq
+    }
+
+    /// Resolves what can be resolved and starts the next operation.
+    fn advance(&mut self, now: Duration, actions: &mut Vec<ClaimAction>) {
+        if now.saturating_sub(self.view_at) >= MAX_VIEW_AGE && !self.claimed.is_empty() {
+            self.stale = true;
+        }
+        self.resolve_pending(now, actions);
+        if self.io != Io::Idle || self.stale || now < self.due() {
+            return;
+        }
+        if self.pending.is_empty() && self.outcomes.is_empty() && self.batch.is_none() {
+            return;
+        }
+        let seq = self.next_seq;
+        if !self.caught_up {
+            self.io = Io::Reading { seq, issued: now };
+            actions.push(ClaimAction::Read { seq });
+            return;
+        }
+        let batch = match &self.batch {
+            Some(batch) => batch.clone(),
+            None => self.new_batch(),
+        };
+        self.batch = Some(batch.clone());
+        self.io = Io::Creating { seq, issued: now };
+        actions.push(ClaimAction::Create { seq, batch });
+    }
+
+    /// Returns the time from which the next operation may start.
+    fn due(&self) -> Duration {
+        if !self.caught_up || self.batch.is_some() {
+            return self.not_before;
+        }
+        let oldest = self
+            .pending
+            .front()
+            .map_or(self.not_before, |pending| pending.since);
+        self.not_before.max(oldest + MIN_INTERVAL)
+    }
+
+    /// Answers the claims whose key is claimed and those that have waited too long.
+    fn resolve_pending(&mut self, now: Duration, actions: &mut Vec<ClaimAction>) {
+        let stale = self.stale;
+        let claimed = &mut self.claimed;
+        self.pending.retain(|pending| {
+            let result = match claimed.get_mut(&pending.key) {
+                Some(claim) if claim.ungranted && !stale => {
+                    claim.ungranted = false;
+                    ClaimResult::Granted
+                }
+                Some(claim) if !claim.ungranted => {
+                    ClaimResult::AlreadyClaimed(claim.outcome.clone())
+                }
+                _ if stale || now.saturating_sub(pending.since) >= MAX_WAIT => {
+                    ClaimResult::Unavailable
+                }
+                _ => return true,
+            };
+            actions.push(resolve(pending.ticket, result));
+            false
+        });
+    }
+
+    fn new_batch(&mut self) -> ClaimBatch {
+        let mut records = Vec::new();
+        let mut keys = std::collections::HashSet::new();
+        for pending in &self.pending {
+            if records.len() >= MAX_BATCH_CLAIMS {
+                break;
+            }
+            if !keys.insert(pending.key) {
+                continue;
+            }
+            records.push(ClaimRecord::Claim {
+                key: pending.key,
+                nonce: self.rng.random::<Nonce>(),
+                instance: self.instance.clone(),
+            });
+        }
+        let count = self.outcomes.len().min(MAX_BATCH_OUTCOMES);
+        for (key, outcome) in self.outcomes.drain(..count) {
+            records.push(ClaimRecord::Outcome { key, outcome });
+        }
+        ClaimBatch {
+            nonce: self.rng.random(),
+            records,
+        }
+    }
+
+    /// Applies the entry at `next_seq`, which an operation issued at `issued` has shown.
+    fn apply(&mut self, now: Duration, issued: Duration, batch: ClaimBatch) {
+        let own = self
+            .batch
+            .as_ref()
+            .is_some_and(|own| own.nonce == batch.nonce);
+        self.renew_view(now, issued);
+        for record in batch.records {
+            match record {
+                ClaimRecord::Claim { key, .. } => self.insert_claim(now, key, own),
+                ClaimRecord::Outcome { key, outcome } => self.store_outcome(key, outcome),
+            }
+        }
+        self.next_seq += 1;
+        // A number holds one batch for ever, so the own one can no longer land there.
+        let lost = self.batch.take().filter(|_| !own);
+        for record in lost.into_iter().flat_map(|batch| batch.records) {
+            if let ClaimRecord::Outcome { key, outcome } = record {
+                self.outcomes.push_back((key, outcome));
+            }
+        }
+    }
+
+    fn insert_claim(&mut self, now: Duration, key: ClaimKey, own: bool) {
+        if self.claimed.contains_key(&key) {
+            return;
+        }
+        let claim = Claim {
+            ungranted: own,
+            outcome: None,
+        };
+        self.claimed.insert(key, claim);
+        self.order.push_back((now, key));
+    }
+
+    fn store_outcome(&mut self, key: ClaimKey, outcome: ClaimOutcome) {
+        let Some(claim) = self.claimed.get_mut(&key) else {
+            return;
+        };
+        let size = outcome.body.len();
+        if claim.outcome.is_some() || self.body_bytes + size > MAX_BODY_BYTES {
+            return;
+        }
+        self.body_bytes += size;
+        claim.outcome = Some(outcome);
+    }
+
+    /// Notes that every entry not yet seen was written after `issued`, unless the view it rests
+    /// on has become too old.
+    fn renew_view(&mut self, now: Duration, issued: Duration) {
+        if now.saturating_sub(self.view_at) >= MAX_VIEW_AGE {
+            self.stale = true;
+            return;
+        }
+        self.view_at = self.view_at.max(issued);
+    }
+
+    fn back_off(&mut self, now: Duration) {
+        self.interval = (self.interval * 2).min(MAX_INTERVAL);
+        self.not_before = now + self.interval;
+    }
+
+    /// Forgets the keys that were read a retention time ago, so were written before that.
+    fn forget_expired(&mut self, now: Duration) {
+        while let Some(&(at, key)) = self.order.front() {
+            if now.saturating_sub(at) < RETENTION {
+                break;
+            }
+            self.order.pop_front();
+            let outcome = self.claimed.remove(&key).and_then(|claim| claim.outcome);
+            self.body_bytes -= outcome.map_or(0, |outcome| outcome.body.len());
+        }
+    }
+}
+
+fn resolve(ticket: ClaimTicket, result: ClaimResult) -> ClaimAction {
+    ClaimAction::Resolve { ticket, result }
+}
--- /dev/null
+++ b/crates/wagtailarch-traffic/src/quarantine.rs
@@ -0,0 +1,209 @@
+//! Requests that crash backend servers.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use wagtailarch_types::{Fingerprint, InstanceId};
+
+/// Time for which a suspicion or a quarantine holds.
+const TTL: Duration = Duration::from_secs(600);
+/// Reports of a crash of one server within this time are taken for the same crash.
+///
+/// A crash breaks several connections and is reported by several instances within seconds, and
+/// an engine takes longer than this to restart.
+const SAME_CRASH: Duration = Duration::from_secs(5);
+/// Greatest number of fingerprints kept; the oldest are forgotten first.
+const MAX_ENTRIES: usize = 65_536;
+
+/// Fingerprints of requests that were in flight on crashing backend servers.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    /// Oldest strike first; at most `MAX_ENTRIES`.
+    entries: Mutex<IndexMap<Fingerprint, Entry>>,
+}
+
+/// Strikes of one fingerprint.
+#[derive(Debug, Clone)]
+struct Entry {
+    kind: StrikeKind,
+    /// Server of the last strike.
+    server: InstanceId,
+    /// Time of the last strike.
+    at: Duration,
+}
+
+/// What is known of a fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing speaks against it.
+    Clear,
+    /// It was in flight in one crash; it runs apart from other suspects.
+    Suspect,
+    /// It was in flight in two crashes; it is refused.
+    Quarantined,
+}
+
+/// A strike, to be told to all peers of the zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StrikeEvent {
+    /// Request.
+    pub fingerprint: Fingerprint,
+    /// Server that crashed.
+    pub server: InstanceId,
+    /// Result of the strike.
+    pub kind: StrikeKind,
+}
+
+/// Result of a strike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StrikeKind {
+    /// First strike.
+    Suspected,
+    /// Second strike.
+    Quarantined,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Tells what is known of a fingerprint.
+    pub fn check(&self, now: Duration, fingerprint: Fingerprint) -> Verdict {
+        match self.lock().get(&fingerprint) {
+            Some(entry) if !entry.expired(now) => entry.kind.verdict(),
+            _ => Verdict::Clear,
+        }
+    }
+
+    /// Counts the crash of `server` against the requests in flight on it.
+    ///
+    /// Returns the strikes that are new, to be told to all peers.
+    pub fn on_crash(
+        &self,
+        now: Duration,
+        server: &InstanceId,
+        in_flight: &[Fingerprint],
+    ) -> Vec<StrikeEvent> {
+        let mut entries = self.lock();
+        let mut events = Vec::new();
+        for &fingerprint in in_flight {
+            let Some(kind) = strike(&mut entries, now, server, fingerprint) else {
+                continue;
+            };
+            events.push(StrikeEvent {
+                fingerprint,
+                server: server.clone(),
+                kind,
+            });
+        }
+        bound(&mut entries, now);
+        events
+    }
+
+    /// Clears a suspect whose request completed; a quarantine stays.
+    pub fn on_completed(&self, fingerprint: Fingerprint) {
+        let mut entries = self.lock();
+        let Some(entry) = entries.get(&fingerprint) else {
+            return;
+        };
+        if entry.kind == StrikeKind::Suspected {
+            entries.shift_remove(&fingerprint);
+        }
+    }
+
+    /// Takes over a strike that a peer has told.
+    pub fn apply_remote(&self, now: Duration, event: StrikeEvent) {
+        let mut entries = self.lock();
+        match event.kind {
+            StrikeKind::Suspected => {
+                strike(&mut entries, now, &event.server, event.fingerprint);
+            }
+            StrikeKind::Quarantined => {
+                put(
+                    &mut entries,
+                    now,
+                    event.server,
+                    event.fingerprint,
+                    event.kind,
+                );
+            }
+        }
+        bound(&mut entries, now);
+    }
+
+    /// Returns the number of suspects and quarantined fingerprints kept.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Tells whether nothing is suspected or quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<Fingerprint, Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl StrikeKind {
+    const fn verdict(self) -> Verdict {
+        match self {
+            Self::Suspected => Verdict::Suspect,
+            Self::Quarantined => Verdict::Quarantined,
+        }
+    }
+}
+
+impl Entry {
+    fn expired(&self, now: Duration) -> bool {
+        now.saturating_sub(self.at) >= TTL
+    }
+
+    fn same_crash(&self, now: Duration, server: &InstanceId) -> bool {
+        self.server == *server && now.saturating_sub(self.at) < SAME_CRASH
+    }
+}
+
+/// Adds a strike; returns its result if it is new.
+fn strike(
+    entries: &mut IndexMap<Fingerprint, Entry>,
+    now: Duration,
+    server: &InstanceId,
+    fingerprint: Fingerprint,
+) -> Option<StrikeKind> {
+    let kind = match entries.get(&fingerprint) {
+        Some(entry) if entry.expired(now) => StrikeKind::Suspected,
+        Some(entry) if entry.same_crash(now, server) => return None,
+        Some(entry) if entry.kind == StrikeKind::Quarantined => return None,
+        Some(_) => StrikeKind::Quarantined,
+        None => StrikeKind::Suspected,
+    };
+    put(entries, now, server.clone(), fingerprint, kind);
+    Some(kind)
+}
+
+/// Stores an entry as the newest one.
+fn put(
+    entries: &mut IndexMap<Fingerprint, Entry>,
+    at: Duration,
+    server: InstanceId,
+    fingerprint: Fingerprint,
+    kind: StrikeKind,
+) {
+    entries.shift_remove(&fingerprint);
+    entries.insert(fingerprint, Entry { kind, server, at });
+}
+
+/// Forgets expired entries and, beyond the bound, the oldest ones.
+fn bound(entries: &mut IndexMap<Fingerprint, Entry>, now: Duration) {
+    let expired = entries
+        .values()
+        .take_while(|entry| entry.expired(now))
+        .count();
+    let surplus = entries.len().saturating_sub(MAX_ENTRIES);
+    entries.drain(..expired.max(surplus));
+}
