Route by affinity and load, admit by limit, deadline and fair share

Routing took the least own requests in flight and admission accepted every known team, so neither used reports, prefixes, deadlines or shares.

Router: classes of backend servers with the same assignment; rendezvous hashing of the longest prefix seen before with a bound of 1.25 x mean, else two random choices; the own share of a lagging report is taken out by a short history of the own load, so that own requests count once; slow start, own zone first with spilling, suspects apart.

Admission: a token bucket per team whose local share approaches the limit minus the usage of others in proportional steps. Taking the difference at once lets equally busy instances overshoot in turns, and all instances at once take the whole limit after an idle time. Fair shares hold at the limit of requests in flight, with a reserve for teams below their share.

ClaimLog: a view older than 12 h grants nothing, since an entry that the writer has not seen could have been removed by retention; listed pages can be applied in bulk at the start.

--- a/crates/wagtailarch-traffic/src/admission.rs
+++ b/crates/wagtailarch-traffic/src/admission.rs
@@ -8,6 +8,12 @@
 use wagtailarch_fleet::Team;
 use wagtailarch_types::{GroupName, Priority, RefusalReason, RequestId, TeamName};
 
+use crate::group_load::{GroupCapacity, GroupLoad};
+use crate::team_limit::TeamLimit;
+
+/// Least retry time.
+const MIN_RETRY: Duration = Duration::from_secs(1);
+
 /// Decides which requests are accepted.
 #[derive(Debug)]
 pub struct Admission {
@@ -15,21 +21,6 @@
     state: Arc<Mutex<State>>,
 }
 
-/// What the backend servers of one group can do together, over all instances.
-#[derive(Debug, Clone, PartialEq)]
-pub struct GroupCapacity {
-    /// Group.
-    pub group: GroupName,
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Prompt tokens processed per second; 0 for plain services.
-    pub prefill_tokens_per_s: f64,
-    /// Tokens generated per second; 0 for plain services.
-    pub decode_tokens_per_s: f64,
-    /// Prompt tokens that wait, as reported.
-    pub queued_tokens: u64,
-}
-
 /// What admission must know of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AdmitRequest {
@@ -39,7 +30,7 @@
     pub group: GroupName,
     /// Request id; spreads the retry times.
     pub request: RequestId,
-    /// Urgency.
+    /// Urgency; that of the team is the highest that counts.
     pub priority: Priority,
     /// Time left to answer, if the client states one.
     pub deadline: Option<Duration>,
@@ -55,9 +46,12 @@
     state: Arc<Mutex<State>>,
     team: TeamName,
     group: GroupName,
+    max_tokens: u32,
+    /// Prompt tokens that still wait.
+    waiting_tokens: u32,
 }
 
-/// A refused request, which did not run: {reason}
+/// the request did not run: {reason}
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub struct Refusal {
     /// Why it was refused.
@@ -81,8 +75,13 @@
 
 #[derive(Debug, Default)]
 struct State {
-    teams: HashMap<TeamName, u32>,
-    groups: HashMap<GroupName, u32>,
+    /// Teams of the configuration.
+    teams: HashMap<TeamName, TeamLimit>,
+    /// Groups with a known capacity.
+    groups: HashMap<GroupName, GroupLoad>,
+    instance_count: u32,
+    /// Latest time that was seen.
+    now: Duration,
 }
 
 impl Admission {
@@ -94,49 +93,96 @@
         }
     }
 
-    /// Takes over the teams of the configuration, the number of live instances and the capacity.
+    /// Takes over the teams of a configuration, the number of live instances and the capacity.
+    ///
+    /// Teams and groups that stay keep their usage.
     pub fn update(
         &self,
-        _now: Duration,
+        now: Duration,
         teams: &[Team],
-        _instance_count: u32,
+        instance_count: u32,
         capacity: &[GroupCapacity],
     ) {
         let mut state = self.lock();
-        state.teams = teams.iter().map(|team| (team.name.clone(), 0)).collect();
-        state.groups = capacity
-            .iter()
-            .map(|group| (group.group.clone(), group.slots))
-            .collect();
+        let mut old = std::mem::take(&mut state.teams);
+        state.teams.reserve(teams.len());
+        for team in teams {
+            let limit = match old.remove(&team.name) {
+                Some(mut limit) => {
+                    limit.reconfigure(team);
+                    limit
+                }
+                None => TeamLimit::new(now, team, instance_count),
+            };
+            state.teams.insert(team.name.clone(), limit);
+        }
+        state.set_capacity(now, instance_count, capacity);
+    }
+
+    /// Takes over the number of live instances and the capacity, with unchanged teams.
+    pub fn set_capacity(&self, now: Duration, instance_count: u32, capacity: &[GroupCapacity]) {
+        self.lock().set_capacity(now, instance_count, capacity);
     }
 
     /// Accepts or refuses a request.
-    pub fn admit(&self, _now: Duration, request: &AdmitRequest) -> Result<Admitted, Refusal> {
+    pub fn admit(&self, now: Duration, request: &AdmitRequest) -> Result<Admitted, Refusal> {
         let mut state = self.lock();
-        let Some(running) = state.teams.get_mut(&request.team) else {
-            return Err(self.refusal(RefusalReason::Unauthorized));
-        };
-        *running += 1;
-        Ok(Admitted {
-            state: Arc::clone(&self.state),
-            team: request.team.clone(),
-            group: request.group.clone(),
-        })
+        let decision = state.admit(now, request);
+        drop(state);
+        match decision {
+            Ok(()) => Ok(Admitted {
+                state: Arc::clone(&self.state),
+                team: request.team.clone(),
+                group: request.group.clone(),
+                max_tokens: request.max_tokens,
+                waiting_tokens: request.prompt_tokens,
+            }),
+            Err((reason, wait)) => Err(Refusal {
+                reason,
+                retry_after: self.spread(wait, request.request),
+            }),
+        }
     }
 
-    /// Takes over what the other instances use of a team's limit.
-    pub fn set_remote_usage(&self, _team: &TeamName, _requests_per_s: f64, _tokens_per_s: f64) {}
-
-    /// Returns the `count` teams with the highest usage at this instance, highest first.
-    pub fn heaviest(&self, _count: usize) -> Vec<TeamUsage> {
-        Vec::new()
+    /// Takes over what the other instances use of a team's limit, in units per second.
+    ///
+    /// It holds until the next call; usage of instances that are gone must be taken out.
+    pub fn set_remote_usage(&self, team: &TeamName, requests_per_s: f64, tokens_per_s: f64) {
+        if let Some(limit) = self.lock().teams.get_mut(team) {
+            limit.requests.remote = requests_per_s.max(0.0);
+            limit.tokens.remote = tokens_per_s.max(0.0);
+        }
     }
 
-    fn refusal(&self, reason: RefusalReason) -> Refusal {
-        Refusal {
-            reason,
-            retry_after: Duration::from_secs(1 + self.seed % 2),
+    /// Returns the `count` teams that use most of their limits at this instance, highest first.
+    pub fn heaviest(&self, count: usize) -> Vec<TeamUsage> {
+        let state = self.lock();
+        let now = state.now;
+        let mut usage = Vec::new();
+        for name in state.groups.values().flat_map(GroupLoad::active_teams) {
+            let Some(limit) = state.teams.get(name) else {
+                continue;
+            };
+            usage.push((limit.relative_usage(now), name, limit));
         }
+        usage.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+        // A team can be active in several groups.
+        usage.dedup_by(|a, b| a.1 == b.1);
+        let heaviest = usage.into_iter().take(count);
+        heaviest
+            .map(|(_, name, limit)| TeamUsage {
+                team: name.clone(),
+                requests_per_s: limit.requests.usage.get(now),
+                tokens_per_s: limit.tokens.usage.get(now),
+            })
+            .collect()
+    }
+
+    /// Spreads a retry time over `wait..2 * wait` by request id.
+    fn spread(&self, wait: Duration, request: RequestId) -> Duration {
+        let wait = wait.max(MIN_RETRY);
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&request.to_le_bytes(), self.seed);
+        wait + wait.mul_f64(hash as f64 / u64::MAX as f64)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -144,6 +190,62 @@
     }
 }
 
+impl State {
+    fn set_capacity(&mut self, now: Duration, instance_count: u32, capacity: &[GroupCapacity]) {
+        self.now = self.now.max(now);
+        self.instance_count = instance_count;
+        let mut old = std::mem::take(&mut self.groups);
+        for group in capacity {
+            let load = match old.remove(&group.group) {
+                Some(mut load) => {
+                    load.set_capacity(group.clone());
+                    load
+                }
+                None => GroupLoad::new(group.clone()),
+            };
+            self.groups.insert(group.group.clone(), load);
+        }
+    }
+
+    /// Decides on a request; a refusal comes with the time to wait.
+    fn admit(
+        &mut self,
+        now: Duration,
+        request: &AdmitRequest,
+    ) -> Result<(), (RefusalReason, Duration)> {
+        self.now = self.now.max(now);
+        let count = self.instance_count;
+        let Some(team) = self.teams.get_mut(&request.team) else {
+            return Err((RefusalReason::Unauthorized, MIN_RETRY));
+        };
+        let Some(group) = self.groups.get_mut(&request.group) else {
+            return Err((RefusalReason::NoBackend, MIN_RETRY));
+        };
+        group.touch(now, &request.team, team.weight);
+        let tokens = f64::from(request.prompt_tokens) + f64::from(request.max_tokens);
+        team.requests.advance(now, count);
+        team.tokens.advance(now, count);
+        let wait = team.requests.wait(1.0).max(team.tokens.wait(tokens));
+        if !wait.is_zero() {
+            return Err((RefusalReason::TeamRateLimited, wait));
+        }
+        let priority = request.priority.min(team.priority);
+        if let Some(reason) = group.refuses(&request.team, priority, count) {
+            return Err((reason, group.time_to_place()));
+        }
+        let estimate = group.estimate(request);
+        if let Some(deadline) = request.deadline
+            && estimate > deadline
+        {
+            return Err((RefusalReason::DeadlineUnreachable, estimate - deadline));
+        }
+        team.requests.charge(now, 1.0);
+        team.tokens.charge(now, tokens);
+        group.start(request);
+        Ok(())
+    }
+}
+
 impl Admitted {
     /// Returns the group that the request was admitted to.
     pub fn group(&self) -> &GroupName {
@@ -151,17 +253,39 @@
     }
 
     /// Notes that the first token has arrived, so that the prompt no longer waits.
-    pub fn prompt_done(&mut self) {}
+    pub fn prompt_done(&mut self) {
+        let mut state = self.lock();
+        if let Some(group) = state.groups.get_mut(&self.group) {
+            group.prompt_done(self.waiting_tokens);
+        }
+        drop(state);
+        self.waiting_tokens = 0;
+    }
 
     /// Frees the share and corrects the team's usage to the tokens that were generated.
-    pub fn finish(self, _generated_tokens: u32) {}
+    pub fn finish(self, generated_tokens: u32) {
+        let mut state = self.lock();
+        let now = state.now;
+        let unused = self.max_tokens.saturating_sub(generated_tokens);
+        if let Some(team) = state.teams.get_mut(&self.team) {
+            team.tokens.refund(now, f64::from(unused));
+        }
+        if let Some(group) = state.groups.get_mut(&self.group) {
+            group.learn_output(self.max_tokens, generated_tokens);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Drop for Admitted {
     fn drop(&mut self) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(running) = state.teams.get_mut(&self.team) {
-            *running = running.saturating_sub(1);
+        self.prompt_done();
+        let mut state = self.lock();
+        if let Some(group) = state.groups.get_mut(&self.group) {
+            group.finish(&self.team);
         }
     }
 }
--- a/crates/wagtailarch-traffic/src/claim_log.rs
+++ b/crates/wagtailarch-traffic/src/claim_log.rs
@@ -21,6 +21,8 @@
 ///
 /// Half of `RETENTION`, so that an entry that the writer has not seen cannot have been removed.
 const MAX_VIEW_AGE: Duration = Duration::from_secs(12 * 3600);
+/// Age of the view beyond which the log is read although nothing is to be written.
+const REFRESH_AGE: Duration = Duration::from_secs(3600);
 /// Greatest number of waiting claims.
 const MAX_PENDING: usize = 4_096;
 /// Greatest number of waiting outcomes; the oldest are dropped and stay unknown.
@@ -50,9 +52,9 @@
     next_seq: u64,
     /// Numbers below this one were listed; one that is absent has been removed since.
     listed_end: u64,
-    /// An entry at or above `next_seq` was written after this time.
+    /// Every entry at or above `next_seq` was written after this time.
     view_at: Duration,
-    /// Whether `next_seq` was absent when it was last read.
+    /// False while entries at or above `next_seq` are known or likely to exist.
     caught_up: bool,
     /// Set when the view is too old; it never recovers.
     stale: bool,
@@ -175,7 +177,7 @@
             next_seq: first_seq,
             listed_end: end_seq,
             view_at: listed_at,
-            caught_up: false,
+            caught_up: first_seq >= end_seq,
             stale: false,
             claimed: HashMap::new(),
             order: VecDeque::new(),
@@ -244,7 +246,9 @@
         }
         self.io = Io::Idle;
         match result {
-            ReadResult::Entry(batch) => self.apply(now, issued, batch),
+            // A listed page has been applied in the meantime.
+            ReadResult::Entry(_) | ReadResult::Absent if seq != self.next_seq => {}
+            ReadResult::Entry(batch) => self.apply(now, batch),
             ReadResult::Absent if seq < self.listed_end => self.next_seq += 1,
             ReadResult::Absent => {
                 self.renew_view(now, issued);
@@ -256,6 +260,23 @@
         actions
     }
 
+    /// Takes over listed entries in the order of their numbers, instead of reading each.
+    ///
+    /// Entries that are not next are ignored; a removed one below the listed end is passed over.
+    pub fn on_page(&mut self, now: Duration, entries: Vec<(u64, ClaimBatch)>) -> Vec<ClaimAction> {
+        let mut actions = Vec::new();
+        for (seq, batch) in entries {
+            if seq > self.next_seq && seq < self.listed_end && self.batch.is_none() {
+                self.next_seq = seq;
+            }
+            if seq == self.next_seq {
+                self.apply(now, batch);
+            }
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
     /// Takes the result of a `Create`.
     pub fn on_created(
         &mut self,
@@ -275,10 +296,10 @@
             CreateResult::Created => {
                 self.interval = (self.interval / 2).max(MIN_INTERVAL);
                 self.not_before = now + self.interval;
-                if let Some(batch) = self.batch.clone() {
-                    self.apply(now, issued, batch);
+                self.renew_view(now, issued);
+                if let Some(batch) = self.batch.clone().filter(|_| seq == self.next_seq) {
+                    self.apply(now, batch);
                 }
-                self.caught_up = true;
             }
             CreateResult::Exists => {
                 self.caught_up = false;
@@ -308,8 +329,7 @@
         if self.io != Io::Idle {
             return expiry;
         }
-        let waits = !self.pending.is_empty() || !self.outcomes.is_empty() || self.batch.is_some();
-        let due = waits.then(|| self.due());
+        let due = self.has_work().then(|| self.due());
         match (expiry, due) {
             (Some(expiry), Some(due)) => Some(expiry.min(due)),
             (expiry, due) => expiry.or(due),
@@ -329,18 +349,18 @@
 
     /// Resolves what can be resolved and starts the next operation.
     fn advance(&mut self, now: Duration, actions: &mut Vec<ClaimAction>) {
-        if now.saturating_sub(self.view_at) >= MAX_VIEW_AGE && !self.claimed.is_empty() {
-            self.stale = true;
-        }
+        let view_age = now.saturating_sub(self.view_at);
+        self.stale |= view_age >= MAX_VIEW_AGE;
         self.resolve_pending(now, actions);
         if self.io != Io::Idle || self.stale || now < self.due() {
             return;
         }
-        if self.pending.is_empty() && self.outcomes.is_empty() && self.batch.is_none() {
+        let refresh = view_age >= REFRESH_AGE;
+        if !self.has_work() && !refresh {
             return;
         }
         let seq = self.next_seq;
-        if !self.caught_up {
+        if !self.caught_up || (refresh && self.batch.is_none()) {
             self.io = Io::Reading { seq, issued: now };
             actions.push(ClaimAction::Read { seq });
             return;
@@ -354,6 +374,10 @@
         actions.push(ClaimAction::Create { seq, batch });
     }
 
+    fn has_work(&self) -> bool {
+        !self.pending.is_empty() || !self.outcomes.is_empty() || self.batch.is_some()
+    }
+
     /// Returns the time from which the next operation may start.
     fn due(&self) -> Duration {
         if !self.caught_up || self.batch.is_some() {
@@ -415,13 +439,15 @@
         }
     }
 
-    /// Applies the entry at `next_seq`, which an operation issued at `issued` has shown.
-    fn apply(&mut self, now: Duration, issued: Duration, batch: ClaimBatch) {
+    /// Applies the entry at `next_seq`.
+    ///
+    /// An entry says nothing of the age of the next one, so the view is not renewed here.
+    fn apply(&mut self, now: Duration, batch: ClaimBatch) {
         let own = self
             .batch
             .as_ref()
             .is_some_and(|own| own.nonce == batch.nonce);
-        self.renew_view(now, issued);
+        self.stale |= now.saturating_sub(self.view_at) >= MAX_VIEW_AGE;
         for record in batch.records {
             match record {
                 ClaimRecord::Claim { key, .. } => self.insert_claim(now, key, own),
@@ -429,6 +455,8 @@
             }
         }
         self.next_seq += 1;
+        // A writer may try the next number at once: its create fails if there is an entry.
+        self.caught_up = self.next_seq >= self.listed_end;
         // A number holds one batch for ever, so the own one can no longer land there.
         let lost = self.batch.take().filter(|_| !own);
         for record in lost.into_iter().flat_map(|batch| batch.records) {
--- a/crates/wagtailarch-traffic/src/lib.rs
+++ b/crates/wagtailarch-traffic/src/lib.rs
@@ -5,16 +5,22 @@
 //! `&self`.
 
 mod admission;
+mod affinity;
 mod assembler;
 mod backend_view;
 mod claim_log;
 mod claim_record;
+mod group_load;
+mod pick;
 mod quarantine;
 mod retry_budget;
 mod retry_policy;
 mod router;
+mod slot;
+mod team_limit;
 
-pub use admission::{Admission, AdmitRequest, Admitted, GroupCapacity, Refusal, TeamUsage};
+pub use admission::{Admission, AdmitRequest, Admitted, Refusal, TeamUsage};
+pub use affinity::prefix_hashes;
 pub use assembler::{Accepted, Assembler, DropCounts, DropReason};
 pub use backend_view::{BackendView, LoadReport};
 pub use claim_log::{ClaimAction, ClaimLog, ClaimResult, ClaimTicket, CreateResult, ReadResult};
@@ -22,7 +28,9 @@
     CLAIM_PARTITIONS, ClaimBatch, ClaimKey, ClaimOutcome, ClaimRecord, MAX_OUTCOME_BYTES,
     claim_key, claim_partition,
 };
+pub use group_load::GroupCapacity;
+pub use pick::{Pick, PickRequest};
 pub use quarantine::{Quarantine, StrikeEvent, StrikeKind, Verdict};
 pub use retry_budget::RetryBudget;
 pub use retry_policy::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
-pub use router::{Pick, PickRequest, Router, prefix_hashes};
+pub use router::Router;
--- a/crates/wagtailarch-traffic/src/router.rs
+++ b/crates/wagtailarch-traffic/src/router.rs
@@ -1,197 +1,348 @@
 //! Choice of a backend server.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use smol_str::SmolStr;
 use wagtailarch_types::{
-    AdapterName, BackendKind, BackendState, GroupName, InstanceId, ModelName, Phase, VersionName,
-    ZoneName,
+    Assignment, BackendKind, BackendState, GroupName, InstanceId, Phase, Role, ZoneName,
 };
 use wagtailarch_wire::engine::CacheEvent;
 
-use crate::BackendView;
+use crate::affinity::{Affinity, Preference};
+use crate::slot::{Known, Slot};
+use crate::{BackendView, Pick, PickRequest};
 
-/// Size in bytes of a block of the prompt.
-const BLOCK_BYTES: usize = 256;
-/// Numbers of blocks whose hashes decide on prefix affinity.
-const PREFIX_BLOCKS: [usize; 3] = [1, 4, 16];
+/// Score in the own zone above which other zones are considered.
+const SPILL_SCORE: f64 = 0.9;
+/// Cost of the link to another zone, in units of the score.
+const LINK_COST: f64 = 0.25;
+/// Cost of running a whole generation on a decode engine, in units of the score: its running
+/// streams stall while the prompt is processed.
+const DECODE_PREFILL_COST: f64 = 0.5;
+/// Load of the preferred backend server, in relation to the mean, above which affinity yields.
+const AFFINITY_LOAD: f64 = 1.25;
 
 /// Chooses backend servers.
 #[derive(Debug)]
 pub struct Router {
     own_zone: ZoneName,
     random: AtomicU64,
-    table: ArcSwap<Vec<Slot>>,
-    counters: Mutex<HashMap<InstanceId, Arc<Counters>>>,
+    table: ArcSwap<Table>,
+    /// What outlives an update, by backend server; bounded by the last update and the requests
+    /// in flight.
+    known: Mutex<HashMap<InstanceId, Known>>,
+    affinity: Affinity,
 }
 
-/// What is needed of a backend server.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PickRequest {
-    /// Group that serves the request.
-    pub group: GroupName,
-    /// Engine or plain service.
-    pub kind: BackendKind,
-    /// Part of the generation; ignored for plain services.
-    pub phase: Phase,
-    /// Model that must be loaded.
-    pub model: Option<ModelName>,
-    /// Version that must be loaded; any if `None`.
-    pub version: Option<VersionName>,
-    /// Adapter that must be loaded.
-    pub adapter: Option<AdapterName>,
-    /// Hashes of the prompt's prefixes, shortest first, as `prefix_hashes` returns them.
-    pub prefix_hashes: Vec<u64>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Zone to prefer instead of the own one: that of the prefill, for the decode.
-    pub near: Option<ZoneName>,
-    /// Backend servers that have failed this request or must not be used.
-    pub excluded: Vec<InstanceId>,
-    /// Whether the request is a suspect, which runs apart from other suspects.
-    pub suspect: bool,
-    /// For a suspect: backend servers on which suspects of other instances may run.
-    pub apart_from: Vec<InstanceId>,
-}
-
-/// A chosen backend server; counts as one request in flight on it until dropped.
-#[derive(Debug)]
-pub struct Pick {
-    /// Name of the backend server.
-    pub id: InstanceId,
-    /// Its zone.
-    pub zone: ZoneName,
-    /// Its address (`ip:port`).
-    pub address: SmolStr,
-    counters: Arc<Counters>,
-}
+/// Backend servers that accept requests, by group.
+type Table = HashMap<GroupName, Vec<Class>>;
 
+/// Backend servers of one group that serve the same.
 #[derive(Debug)]
-struct Slot {
-    view: BackendView,
-    counters: Arc<Counters>,
+struct Class {
+    kind: BackendKind,
+    /// `None` for plain services.
+    assignment: Option<Assignment>,
+    slots: Vec<Slot>,
 }
 
-#[derive(Debug, Default)]
-struct Counters {
-    in_flight: AtomicU32,
+/// A backend server that suits a request.
+#[derive(Clone, Copy)]
+struct Candidate<'a> {
+    slot: &'a Slot,
+    /// Cost of serving this request's phase with its role, in units of the score.
+    role_cost: f64,
 }
 
 impl Router {
     /// Creates a router without backend servers for an instance in `own_zone`.
+    ///
+    /// `seed` differs between instances, so that they choose differently from the same reports.
     pub fn new(own_zone: ZoneName, seed: u64) -> Self {
         Self {
             own_zone,
             random: AtomicU64::new(seed),
             table: ArcSwap::default(),
-            counters: Mutex::default(),
+            known: Mutex::default(),
+            affinity: Affinity::default(),
         }
     }
 
     /// Takes over what is known of all backend servers.
-    pub fn update(&self, _now: Duration, views: Vec<BackendView>) {
-        let mut counters = self
-            .counters
-            .lock()
-            .unwrap_or_else(|error| error.into_inner());
-        let slots = views
-            .into_iter()
-            .map(|view| Slot {
-                counters: Arc::clone(counters.entry(view.id.clone()).or_default()),
-                view,
-            })
-            .collect();
-        self.table.store(Arc::new(slots));
+    pub fn update(&self, now: Duration, views: Vec<BackendView>) {
+        let mut known = self.lock_known();
+        let mut table = Table::new();
+        for view in &views {
+            let slot = known.entry(view.id.clone()).or_default().slot(now, view);
+            if !accepts(view) {
+                continue;
+            }
+            let classes = table.entry(view.group.clone()).or_default();
+            class_of(classes, view).slots.push(slot);
+        }
+        let listed: std::collections::HashSet<_> = views.iter().map(|view| &view.id).collect();
+        known.retain(|id, known| listed.contains(id) || !known.is_idle());
+        self.table.store(Arc::new(table));
     }
 
     /// Sends nothing new to a backend server until the next update, after a sign of leaving.
-    pub fn suspend(&self, _id: &InstanceId) {}
+    pub fn suspend(&self, id: &InstanceId) {
+        if let Some(known) = self.lock_known().get(id) {
+            known.counters.set_suspended(true);
+        }
+    }
 
     /// Takes over a change of an engine's prefix cache, as a hint.
-    pub fn on_cache_event(&self, _id: &InstanceId, _event: &CacheEvent) {}
+    pub fn on_cache_event(&self, id: &InstanceId, event: &CacheEvent) {
+        self.affinity
+            .on_event(wagtailarch_types::rendezvous_weight(0, id), event);
+    }
 
     /// Chooses a backend server, or none if none is suitable.
-    pub fn pick(&self, _now: Duration, request: &PickRequest) -> Option<Pick> {
-        self.random.fetch_add(1, Ordering::Relaxed);
+    pub fn pick(&self, now: Duration, request: &PickRequest) -> Option<Pick> {
+        let table = self.table.load();
+        let classes = table.get(&request.group)?;
+        let zone = request.near.as_ref().unwrap_or(&self.own_zone);
+        let (near, far) = candidates(classes, request, zone);
+        if request.suspect {
+            return pick_apart(now, near, request).or_else(|| pick_apart(now, far, request));
+        }
+        let preference = match request.phase {
+            Phase::Full | Phase::Prefill => self.affinity.prefer(&request.prefix_hashes),
+            Phase::Decode => None,
+        };
+        let best = self.choose(now, &near, preference.as_ref());
+        let chosen = match best {
+            Some((candidate, score)) if score <= SPILL_SCORE => Some(candidate),
+            Some((candidate, score)) => match self.choose(now, &far, None) {
+                Some((other, other_score)) if other_score + LINK_COST < score => Some(other),
+                _ => Some(candidate),
+            },
+            None => self
+                .choose(now, &far, preference.as_ref())
+                .map(|(candidate, _)| candidate),
+        };
+        start(chosen?.slot, request)
+    }
+
+    /// Tells whether a request can be split: prefill engines and engines that decode accept
+    /// requests in its zone.
+    pub fn splits(&self, request: &PickRequest) -> bool {
         let table = self.table.load();
-        let slot = table
-            .iter()
-            .filter(|slot| suits(&slot.view, request))
-            .min_by_key(|slot| {
-                let far = slot.view.zone != self.own_zone;
-                (far, slot.counters.in_flight.load(Ordering::Relaxed))
-            })?;
-        slot.counters.in_flight.fetch_add(1, Ordering::Relaxed);
-        Some(Pick {
-            id: slot.view.id.clone(),
-            zone: slot.view.zone.clone(),
-            address: slot.view.address.clone(),
-            counters: Arc::clone(&slot.counters),
-        })
+        let Some(classes) = table.get(&request.group) else {
+            return false;
+        };
+        let mut whole = request.clone();
+        let mut has = |phase, role: Option<Role>| {
+            whole.phase = phase;
+            classes.iter().any(|class| {
+                class.suits(&whole)
+                    && role.is_none_or(|role| class.role() == Some(role))
+                    && class.slots.iter().any(|slot| slot.zone == self.own_zone)
+            })
+        };
+        has(Phase::Prefill, Some(Role::Prefill)) && has(Phase::Decode, None)
     }
 
     /// Returns the number of own requests in flight on a backend server.
     pub fn in_flight(&self, id: &InstanceId) -> u32 {
-        let counters = self
-            .counters
-            .lock()
-            .unwrap_or_else(|error| error.into_inner());
-        counters
+        self.lock_known()
             .get(id)
-            .map_or(0, |counters| counters.in_flight.load(Ordering::Relaxed))
+            .map_or(0, |known| known.counters.in_flight())
+    }
+
+    /// Chooses by affinity, or else the better one of two random candidates.
+    fn choose<'a>(
+        &self,
+        now: Duration,
+        candidates: &[Candidate<'a>],
+        preference: Option<&Preference>,
+    ) -> Option<(Candidate<'a>, f64)> {
+        if candidates.is_empty() {
+            return None;
+        }
+        if let Some(preference) = preference {
+            let chosen = choose_by_affinity(now, candidates, preference);
+            if chosen.is_some() {
+                return chosen;
+            }
+        }
+        let random = self.next_random();
+        let count = candidates.len() as u64;
+        let first = (random >> 32) % count;
+        // The second choice differs from the first one unless there is only one candidate.
+        let step = 1 + (random & 0xffff_ffff) % (count - 1).max(1);
+        let scored = |index: u64| {
+            let candidate = candidates[(index % count) as usize];
+            (candidate, candidate.score(now))
+        };
+        let (a, b) = (scored(first), scored(first + step));
+        Some(if b.1 < a.1 { b } else { a })
+    }
+
+    /// Returns the next number of a splitmix64 sequence.
+    fn next_random(&self) -> u64 {
+        let state = self
+            .random
+            .fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        mix(state)
+    }
+
+    fn lock_known(&self) -> MutexGuard<'_, HashMap<InstanceId, Known>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Pick {
-    /// Notes that the prompt has been processed.
-    pub fn prompt_done(&mut self) {}
+impl Class {
+    fn role(&self) -> Option<Role> {
+        self.assignment.as_ref().map(|assignment| assignment.role)
+    }
+
+    fn suits(&self, request: &PickRequest) -> bool {
+        if self.kind != request.kind {
+            return false;
+        }
+        let Some(assignment) = &self.assignment else {
+            return self.kind == BackendKind::Service;
+        };
+        let model = request.model.as_ref();
+        let version = request.version.as_ref();
+        let adapter = request.adapter.as_ref();
+        assignment.role.serves(request.phase)
+            && model.is_none_or(|model| *model == assignment.model)
+            && version.is_none_or(|version| *version == assignment.version)
+            && adapter.is_none_or(|adapter| assignment.adapters.contains(adapter))
+    }
+
+    fn role_cost(&self, phase: Phase) -> f64 {
+        match (self.role(), phase) {
+            (Some(Role::Decode), Phase::Full) => DECODE_PREFILL_COST,
+            _ => 0.0,
+        }
+    }
 }
 
-impl Drop for Pick {
-    fn drop(&mut self) {
-        self.counters.in_flight.fetch_sub(1, Ordering::Relaxed);
+impl Candidate<'_> {
+    fn score(&self, now: Duration) -> f64 {
+        self.slot.score(now) + self.role_cost
     }
 }
 
-/// Computes the hashes of the first 1, 4 and 16 blocks of a prompt, as far as it has them.
-pub fn prefix_hashes(prompt: &str) -> Vec<u64> {
-    let bytes = prompt.as_bytes();
-    PREFIX_BLOCKS
+/// Tells whether a backend server accepts new requests.
+fn accepts(view: &BackendView) -> bool {
+    let known = view.kind == BackendKind::Service || view.assignment.is_some();
+    known && view.accepting && view.state == BackendState::Serving
+}
+
+fn class_of<'a>(classes: &'a mut Vec<Class>, view: &BackendView) -> &'a mut Class {
+    let position = classes
         .iter()
-        .filter_map(|blocks| bytes.get(..blocks * BLOCK_BYTES))
-        .map(xxhash_rust::xxh3::xxh3_64)
-        .collect()
+        .position(|class| class.kind == view.kind && class.assignment == view.assignment);
+    let index = position.unwrap_or(classes.len());
+    if index == classes.len() {
+        classes.push(Class {
+            kind: view.kind,
+            assignment: view.assignment.clone(),
+            slots: Vec::new(),
+        });
+    }
+    &mut classes[index]
+}
+
+/// Collects the candidates in `zone` and those in other zones.
+fn candidates<'a>(
+    classes: &'a [Class],
+    request: &PickRequest,
+    zone: &ZoneName,
+) -> (Vec<Candidate<'a>>, Vec<Candidate<'a>>) {
+    let (mut near, mut far) = (Vec::new(), Vec::new());
+    for class in classes {
+        if !class.suits(request) {
+            continue;
+        }
+        let role_cost = class.role_cost(request.phase);
+        near.reserve(class.slots.len());
+        for slot in &class.slots {
+            if slot.counters.is_suspended() || request.excluded.contains(&slot.id) {
+                continue;
+            }
+            let list = if slot.zone == *zone {
+                &mut near
+            } else {
+                &mut far
+            };
+            list.push(Candidate { slot, role_cost });
+        }
+    }
+    (near, far)
 }
 
-fn suits(view: &BackendView, request: &PickRequest) -> bool {
-    let assigned = match (&view.assignment, request.kind) {
-        (_, BackendKind::Service) => true,
-        (None, BackendKind::Engine) => false,
-        (Some(assignment), BackendKind::Engine) => {
-            assignment.role.serves(request.phase)
-                && request
-                    .model
-                    .as_ref()
-                    .is_none_or(|model| *model == assignment.model)
-                && request
-                    .version
-                    .as_ref()
-                    .is_none_or(|version| *version == assignment.version)
-                && request
-                    .adapter
-                    .as_ref()
-                    .is_none_or(|adapter| assignment.adapters.contains(adapter))
+/// Chooses the candidate that most likely holds the prefix, unless its load is above the bound.
+///
+/// Beyond the bound the next one in the order of rendezvous hashing follows, so that a prefix
+/// in heavy use spreads over the same few backend servers.
+fn choose_by_affinity<'a>(
+    now: Duration,
+    candidates: &[Candidate<'a>],
+    preference: &Preference,
+) -> Option<(Candidate<'a>, f64)> {
+    let mut sum = 0.0;
+    for candidate in candidates {
+        sum += candidate.score(now);
+    }
+    let mean = sum / candidates.len() as f64;
+    let mut best: Option<(Candidate<'a>, f64, (bool, u64))> = None;
+    for &candidate in candidates {
+        let rank = (
+            preference.holders.contains(&candidate.slot.id_hash),
+            mix(candidate.slot.id_hash ^ preference.prefix),
+        );
+        if best.as_ref().is_some_and(|(_, _, best)| *best >= rank) {
+            continue;
+        }
+        let score = candidate.score(now);
+        // One request more than the mean is always allowed; small counts vary by that much.
+        if score > AFFINITY_LOAD * mean + candidate.slot.unit_score() {
+            continue;
         }
-    };
-    assigned
-        && view.accepting
-        && view.state == BackendState::Serving
-        && view.kind == request.kind
-        && view.group == request.group
-        && !request.excluded.contains(&view.id)
-        && !(request.suspect && request.apart_from.contains(&view.id))
+        best = Some((candidate, score, rank));
+    }
+    best.map(|(candidate, score, _)| (candidate, score))
+}
+
+/// Places a suspect on the least loaded candidate without another suspect.
+fn pick_apart(
+    now: Duration,
+    mut candidates: Vec<Candidate<'_>>,
+    request: &PickRequest,
+) -> Option<Pick> {
+    candidates.retain(|candidate| !request.apart_from.contains(&candidate.slot.id));
+    candidates.sort_by(|a, b| a.score(now).total_cmp(&b.score(now)));
+    candidates
+        .iter()
+        .find_map(|candidate| start(candidate.slot, request))
+}
+
+fn start(slot: &Slot, request: &PickRequest) -> Option<Pick> {
+    if !slot.counters.start(request.prompt_tokens, request.suspect) {
+        return None;
+    }
+    let (id, zone, address) = (slot.id.clone(), slot.zone.clone(), slot.address.clone());
+    Some(Pick::new(
+        id,
+        zone,
+        address,
+        Arc::clone(&slot.counters),
+        request,
+    ))
+}
+
+/// Finalizer of splitmix64: spreads every bit of the input over the output.
+fn mix(mut value: u64) -> u64 {
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
 }
