Serve completions and plain services from an entry instance

Clients need one process that turns a bearer key and a model name into a call of an engine. The instance reads settings with all findings reported together, takes backend servers from the platform's list and their reports, and serves HTTP/1.1 and HTTP/2.

--- /dev/null
+++ b/crates/wagtailarch-entry/src/chat/mod.rs
@@ -0,0 +1,10 @@
+//! Completions: the calls of model services.
+
+mod api;
+mod generation;
+mod handler;
+mod render;
+
+pub use api::Api;
+use generation::Done;
+pub use handler::{complete, models};
--- /dev/null
+++ b/crates/wagtailarch-entry/src/control/thread.rs
@@ -0,0 +1,88 @@
+//! Start and end of the control thread.
+
+use std::{io, sync::Arc, thread};
+
+use displaydoc::Display;
+use tokio::sync::oneshot;
+use wagtailarch_fleet::Fleet;
+
+use super::backends::Backends;
+use crate::{settings::ms, shared::Shared, snapshot::Snapshot};
+
+/// Why the control thread could not start.
+#[derive(Debug, Display)]
+pub enum ControlError {
+    /// cannot start a thread or its runtime: {0}
+    Thread(io::Error),
+    /// cannot read the fleet file: {0}
+    FleetFile(String),
+}
+
+impl std::error::Error for ControlError {}
+
+/// Handle of the control thread; the thread ends when the handle is dropped.
+#[derive(Debug)]
+pub struct ControlThread {
+    stop: oneshot::Sender<()>,
+    ended: oneshot::Receiver<()>,
+}
+
+impl ControlThread {
+    /// Starts the thread with a runtime of its own.
+    pub fn start(shared: Arc<Shared>) -> Result<Self, ControlError> {
+        load_fleet_file(&shared)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(ControlError::Thread)?;
+        let (stop, stopped) = oneshot::channel();
+        let (end, ended) = oneshot::channel();
+        thread::Builder::new()
+            .name("control".into())
+            .spawn(move || {
+                runtime.block_on(async {
+                    tokio::select! {
+                        () = run(shared) => {}
+                        _ = stopped => {}
+                    }
+                });
+                let _ = end.send(());
+            })
+            .map_err(ControlError::Thread)?;
+        Ok(Self { stop, ended })
+    }
+
+    /// Ends the thread and waits for it.
+    pub async fn stop(self) {
+        let _ = self.stop.send(());
+        let _ = self.ended.await;
+    }
+}
+
+/// Publishes the fleet file of the settings as generation 1.
+fn load_fleet_file(shared: &Shared) -> Result<(), ControlError> {
+    let Some(path) = &shared.settings.fleet_file else {
+        return Ok(());
+    };
+    let text = std::fs::read_to_string(path).map_err(|e| ControlError::FleetFile(e.to_string()))?;
+    let fleet: Fleet = toml::from_str(&text).map_err(|e| ControlError::FleetFile(e.to_string()))?;
+    shared
+        .snapshot
+        .store(Some(Arc::new(Snapshot::new(1, Arc::new(fleet)))));
+    shared.metrics.generation.set(1);
+    Ok(())
+}
+
+async fn run(shared: Arc<Shared>) {
+    let mut backends = Backends::new(Arc::clone(&shared));
+    let mut list = tokio::time::interval(ms(shared.settings.timeouts.list_ms));
+    let mut report = tokio::time::interval(ms(shared.settings.timeouts.report_ms));
+    list.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    report.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = list.tick() => backends.read_list().await,
+            _ = report.tick() => backends.read_reports().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-entry/src/metrics.rs
@@ -0,0 +1,275 @@
+//! Metrics of an instance.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::text::encode,
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use wagtailarch_types::{RefusalReason, RetryReason};
+
+/// One label with a value of a closed set.
+type Label = [(&'static str, &'static str); 1];
+
+/// Counters by the values of a closed set; every value is present from the start.
+type Counters = Family<Label, Counter>;
+
+/// Why a frame of an engine was not delivered.
+pub const DROP_CAUSES: [&str; 5] = [
+    "other_request",
+    "other_attempt",
+    "index_behind",
+    "index_ahead",
+    "after_finish",
+];
+
+/// Kinds of connection events that are counted.
+pub const CONNECTION_EVENTS: [&str; 4] = ["accepted", "refused", "failed", "reset"];
+
+/// Kinds of hints that the control thread may miss.
+pub const HINTS: [&str; 2] = ["leaving", "crash"];
+
+/// Metrics of an instance.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    refusals: Counters,
+    retries: Counters,
+    dropped_frames: Counters,
+    connections: Counters,
+    dropped_hints: Counters,
+    /// Requests received.
+    pub requests: Counter,
+    /// Requests answered completely.
+    pub completed: Counter,
+    /// Requests cancelled because the client went away.
+    pub client_gone: Counter,
+    /// Requests cancelled because the client stopped reading.
+    pub client_stalled: Counter,
+    /// Frames of engines that could not be parsed.
+    pub malformed_frames: Counter,
+    /// Cancel calls sent to engines.
+    pub cancels: Counter,
+    /// Backend servers that were seen to crash.
+    pub crashes: Counter,
+    /// Requests running.
+    pub running: Gauge,
+    /// Connections open.
+    pub open_connections: Gauge,
+    /// Generation of the configuration in force.
+    pub generation: Gauge,
+    /// Tokens delivered.
+    pub tokens: Counter,
+    /// Time from the end of the request's body to the first byte sent to a backend server.
+    pub added_latency: Histogram,
+    /// Time from the request to its first token.
+    pub first_token: Histogram,
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("wagtail");
+        let refusals = closed(
+            &mut registry,
+            "refusals",
+            "Refused requests",
+            "reason",
+            &reasons(),
+        );
+        let retry: Vec<_> = RetryReason::ALL
+            .iter()
+            .map(|reason| reason.as_str())
+            .collect();
+        let retries = closed(
+            &mut registry,
+            "retries",
+            "Repeated attempts",
+            "reason",
+            &retry,
+        );
+        let dropped_frames = closed(
+            &mut registry,
+            "dropped_frames",
+            "Engine frames that were not delivered",
+            "cause",
+            &DROP_CAUSES,
+        );
+        let connections = closed(
+            &mut registry,
+            "connections",
+            "Client connection events",
+            "event",
+            &CONNECTION_EVENTS,
+        );
+        let dropped_hints = closed(
+            &mut registry,
+            "dropped_hints",
+            "Hints that the control thread had no room for",
+            "kind",
+            &HINTS,
+        );
+        let metrics = Self {
+            refusals,
+            retries,
+            dropped_frames,
+            connections,
+            dropped_hints,
+            requests: Counter::default(),
+            completed: Counter::default(),
+            client_gone: Counter::default(),
+            client_stalled: Counter::default(),
+            malformed_frames: Counter::default(),
+            cancels: Counter::default(),
+            crashes: Counter::default(),
+            running: Gauge::default(),
+            open_connections: Gauge::default(),
+            generation: Gauge::default(),
+            tokens: Counter::default(),
+            added_latency: Histogram::new(ADDED_LATENCY_S),
+            first_token: Histogram::new(FIRST_TOKEN_S),
+            registry,
+        };
+        metrics.register()
+    }
+
+    fn register(mut self) -> Self {
+        let r = &mut self.registry;
+        r.register("requests", "Requests received", self.requests.clone());
+        r.register(
+            "completed",
+            "Requests answered completely",
+            self.completed.clone(),
+        );
+        r.register(
+            "client_gone",
+            "Requests whose client went away",
+            self.client_gone.clone(),
+        );
+        let help = "Requests whose client stopped reading";
+        r.register("client_stalled", help, self.client_stalled.clone());
+        let help = "Engine frames that could not be parsed";
+        r.register("malformed_frames", help, self.malformed_frames.clone());
+        r.register(
+            "cancels",
+            "Cancel calls sent to engines",
+            self.cancels.clone(),
+        );
+        r.register(
+            "crashes",
+            "Backend server crashes seen",
+            self.crashes.clone(),
+        );
+        r.register("running", "Requests running", self.running.clone());
+        r.register(
+            "open_connections",
+            "Connections open",
+            self.open_connections.clone(),
+        );
+        r.register("generation", "Generation in force", self.generation.clone());
+        r.register("tokens", "Tokens delivered", self.tokens.clone());
+        let help = "Time spent before the first byte to a backend server";
+        r.register("added_latency_seconds", help, self.added_latency.clone());
+        let help = "Time from the request to its first token";
+        r.register("first_token_seconds", help, self.first_token.clone());
+        self
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: RefusalReason) {
+        self.refusals
+            .get_or_create(&[("reason", reason.as_str())])
+            .inc();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: RetryReason) {
+        self.retries
+            .get_or_create(&[("reason", reason.as_str())])
+            .inc();
+    }
+
+    /// Counts a frame that was not delivered; `cause` is one of [`DROP_CAUSES`].
+    pub fn dropped_frame(&self, cause: &'static str) {
+        self.dropped_frames.get_or_create(&[("cause", cause)]).inc();
+    }
+
+    /// Counts a connection event; `event` is one of [`CONNECTION_EVENTS`].
+    pub fn connection(&self, event: &'static str) {
+        self.connections.get_or_create(&[("event", event)]).inc();
+    }
+
+    /// Counts a hint that was dropped; `kind` is one of [`HINTS`].
+    pub fn dropped_hint(&self, kind: &'static str) {
+        self.dropped_hints.get_or_create(&[("kind", kind)]).inc();
+    }
+
+    /// Returns how many requests were refused for `reason`.
+    pub fn refusals(&self, reason: RefusalReason) -> u64 {
+        self.refusals
+            .get_or_create(&[("reason", reason.as_str())])
+            .get()
+    }
+
+    /// Returns how many attempts were repeated for `reason`.
+    pub fn retries(&self, reason: RetryReason) -> u64 {
+        self.retries
+            .get_or_create(&[("reason", reason.as_str())])
+            .get()
+    }
+
+    /// Returns how many frames were dropped for `cause`.
+    pub fn dropped_frames(&self, cause: &'static str) -> u64 {
+        self.dropped_frames.get_or_create(&[("cause", cause)]).get()
+    }
+
+    /// Observes a duration in seconds.
+    pub fn observe(histogram: &Histogram, duration: Duration) {
+        histogram.observe(duration.as_secs_f64());
+    }
+
+    /// Returns all metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("writing to a string does not fail");
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Upper bounds of the buckets for added latency, in seconds.
+const ADDED_LATENCY_S: [f64; 10] = [
+    0.000_1, 0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.05, 0.25, 1.0,
+];
+
+/// Upper bounds of the buckets for the first token, in seconds.
+const FIRST_TOKEN_S: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.34, 0.5, 1.0, 2.5, 5.0, 10.0];
+
+fn reasons() -> Vec<&'static str> {
+    RefusalReason::ALL
+        .iter()
+        .map(|reason| reason.as_str())
+        .collect()
+}
+
+/// Registers a family and creates a counter for each value.
+fn closed(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    label: &'static str,
+    values: &[&'static str],
+) -> Counters {
+    let family = Counters::default();
+    for &value in values {
+        drop(family.get_or_create(&[(label, value)]));
+    }
+    registry.register(name, help, family.clone());
+    family
+}
--- /dev/null
+++ b/crates/wagtailarch-entry/tests/common/mod.rs
@@ -0,0 +1,382 @@
+//! Small fakes of the outside systems and a client for the tests of the entry instance.
+
+#![allow(dead_code, reason = "each test file uses a part of the fakes")]
+
+use std::{
+    collections::VecDeque,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use hyper::{
+    body::{Frame as BodyFrame, Incoming},
+    service::service_fn,
+};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioIo},
+    server::conn::auto,
+};
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::mpsc};
+use wagtailarch_entry::{Instance, discard, parse_settings};
+use wagtailarch_wire::{engine::GenerateRequest, platform::InstanceList};
+
+/// Error with which a fake breaks a response.
+type Broken = Box<dyn std::error::Error + Send + Sync>;
+type FakeBody = BoxBody<Bytes, Broken>;
+
+/// What a fake engine does with one generate call.
+#[derive(Debug, Clone)]
+pub enum Script {
+    /// Generates `tokens` tokens and finishes.
+    Answer { tokens: u32, pause: Duration },
+    /// Generates tokens up to the index and closes the connection.
+    BreakAt { index: u32 },
+    /// Sends these lines as they are, then closes the stream.
+    Lines(Vec<String>),
+    /// Answers this status, with `x-ran: no` if wanted.
+    Refuse {
+        status: u16,
+        code: &'static str,
+        not_run: bool,
+    },
+    /// Ends a prefill.
+    Prefill { handle: &'static str },
+}
+
+/// A fake engine; without a script left it answers with [`FakeEngine::default_tokens`] tokens.
+#[derive(Debug)]
+pub struct FakeEngine {
+    pub id: String,
+    pub address: SocketAddr,
+    pub scripts: Mutex<VecDeque<Script>>,
+    pub calls: Mutex<Vec<GenerateRequest>>,
+    pub cancels: AtomicU64,
+    pub boot_id: AtomicU64,
+    pub role: Mutex<&'static str>,
+    pub state: Mutex<&'static str>,
+}
+
+/// Text of the token with the index; every fake engine generates the same text.
+pub fn token(index: u32) -> String {
+    format!("t{index} ")
+}
+
+/// Text of the tokens from 0 up to `end`.
+pub fn text(end: u32) -> String {
+    (0..end).map(token).collect()
+}
+
+impl FakeEngine {
+    pub async fn start(id: &str) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let engine = Arc::new(Self {
+            id: id.to_owned(),
+            address: listener.local_addr().unwrap(),
+            scripts: Mutex::default(),
+            calls: Mutex::default(),
+            cancels: AtomicU64::new(0),
+            boot_id: AtomicU64::new(1),
+            role: Mutex::new("mixed"),
+            state: Mutex::new("serving"),
+        });
+        let fake = Arc::clone(&engine);
+        serve(listener, move |request| Arc::clone(&fake).answer(request));
+        engine
+    }
+
+    pub fn script(&self, script: Script) {
+        self.scripts.lock().unwrap().push_back(script);
+    }
+
+    pub fn calls(&self) -> Vec<GenerateRequest> {
+        self.calls.lock().unwrap().clone()
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<FakeBody> {
+        match request.uri().path() {
+            "/engine/v1/report" => whole(200, self.report().to_string()),
+            "/engine/v1/cancel" => {
+                self.cancels.fetch_add(1, Ordering::SeqCst);
+                whole(200, "{}".into())
+            }
+            "/engine/v1/generate" => {
+                let body = request.into_body().collect().await.unwrap().to_bytes();
+                let call: GenerateRequest = serde_json::from_slice(&body).unwrap();
+                self.calls.lock().unwrap().push(call.clone());
+                let script = self.scripts.lock().unwrap().pop_front();
+                run(
+                    call,
+                    script.unwrap_or(Script::Answer {
+                        tokens: 8,
+                        pause: Duration::ZERO,
+                    }),
+                )
+            }
+            _ => whole(404, "{}".into()),
+        }
+    }
+
+    fn report(&self) -> Value {
+        json!({"engine": self.id, "boot_id": self.boot_id.load(Ordering::SeqCst), "seq": 1,
+            "role": *self.role.lock().unwrap(), "model": "fedel", "version": "2026-11",
+            "adapters": ["jam"], "state": *self.state.lock().unwrap(), "running": 0,
+            "queued_tokens": 0, "decode_slots": 32, "kv_used_ratio": 0.0,
+            "prefill_tokens_per_s": 10_000.0, "decode_tokens_per_s": 1_000.0,
+            "fencing_number": 0, "generation": 1, "order_conflicts": 0})
+    }
+}
+
+/// Line of a token frame.
+pub fn token_line(request: &str, attempt: u32, index: u32, last: bool) -> String {
+    let mut frame = json!({"request": request, "attempt": attempt, "index": index,
+        "text": token(index)});
+    if last {
+        frame["finish"] = json!("stop");
+        frame["usage"] = json!({"prompt_tokens": 3, "completion_tokens": index + 1});
+    }
+    format!("{frame}\n")
+}
+
+fn run(call: GenerateRequest, script: Script) -> Response<FakeBody> {
+    let (sender, lines) = mpsc::channel::<Result<String, Broken>>(1);
+    match script {
+        Script::Refuse {
+            status,
+            code,
+            not_run,
+        } => {
+            let mut response = whole(status, json!({ "code": code }).to_string());
+            if not_run {
+                response
+                    .headers_mut()
+                    .insert("x-ran", "no".parse().unwrap());
+            }
+            return response;
+        }
+        script => tokio::spawn(send_frames(call, script, sender)),
+    };
+    streamed(lines)
+}
+
+async fn send_frames(
+    call: GenerateRequest,
+    script: Script,
+    sender: mpsc::Sender<Result<String, Broken>>,
+) {
+    let (request, attempt) = (call.request.as_str(), call.attempt);
+    let (end, pause, breaks) = match script {
+        Script::Answer { tokens, pause } => (tokens, pause, false),
+        Script::BreakAt { index } => (index, Duration::ZERO, true),
+        Script::Lines(lines) => {
+            for line in lines {
+                let line = line
+                    .replace("REQUEST", request)
+                    .replace("\"ATTEMPT\"", &attempt.to_string());
+                let _ = sender.send(Ok(line)).await;
+            }
+            return;
+        }
+        Script::Prefill { handle } => {
+            let frame = json!({"request": request, "attempt": attempt, "kv_handle": handle});
+            let _ = sender.send(Ok(format!("{frame}\n"))).await;
+            return;
+        }
+        Script::Refuse { .. } => return,
+    };
+    for index in call.from_index..end {
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+        let last = !breaks && index + 1 == end;
+        if sender
+            .send(Ok(token_line(request, attempt, index, last)))
+            .await
+            .is_err()
+        {
+            return;
+        }
+    }
+    if breaks {
+        // The frames before must reach the instance before the connection closes.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let _ = sender.send(Err("broken on purpose".into())).await;
+    }
+}
+
+/// A fake platform that serves a list of instances and no objects.
+#[derive(Debug)]
+pub struct FakeList {
+    pub address: SocketAddr,
+    pub list: Mutex<InstanceList>,
+}
+
+impl FakeList {
+    pub async fn start(items: Value) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let platform = Arc::new(Self {
+            address: listener.local_addr().unwrap(),
+            list: Mutex::default(),
+        });
+        platform.set(items);
+        let fake = Arc::clone(&platform);
+        serve(listener, move |request| {
+            let list = serde_json::to_string(&*fake.list.lock().unwrap()).unwrap();
+            let known = request.uri().path() == "/v1/instances";
+            async move {
+                if known {
+                    whole(200, list)
+                } else {
+                    whole(503, String::new())
+                }
+            }
+        });
+        platform
+    }
+
+    pub fn set(&self, items: Value) {
+        let mut list = self.list.lock().unwrap();
+        list.revision += 1;
+        list.items = serde_json::from_value(items).unwrap();
+    }
+}
+
+/// An item of the list for an engine.
+pub fn listed(engine: &FakeEngine) -> Value {
+    json!({"id": engine.id, "kind": "engine", "group": "fedel-lm", "zone": "buda-a",
+        "address": engine.address.to_string(), "state": "live"})
+}
+
+/// An item of the list for a plain service.
+pub fn listed_service(id: &str, address: SocketAddr) -> Value {
+    json!({"id": id, "kind": "service", "group": "fedel-app", "zone": "buda-a",
+        "address": address.to_string(), "state": "live"})
+}
+
+/// Serves every connection with `answer` until the runtime ends.
+pub fn serve<F, R>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<FakeBody>> + Send + 'static,
+{
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let service = service_fn(|request| {
+                    let response = answer(request);
+                    async move { Ok::<_, Infallible>(response.await) }
+                });
+                let builder = auto::Builder::new(TokioExecutor::new());
+                let _ = builder
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+}
+
+/// A whole response of a fake.
+pub fn whole(status: u16, body: String) -> Response<FakeBody> {
+    let body = Full::new(Bytes::from(body))
+        .map_err(|never| match never {})
+        .boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap();
+    response
+}
+
+fn streamed(lines: mpsc::Receiver<Result<String, Broken>>) -> Response<FakeBody> {
+    let frames = futures_util::stream::unfold(lines, |mut lines| async move {
+        let line = lines.recv().await?;
+        Some((line.map(|line| BodyFrame::data(Bytes::from(line))), lines))
+    });
+    Response::new(BodyExt::boxed(StreamBody::new(frames)))
+}
+
+/// Bearer key of the team of the test fleet.
+pub const KEY: &str = "counter-key";
+
+/// A fleet file with one engine group, one plain service and one team.
+pub fn fleet_file() -> String {
+    let hash = blake3::hash(KEY.as_bytes()).to_hex();
+    include_str!("fleet.toml").replace("KEY_HASH", &hash)
+}
+
+/// Starts an instance with `extra` settings; returns once it has backend servers.
+pub async fn start(platform: &FakeList, extra: &str) -> Instance {
+    let directory = tempfile::tempdir().unwrap();
+    let file = directory.path().join("fleet.toml");
+    std::fs::write(&file, fleet_file()).unwrap();
+    let settings = format!(
+        "instance = \"entry-1\"\nzone = \"buda-a\"\nclient_address = \"127.0.0.1:0\"\n\
+         admin_address = \"127.0.0.1:0\"\nplatform_address = \"{}\"\nfleet_file = {file:?}\n\
+         {extra}\n",
+        platform.address,
+    );
+    let settings = parse_settings(&settings).unwrap();
+    let instance = Instance::start(settings, discard()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    instance
+}
+
+/// Timeouts that let tests end soon.
+pub const QUICK: &str =
+    "[timeouts]\nlist_ms = 50\nreport_ms = 50\ndrain_delay_ms = 50\nfirst_token_ms = 2000\n";
+
+/// A client with connections of its own.
+pub fn client() -> Client<HttpConnector, Full<Bytes>> {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+/// A chat call with `content`.
+pub fn chat(address: SocketAddr, content: &str, stream: bool) -> Request<Full<Bytes>> {
+    let body = json!({"model": "fedel", "stream": stream, "max_tokens": 1000,
+        "messages": [{"role": "user", "content": content}]});
+    post(address, "/v1/chat/completions", body.to_string())
+}
+
+/// A POST call with the team's key.
+pub fn post(address: SocketAddr, path: &str, body: String) -> Request<Full<Bytes>> {
+    Request::post(format!("http://{address}{path}"))
+        .header("authorization", format!("Bearer {KEY}"))
+        .header("content-type", "application/json")
+        .body(Full::from(body))
+        .unwrap()
+}
+
+/// Reads a whole response.
+pub async fn read(response: Response<Incoming>) -> (StatusCode, String) {
+    let status = response.status();
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    (status, String::from_utf8(body.to_vec()).unwrap())
+}
+
+/// Joins the text of a stream of chat chunks; the second value tells whether it ended properly.
+pub fn stream_text(body: &str) -> (String, bool) {
+    let mut text = String::new();
+    for line in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if line == "[DONE]" {
+            return (text, true);
+        }
+        let chunk: Value = serde_json::from_str(line).unwrap();
+        text.push_str(
+            chunk["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or_default(),
+        );
+    }
+    (text, false)
+}
