Add the stand-ins for engines, platform, service and balancer

The serving system is tested against processes that speak the published protocols, since no third-party servers are used.

The engine generates token i of an answer as a function of the prompt and i; token::check_answer tells lost, doubled and mixed answers apart. If a prompt holds text between << and >>, only that text selects the tokens, so that a chat template around a message does not matter.

On SIGTERM the engine and the service refuse new work for 3 s and finish running work, as a leaving server does.

--- /dev/null
+++ b/crates/wagtailarch-standin/src/bin/standin-balancer.rs
@@ -0,0 +1,28 @@
+//! Stand-in of the platform's balancer; not for production.
+
+use std::process::ExitCode;
+
+use wagtailarch_standin::balancer::{BALANCER_HELP, BalancerSettings, run_balancer};
+use wagtailarch_standin::log::start_logger;
+use wagtailarch_standin::serve::{ServeError, finish_args, handle_info};
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin-balancer: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), ServeError> {
+    let mut args = pico_args::Arguments::from_env();
+    if handle_info(&mut args, "standin-balancer", BALANCER_HELP) {
+        return Ok(());
+    }
+    let settings = BalancerSettings::from_args(&mut args)?;
+    finish_args(args)?;
+    run_balancer(settings, start_logger("standin-balancer")).await
+}
--- /dev/null
+++ b/crates/wagtailarch-standin/src/bin/standin-engine.rs
@@ -0,0 +1,28 @@
+//! Stand-in of a model engine; not for production.
+
+use std::process::ExitCode;
+
+use wagtailarch_standin::engine::{ENGINE_HELP, EngineSettings, run_engine};
+use wagtailarch_standin::log::start_logger;
+use wagtailarch_standin::serve::{ServeError, finish_args, handle_info};
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin-engine: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), ServeError> {
+    let mut args = pico_args::Arguments::from_env();
+    if handle_info(&mut args, "standin-engine", ENGINE_HELP) {
+        return Ok(());
+    }
+    let settings = EngineSettings::from_args(&mut args)?;
+    finish_args(args)?;
+    run_engine(settings, start_logger("standin-engine")).await
+}
--- /dev/null
+++ b/crates/wagtailarch-standin/src/bin/standin-platform.rs
@@ -0,0 +1,28 @@
+//! Stand-in of the platform; not for production.
+
+use std::process::ExitCode;
+
+use wagtailarch_standin::log::start_logger;
+use wagtailarch_standin::platform::{PLATFORM_HELP, PlatformSettings, run_platform};
+use wagtailarch_standin::serve::{ServeError, finish_args, handle_info};
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin-platform: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), ServeError> {
+    let mut args = pico_args::Arguments::from_env();
+    if handle_info(&mut args, "standin-platform", PLATFORM_HELP) {
+        return Ok(());
+    }
+    let settings = PlatformSettings::from_args(&mut args)?;
+    finish_args(args)?;
+    run_platform(settings, start_logger("standin-platform")).await
+}
--- /dev/null
+++ b/crates/wagtailarch-standin/src/platform/server.rs
@@ -0,0 +1,374 @@
+//! The process of the stand-in platform.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use displaydoc::Display;
+use http::header::{ETAG, IF_MATCH, IF_NONE_MATCH, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use slog::Logger;
+use tokio::sync::watch;
+use wagtailarch_types::{InstanceId, ObjectVersion};
+use wagtailarch_wire::platform::{
+    INSTANCES_PATH, LIST_PATH, ListedInstance, ListedState, OBJECTS_PATH_PREFIX, WATCH_PATH,
+};
+
+use super::faults::{Faults, LostAnswers, Milliseconds, PlatformCounters, RateLimit};
+use super::instances::Instances;
+use super::store::{Condition, Store, StoreError};
+use crate::engine::settings::{millis, option};
+use crate::serve::{
+    Body, ServeError, answer, json_answer, listen, query_value, read_body, read_json, serve_http,
+    stop_signal,
+};
+
+/// Help text of the platform's options.
+pub const PLATFORM_HELP: &str = "\
+OPTIONS:
+  --port <N>           port on loopback; 0 picks one and prints it [0]
+  --writes-per-s <N>   limit of writes [300]
+  --reads-per-s <N>    limit of reads; a waiting watch counts once [2000]
+  --delay-ms <N>       delay of every call [2]
+  --list-lag-ms <N>    age of the list of instances [500]
+
+CONTROL (JSON bodies, under /standin/v1/):
+  POST outage {ms}, delay {ms}, list-lag {ms}, lose-answers {count, prefix}
+  POST instances <one item of the list>, instances/state {id, state}; DELETE instances/<id>
+  GET  counters";
+
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Path prefix of the control API.
+const CONTROL_PREFIX: &str = "/standin/v1/";
+
+/// The answer is lost: the connection closes without one.
+#[derive(Debug, Clone, Copy, Display)]
+struct AnswerLost;
+
+impl std::error::Error for AnswerLost {}
+
+/// Settings of the platform.
+#[derive(Debug, Clone, Copy)]
+pub struct PlatformSettings {
+    /// Port on loopback; 0 for any.
+    pub port: u16,
+    /// Limit of writes.
+    pub writes_per_s: f64,
+    /// Limit of reads.
+    pub reads_per_s: f64,
+    /// Delay of every call.
+    pub delay: Duration,
+    /// Age of the list of instances.
+    pub list_lag: Duration,
+}
+
+impl PlatformSettings {
+    /// Reads the settings from options.
+    pub fn from_args(args: &mut pico_args::Arguments) -> Result<Self, ServeError> {
+        Ok(Self {
+            port: option(args, "--port", 0)?,
+            writes_per_s: option(args, "--writes-per-s", 300.0)?,
+            reads_per_s: option(args, "--reads-per-s", 2000.0)?,
+            delay: millis(args, "--delay-ms", 2)?,
+            list_lag: millis(args, "--list-lag-ms", 500)?,
+        })
+    }
+}
+
+/// All state behind one lock.
+struct Inner {
+    store: Store,
+    instances: Instances,
+    faults: Faults,
+    counters: PlatformCounters,
+    writes: RateLimit,
+    reads: RateLimit,
+}
+
+/// A running platform.
+struct Platform {
+    inner: Mutex<Inner>,
+    /// Revision of the store and a count of outages; waiting watches wake on a change.
+    changed: watch::Sender<(ObjectVersion, u64)>,
+}
+
+/// Body of the control call that sets the state of an instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StateChange {
+    /// Name of the instance.
+    pub id: InstanceId,
+    /// Its new state.
+    pub state: ListedState,
+}
+
+/// Runs the platform until SIGTERM.
+pub async fn run_platform(settings: PlatformSettings, logger: Logger) -> Result<(), ServeError> {
+    let listener = listen(settings.port).await?;
+    let platform = Arc::new(Platform::new(&settings));
+    let server = serve_http(listener, move |request| {
+        Arc::clone(&platform).handle(request)
+    });
+    tokio::select! {
+        () = server => {}
+        () = stop_signal(&logger) => {}
+    }
+    Ok(())
+}
+
+impl Platform {
+    fn new(settings: &PlatformSettings) -> Self {
+        let now = Instant::now();
+        let inner = Inner {
+            store: Store::default(),
+            instances: Instances::new(settings.list_lag),
+            faults: Faults {
+                delay: settings.delay,
+                ..Faults::default()
+            },
+            counters: PlatformCounters::default(),
+            writes: RateLimit::new(settings.writes_per_s, now),
+            reads: RateLimit::new(settings.reads_per_s, now),
+        };
+        Self {
+            inner: Mutex::new(inner),
+            changed: watch::Sender::new((0, 0)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, AnswerLost> {
+        let path = request.uri().path().to_owned();
+        if let Some(call) = path.strip_prefix(CONTROL_PREFIX) {
+            return Ok(self
+                .control(call, request)
+                .await
+                .unwrap_or_else(|refusal| refusal));
+        }
+        let delay = self.lock().faults.delay;
+        tokio::time::sleep(delay).await;
+        let is_write = matches!(*request.method(), Method::PUT | Method::DELETE);
+        if let Some(refusal) = self.lock().refuse(is_write) {
+            return Ok(refusal);
+        }
+        let query = request.uri().query().map(str::to_owned);
+        let query = query.as_deref();
+        match path.as_str() {
+            LIST_PATH => Ok(self.list(query)),
+            WATCH_PATH => Ok(self.watch(query).await),
+            INSTANCES_PATH => {
+                let list = self.lock().instances.list(Instant::now());
+                Ok(json_answer(StatusCode::OK, &list))
+            }
+            _ => match path.strip_prefix(OBJECTS_PATH_PREFIX) {
+                Some(key) => {
+                    let key = percent_encoding::percent_decode_str(key).decode_utf8_lossy();
+                    self.object(&key, request).await
+                }
+                None => Ok(answer(StatusCode::NOT_FOUND, "no such call")),
+            },
+        }
+    }
+
+    async fn object(
+        &self,
+        key: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, AnswerLost> {
+        let method = request.method().clone();
+        let Some(condition) = condition(request.headers()) else {
+            return Ok(answer(StatusCode::BAD_REQUEST, "malformed condition"));
+        };
+        if method == Method::GET {
+            let found = self.lock().store.get(key);
+            return Ok(match found {
+                Some((version, value)) => with_etag(answer(StatusCode::OK, value), version),
+                None => answer(StatusCode::NOT_FOUND, ""),
+            });
+        }
+        let value = match read_body(request).await {
+            Ok(value) => value,
+            Err(refusal) => return Ok(refusal),
+        };
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        let written = match method {
+            Method::PUT => inner.store.put(key, value, condition).map(Some),
+            Method::DELETE => inner.store.delete(key, condition).map(|()| None),
+            _ => return Ok(answer(StatusCode::METHOD_NOT_ALLOWED, "")),
+        };
+        self.changed
+            .send_modify(|(revision, _)| *revision = inner.store.revision());
+        inner.counters.mismatches += u64::from(written == Err(StoreError::Mismatch));
+        if written.is_ok() && inner.faults.loses_answer(key) {
+            inner.counters.lost_answers += 1;
+            return Err(AnswerLost);
+        }
+        Ok(match written {
+            Ok(Some(version)) => with_etag(answer(StatusCode::OK, ""), version),
+            Ok(None) => answer(StatusCode::NO_CONTENT, ""),
+            Err(error) => answer(status(error), error.to_string()),
+        })
+    }
+
+    fn list(&self, query: Option<&str>) -> Response<Body> {
+        let prefix = query_value(query, "prefix").unwrap_or_default();
+        let after = query_value(query, "after").unwrap_or_default();
+        let limit = query_value(query, "limit").and_then(|text| text.parse().ok());
+        let list = self
+            .lock()
+            .store
+            .list(&prefix, &after, limit.unwrap_or(1000));
+        json_answer(StatusCode::OK, &list)
+    }
+
+    async fn watch(&self, query: Option<&str>) -> Response<Body> {
+        let prefix = query_value(query, "prefix").unwrap_or_default();
+        let number = |name| query_value(query, name).and_then(|text| text.parse::<u64>().ok());
+        let since = number("since").unwrap_or(0);
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0)).min(MAX_WAIT);
+        let deadline = tokio::time::Instant::now() + wait;
+        let mut changed = self.changed.subscribe();
+        loop {
+            let found = {
+                let inner = self.lock();
+                if inner.faults.is_down(Instant::now()) {
+                    return answer(StatusCode::SERVICE_UNAVAILABLE, "outage");
+                }
+                inner.store.changes(&prefix, since)
+            };
+            match found {
+                Err(error) => return answer(status(error), error.to_string()),
+                Ok(found) => {
+                    let waited = tokio::time::Instant::now() >= deadline;
+                    if !found.events.is_empty() || waited {
+                        return json_answer(StatusCode::OK, &found);
+                    }
+                }
+            }
+            // An elapsed deadline is seen at the top of the loop.
+            let _ = tokio::time::timeout_at(deadline, changed.changed()).await;
+        }
+    }
+
+    async fn control(
+        &self,
+        call: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Response<Body>> {
+        let now = Instant::now();
+        if request.method() == Method::DELETE {
+            let id = call.strip_prefix("instances/").unwrap_or_default();
+            return Ok(found_answer(self.lock().instances.remove(id, now)));
+        }
+        let duration = async |request| {
+            let body: Milliseconds = read_json(request).await?;
+            Ok::<_, Response<Body>>(Duration::from_millis(body.ms))
+        };
+        match call {
+            "counters" => return Ok(json_answer(StatusCode::OK, &self.lock().counters)),
+            "outage" => {
+                let time = duration(request).await?;
+                self.lock().faults.outage_until = Some(now + time);
+                self.changed.send_modify(|(_, outages)| *outages += 1);
+            }
+            "delay" => {
+                let time = duration(request).await?;
+                self.lock().faults.delay = time;
+            }
+            "list-lag" => {
+                let time = duration(request).await?;
+                self.lock().instances.lag = time;
+            }
+            "lose-answers" => {
+                let lost: LostAnswers = read_json(request).await?;
+                self.lock().faults.lost = lost;
+            }
+            "instances" => {
+                let item: ListedInstance = read_json(request).await?;
+                return Ok(found_answer(self.lock().instances.register(item, now)));
+            }
+            "instances/state" => {
+                let change: StateChange = read_json(request).await?;
+                let found = self
+                    .lock()
+                    .instances
+                    .set_state(&change.id, change.state, now);
+                return Ok(found_answer(found));
+            }
+            _ => return Ok(answer(StatusCode::NOT_FOUND, "no such call")),
+        }
+        Ok(answer(StatusCode::NO_CONTENT, ""))
+    }
+}
+
+impl Inner {
+    /// Counts a call and refuses it during an outage or over the rate limit.
+    fn refuse(&mut self, is_write: bool) -> Option<Response<Body>> {
+        let now = Instant::now();
+        if self.faults.is_down(now) {
+            self.counters.refused_by_outage += 1;
+            return Some(answer(StatusCode::SERVICE_UNAVAILABLE, "outage"));
+        }
+        let (limit, count) = if is_write {
+            (&mut self.writes, &mut self.counters.writes)
+        } else {
+            (&mut self.reads, &mut self.counters.reads)
+        };
+        *count += 1;
+        if limit.take(now) {
+            return None;
+        }
+        self.counters.rate_limited += 1;
+        let mut refusal = answer(StatusCode::TOO_MANY_REQUESTS, "rate limited");
+        refusal
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        Some(refusal)
+    }
+}
+
+/// Reads the condition of a write; `None` if it is malformed.
+fn condition(headers: &HeaderMap) -> Option<Condition> {
+    if let Some(value) = headers.get(IF_NONE_MATCH) {
+        return (value == "*").then_some(Condition::Absent);
+    }
+    let Some(value) = headers.get(IF_MATCH) else {
+        return Some(Condition::None);
+    };
+    let version = value.to_str().ok()?.trim_matches('"').parse().ok()?;
+    Some(Condition::Version(version))
+}
+
+fn with_etag(mut response: Response<Body>, version: ObjectVersion) -> Response<Body> {
+    if let Ok(value) = HeaderValue::try_from(format!("\"{version}\"")) {
+        response.headers_mut().insert(ETAG, value);
+    }
+    response
+}
+
+fn found_answer(found: bool) -> Response<Body> {
+    let status = if found {
+        StatusCode::NO_CONTENT
+    } else {
+        StatusCode::NOT_FOUND
+    };
+    answer(status, "")
+}
+
+fn status(error: StoreError) -> StatusCode {
+    match error {
+        StoreError::NotFound => StatusCode::NOT_FOUND,
+        StoreError::Mismatch => StatusCode::PRECONDITION_FAILED,
+        StoreError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        StoreError::Full => StatusCode::INSUFFICIENT_STORAGE,
+        StoreError::Expired => StatusCode::GONE,
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-standin/src/service.rs
@@ -0,0 +1,287 @@
+//! The stand-in of a plain service: it records every run.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use http::header::CONNECTION;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use slog::{Logger, error};
+use smol_str::SmolStr;
+use wagtailarch_wire::engine::RAN_HEADER;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::engine::settings::{millis, option};
+use crate::serve::{
+    Body, ServeError, answer, drain, json_answer, listen, query_value, read_body, read_json,
+    serve_http, stop_signal,
+};
+use crate::token::CRASH_MARK;
+
+/// Help text of the service's options.
+pub const SERVICE_HELP: &str = "\
+OPTIONS:
+  --port <N>            port on loopback; 0 picks one and prints it [0]
+  --name <NAME>         name in answers [service-1]
+  --delay-ms <N>        time of a run [5]
+  --stop-linger-ms <N>  time to refuse new calls after SIGTERM [3000]
+  --stop-grace-ms <N>   time to finish running calls after SIGTERM [10000]
+
+A body with the text CRASH-ON-RUN ends the process when it runs. Every other call is answered with
+its run: {run, service, request_id, idempotency_key, method, path, body_hash, started_ms}.
+body_hash is the xxh3 hash of the body as 16 hexadecimal digits.
+
+CONTROL (under /standin/v1/):
+  GET  runs?key=<Idempotency-Key>, POST refuse {count}: 503 with x-ran: no for the next calls
+  POST drain, undrain: 503 with x-ran: no and Connection: close; POST delay {count}: milliseconds";
+
+/// Runs kept for inspection; older ones are forgotten.
+const MAX_RUNS: usize = 200_000;
+/// Longest text kept of a header or path.
+const MAX_TEXT_BYTES: usize = 256;
+/// Path prefix of the control API.
+const CONTROL_PREFIX: &str = "/standin/v1/";
+
+/// Settings of the service.
+#[derive(Debug, Clone)]
+pub struct ServiceSettings {
+    /// Port on loopback; 0 for any.
+    pub port: u16,
+    /// Name in answers.
+    pub name: SmolStr,
+    /// Time of a run.
+    pub delay: Duration,
+    /// Time to refuse new calls after SIGTERM.
+    pub stop_linger: Duration,
+    /// Time to finish running calls after SIGTERM.
+    pub stop_grace: Duration,
+}
+
+impl ServiceSettings {
+    /// Reads the settings from options.
+    pub fn from_args(args: &mut pico_args::Arguments) -> Result<Self, ServeError> {
+        Ok(Self {
+            port: option(args, "--port", 0)?,
+            name: option(args, "--name", SmolStr::from("service-1"))?,
+            delay: millis(args, "--delay-ms", 5)?,
+            stop_linger: millis(args, "--stop-linger-ms", 3000)?,
+            stop_grace: millis(args, "--stop-grace-ms", 10_000)?,
+        })
+    }
+}
+
+/// One run of a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Number of the run in this process, from 1.
+    pub run: u64,
+    /// Name of the service.
+    pub service: SmolStr,
+    /// Value of `x-request-id`; empty if absent.
+    pub request_id: SmolStr,
+    /// Value of `Idempotency-Key`; empty if absent.
+    pub idempotency_key: SmolStr,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path and query.
+    pub path: SmolStr,
+    /// Hash of the body, 16 hexadecimal digits.
+    pub body_hash: SmolStr,
+    /// Time of the run in milliseconds since the start of the process.
+    pub started_ms: u64,
+}
+
+/// Returns the hash that the service reports for a body.
+pub fn body_hash(body: &[u8]) -> SmolStr {
+    SmolStr::from(format!("{:016x}", xxh3_64(body)))
+}
+
+/// A number, the body of several control calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Count {
+    /// The number.
+    pub count: u64,
+}
+
+/// State of the service.
+struct Inner {
+    delay: Duration,
+    draining: bool,
+    /// Calls still to be refused.
+    refusals: u64,
+    next_run: u64,
+    /// Calls that run now.
+    running: u64,
+    /// At most [`MAX_RUNS`].
+    runs: VecDeque<Run>,
+}
+
+/// A running service.
+struct PlainService {
+    name: SmolStr,
+    started: Instant,
+    inner: Mutex<Inner>,
+    logger: Logger,
+}
+
+/// Runs the service until SIGTERM; calls that run are finished first.
+pub async fn run_service(settings: ServiceSettings, logger: Logger) -> Result<(), ServeError> {
+    let listener = listen(settings.port).await?;
+    let (linger, grace) = (settings.stop_linger, settings.stop_grace);
+    let inner = Inner {
+        delay: settings.delay,
+        draining: false,
+        refusals: 0,
+        next_run: 1,
+        running: 0,
+        runs: VecDeque::new(),
+    };
+    let service = Arc::new(PlainService {
+        name: settings.name,
+        started: Instant::now(),
+        inner: Mutex::new(inner),
+        logger: logger.clone(),
+    });
+    let handler = Arc::clone(&service);
+    let server = serve_http(listener, move |request| {
+        let service = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(service.handle(request).await) }
+    });
+    tokio::select! {
+        () = server => {}
+        () = async {
+            stop_signal(&logger).await;
+            service.lock().draining = true;
+            drain(linger, grace, || service.lock().running == 0).await;
+        } => {}
+    }
+    Ok(())
+}
+
+/// Counts a call as running until it is dropped, which also happens when its caller goes away.
+struct RunningCall<'a>(&'a PlainService);
+
+impl Drop for RunningCall<'_> {
+    fn drop(&mut self) {
+        self.0.lock().running -= 1;
+    }
+}
+
+impl PlainService {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        if let Some(call) = path.strip_prefix(CONTROL_PREFIX) {
+            return self
+                .control(call, request)
+                .await
+                .unwrap_or_else(|refusal| refusal);
+        }
+        if let Some(refusal) = self.refuse() {
+            return refusal;
+        }
+        let (parts, body) = request.into_parts();
+        let body = match read_body(Request::new(body)).await {
+            Ok(body) => body,
+            Err(refusal) => return refusal,
+        };
+        if body
+            .windows(CRASH_MARK.len())
+            .any(|window| window == CRASH_MARK.as_bytes())
+        {
+            error!(self.logger, "crash"; "why" => "crash mark in a body");
+            std::process::exit(101);
+        }
+        let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+        let run = self.record(&parts.headers, &parts.method, path, body_hash(&body));
+        let _running = RunningCall(self);
+        let delay = self.lock().delay;
+        tokio::time::sleep(delay).await;
+        json_answer(StatusCode::OK, &run)
+    }
+
+    fn refuse(&self) -> Option<Response<Body>> {
+        let mut inner = self.lock();
+        let draining = inner.draining;
+        if !draining && inner.refusals == 0 {
+            return None;
+        }
+        inner.refusals = inner.refusals.saturating_sub(1);
+        let mut refusal = answer(StatusCode::SERVICE_UNAVAILABLE, "refused by the stand-in");
+        refusal
+            .headers_mut()
+            .insert(RAN_HEADER, HeaderValue::from_static("no"));
+        if draining {
+            refusal
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Some(refusal)
+    }
+
+    fn record(&self, headers: &HeaderMap, method: &Method, path: &str, body_hash: SmolStr) -> Run {
+        let header = |name: &str| {
+            let value = headers.get(name).and_then(|value| value.to_str().ok());
+            shorten(value.unwrap_or_default())
+        };
+        let mut inner = self.lock();
+        let started_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let run = Run {
+            run: inner.next_run,
+            service: self.name.clone(),
+            request_id: header("x-request-id"),
+            idempotency_key: header("idempotency-key"),
+            method: SmolStr::from(method.as_str()),
+            path: shorten(path),
+            body_hash,
+            started_ms,
+        };
+        inner.next_run += 1;
+        inner.running += 1;
+        if inner.runs.len() == MAX_RUNS {
+            inner.runs.pop_front();
+        }
+        inner.runs.push_back(run.clone());
+        run
+    }
+
+    async fn control(
+        &self,
+        call: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Response<Body>> {
+        match call {
+            "runs" => {
+                let key = query_value(request.uri().query(), "key");
+                let inner = self.lock();
+                let of_key = |run: &&Run| key.as_ref().is_none_or(|k| run.idempotency_key == *k);
+                let runs: Vec<&Run> = inner.runs.iter().filter(of_key).collect();
+                return Ok(json_answer(StatusCode::OK, &runs));
+            }
+            "refuse" => {
+                let body: Count = read_json(request).await?;
+                self.lock().refusals = body.count;
+            }
+            "delay" => {
+                let body: Count = read_json(request).await?;
+                self.lock().delay = Duration::from_millis(body.count);
+            }
+            "drain" => self.lock().draining = true,
+            "undrain" => self.lock().draining = false,
+            _ => return Ok(answer(StatusCode::NOT_FOUND, "no such call")),
+        }
+        Ok(answer(StatusCode::NO_CONTENT, ""))
+    }
+}
+
+/// Cuts text to the length that is kept.
+fn shorten(text: &str) -> SmolStr {
+    let end = text.floor_char_boundary(MAX_TEXT_BYTES);
+    SmolStr::from(&text[..end])
+}
--- /dev/null
+++ b/crates/wagtailarch-standin/tests/token.rs
@@ -0,0 +1,56 @@
+//! Tests of the token function and the check of answers.
+
+use rstest::rstest;
+use wagtailarch_standin::token::{
+    AnswerFault, answer_length, answer_text, check_answer, prompt_key, token_text,
+};
+
+/// Guards against a check that accepts answers with lost, repeated or foreign text.
+#[rstest]
+#[case::whole(&[0, 1, 2, 3], None)]
+#[case::short(&[0, 1, 2], Some(AnswerFault::Lost { index: 3 }))]
+#[case::gap(&[0, 2, 3], Some(AnswerFault::Lost { index: 1 }))]
+#[case::repeated(&[0, 1, 1, 2, 3], Some(AnswerFault::Doubled { index: 2 }))]
+#[case::too_long(&[0, 1, 2, 3, 4], Some(AnswerFault::Mixed { index: 4 }))]
+fn check_finds_the_fault(#[case] indices: &[u32], #[case] fault: Option<AnswerFault>) {
+    let key = prompt_key("hello");
+    let text: String = indices
+        .iter()
+        .map(|index| token_text(key, *index))
+        .collect();
+    assert_eq!(check_answer(key, 4, &text).err(), fault);
+}
+
+/// Guards against a check that accepts a part of another answer.
+#[test]
+fn foreign_token_is_mixed() {
+    let (own, other) = (prompt_key("own"), prompt_key("other"));
+    let text = answer_text(own, 2) + &token_text(other, 2);
+    assert_eq!(
+        check_answer(own, 3, &text),
+        Err(AnswerFault::Mixed { index: 2 })
+    );
+}
+
+/// Guards against keys that depend on the template around a marked prompt.
+#[test]
+fn marked_prompt_ignores_its_surroundings() {
+    assert_eq!(
+        prompt_key("user: <<a b>>\nassistant:"),
+        prompt_key("<<a b>>")
+    );
+    assert_ne!(prompt_key("<<a b>>"), prompt_key("<<a c>>"));
+}
+
+/// Guards against answers that outgrow `max_tokens`.
+#[rstest]
+#[case("no mark", 5, (5, false))]
+#[case("STOP-AT-3 please", 5, (3, true))]
+#[case("STOP-AT-9", 5, (5, false))]
+fn answer_length_respects_the_limit(
+    #[case] prompt: &str,
+    #[case] max_tokens: u32,
+    #[case] expected: (u32, bool),
+) {
+    assert_eq!(answer_length(prompt, max_tokens), expected);
+}
