--- /dev/null
+++ b/crates/wagtailarch-traffic/src/admission.rs
@@ -0,0 +1,291 @@
+//! Admission by team limit, deadline, priority and fair share.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use displaydoc::Display;
+use wagtailarch_fleet::Team;
+use wagtailarch_types::{GroupName, Priority, RefusalReason, RequestId, TeamName};
+
+use crate::group_load::{GroupCapacity, GroupLoad};
+use crate::team_limit::TeamLimit;
+
+/// Least retry time.
+const MIN_RETRY: Duration = Duration::from_secs(1);
+
+/// Decides which requests are accepted.
+#[derive(Debug)]
+pub struct Admission {
+    seed: u64,
+    state: Arc<Mutex<State>>,
+}
+
+/// What admission must know of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdmitRequest {
+    /// Team of the bearer key.
+    pub team: TeamName,
+    /// Group that serves it.
+    pub group: GroupName,
+    /// Request id; spreads the retry times.
+    pub request: RequestId,
+    /// Urgency; that of the team is the highest that counts.
+    pub priority: Priority,
+    /// Time left to answer, if the client states one.
+    pub deadline: Option<Duration>,
+    /// Tokens of the prompt; 0 for plain services.
+    pub prompt_tokens: u32,
+    /// Greatest number of tokens to generate; 0 for plain services.
+    pub max_tokens: u32,
+}
+
+/// An accepted request; its share is free again when this is dropped.
+#[derive(Debug)]
+pub struct Admitted {
+    state: Arc<Mutex<State>>,
+    team: TeamName,
+    group: GroupName,
+    max_tokens: u32,
+    /// Prompt tokens that still wait.
+    waiting_tokens: u32,
+}
+
+/// the request did not run: {reason}
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub struct Refusal {
+    /// Why it was refused.
+    pub reason: RefusalReason,
+    /// Time after which the client may try again.
+    pub retry_after: Duration,
+}
+
+impl std::error::Error for Refusal {}
+
+/// Usage of one team at this instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamUsage {
+    /// Team.
+    pub team: TeamName,
+    /// Requests per second, lately.
+    pub requests_per_s: f64,
+    /// Prompt and output tokens per second, lately.
+    pub tokens_per_s: f64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Teams of the configuration.
+    teams: HashMap<TeamName, TeamLimit>,
+    /// Groups with a known capacity.
+    groups: HashMap<GroupName, GroupLoad>,
+    instance_count: u32,
+    /// Latest time that was seen.
+    now: Duration,
+}
+
+impl Admission {
+    /// Creates an admission that knows no team; `seed` spreads the retry times.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            state: Arc::default(),
+        }
+    }
+
+    /// Takes over the teams of a configuration, the number of live instances and the capacity.
+    ///
+    /// Teams and groups that stay keep their usage.
+    pub fn update(
+        &self,
+        now: Duration,
+        teams: &[Team],
+        instance_count: u32,
+        capacity: &[GroupCapacity],
+    ) {
+        let mut state = self.lock();
+        let mut old = std::mem::take(&mut state.teams);
+        state.teams.reserve(teams.len());
+        for team in teams {
+            let limit = match old.remove(&team.name) {
+                Some(mut limit) => {
+                    limit.reconfigure(team);
+                    limit
+                }
+                None => TeamLimit::new(now, team, instance_count),
+            };
+            state.teams.insert(team.name.clone(), limit);
+        }
+        state.set_capacity(now, instance_count, capacity);
+    }
+
+    /// Takes over the number of live instances and the capacity, with unchanged teams.
+    pub fn set_capacity(&self, now: Duration, instance_count: u32, capacity: &[GroupCapacity]) {
+        self.lock().set_capacity(now, instance_count, capacity);
+    }
+
+    /// Accepts or refuses a request.
+    pub fn admit(&self, now: Duration, request: &AdmitRequest) -> Result<Admitted, Refusal> {
+        let mut state = self.lock();
+        let decision = state.admit(now, request);
+        drop(state);
+        match decision {
+            Ok(()) => Ok(Admitted {
+                state: Arc::clone(&self.state),
+                team: request.team.clone(),
+                group: request.group.clone(),
+                max_tokens: request.max_tokens,
+                waiting_tokens: request.prompt_tokens,
+            }),
+            Err((reason, wait)) => Err(Refusal {
+                reason,
+                retry_after: self.spread(wait, request.request),
+            }),
+        }
+    }
+
+    /// Takes over what the other instances use of a team's limit, in units per second.
+    ///
+    /// It holds until the next call; usage of instances that are gone must be taken out.
+    pub fn set_remote_usage(&self, team: &TeamName, requests_per_s: f64, tokens_per_s: f64) {
+        if let Some(limit) = self.lock().teams.get_mut(team) {
+            limit.requests.remote = requests_per_s.max(0.0);
+            limit.tokens.remote = tokens_per_s.max(0.0);
+        }
+    }
+
+    /// Returns the `count` teams that use most of their limits at this instance, highest first.
+    pub fn heaviest(&self, count: usize) -> Vec<TeamUsage> {
+        let state = self.lock();
+        let now = state.now;
+        let mut usage = Vec::new();
+        for name in state.groups.values().flat_map(GroupLoad::active_teams) {
+            let Some(limit) = state.teams.get(name) else {
+                continue;
+            };
+            usage.push((limit.relative_usage(now), name, limit));
+        }
+        usage.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+        // A team can be active in several groups.
+        usage.dedup_by(|a, b| a.1 == b.1);
+        let heaviest = usage.into_iter().take(count);
+        heaviest
+            .map(|(_, name, limit)| TeamUsage {
+                team: name.clone(),
+                requests_per_s: limit.requests.usage.get(now),
+                tokens_per_s: limit.tokens.usage.get(now),
+            })
+            .collect()
+    }
+
+    /// Spreads a retry time over `wait..2 * wait` by request id.
+    fn spread(&self, wait: Duration, request: RequestId) -> Duration {
+        let wait = wait.max(MIN_RETRY);
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&request.to_le_bytes(), self.seed);
+        wait + wait.mul_f64(hash as f64 / u64::MAX as f64)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn set_capacity(&mut self, now: Duration, instance_count: u32, capacity: &[GroupCapacity]) {
+        self.now = self.now.max(now);
+        self.instance_count = instance_count;
+        let mut old = std::mem::take(&mut self.groups);
+        for group in capacity {
+            let load = match old.remove(&group.group) {
+                Some(mut load) => {
+                    load.set_capacity(group.clone());
+                    load
+                }
+                None => GroupLoad::new(group.clone()),
+            };
+            self.groups.insert(group.group.clone(), load);
+        }
+    }
+
+    /// Decides on a request; a refusal comes with the time to wait.
+    fn admit(
+        &mut self,
+        now: Duration,
+        request: &AdmitRequest,
+    ) -> Result<(), (RefusalReason, Duration)> {
+        self.now = self.now.max(now);
+        let count = self.instance_count;
+        let Some(team) = self.teams.get_mut(&request.team) else {
+            return Err((RefusalReason::Unauthorized, MIN_RETRY));
+        };
+        let Some(group) = self.groups.get_mut(&request.group) else {
+            return Err((RefusalReason::NoBackend, MIN_RETRY));
+        };
+        group.touch(now, &request.team, team.weight);
+        let tokens = f64::from(request.prompt_tokens) + f64::from(request.max_tokens);
+        team.requests.advance(now, count);
+        team.tokens.advance(now, count);
+        let wait = team.requests.wait(1.0).max(team.tokens.wait(tokens));
+        if !wait.is_zero() {
+            return Err((RefusalReason::TeamRateLimited, wait));
+        }
+        let priority = request.priority.min(team.priority);
+        if let Some(reason) = group.refuses(&request.team, priority, count) {
+            return Err((reason, group.time_to_place()));
+        }
+        let estimate = group.estimate(request);
+        if let Some(deadline) = request.deadline
+            && estimate > deadline
+        {
+            return Err((RefusalReason::DeadlineUnreachable, estimate - deadline));
+        }
+        team.requests.charge(now, 1.0);
+        team.tokens.charge(now, tokens);
+        group.start(request);
+        Ok(())
+    }
+}
+
+impl Admitted {
+    /// Returns the group that the request was admitted to.
+    pub fn group(&self) -> &GroupName {
+        &self.group
+    }
+
+    /// Notes that the first token has arrived, so that the prompt no longer waits.
+    pub fn prompt_done(&mut self) {
+        let mut state = self.lock();
+        if let Some(group) = state.groups.get_mut(&self.group) {
+            group.prompt_done(self.waiting_tokens);
+        }
+        drop(state);
+        self.waiting_tokens = 0;
+    }
+
+    /// Frees the share and corrects the team's usage to the tokens that were generated.
+    pub fn finish(self, generated_tokens: u32) {
+        let mut state = self.lock();
+        let now = state.now;
+        let unused = self.max_tokens.saturating_sub(generated_tokens);
+        if let Some(team) = state.teams.get_mut(&self.team) {
+            team.tokens.refund(now, f64::from(unused));
+        }
+        if let Some(group) = state.groups.get_mut(&self.group) {
+            group.learn_output(self.max_tokens, generated_tokens);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.prompt_done();
+        let mut state = self.lock();
+        if let Some(group) = state.groups.get_mut(&self.group) {
+            group.finish(&self.team);
+        }
+    }
+}
