Read zone status in the record type of the control crate

wagtailarch-wire had two types for status/<zone>: the one added here and the one that the control crate writes. The written one stays. Silent instances and instances never heard of count as unknown, also when they may have been cut from a full list, and a zone without instances is not in force.

--- a/crates/wagtailarch-cli/src/run.rs
+++ b/crates/wagtailarch-cli/src/run.rs
@@ -11,7 +11,7 @@
     ConfigError, ConfigStore, HttpPlatform, HttpPlatformConfig, Platform, RetryLimits,
 };
 use wagtailarch_types::{Generation, hash_key};
-use wagtailarch_wire::status::status_key;
+use wagtailarch_wire::records::status_key;
 
 use crate::args::{Base, Command, DiffSource};
 use crate::report::Report;
--- a/crates/wagtailarch-cli/src/status.rs
+++ b/crates/wagtailarch-cli/src/status.rs
@@ -3,10 +3,13 @@
 use std::fmt;
 
 use serde::Serialize;
-use smol_str::SmolStr;
 use wagtailarch_types::{Generation, ZoneName};
-use wagtailarch_wire::status::{LaggingInstance, ZoneStatusRecord};
+use wagtailarch_wire::records::{BehindReason, InstanceBehind, ZoneStatusRecord, decode_record};
 
+/// Age from which a record says nothing about the present, in milliseconds.
+const STATUS_FRESH_MS: u64 = 15_000;
+/// Length from which the list of instances behind may be cut, so that unknown ones may be missing.
+const FULL_BEHIND_LIST: usize = 64;
 /// Instances of a zone that the text output names.
 const SHOWN_INSTANCES: usize = 5;
 
@@ -32,12 +35,12 @@
     pub state: ZoneState,
     /// Age of the record in milliseconds; absent without a record.
     pub age_ms: Option<u64>,
-    /// Generation that every known instance has in force, as far as the record says.
+    /// Lowest generation that an instance has in force, as far as the record says.
     pub generation: Option<Generation>,
     /// Number of entry instances, as far as the record says.
-    pub instance_count: Option<u32>,
-    /// Instances that are behind or unknown, as far as the record says.
-    pub lagging: Vec<LaggingInstance>,
+    pub instances: Option<u32>,
+    /// Instances that are behind the newest generation or unknown, as far as the record says.
+    pub behind: Vec<InstanceBehind>,
 }
 
 /// Verdict on one zone.
@@ -107,41 +110,37 @@
     let Some(value) = value else {
         return ZoneReport::without_record(zone, ZoneState::NoRecord);
     };
-    let record = match serde_json::from_slice::<ZoneStatusRecord>(&value) {
+    let record = match decode_record::<ZoneStatusRecord>(&value) {
         Ok(record) if record.zone == zone => record,
         _ => return ZoneReport::without_record(zone, ZoneState::Malformed),
     };
-    let has_unknown = record
-        .lagging
-        .iter()
-        .any(|instance| instance.generation.is_none());
-    let state = if !record.is_fresh(now_ms) {
-        ZoneState::Stale
-    } else if record.generation < generation {
-        ZoneState::Behind
-    } else if has_unknown {
-        ZoneState::UnknownInstances
-    } else if lags(&record, generation) {
-        ZoneState::Behind
-    } else {
-        ZoneState::InForce
-    };
+    // A record from a clock ahead of this one is as uncertain as an old one.
+    let age_ms = now_ms.abs_diff(record.written_at_ms);
     ZoneReport {
         zone,
-        state,
-        age_ms: Some(record.age_ms(now_ms)),
+        state: judge(generation, age_ms, &record),
+        age_ms: Some(age_ms),
         generation: Some(record.generation),
-        instance_count: Some(record.instance_count),
-        lagging: record.lagging,
+        instances: Some(record.instances),
+        behind: record.behind,
     }
 }
 
-/// Tells whether an instance is below `generation` although the summary of the record is not.
-fn lags(record: &ZoneStatusRecord, generation: Generation) -> bool {
-    record
-        .lagging
-        .iter()
-        .any(|instance| instance.generation.is_some_and(|g| g < generation))
+fn judge(generation: Generation, age_ms: u64, record: &ZoneStatusRecord) -> ZoneState {
+    let is_unknown = |instance: &InstanceBehind| match instance.reason {
+        BehindReason::NeverHeard | BehindReason::Silent => true,
+        BehindReason::OlderGeneration => false,
+    };
+    let may_be_cut = record.behind.len() >= FULL_BEHIND_LIST;
+    if age_ms >= STATUS_FRESH_MS {
+        ZoneState::Stale
+    } else if record.behind.iter().any(is_unknown) || may_be_cut || record.instances == 0 {
+        ZoneState::UnknownInstances
+    } else if record.generation < generation {
+        ZoneState::Behind
+    } else {
+        ZoneState::InForce
+    }
 }
 
 impl ZoneReport {
@@ -151,8 +150,8 @@
             state,
             age_ms: None,
             generation: None,
-            instance_count: None,
-            lagging: Vec::new(),
+            instances: None,
+            behind: Vec::new(),
         }
     }
 }
@@ -178,7 +177,7 @@
         writeln!(f, "{:width$}  generation  instances  age     state", "zone")?;
         for zone in &self.zones {
             let generation = or_dash(zone.generation.map(|g| g.to_string()));
-            let count = or_dash(zone.instance_count.map(|count| count.to_string()));
+            let count = or_dash(zone.instances.map(|count| count.to_string()));
             let age_s = zone
                 .age_ms
                 .map(|age_ms| format!("{:.1} s", age_ms as f64 / 1e3));
@@ -189,7 +188,7 @@
                 "{:width$}  {generation:10}  {count:9}  {age:6}  {state}",
                 zone.zone
             )?;
-            show_lagging(f, zone)?;
+            show_behind(f, zone)?;
         }
         Ok(())
     }
@@ -199,18 +198,23 @@
     text.unwrap_or_else(|| "-".into())
 }
 
-fn show_lagging(f: &mut fmt::Formatter<'_>, zone: &ZoneReport) -> fmt::Result {
-    for LaggingInstance {
+fn show_behind(f: &mut fmt::Formatter<'_>, zone: &ZoneReport) -> fmt::Result {
+    for InstanceBehind {
         instance,
         generation,
         reason,
-    } in zone.lagging.iter().take(SHOWN_INSTANCES)
+    } in zone.behind.iter().take(SHOWN_INSTANCES)
     {
-        let generation = generation.map_or(SmolStr::new("unknown"), |g| g.to_string().into());
-        writeln!(f, "    {instance}: {generation}, {reason}")?;
+        let reason = match reason {
+            BehindReason::OlderGeneration => "older generation",
+            BehindReason::NeverHeard => "never heard of",
+            BehindReason::Silent => "silent",
+        };
+        let generation = or_dash(generation.map(|generation| generation.to_string()));
+        writeln!(f, "    {instance}: generation {generation}, {reason}")?;
     }
-    if zone.lagging.len() > SHOWN_INSTANCES {
-        writeln!(f, "    and {} more", zone.lagging.len() - SHOWN_INSTANCES)?;
+    if zone.behind.len() > SHOWN_INSTANCES {
+        writeln!(f, "    and {} more", zone.behind.len() - SHOWN_INSTANCES)?;
     }
     Ok(())
 }
--- a/crates/wagtailarch-cli/tests/status.rs
+++ b/crates/wagtailarch-cli/tests/status.rs
@@ -2,37 +2,56 @@
 
 use rstest::rstest;
 use wagtailarch_cli::{ZoneState, evaluate};
-use wagtailarch_wire::status::{LaggingInstance, ZoneStatusRecord};
+use wagtailarch_wire::records::{BehindReason, InstanceBehind, ZoneStatusRecord};
 
 const NOW_MS: u64 = 1_000_000;
 
-fn record(generation: u64, written_at_ms: u64, lagging: Vec<LaggingInstance>) -> Vec<u8> {
+fn record(generation: u64, written_at_ms: u64, behind: Vec<InstanceBehind>) -> Vec<u8> {
     let record = ZoneStatusRecord {
         zone: "a".into(),
         generation,
-        instance_count: 3,
-        lagging,
+        instances: 3,
+        behind,
         written_at_ms,
         lease_number: 4,
     };
     serde_json::to_vec(&record).unwrap()
 }
 
-fn lagging(generation: Option<u64>) -> Vec<LaggingInstance> {
-    vec![LaggingInstance {
-        instance: "entry-1".into(),
-        generation,
-        reason: "silent".into(),
-    }]
+fn behind(generation: Option<u64>, reason: BehindReason, count: usize) -> Vec<InstanceBehind> {
+    vec![
+        InstanceBehind {
+            instance: "entry-1".into(),
+            generation,
+            reason
+        };
+        count
+    ]
 }
 
 /// Guards against "everywhere" with a zone of which nothing certain is known.
 #[rstest]
 #[case::in_force(Some(record(7, NOW_MS, vec![])), ZoneState::InForce)]
-#[case::newer(Some(record(8, NOW_MS - 14_999, lagging(Some(7)))), ZoneState::InForce)]
-#[case::behind(Some(record(6, NOW_MS, vec![])), ZoneState::Behind)]
-#[case::one_behind(Some(record(7, NOW_MS, lagging(Some(6)))), ZoneState::Behind)]
-#[case::unknown(Some(record(7, NOW_MS, lagging(None))), ZoneState::UnknownInstances)]
+#[case::newer(
+    Some(record(7, NOW_MS - 14_999, behind(Some(7), BehindReason::OlderGeneration, 1))),
+    ZoneState::InForce
+)]
+#[case::behind(
+    Some(record(6, NOW_MS, behind(Some(6), BehindReason::OlderGeneration, 1))),
+    ZoneState::Behind
+)]
+#[case::silent(
+    Some(record(7, NOW_MS, behind(Some(7), BehindReason::Silent, 1))),
+    ZoneState::UnknownInstances
+)]
+#[case::never_heard(
+    Some(record(0, NOW_MS, behind(None, BehindReason::NeverHeard, 1))),
+    ZoneState::UnknownInstances
+)]
+#[case::cut_list(
+    Some(record(7, NOW_MS, behind(Some(7), BehindReason::OlderGeneration, 64))),
+    ZoneState::UnknownInstances
+)]
 #[case::old(Some(record(7, NOW_MS - 15_000, vec![])), ZoneState::Stale)]
 #[case::future(Some(record(7, NOW_MS + 15_000, vec![])), ZoneState::Stale)]
 #[case::absent(None, ZoneState::NoRecord)]
--- a/crates/wagtailarch-cli/tests/wagtailctl.rs
+++ b/crates/wagtailarch-cli/tests/wagtailctl.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use wagtailarch_fleet::Fleet;
 use wagtailarch_platform::{Expect, FakeFaults, FakePlatform, Platform};
-use wagtailarch_wire::status::{ZoneStatusRecord, status_key};
+use wagtailarch_wire::records::{ZoneStatusRecord, status_key};
 
 fn example(name: &str) -> String {
     let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
@@ -66,8 +66,8 @@
     let record = ZoneStatusRecord {
         zone: zone.into(),
         generation,
-        instance_count: 2,
-        lagging: Vec::new(),
+        instances: 2,
+        behind: Vec::new(),
         written_at_ms: now_ms(),
         lease_number: 1,
     };
