--- a/crates/wagtailarch-platform/src/config_store.rs
+++ b/crates/wagtailarch-platform/src/config_store.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
+use futures_util::future::try_join_all;
 use futures_util::stream::{self, StreamExt, TryStreamExt};
 use smol_str::SmolStr;
 use wagtailarch_fleet::{
@@ -18,6 +19,13 @@
 
 /// Parts that are read or written at once.
 const PARALLEL_PARTS: usize = 16;
+/// Parts that one apply writes without a pause between them.
+const PART_BURST: usize = 64;
+/// Pause after each further set of `PARALLEL_PARTS`, which limits an apply to about 100 writes/s.
+///
+/// The platform takes several hundred writes/s; leases and claims must find room beside the 1,057
+/// parts of a first apply at full size.
+const PART_PAUSE: Duration = Duration::from_millis(160);
 
 /// The configuration in the platform.
 ///
@@ -413,12 +421,20 @@
             let known = self.fetch_index(&previous.content).await?;
             parts.retain(|hash, _| !known.contains(hash));
         }
-        stream::iter(parts)
-            .map(|(hash, value)| self.write_part(hash, Bytes::from(value)))
-            .buffer_unordered(PARALLEL_PARTS)
-            .try_collect::<Vec<()>>()
-            .await?;
-        Ok(())
+        let mut parts = parts.into_iter();
+        let mut written = 0;
+        loop {
+            let set: Vec<_> = parts.by_ref().take(PARALLEL_PARTS).collect();
+            if set.is_empty() {
+                return Ok(());
+            }
+            if written >= PART_BURST {
+                tokio::time::sleep(PART_PAUSE).await;
+            }
+            written += set.len();
+            let write = |(hash, value)| self.write_part(hash, Bytes::from(value));
+            try_join_all(set.into_iter().map(write)).await?;
+        }
     }
 
     /// Returns the hashes of all parts of a configuration and reads its index parts only.
