--- a/crates/wagtailarch-fleet/tests/parse.rs
+++ b/crates/wagtailarch-fleet/tests/parse.rs
@@ -59,6 +59,34 @@
     );
 }
 
+/// Guards against keys that the configuration page does not describe.
+#[rstest]
+fn every_key_is_documented() {
+    fn collect(value: &toml::Value, keys: &mut Vec<String>) {
+        match value {
+            toml::Value::Table(table) => {
+                for (key, value) in table {
+                    keys.push(key.clone());
+                    collect(value, keys);
+                }
+            }
+            toml::Value::Array(items) => items.iter().for_each(|item| collect(item, keys)),
+            _ => {}
+        }
+    }
+    let page = include_str!("../../../docs/configuration.md");
+    let mut keys = Vec::new();
+    collect(
+        &toml::Value::Table(toml::from_str(BUDAPEST).unwrap()),
+        &mut keys,
+    );
+    assert!(keys.len() > 50);
+    for key in keys {
+        let documented = page.contains(&format!("`{key}`")) || page.contains(&format!("[{key}]"));
+        assert!(documented, "{key} is not in docs/configuration.md");
+    }
+}
+
 /// Guards against findings that hide further ones: each marked line must be reported.
 #[rstest]
 fn twenty_mistakes_give_twenty_findings() {
