Bound lists of names and report parts that fit into no object

A valid file could have a core or a bucket above the 1 MB that the platform takes, and the apply failed after other parts were written. validate now reports it. Lists of names have at most 1,000 entries, and the search for similar names stops once findings are only counted; 29,000 unresolved references with many services would take seconds otherwise. A property test damages a file at random and checks that findings lie within it.

--- a/crates/wagtailarch-fleet/src/check.rs
+++ b/crates/wagtailarch-fleet/src/check.rs
@@ -60,6 +60,11 @@
     reference: &Field<SmolStr>,
     known: &HashMap<&str, T>,
 ) {
+    if sink.is_full() {
+        // The search for similar names is slow beside a finding that is only counted.
+        sink.report(&reference.span, "", "");
+        return;
+    }
     let similar = known
         .keys()
         .map(|name| (strsim::damerau_levenshtein(name, &reference.value), *name))
--- a/crates/wagtailarch-fleet/src/parse.rs
+++ b/crates/wagtailarch-fleet/src/parse.rs
@@ -6,11 +6,14 @@
 use crate::draft::FleetDraft;
 use crate::reader::Field;
 use crate::sink::Sink;
-use crate::{Finding, Fleet};
+use crate::{Finding, Fleet, split};
 
 /// Greatest size of a fleet file in bytes; 29,000 teams take up about 7 MB.
 pub const MAX_FILE_BYTES: usize = 64 * 1024 * 1024;
 
+/// Greatest size of a part in bytes; the platform takes no larger values.
+const MAX_PART_BYTES: usize = 1_000_000;
+
 impl Fleet {
     /// Parses and validates a fleet file.
     ///
@@ -40,14 +43,44 @@
         if !sink.is_empty() {
             return Err(sink.finish());
         }
-        draft.build().ok_or_else(|| {
+        let Some(fleet) = draft.build() else {
             sink.report(
                 &(0..0),
                 "a required value is absent",
                 "compare docs/configuration.md",
             );
-            sink.finish()
-        })
+            return Err(sink.finish());
+        };
+        check_part_sizes(&mut sink, &fleet);
+        if sink.is_empty() {
+            Ok(fleet)
+        } else {
+            Err(sink.finish())
+        }
+    }
+}
+
+/// Reports parts that do not fit into an object of the platform.
+fn check_part_sizes(sink: &mut Sink<'_>, fleet: &Fleet) {
+    let (content, parts) = split(fleet);
+    for (hash, value) in &parts {
+        let size_bytes = value.len();
+        if size_bytes <= MAX_PART_BYTES {
+            continue;
+        }
+        let (what, hint) = if *hash == content.core {
+            (
+                "the file without its teams",
+                "shorten the lists of models, groups and services",
+            )
+        } else {
+            (
+                "a bucket of about 32 teams",
+                "shorten the services lists of teams",
+            )
+        };
+        let message = format!("{what} has {size_bytes} bytes, the limit is {MAX_PART_BYTES}");
+        sink.report(&(0..0), message, hint);
     }
 }
 
--- a/crates/wagtailarch-fleet/src/reader.rs
+++ b/crates/wagtailarch-fleet/src/reader.rs
@@ -4,7 +4,7 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use crate::schema::{Guess, KeySpec, MAX_NAME_CHARS, NumberSpec, Shape, guess};
+use crate::schema::{Guess, KeySpec, MAX_NAME_CHARS, MAX_NAMES, NumberSpec, Shape, guess};
 use crate::sink::{Sink, Span};
 
 /// A table that is checked against its keys.
@@ -205,7 +205,7 @@
             return self.wrong_type(spec, value);
         };
         if let Shape::Names(least) = spec.shape
-            && items.len() < least
+            && !(least..=MAX_NAMES).contains(&items.len())
         {
             let message = format!("{name} has {} names", items.len());
             self.sink
@@ -213,7 +213,7 @@
         }
         let mut names: Vec<Field<SmolStr>> = Vec::with_capacity(items.len());
         let mut seen = std::collections::HashSet::new();
-        for item in items.iter() {
+        for item in items.iter().take(MAX_NAMES) {
             let DeValue::String(text) = item.get_ref() else {
                 self.wrong_type::<()>(spec, item);
                 continue;
--- a/crates/wagtailarch-fleet/src/schema.rs
+++ b/crates/wagtailarch-fleet/src/schema.rs
@@ -47,6 +47,8 @@
 pub(crate) const MAX_NAME_CHARS: usize = 64;
 /// Engines of the design size; no fleet can meet bounds that demand more.
 pub(crate) const MAX_ENGINES: u64 = 3_800;
+/// Greatest number of names in a list.
+pub(crate) const MAX_NAMES: usize = 1_000;
 /// Greatest number of availability zones.
 pub(crate) const MAX_ZONES: usize = 64;
 
@@ -208,8 +210,7 @@
                 f,
                 "a name of 1 to {MAX_NAME_CHARS} letters, digits, '.', '_' and '-' in quotes"
             ),
-            Self::Names(0) => f.write_str("a list of names in quotes"),
-            Self::Names(least) => write!(f, "a list of at least {least} names in quotes"),
+            Self::Names(least) => write!(f, "a list of {least} to {MAX_NAMES} names in quotes"),
             Self::Text(form) => write!(f, "{form}, in quotes"),
             Self::Flag => f.write_str("true or false without quotes"),
             Self::Count(min, u32::MAX) => write!(f, "a whole number from {min}"),
--- a/crates/wagtailarch-fleet/src/sink.rs
+++ b/crates/wagtailarch-fleet/src/sink.rs
@@ -46,7 +46,7 @@
         message: impl Into<String>,
         hint: impl Into<String>,
     ) {
-        if self.findings.len() == MAX_FINDINGS {
+        if self.is_full() {
             self.omitted += 1;
             return;
         }
@@ -73,6 +73,11 @@
         self.line_index(span.start) + 1
     }
 
+    /// Tells whether further findings are only counted.
+    pub(crate) fn is_full(&self) -> bool {
+        self.findings.len() == MAX_FINDINGS
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.findings.is_empty()
     }
--- a/crates/wagtailarch-fleet/tests/parse.rs
+++ b/crates/wagtailarch-fleet/tests/parse.rs
@@ -1,5 +1,6 @@
 //! Checks that a fleet file is read correctly and that every fault of a file is reported.
 
+use proptest::prelude::*;
 use rstest::rstest;
 use wagtailarch_fleet::{Finding, Fleet};
 
@@ -8,7 +9,9 @@
 const TWENTY: &str = include_str!("data/twenty-mistakes.toml");
 
 fn findings(text: &str) -> Vec<Finding> {
-    Fleet::parse("fleet.toml", text).expect_err("the file has a fault")
+    Fleet::parse("fleet.toml", text)
+        .map(drop)
+        .expect_err("the file has a fault")
 }
 
 /// Replaces one text of the Budapest example, which must occur in it.
@@ -259,3 +262,73 @@
         assert!(!finding.to_string().is_empty());
     }
 }
+
+/// Guards against a file that is valid but that no object of the platform can hold.
+#[rstest]
+#[case::core("", "the file without its teams")]
+#[case::bucket(
+    "[[team]]\nname = \"x\"\nkey_hash = \"HASH\"\nrequests_per_s = 1\ntokens_per_s = 1\nservices = [",
+    "a bucket of about 32 teams"
+)]
+fn oversized_parts_are_reported(#[case] team: &str, #[case] message: &str) {
+    let names: Vec<String> = (0..950).map(|n| format!("{n:0>60}")).collect();
+    let mut text = BUDAPEST.to_owned();
+    if team.is_empty() {
+        for model in 0..20 {
+            text += &format!("[[model]]\nname = \"m{model}\"\nversions = {names:?}\n");
+        }
+    } else {
+        for name in &names {
+            text +=
+                &format!("[[service]]\nname = {name:?}\ngroup = \"fedel-lm\"\nmodel = \"fedel\"\n");
+        }
+        let list = format!("{names:?}");
+        for number in 0..25 {
+            let hash = format!("blake3:{number:064}");
+            let table = team
+                .replace("HASH", &hash)
+                .replace("\"x\"", &format!("\"x{number}\""));
+            text += &format!("{table}{}\n", &list[1..]);
+        }
+    }
+    let findings = findings(&text);
+    assert_eq!(findings.len(), 1, "{findings:?}");
+    assert!(findings[0].message.contains(message), "{findings:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x5eed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a panic, and a finding outside the file, on damaged files.
+    #[test]
+    fn damaged_files_are_reported_in_place(
+        edits in proptest::collection::vec(
+            (any::<prop::sample::Index>(), 0..40_usize, "[\\[\\]=\"'\n.a0üß ]{0,4}"),
+            1..6,
+        ),
+    ) {
+        let mut chars: Vec<char> = BUDAPEST.chars().collect();
+        for (at, removed, inserted) in edits {
+            let start = at.index(chars.len());
+            let end = (start + removed).min(chars.len());
+            chars.splice(start..end, inserted.chars());
+        }
+        let text: String = chars.into_iter().collect();
+        let Err(findings) = Fleet::parse("damaged.toml", &text) else {
+            return Ok(());
+        };
+        prop_assert!(!findings.is_empty());
+        for finding in findings {
+            let line = text.split('\n').nth(finding.line as usize - 1);
+            let line = line.expect("the line exists").trim_end_matches('\r');
+            prop_assert!(line.starts_with(&finding.source_line));
+            prop_assert!(finding.column as usize <= line.chars().count() + 2);
+            prop_assert!(finding.to_string().contains(&finding.hint));
+        }
+    }
+}
