--- a/crates/wagtailarch-entry/src/admin.rs
+++ b/crates/wagtailarch-entry/src/admin.rs
@@ -9,7 +9,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, sync::Semaphore};
 
-use crate::shared::Shared;
+use crate::{admin_api, shared::Shared};
 
 /// Connections to the admin address that may be open at once.
 const MAX_CONNECTIONS: usize = 64;
@@ -61,6 +61,9 @@
             response.headers_mut().insert(header::CONTENT_TYPE, kind);
             response
         }
+        path if path.starts_with(admin_api::PREFIX) => {
+            admin_api::answer(shared, path, request.headers())
+        }
         _ => text(StatusCode::NOT_FOUND, "not found\n"),
     }
 }
@@ -70,3 +73,12 @@
     *response.status_mut() = status;
     response
 }
+
+/// Builds a JSON response.
+pub fn json_response(status: StatusCode, body: &serde_json::Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(body.to_string()));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/wagtailarch-entry/src/admin_api.rs
@@ -0,0 +1,77 @@
+//! The administration API: read-only views of one instance.
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use subtle::ConstantTimeEq;
+
+use crate::{
+    admin::json_response,
+    auth::{bearer_hash, parse_key_hash},
+    routing::BackendView,
+    shared::Shared,
+};
+
+/// Path prefix of the administration API.
+pub const PREFIX: &str = "/admin/v1/";
+
+/// Answers a GET call of the administration API.
+pub fn answer(
+    shared: &Shared,
+    path: &str,
+    headers: &HeaderMap,
+) -> Response<http_body_util::Full<Bytes>> {
+    let Some(holder) = holder(shared, headers) else {
+        return json_response(
+            StatusCode::UNAUTHORIZED,
+            &json!({"error": "an admin key is required"}),
+        );
+    };
+    slog::info!(shared.log, "admin_call"; "holder" => holder.as_str(), "path" => path);
+    match path.strip_prefix(PREFIX) {
+        Some("generation") => json_response(StatusCode::OK, &generation(shared)),
+        Some("backends") => json_response(StatusCode::OK, &backends(shared)),
+        Some("quarantine") => json_response(StatusCode::OK, &json!({"quarantined": []})),
+        _ => json_response(StatusCode::NOT_FOUND, &json!({"error": "unknown path"})),
+    }
+}
+
+/// Returns the name of the key's holder; every key is compared, so that time tells nothing.
+fn holder(shared: &Shared, headers: &HeaderMap) -> Option<SmolStr> {
+    let given = bearer_hash(headers)?;
+    let mut found = None;
+    for key in &shared.settings.admin_keys {
+        let Some(hash) = parse_key_hash(&key.key_hash) else {
+            continue;
+        };
+        if bool::from(hash.ct_eq(&given)) {
+            found = Some(key.name.clone());
+        }
+    }
+    found
+}
+
+fn generation(shared: &Shared) -> Value {
+    json!({
+        "instance": shared.settings.instance,
+        "zone": shared.settings.zone,
+        "generation": shared.snapshot.load().as_ref().map(|snapshot| snapshot.generation),
+        "ready": shared.is_ready(),
+    })
+}
+
+fn backends(shared: &Shared) -> Value {
+    let views = shared.backends.load();
+    json!({"backends": views.iter().map(backend).collect::<Vec<_>>()})
+}
+
+fn backend(view: &BackendView) -> Value {
+    json!({
+        "id": view.id,
+        "group": view.group,
+        "address": view.address,
+        "role": view.assignment.as_ref().map(|assignment| assignment.role.as_str()),
+        "accepting": view.accepting,
+    })
+}
--- a/crates/wagtailarch-entry/src/control/backends.rs
+++ b/crates/wagtailarch-entry/src/control/backends.rs
@@ -96,8 +96,7 @@
 
     fn publish(&self) {
         self.shared
-            .router
-            .update(self.known.values().map(view).collect());
+            .publish_backends(self.known.values().map(view).collect());
     }
 }
 
--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -4,9 +4,11 @@
 //! control state lives in a thread of its own.
 
 mod admin;
+mod admin_api;
 mod auth;
 mod body;
 mod chat;
+mod client_io;
 mod control;
 mod engine_client;
 mod instance;
--- a/crates/wagtailarch-entry/src/proxy.rs
+++ b/crates/wagtailarch-entry/src/proxy.rs
@@ -1,11 +1,12 @@
 //! Calls of plain services.
 
-use std::time::Duration;
+use std::{borrow::Cow, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header, request::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use wagtailarch_fleet::Service;
 use wagtailarch_types::{Ran, RefusalReason};
 
@@ -40,7 +41,7 @@
 ) -> Result<Response<ClientBody>, Refusal> {
     let service = find(&context, parts.uri.path())?;
     let shared = &context.shared;
-    if !is_idempotent(service, parts.method.as_str(), parts.uri.path()) {
+    if !is_idempotent(service, parts.method.as_str(), &decoded(parts.uri.path())) {
         let message = "calls that may not be repeated need claims";
         return Err(Refusal::not_run(RefusalReason::ClaimsUnavailable, message)
             .retry_after(Duration::from_secs(1))
@@ -73,6 +74,11 @@
     Ok(Response::from_parts(head, BodyExt::boxed_unsync(body)))
 }
 
+/// Returns the path as the backend server resolves it.
+fn decoded(path: &str) -> Cow<'_, str> {
+    percent_decode_str(path).decode_utf8_lossy()
+}
+
 fn find<'a>(context: &'a RequestContext, path: &str) -> Result<&'a Service, Refusal> {
     let service = context.snapshot.plain_service(path).ok_or_else(|| {
         Refusal::not_run(
--- a/crates/wagtailarch-entry/src/server.rs
+++ b/crates/wagtailarch-entry/src/server.rs
@@ -11,12 +11,14 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
+    time::sleep,
 };
-use wagtailarch_types::{RequestId, format_request_id};
+use wagtailarch_types::{RefusalReason, RequestId, format_request_id};
 
 use crate::{
     body::ClientBody,
     chat::{self, Api},
+    client_io::{ClientIo, ClientSocket},
     proxy,
     refusal::Refusal,
     request::RequestContext,
@@ -66,29 +68,86 @@
 
 async fn serve_connection(shared: &Arc<Shared>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
+    let timeouts = &shared.settings.timeouts;
+    let (io, socket) = ClientIo::new(stream, ms(timeouts.client_stall_ms));
     let service = service_fn(|request| {
         let shared = Arc::clone(shared);
+        socket.count_request();
         async move { Ok::<_, Infallible>(handle(&shared, request).await) }
     });
     let builder = builder(shared);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = shared.reached(Stage::Finishing) => {
-            connection.as_mut().graceful_shutdown();
-            tokio::select! {
-                result = connection.as_mut() => result,
-                () = shared.reached(Stage::Stopped) => Ok(()),
+    let mut header_timer = std::pin::pin!(sleep(ms(timeouts.header_ms)));
+    let mut draining = false;
+    let result = loop {
+        tokio::select! {
+            result = connection.as_mut() => break result.map_err(ConnectionEnd::of),
+            // hyper bounds the time of the headers only once it knows the protocol.
+            () = header_timer.as_mut(), if !header_timer.is_elapsed() => {
+                if socket.is_undecided() {
+                    break Err(ConnectionEnd::HeadersTooSlow);
+                }
             }
+            () = shared.reached(Stage::Finishing), if !draining => {
+                draining = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = shared.reached(Stage::Stopped) => break Ok(()),
         }
     };
-    if let Err(error) = result {
-        shared.metrics.connection("reset");
-        slog::debug!(shared.log, "connection_ended"; "error" => %error);
+    if let Err(end) = result {
+        end.finish(shared, &socket);
+    }
+}
+
+/// How a connection failed.
+#[derive(Debug)]
+enum ConnectionEnd {
+    /// The headers of a request did not arrive in time.
+    HeadersTooSlow,
+    /// The headers could not be parsed; hyper has answered.
+    Malformed,
+    /// The client closed or reset the connection, or stopped reading.
+    Reset,
+}
+
+impl ConnectionEnd {
+    fn of(error: Box<dyn std::error::Error + Send + Sync>) -> Self {
+        match error.downcast_ref::<hyper::Error>() {
+            Some(error) if error.is_timeout() => Self::HeadersTooSlow,
+            Some(error) if error.is_parse() => Self::Malformed,
+            Some(_) | None => Self::Reset,
+        }
+    }
+
+    /// Counts the end and answers a request of which only a part has arrived.
+    fn finish(&self, shared: &Shared, socket: &ClientSocket) {
+        match self {
+            Self::HeadersTooSlow if socket.is_unanswered() => {
+                shared.metrics.refused(RefusalReason::HeadersTooSlow);
+                socket.write_last(&slow_response());
+            }
+            Self::Malformed => shared.metrics.refused(RefusalReason::BadRequest),
+            Self::HeadersTooSlow | Self::Reset => shared.metrics.connection("reset"),
+        }
+        slog::debug!(shared.log, "connection_ended"; "cause" => ?self);
     }
 }
 
+/// Returns the bytes of an HTTP/1.1 response that ends a connection.
+fn slow_response() -> Vec<u8> {
+    let message = "the headers took too long to arrive";
+    let refusal = Refusal::not_run(RefusalReason::HeadersTooSlow, message);
+    let body = refusal.to_json().to_string();
+    format!(
+        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\nx-ran: no\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
 fn builder(shared: &Shared) -> auto::Builder<TokioExecutor> {
     let limits = &shared.settings.limits;
     let header_time = ms(shared.settings.timeouts.header_ms);
@@ -133,6 +192,7 @@
 ) -> Result<Response<ClientBody>, Refusal> {
     let running = shared.begin(id)?;
     let (parts, body) = request.into_parts();
+    check_path(parts.uri.path())?;
     let context = RequestContext::new(running, id, &parts.headers)?;
     match (&parts.method, parts.uri.path()) {
         (&Method::POST, "/v1/chat/completions") => chat::complete(context, Api::Chat, body).await,
@@ -141,3 +201,16 @@
         _ => proxy::forward(context, parts, body).await,
     }
 }
+
+/// Refuses paths that a backend server could resolve to another path.
+///
+/// Route settings are chosen by the path as it was sent; `/a/../b` would get those of `/a/`.
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let lower = path.to_ascii_lowercase();
+    let dots = lower.split('/').any(|part| matches!(part, "." | ".."));
+    if dots || lower.contains("%2e") || lower.contains("%2f") || lower.contains("//") {
+        let message = "the path must be in its normal form";
+        return Err(Refusal::not_run(RefusalReason::BadRequest, message));
+    }
+    Ok(())
+}
--- a/crates/wagtailarch-entry/src/shared.rs
+++ b/crates/wagtailarch-entry/src/shared.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use slog::Logger;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio_util::task::{TaskTracker, task_tracker::TaskTrackerToken};
@@ -16,7 +16,7 @@
     engine_client::EngineClient,
     metrics::Metrics,
     refusal::Refusal,
-    routing::Router,
+    routing::{BackendView, Router},
     settings::{Settings, ms},
     snapshot::Snapshot,
 };
@@ -45,6 +45,8 @@
     pub metrics: Metrics,
     /// Configuration; none before the first one was loaded.
     pub snapshot: ArcSwapOption<Snapshot>,
+    /// Backend servers as last published.
+    pub backends: ArcSwap<Vec<BackendView>>,
     /// Choice of backend servers.
     pub router: Router,
     /// Client of backend servers.
@@ -68,6 +70,7 @@
         Self {
             metrics: Metrics::new(),
             snapshot: ArcSwapOption::empty(),
+            backends: ArcSwap::default(),
             router: Router::default(),
             engines: EngineClient::new(&settings.timeouts, limits),
             bodies: BodyReader::new(
@@ -117,6 +120,18 @@
         })
     }
 
+    /// Publishes the backend servers to the traffic threads.
+    pub fn publish_backends(&self, views: Vec<BackendView>) {
+        self.backends.store(Arc::new(views.clone()));
+        self.router.update(views);
+    }
+
+    /// Publishes a configuration to the traffic threads.
+    pub fn publish_configuration(&self, snapshot: Snapshot) {
+        self.metrics.generation.set(snapshot.generation as i64);
+        self.snapshot.store(Some(Arc::new(snapshot)));
+    }
+
     /// Returns the stage of the shutdown.
     pub fn stage(&self) -> Stage {
         *self.stage.borrow()
--- a/crates/wagtailarch-entry/tests/common/mod.rs
+++ b/crates/wagtailarch-entry/tests/common/mod.rs
@@ -328,7 +328,12 @@
     );
     let settings = parse_settings(&settings).unwrap();
     let instance = Instance::start(settings, discard()).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    let wanted = platform.list.lock().unwrap().items.len();
+    eventually("the instance knows its backend servers", || {
+        let views = instance.shared().backends.load();
+        views.iter().filter(|view| view.accepting).count() == wanted
+    })
+    .await;
     instance
 }
 
@@ -380,3 +385,14 @@
     }
     (text, false)
 }
+
+/// Waits until `check` holds; the bound only limits a failing test.
+pub async fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    for _ in 0..1_000 {
+        if check() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not happen");
+}
