Answer requests over attempts with retries, claims and strikes

A request must be answered completely although engines crash, refuse or send late frames. Plain services hold the beginning of a response until it is certain to be passed on. A refused connection after a break counts as a crash and strikes what ran there.

The control thread has an engine client of its own: connections are driven by the runtime that opened them, and traffic must not depend on that thread.

--- a/crates/wagtailarch-entry/src/admin_api.rs
+++ b/crates/wagtailarch-entry/src/admin_api.rs
@@ -6,10 +6,11 @@
 use smol_str::SmolStr;
 use subtle::ConstantTimeEq;
 
+use wagtailarch_traffic::BackendView;
+
 use crate::{
     admin::json_response,
     auth::{bearer_hash, parse_key_hash},
-    routing::BackendView,
     shared::Shared,
 };
 
@@ -63,14 +64,16 @@
 
 fn backends(shared: &Shared) -> Value {
     let views = shared.backends.load();
-    json!({"backends": views.iter().map(backend).collect::<Vec<_>>()})
+    json!({"backends": views.values().map(backend).collect::<Vec<_>>()})
 }
 
 fn backend(view: &BackendView) -> Value {
     json!({
         "id": view.id,
         "group": view.group,
+        "zone": view.zone,
         "address": view.address,
+        "report_age_ms": view.report.map(|_| view.report_age.as_millis() as u64),
         "role": view.assignment.as_ref().map(|assignment| assignment.role.as_str()),
         "accepting": view.accepting,
     })
--- /dev/null
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -0,0 +1,265 @@
+//! The attempts of one request: choice of backend servers, retries and strikes.
+
+use std::time::Duration;
+
+use slog::info;
+use wagtailarch_control::LeavingSign;
+use wagtailarch_traffic::{
+    AdmitRequest, Admitted, AttemptFailure, Pick, PickRequest, RequestTraits, RetryDecision,
+    RetryPolicy, StrikeKind, Verdict,
+};
+use wagtailarch_types::{
+    Fingerprint, GroupName, InstanceId, Ran, RefusalReason, RetryReason, ServiceName, fingerprint,
+};
+
+use crate::{
+    engine_client::CallError, in_flight::InFlightGuard, refusal::Refusal, request::RequestContext,
+};
+
+/// Time for the connection attempt that tells a crashed server from a broken connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause before a server that has failed this request is used again, per failure.
+const REUSE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Which service a request calls and how it may be repeated.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Service.
+    pub service: ServiceName,
+    /// Group of its backend servers.
+    pub group: GroupName,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// Whether a broken answer can be resumed.
+    pub resumable: bool,
+}
+
+/// The attempts of one request.
+#[derive(Debug)]
+pub struct Attempts {
+    context: RequestContext,
+    target: Target,
+    fingerprint: Fingerprint,
+    /// Backend servers that have failed this request; at most one per attempt.
+    excluded: Vec<InstanceId>,
+    failures: u32,
+    /// What is known of all failed attempts.
+    ran: Ran,
+    suspect: bool,
+}
+
+impl Attempts {
+    /// Creates the attempts of a request; refuses one that has crashed servers before.
+    pub fn new(context: RequestContext, target: Target, body: &[u8]) -> Result<Self, Refusal> {
+        let team = context.team().name.as_bytes();
+        let fingerprint = fingerprint(&[team, target.service.as_bytes(), body]);
+        let attempts = Self {
+            suspect: false,
+            context,
+            target,
+            fingerprint,
+            excluded: Vec::new(),
+            failures: 0,
+            ran: Ran::No,
+        };
+        attempts.check_quarantine()?;
+        let shared = &attempts.context.shared;
+        if let Some(budget) = attempts.context.snapshot.budget(&attempts.target.service) {
+            budget.on_request(shared.now());
+        }
+        Ok(attempts)
+    }
+
+    /// Returns the request.
+    pub fn context(&self) -> &RequestContext {
+        &self.context
+    }
+
+    /// Returns what is known of all failed attempts.
+    pub fn ran(&self) -> Ran {
+        self.ran
+    }
+
+    /// Asks for admission.
+    pub fn admit(&self, prompt_tokens: u32, max_tokens: u32) -> Result<Admitted, Refusal> {
+        let context = &self.context;
+        let request = AdmitRequest {
+            team: context.team().name.clone(),
+            group: self.target.group.clone(),
+            request: context.id,
+            priority: context.priority,
+            deadline: context.has_deadline.then(|| context.time_left()),
+            prompt_tokens,
+            max_tokens,
+        };
+        context
+            .shared
+            .admission
+            .admit(context.shared.now(), &request)
+            .map_err(|refusal| {
+                Refusal::not_run(refusal.reason, "the request was not admitted")
+                    .retry_after(refusal.retry_after)
+            })
+    }
+
+    /// Chooses a backend server, at best one that has not failed this request.
+    pub async fn pick(&mut self, mut request: PickRequest) -> Result<Pick, Refusal> {
+        request.suspect = self.is_suspect();
+        let shared = &self.context.shared;
+        request.excluded.clone_from(&self.excluded);
+        if let Some(pick) = shared.router.pick(shared.now(), &request) {
+            return Ok(pick);
+        }
+        if !self.excluded.is_empty() {
+            tokio::time::sleep(REUSE_PAUSE * self.failures).await;
+            request.excluded.clear();
+            if let Some(pick) = shared.router.pick(shared.now(), &request) {
+                return Ok(pick);
+            }
+        }
+        Err(Refusal::not_run(
+            RefusalReason::NoBackend,
+            "no backend server can serve the request",
+        )
+        .ran(self.ran)
+        .retry_after(Duration::from_secs(1))
+        .with_jitter(self.context.id))
+    }
+
+    /// Notes that the request is sent to a server, until the guard is dropped.
+    pub fn enter(&self, pick: &Pick) -> InFlightGuard {
+        self.context
+            .shared
+            .in_flight
+            .enter(&pick.id, self.fingerprint)
+    }
+
+    /// Notes that the request is complete.
+    pub fn completed(&self, pick: &Pick) {
+        let shared = &self.context.shared;
+        shared.events.succeeded(&shared.metrics, &pick.id);
+        if self.suspect {
+            shared.quarantine.on_completed(self.fingerprint);
+        }
+    }
+
+    /// Tells the control thread what a failed call says about the server.
+    pub fn note_signs(&self, pick: &Pick, error: &CallError) {
+        let shared = &self.context.shared;
+        let sign = match error {
+            CallError::ConnectFailed => LeavingSign::ConnectFailed,
+            CallError::Refused { leaving: true, .. } => {
+                shared.router.suspend(&pick.id);
+                LeavingSign::Draining
+            }
+            _ => return,
+        };
+        shared.events.failed(&shared.metrics, &pick.id, sign);
+    }
+
+    /// Decides what follows a failed attempt; `Ok` permits another one.
+    ///
+    /// `guard` is that of the attempt, if its request was sent.
+    pub async fn failed(
+        &mut self,
+        pick: &Pick,
+        reason: RetryReason,
+        guard: InFlightGuard,
+        delivered: bool,
+    ) -> Result<(), Refusal> {
+        let failure = AttemptFailure { reason };
+        self.failures += 1;
+        let traits = RequestTraits {
+            idempotent: self.target.idempotent,
+            resumable: self.target.resumable,
+            delivered,
+            attempts: self.failures,
+            ran_before: self.ran,
+        };
+        self.ran = RetryPolicy::combine(self.ran, failure.ran());
+        if !self.excluded.contains(&pick.id) && reason != RetryReason::KvImportFailed {
+            self.excluded.push(pick.id.clone());
+        }
+        if matches!(
+            reason,
+            RetryReason::ClosedBeforeAnswer | RetryReason::StreamBroken
+        ) {
+            guard.broken(self.context.shared.now());
+            self.probe(pick).await;
+            self.check_quarantine()?;
+        }
+        match RetryPolicy::next(&failure, &traits) {
+            RetryDecision::Retry(reason) => self.spend(reason),
+            RetryDecision::GiveUp(reason, ran) => {
+                let message = format!("the last attempt failed: {}", failure.reason);
+                Err(self.give_up(reason, ran, message))
+            }
+        }
+    }
+
+    /// Takes a retry from the budget of the service.
+    fn spend(&self, reason: RetryReason) -> Result<(), Refusal> {
+        let shared = &self.context.shared;
+        let budget = self.context.snapshot.budget(&self.target.service);
+        if budget.is_some_and(|budget| !budget.try_retry(shared.now())) {
+            let message = "the service has no retries left";
+            return Err(self.give_up(RefusalReason::RetryBudgetExhausted, self.ran, message));
+        }
+        shared.metrics.retried(reason);
+        Ok(())
+    }
+
+    fn give_up(&self, reason: RefusalReason, ran: Ran, message: impl Into<String>) -> Refusal {
+        Refusal::not_run(reason, message)
+            .ran(ran)
+            .retry_after(Duration::from_secs(1))
+            .with_jitter(self.context.id)
+    }
+
+    /// Connects to a server whose connection broke; a refused connection means that it crashed.
+    async fn probe(&self, pick: &Pick) {
+        let connect = tokio::net::TcpStream::connect(pick.address.as_str());
+        if let Ok(Err(_)) = tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+            self.context.shared.on_crash(&pick.id);
+        }
+    }
+
+    fn is_suspect(&mut self) -> bool {
+        let shared = &self.context.shared;
+        let verdict = shared.quarantine.check(shared.now(), self.fingerprint);
+        self.suspect = verdict == Verdict::Suspect;
+        self.suspect
+    }
+
+    fn check_quarantine(&self) -> Result<(), Refusal> {
+        let shared = &self.context.shared;
+        match shared.quarantine.check(shared.now(), self.fingerprint) {
+            Verdict::Clear | Verdict::Suspect => Ok(()),
+            Verdict::Quarantined => {
+                let message = "the request has crashed backend servers";
+                Err(Refusal::not_run(RefusalReason::Quarantined, message).ran(Ran::Yes))
+            }
+        }
+    }
+}
+
+impl crate::shared::Shared {
+    /// Counts the crash of a backend server against the requests that ran on it.
+    pub fn on_crash(&self, server: &InstanceId) {
+        let now = self.now();
+        let hit = self.in_flight.take_crashed(now, server);
+        if hit.is_empty() {
+            return;
+        }
+        self.metrics.crashes.inc();
+        let strikes = self.quarantine.on_crash(now, server, &hit);
+        let quarantined = strikes
+            .iter()
+            .filter(|s| s.kind == StrikeKind::Quarantined)
+            .count();
+        info!(self.log, "backend_crashed"; "backend" => server.as_str(),
+            "in_flight" => hit.len(), "quarantined" => quarantined);
+        self.events.strikes(&self.metrics, strikes);
+    }
+}
--- a/crates/wagtailarch-entry/src/body.rs
+++ b/crates/wagtailarch-entry/src/body.rs
@@ -113,3 +113,12 @@
         Refusal::not_run(RefusalReason::BodyTooLarge, message)
     }
 }
+
+/// Keeps `guard` until the body was sent or dropped.
+pub fn with_guard(body: ClientBody, guard: impl Send + 'static) -> ClientBody {
+    let body = body.map_frame(move |frame| {
+        let _ = &guard;
+        frame
+    });
+    BodyExt::boxed_unsync(body)
+}
--- /dev/null
+++ b/crates/wagtailarch-entry/src/chat/cancel.rs
@@ -0,0 +1,51 @@
+//! Cancel calls to engines.
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use wagtailarch_types::AttemptNo;
+
+use crate::shared::Shared;
+
+/// Cancels an attempt when dropped, unless the attempt has ended by itself.
+#[derive(Debug)]
+pub struct CancelOnDrop {
+    shared: Arc<Shared>,
+    address: SmolStr,
+    request: SmolStr,
+    attempt: AttemptNo,
+    armed: bool,
+}
+
+impl CancelOnDrop {
+    /// Creates the guard of an attempt.
+    pub fn new(shared: &Arc<Shared>, address: &SmolStr, request: &SmolStr, no: AttemptNo) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            address: address.clone(),
+            request: request.clone(),
+            attempt: no,
+            armed: true,
+        }
+    }
+
+    /// Keeps the guard from cancelling.
+    pub fn disarm(&mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        self.shared.metrics.cancels.inc();
+        let shared = Arc::clone(&self.shared);
+        let (address, request, attempt) =
+            (self.address.clone(), self.request.clone(), self.attempt);
+        tokio::spawn(async move {
+            let _ = shared.engines.cancel(&address, &request, attempt).await;
+        });
+    }
+}
--- a/crates/wagtailarch-entry/src/chat/handler.rs
+++ b/crates/wagtailarch-entry/src/chat/handler.rs
@@ -13,10 +13,11 @@
 
 use super::{
     api::{Api, CompletionCall, parse_call},
-    generation::{Event, Job, run_generation},
+    generation::{Event, Job, estimate_tokens, run_generation},
     render::Renderer,
 };
 use crate::{
+    attempts::{Attempts, Target},
     body::{BodyError, ClientBody, full},
     metrics::Metrics,
     refusal::Refusal,
@@ -33,9 +34,9 @@
     let shared = context.shared.clone();
     let held = shared.bodies.read(body).await?;
     let call = parse_call(api, &held.bytes, shared.settings.limits.max_tokens)?;
+    let job = job(context, call, &held.bytes)?;
     drop(held);
-    let job = job(context, call)?;
-    let context = job.context.clone();
+    let context = job.attempts.context().clone();
     let stream = job.call.stream;
     let renderer = Renderer::new(&job.call, &context.id_text, unix_time_s());
     let (sender, mut events) = mpsc::channel(shared.settings.limits.client_buffer_frames);
@@ -71,7 +72,7 @@
 }
 
 /// Finds the service and group of a call.
-fn job(context: RequestContext, call: CompletionCall) -> Result<Job, Refusal> {
+fn job(context: RequestContext, call: CompletionCall, body: &[u8]) -> Result<Job, Refusal> {
     let unknown = || {
         let message = format!("the model {:?} does not exist", call.model);
         Refusal::not_run(RefusalReason::UnknownModel, message)
@@ -92,9 +93,18 @@
     {
         return Err(unknown());
     }
+    let target = Target {
+        service: service.name.clone(),
+        group: group.name.clone(),
+        idempotent: true,
+        resumable: true,
+    };
     let group = group.clone();
+    let attempts = Attempts::new(context, target, body)?;
+    let admitted = attempts.admit(estimate_tokens(&call.prompt), call.max_tokens)?;
     Ok(Job {
-        context,
+        attempts,
+        admitted,
         call,
         group,
     })
@@ -162,7 +172,10 @@
                 self.context.shared.metrics.refused(refusal.reason);
                 self.renderer.failure(&refusal)
             }
-            None => return Some(Err("the answer was lost".into())),
+            None => {
+                self.ended = true;
+                return Some(Err("the answer was lost".into()));
+            }
         };
         Some(Ok(Frame::data(bytes)))
     }
--- a/crates/wagtailarch-entry/src/chat/mod.rs
+++ b/crates/wagtailarch-entry/src/chat/mod.rs
@@ -1,6 +1,7 @@
 //! Completions: the calls of model services.
 
 mod api;
+mod cancel;
 mod generation;
 mod handler;
 mod render;
--- a/crates/wagtailarch-entry/src/control/mod.rs
+++ b/crates/wagtailarch-entry/src/control/mod.rs
@@ -3,4 +3,4 @@
 mod backends;
 mod thread;
 
-pub use thread::{ControlError, ControlThread};
+pub use thread::{ControlError, ControlInputs, ControlThread};
--- a/crates/wagtailarch-entry/src/control/thread.rs
+++ b/crates/wagtailarch-entry/src/control/thread.rs
@@ -3,11 +3,15 @@
 use std::{io, sync::Arc, thread};
 
 use displaydoc::Display;
-use tokio::sync::oneshot;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::MissedTickBehavior,
+};
 use wagtailarch_fleet::Fleet;
+use wagtailarch_platform::Platform;
 
 use super::backends::Backends;
-use crate::{settings::ms, shared::Shared, snapshot::Snapshot};
+use crate::{events::ControlEvent, settings::ms, shared::Shared, snapshot::Snapshot};
 
 /// Why the control thread could not start.
 #[derive(Debug, Display)]
@@ -20,6 +24,14 @@
 
 impl std::error::Error for ControlError {}
 
+/// What the control thread is given by the rest of the instance.
+pub struct ControlInputs {
+    /// Platform; its client is used by the control thread only.
+    pub platform: Arc<dyn Platform>,
+    /// Events of the traffic threads.
+    pub events: mpsc::Receiver<ControlEvent>,
+}
+
 /// Handle of the control thread; the thread ends when the handle is dropped.
 #[derive(Debug)]
 pub struct ControlThread {
@@ -29,7 +41,7 @@
 
 impl ControlThread {
     /// Starts the thread with a runtime of its own.
-    pub fn start(shared: Arc<Shared>) -> Result<Self, ControlError> {
+    pub fn start(shared: Arc<Shared>, inputs: ControlInputs) -> Result<Self, ControlError> {
         load_fleet_file(&shared)?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -42,7 +54,7 @@
             .spawn(move || {
                 runtime.block_on(async {
                     tokio::select! {
-                        () = run(shared) => {}
+                        () = run(shared, inputs) => {}
                         _ = stopped => {}
                     }
                 });
@@ -66,23 +78,21 @@
     };
     let text = std::fs::read_to_string(path).map_err(|e| ControlError::FleetFile(e.to_string()))?;
     let fleet: Fleet = toml::from_str(&text).map_err(|e| ControlError::FleetFile(e.to_string()))?;
-    shared
-        .snapshot
-        .store(Some(Arc::new(Snapshot::new(1, Arc::new(fleet)))));
-    shared.metrics.generation.set(1);
+    shared.publish_configuration(Snapshot::new(1, Arc::new(fleet)));
     Ok(())
 }
 
-async fn run(shared: Arc<Shared>) {
+async fn run(shared: Arc<Shared>, mut inputs: ControlInputs) {
     let mut backends = Backends::new(Arc::clone(&shared));
     let mut list = tokio::time::interval(ms(shared.settings.timeouts.list_ms));
     let mut report = tokio::time::interval(ms(shared.settings.timeouts.report_ms));
-    list.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    report.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    list.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    report.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = list.tick() => backends.read_list().await,
+            _ = list.tick() => backends.read_list(&*inputs.platform).await,
             _ = report.tick() => backends.read_reports().await,
+            Some(event) = inputs.events.recv() => backends.on_event(event),
         }
     }
 }
--- a/crates/wagtailarch-entry/src/engine_client.rs
+++ b/crates/wagtailarch-entry/src/engine_client.rs
@@ -18,6 +18,7 @@
     GENERATE_PATH, GenerateRequest, RAN_HEADER, REPORT_PATH,
 };
 
+use crate::proxy_response::says_close;
 use crate::settings::{Limits, Timeouts, ms};
 
 /// Greatest size of a refusal or report in bytes.
@@ -46,6 +47,8 @@
         code: Option<EngineRefusalCode>,
         /// What the server said about the request.
         ran: Ran,
+        /// Whether the server said that it is leaving.
+        leaving: bool,
     },
     /// the address is not valid
     BadAddress,
@@ -120,12 +123,16 @@
         }
         let status = response.status();
         let ran = said_ran(response.headers());
+        let closes = status == StatusCode::SERVICE_UNAVAILABLE && says_close(response.headers());
         let body = collect(response.into_body()).await.ok();
         let refusal = body.and_then(|b| serde_json::from_slice::<EngineRefusal>(&b).ok());
+        let code = refusal.map(|refusal| refusal.code);
+        let leaving = closes || code == Some(EngineRefusalCode::Draining);
         Err(CallError::Refused {
             status,
-            code: refusal.map(|refusal| refusal.code),
+            code,
             ran,
+            leaving,
         })
     }
 
@@ -167,6 +174,7 @@
                 status,
                 code: None,
                 ran,
+                leaving: false,
             })
         })
         .await
--- a/crates/wagtailarch-entry/src/instance.rs
+++ b/crates/wagtailarch-entry/src/instance.rs
@@ -5,10 +5,12 @@
 use displaydoc::Display;
 use slog::Logger;
 use tokio::{net::TcpListener, time::timeout};
+use wagtailarch_platform::{HttpPlatform, HttpPlatformConfig, Platform};
 
 use crate::{
     admin::serve_admin,
-    control::{ControlError, ControlThread},
+    claims::{Claims, PlatformHandle},
+    control::{ControlError, ControlInputs, ControlThread},
     server::serve_clients,
     settings::{Settings, ms},
     shared::{Shared, Stage},
@@ -24,6 +26,8 @@
         /// Cause.
         source: io::Error,
     },
+    /// the settings name no platform
+    NoPlatform,
     /// the control thread could not start: {0}
     Control(ControlError),
 }
@@ -41,11 +45,37 @@
 
 impl Instance {
     /// Binds the addresses and starts serving on the current runtime.
+    ///
+    /// The control thread has a platform client of its own: connections are driven by the runtime
+    /// that opened them, and traffic must not depend on the control thread.
     pub async fn start(settings: Settings, log: Logger) -> Result<Self, StartError> {
+        let address = settings.platform_address.ok_or(StartError::NoPlatform)?;
+        let client = || -> Arc<dyn Platform> {
+            Arc::new(HttpPlatform::new(HttpPlatformConfig::new(address)))
+        };
+        Self::start_with(settings, log, client(), client()).await
+    }
+
+    /// Starts with given platform clients: one for the control thread and one for traffic.
+    pub async fn start_with(
+        settings: Settings,
+        log: Logger,
+        control: Arc<dyn Platform>,
+        traffic: Arc<dyn Platform>,
+    ) -> Result<Self, StartError> {
         let clients = listen(settings.client_address).await?;
         let admin = listen(settings.admin_address).await?;
-        let shared = Arc::new(Shared::new(settings, log));
-        let control = ControlThread::start(Arc::clone(&shared)).map_err(StartError::Control)?;
+        let (shared, events) = Shared::new(settings, log);
+        let shared = Arc::new(shared);
+        let instance = shared.settings.instance.clone();
+        let claims = Claims::new(PlatformHandle(traffic), instance, shared.log.clone());
+        shared.claims.set(claims).expect("claims are set once");
+        let inputs = ControlInputs {
+            platform: control,
+            events,
+        };
+        let control =
+            ControlThread::start(Arc::clone(&shared), inputs).map_err(StartError::Control)?;
         let instance = Self {
             client_address: local(&clients, shared.settings.client_address),
             admin_address: local(&admin, shared.settings.admin_address),
@@ -80,16 +110,15 @@
     pub async fn drain(self) -> bool {
         let shared = &self.shared;
         let timeouts = shared.settings.timeouts;
-        slog::info!(shared.log, "draining"; "running" => shared.running.len());
+        slog::info!(shared.log, "draining"; "running" => shared.running());
         shared.stage.send_replace(Stage::Leaving);
         tokio::time::sleep(ms(timeouts.drain_delay_ms)).await;
         shared.stage.send_replace(Stage::Finishing);
-        shared.running.close();
-        let finished = timeout(ms(timeouts.drain_ms), shared.running.wait())
+        let finished = timeout(ms(timeouts.drain_ms), shared.finish_running())
             .await
             .is_ok();
         shared.stage.send_replace(Stage::Stopped);
-        slog::info!(shared.log, "stopped"; "finished" => finished, "left" => shared.running.len());
+        slog::info!(shared.log, "stopped"; "finished" => finished, "left" => shared.running());
         self.control.stop().await;
         finished
     }
--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -5,19 +5,25 @@
 
 mod admin;
 mod admin_api;
+mod attempts;
 mod auth;
 mod body;
+mod capacity;
 mod chat;
+mod claims;
 mod client_io;
 mod control;
 mod engine_client;
+mod events;
+mod in_flight;
 mod instance;
 mod logging;
 mod metrics;
 mod proxy;
+mod proxy_message;
+mod proxy_response;
 mod refusal;
 mod request;
-mod routing;
 mod server;
 mod settings;
 mod settings_check;
@@ -25,6 +31,7 @@
 mod snapshot;
 
 pub use control::ControlError;
+pub use events::ControlEvent;
 pub use instance::{Instance, StartError};
 pub use logging::{discard, logger};
 pub use metrics::Metrics;
--- a/crates/wagtailarch-entry/src/metrics.rs
+++ b/crates/wagtailarch-entry/src/metrics.rs
@@ -16,19 +16,20 @@
 type Counters = Family<Label, Counter>;
 
 /// Why a frame of an engine was not delivered.
-pub const DROP_CAUSES: [&str; 5] = [
+pub const DROP_CAUSES: [&str; 6] = [
     "other_request",
     "other_attempt",
-    "index_behind",
-    "index_ahead",
-    "after_finish",
+    "duplicate",
+    "gap",
+    "closed",
+    "too_long",
 ];
 
 /// Kinds of connection events that are counted.
 pub const CONNECTION_EVENTS: [&str; 4] = ["accepted", "refused", "failed", "reset"];
 
 /// Kinds of hints that the control thread may miss.
-pub const HINTS: [&str; 2] = ["leaving", "crash"];
+pub const HINTS: [&str; 2] = ["sign", "strikes"];
 
 /// Metrics of an instance.
 #[derive(Debug)]
--- a/crates/wagtailarch-entry/src/proxy.rs
+++ b/crates/wagtailarch-entry/src/proxy.rs
@@ -3,75 +3,207 @@
 use std::{borrow::Cow, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header, request::Parts};
-use http_body_util::{BodyExt, Full};
+use http::{Response, request::Parts};
 use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
+use tokio::time::timeout;
 use wagtailarch_fleet::Service;
-use wagtailarch_types::{Ran, RefusalReason};
+use wagtailarch_traffic::{
+    ClaimKey, ClaimOutcome, ClaimResult, MAX_OUTCOME_BYTES, PickRequest, claim_key,
+};
+use wagtailarch_types::{BackendKind, Phase, Ran, RefusalReason, RetryReason};
 
 use crate::{
-    body::{BodyError, ClientBody},
-    engine_client::uri,
+    attempts::{Attempts, Target},
+    body::ClientBody,
+    engine_client::CallError,
+    metrics::Metrics,
+    proxy_message::{outgoing, recorded_response},
+    proxy_response::{Held, ServiceAnswer, hold},
     refusal::Refusal,
-    request::RequestContext,
+    request::{RequestContext, idempotency_key},
+    settings::ms,
     snapshot::{is_idempotent, may_call},
 };
 
-/// Headers that concern one connection only, and those that are the instance's own.
-const NOT_FORWARDED: [HeaderName; 11] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::HOST,
-    header::CONTENT_LENGTH,
-    header::AUTHORIZATION,
-    header::EXPECT,
-];
-
 /// Answers a call of a plain service.
 pub async fn forward(
     context: RequestContext,
     parts: Parts,
     body: Incoming,
 ) -> Result<Response<ClientBody>, Refusal> {
-    let service = find(&context, parts.uri.path())?;
-    let shared = &context.shared;
-    if !is_idempotent(service, parts.method.as_str(), &decoded(parts.uri.path())) {
-        let message = "calls that may not be repeated need claims";
-        return Err(Refusal::not_run(RefusalReason::ClaimsUnavailable, message)
-            .retry_after(Duration::from_secs(1))
-            .with_jitter(context.id));
+    let path = decoded(parts.uri.path()).into_owned();
+    let service = find(&context, &path)?;
+    let idempotent = is_idempotent(service, parts.method.as_str(), &path);
+    let target = Target {
+        service: service.name.clone(),
+        group: service.group.clone(),
+        idempotent,
+        resumable: false,
+    };
+    let key = idempotency_key(&parts.headers)?;
+    let held = context.shared.bodies.read(body).await?;
+    let attempts = Attempts::new(context.clone(), target.clone(), &held.bytes)?;
+    let admitted = attempts.admit(0, 0)?;
+    let call = Call {
+        attempts,
+        target,
+        parts,
+        body: held.bytes.clone(),
+    };
+    let answer = if idempotent {
+        call.run().await?.into_response()
+    } else {
+        let route = format!("{} {path}", call.parts.method);
+        let id = key.unwrap_or_else(|| context.id_text.clone());
+        let key = claim_key(&context.team().name, &route, id.as_bytes());
+        // The call and the record of its outcome go on when the client goes away.
+        let run = tokio::spawn(claimed(call, key));
+        run.await.unwrap_or_else(|_| Err(lost()))?
+    };
+    // The share is free again once the response was sent.
+    Ok(answer.map(|body| crate::body::with_guard(body, (admitted, held, context))))
+}
+
+/// Claims the call, runs it and records its outcome.
+async fn claimed(call: Call, key: ClaimKey) -> Result<Response<ClientBody>, Refusal> {
+    let context = call.attempts.context().clone();
+    let claims = context.shared.claims.get().ok_or_else(claims_unavailable)?;
+    match claims.claim(key).await {
+        ClaimResult::Granted => {}
+        ClaimResult::AlreadyClaimed(Some(outcome)) => return Ok(recorded_response(outcome)),
+        ClaimResult::AlreadyClaimed(None) => {
+            let message = "the call was accepted before and its outcome is not known";
+            return Err(Refusal::not_run(RefusalReason::AlreadyAccepted, message).ran(Ran::Unknown));
+        }
+        ClaimResult::Unavailable => {
+            return Err(claims_unavailable().with_jitter(context.id));
+        }
+    }
+    let result = call.run().await;
+    match &result {
+        Ok(answer) => {
+            if let Some(body) = answer
+                .whole()
+                .filter(|body| body.len() <= MAX_OUTCOME_BYTES)
+            {
+                let status = answer.status().as_u16();
+                claims
+                    .record(
+                        key,
+                        ClaimOutcome {
+                            status,
+                            body: body.to_vec(),
+                        },
+                    )
+                    .await;
+            }
+        }
+        Err(refusal) => {
+            let status = refusal.reason.status();
+            let body = refusal.to_json().to_string().into_bytes();
+            claims.record(key, ClaimOutcome { status, body }).await;
+        }
+    }
+    result.map(ServiceAnswer::into_response)
+}
+
+fn claims_unavailable() -> Refusal {
+    Refusal::not_run(
+        RefusalReason::ClaimsUnavailable,
+        "claims cannot be recorded at present",
+    )
+    .retry_after(Duration::from_secs(1))
+}
+
+fn lost() -> Refusal {
+    Refusal::not_run(RefusalReason::BackendFailedMidway, "the call was lost").ran(Ran::Unknown)
+}
+
+/// A call of a plain service.
+struct Call {
+    attempts: Attempts,
+    target: Target,
+    parts: Parts,
+    body: Bytes,
+}
+
+impl Call {
+    /// Runs attempts until one has an answer.
+    async fn run(mut self) -> Result<ServiceAnswer, Refusal> {
+        let context = self.attempts.context().clone();
+        let received = context.received.elapsed();
+        Metrics::observe(&context.shared.metrics.added_latency, received);
+        match timeout(context.time_left(), self.attempts()).await {
+            Ok(result) => result,
+            Err(_) => Err(context.too_late(Ran::Unknown)),
+        }
+    }
+
+    async fn attempts(&mut self) -> Result<ServiceAnswer, Refusal> {
+        loop {
+            let pick = self.attempts.pick(self.pick_request()).await?;
+            let guard = self.attempts.enter(&pick);
+            let reason = match self.attempt(&pick.address).await {
+                Ok(Held::Answer(mut answer)) => {
+                    self.attempts.completed(&pick);
+                    answer.keep((pick, guard));
+                    return Ok(answer);
+                }
+                Ok(Held::Broken) => RetryReason::StreamBroken,
+                Err(error) => {
+                    self.attempts.note_signs(&pick, &error);
+                    retry_reason(&error)
+                }
+            };
+            self.attempts.failed(&pick, reason, guard, false).await?;
+        }
+    }
+
+    async fn attempt(&self, address: &str) -> Result<Held, CallError> {
+        let context = self.attempts.context();
+        let shared = &context.shared;
+        let request = outgoing(context, &self.parts, address, self.body.clone())?;
+        let sent = shared.engines.send(request);
+        let limit = ms(shared.settings.timeouts.service_ms);
+        let response = timeout(limit, sent)
+            .await
+            .map_err(|_| CallError::TimedOut)??;
+        hold(
+            response,
+            shared.settings.limits.response_buffer_bytes,
+            limit,
+        )
+        .await
+    }
+
+    fn pick_request(&self) -> PickRequest {
+        PickRequest {
+            group: self.target.group.clone(),
+            kind: BackendKind::Service,
+            phase: Phase::Full,
+            model: None,
+            version: None,
+            adapter: None,
+            prefix_hashes: Vec::new(),
+            prompt_tokens: 0,
+            near: None,
+            excluded: Vec::new(),
+            suspect: false,
+            apart_from: Vec::new(),
+        }
+    }
+}
+
+const fn retry_reason(error: &CallError) -> RetryReason {
+    match error {
+        CallError::ConnectFailed | CallError::BadAddress => RetryReason::ConnectFailed,
+        CallError::Refused { ran: Ran::No, .. } => RetryReason::RefusedNotRun,
+        CallError::TimedOut => RetryReason::FirstTokenTimeout,
+        CallError::Refused { .. } | CallError::ClosedBeforeAnswer | CallError::BadAnswer => {
+            RetryReason::ClosedBeforeAnswer
+        }
     }
-    let held = shared.bodies.read(body).await?;
-    let pick = shared
-        .router
-        .pick(&service.group, None, &[])
-        .ok_or_else(|| {
-            Refusal::not_run(
-                RefusalReason::NoBackend,
-                "no backend server can serve the request",
-            )
-            .retry_after(Duration::from_secs(1))
-            .with_jitter(context.id)
-        })?;
-    let request = outgoing(&context, &parts, &pick.address, held.bytes.clone())?;
-    let response = shared.engines.send(request).await.map_err(|error| {
-        Refusal::not_run(RefusalReason::AttemptsExhausted, error.to_string()).ran(Ran::Unknown)
-    })?;
-    let (mut head, body) = response.into_parts();
-    strip(&mut head.headers);
-    let body = body.map_err(|error| -> BodyError { error.into() });
-    let body = body.map_frame(move |frame| {
-        // The pick counts as one request in flight until the body was read.
-        let _ = &pick;
-        frame
-    });
-    Ok(Response::from_parts(head, BodyExt::boxed_unsync(body)))
 }
 
 /// Returns the path as the backend server resolves it.
@@ -92,37 +224,3 @@
     let message = format!("the team may not call {:?}", service.name);
     Err(Refusal::not_run(RefusalReason::ForbiddenService, message))
 }
-
-fn outgoing(
-    context: &RequestContext,
-    parts: &Parts,
-    address: &str,
-    body: Bytes,
-) -> Result<Request<Full<Bytes>>, Refusal> {
-    let bad = |_| Refusal::not_run(RefusalReason::BadRequest, "the path is not valid");
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut request = Request::new(Full::from(body));
-    *request.method_mut() = parts.method.clone();
-    *request.uri_mut() = uri(address, path).map_err(bad)?;
-    *request.headers_mut() = parts.headers.clone();
-    strip(request.headers_mut());
-    let id = HeaderValue::from_str(&context.id_text).expect("request ids are hexadecimal");
-    request.headers_mut().insert("x-request-id", id);
-    Ok(request)
-}
-
-/// Removes the headers that are not forwarded, and those that `Connection` names.
-fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&NOT_FORWARDED) {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
-}
--- a/crates/wagtailarch-entry/src/request.rs
+++ b/crates/wagtailarch-entry/src/request.rs
@@ -18,6 +18,9 @@
     snapshot::Snapshot,
 };
 
+/// Greatest length of an idempotency key in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
+
 /// An authorized request.
 #[derive(Debug, Clone)]
 pub struct RequestContext {
@@ -37,6 +40,8 @@
     pub received: Instant,
     /// When the answer must be complete.
     pub deadline: Instant,
+    /// Whether the client has stated a deadline.
+    pub has_deadline: bool,
     /// Keeps a shutdown waiting while any part of the request is left.
     _running: Arc<Running>,
 }
@@ -60,6 +65,7 @@
         })?;
         let received = Instant::now();
         let allowed = snapshot.fleet.teams[team].priority;
+        let stated = deadline(headers)?;
         let limit = ms(shared.settings.timeouts.deadline_ms);
         Ok(Self {
             shared: Arc::clone(shared),
@@ -68,7 +74,8 @@
             team,
             priority: priority(headers)?.map_or(allowed, |wanted| wanted.min(allowed)),
             received,
-            deadline: received + deadline(headers)?.map_or(limit, |wanted| wanted.min(limit)),
+            deadline: received + stated.map_or(limit, |wanted| wanted.min(limit)),
+            has_deadline: stated.is_some(),
             snapshot,
             _running: Arc::new(running),
         })
@@ -116,6 +123,17 @@
         .ok_or_else(|| bad_header("x-deadline-ms must be a number of milliseconds"))
 }
 
+/// Reads the key that a client gives to recognise a repeated call.
+pub fn idempotency_key(headers: &HeaderMap) -> Result<Option<SmolStr>, Refusal> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    let text = value.to_str().ok();
+    let text = text.filter(|text| !text.is_empty() && text.len() <= MAX_IDEMPOTENCY_KEY_BYTES);
+    text.map(|text| Some(text.into()))
+        .ok_or_else(|| bad_header("Idempotency-Key must be visible ASCII of at most 256 bytes"))
+}
+
 fn bad_header(message: &str) -> Refusal {
     Refusal::not_run(RefusalReason::BadRequest, message)
 }
--- a/crates/wagtailarch-entry/src/snapshot.rs
+++ b/crates/wagtailarch-entry/src/snapshot.rs
@@ -4,6 +4,7 @@
 
 use smol_str::SmolStr;
 use wagtailarch_fleet::{Fleet, Group, GroupKind, Service, Team};
+use wagtailarch_traffic::RetryBudget;
 use wagtailarch_types::{Generation, GroupName, HashedKey, ServiceName};
 
 use crate::auth::parse_key_hash;
@@ -23,6 +24,8 @@
     prefixes: Vec<(SmolStr, usize)>,
     /// Positions in `fleet.groups` by name.
     groups: HashMap<GroupName, usize>,
+    /// Retry budgets by service; one that keeps its settings lives on in the next configuration.
+    budgets: HashMap<ServiceName, Arc<RetryBudget>>,
 }
 
 impl Snapshot {
@@ -36,6 +39,12 @@
         let mut prefixes: Vec<_> = plain.collect();
         prefixes.sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
         let groups = fleet.groups.iter().enumerate();
+        let (ratio, floor) = (
+            fleet.policy.retry_budget_ratio,
+            fleet.policy.retry_budget_floor_per_s,
+        );
+        let budget = |s: &Service| (s.name.clone(), Arc::new(RetryBudget::new(ratio, floor)));
+        let budgets = fleet.services.iter().map(budget).collect();
         Self {
             generation,
             teams: teams.collect(),
@@ -44,10 +53,31 @@
                 .collect(),
             prefixes,
             groups: groups.map(|(at, group)| (group.name.clone(), at)).collect(),
+            budgets,
             fleet,
         }
     }
 
+    /// Takes over the retry budgets of the configuration before, if their settings are the same.
+    pub fn keep_budgets(&mut self, before: &Self) {
+        let (new, old) = (&self.fleet.policy, &before.fleet.policy);
+        if new.retry_budget_ratio != old.retry_budget_ratio
+            || new.retry_budget_floor_per_s != old.retry_budget_floor_per_s
+        {
+            return;
+        }
+        for (service, budget) in &mut self.budgets {
+            if let Some(old) = before.budgets.get(service) {
+                *budget = Arc::clone(old);
+            }
+        }
+    }
+
+    /// Returns the retry budget of a service.
+    pub fn budget(&self, service: &str) -> Option<&RetryBudget> {
+        self.budgets.get(service).map(Arc::as_ref)
+    }
+
     /// Returns the position in `fleet.teams` of the team with the key.
     pub fn team_index(&self, key: &HashedKey) -> Option<usize> {
         self.teams.get(key).copied()
--- a/crates/wagtailarch-entry/tests/bad_input.rs
+++ b/crates/wagtailarch-entry/tests/bad_input.rs
@@ -5,7 +5,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use common::{
-    FakeEngine, FakeList, KEY, QUICK, chat, client, listed, listed_service, post, read, start,
+    FakeEngine, KEY, QUICK, chat, client, listed, listed_service, platform, post, read, start,
 };
 use http::Request;
 use http_body_util::Full;
@@ -23,7 +23,7 @@
 
 async fn fixture() -> (Arc<FakeEngine>, Instance) {
     let engine = FakeEngine::start("e1").await;
-    let platform = FakeList::start(json!([listed(&engine)])).await;
+    let platform = platform(json!([listed(&engine)]));
     let instance = start(&platform, SETTINGS).await;
     (engine, instance)
 }
@@ -237,7 +237,7 @@
         let seen = request.headers().contains_key("authorization");
         common::whole(200, format!("{} {seen}", request.uri()))
     });
-    let platform = FakeList::start(json!([listed_service("s1", address)])).await;
+    let platform = platform(json!([listed_service("s1", address)]));
     let instance = start(&platform, QUICK).await;
     let uri = format!("http://{}/lids/3?full=1", instance.client_address());
     let call = Request::get(uri).header("authorization", format!("Bearer {KEY}"));
--- a/crates/wagtailarch-entry/tests/common/mod.rs
+++ b/crates/wagtailarch-entry/tests/common/mod.rs
@@ -28,7 +28,8 @@
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::mpsc};
 use wagtailarch_entry::{Instance, discard, parse_settings};
-use wagtailarch_wire::{engine::GenerateRequest, platform::InstanceList};
+use wagtailarch_platform::{FakeFaults, FakePlatform, Platform};
+use wagtailarch_wire::engine::GenerateRequest;
 
 /// Error with which a fake breaks a response.
 type Broken = Box<dyn std::error::Error + Send + Sync>;
@@ -213,41 +214,11 @@
     }
 }
 
-/// A fake platform that serves a list of instances and no objects.
-#[derive(Debug)]
-pub struct FakeList {
-    pub address: SocketAddr,
-    pub list: Mutex<InstanceList>,
-}
-
-impl FakeList {
-    pub async fn start(items: Value) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let platform = Arc::new(Self {
-            address: listener.local_addr().unwrap(),
-            list: Mutex::default(),
-        });
-        platform.set(items);
-        let fake = Arc::clone(&platform);
-        serve(listener, move |request| {
-            let list = serde_json::to_string(&*fake.list.lock().unwrap()).unwrap();
-            let known = request.uri().path() == "/v1/instances";
-            async move {
-                if known {
-                    whole(200, list)
-                } else {
-                    whole(503, String::new())
-                }
-            }
-        });
-        platform
-    }
-
-    pub fn set(&self, items: Value) {
-        let mut list = self.list.lock().unwrap();
-        list.revision += 1;
-        list.items = serde_json::from_value(items).unwrap();
-    }
+/// Creates an empty platform in memory with these instances.
+pub fn platform(items: Value) -> Arc<FakePlatform> {
+    let platform = Arc::new(FakePlatform::new(7, FakeFaults::default()));
+    platform.set_instances(serde_json::from_value(items).unwrap());
+    platform
 }
 
 /// An item of the list for an engine.
@@ -316,22 +287,23 @@
 }
 
 /// Starts an instance with `extra` settings; returns once it has backend servers.
-pub async fn start(platform: &FakeList, extra: &str) -> Instance {
+pub async fn start(platform: &Arc<FakePlatform>, extra: &str) -> Instance {
     let directory = tempfile::tempdir().unwrap();
     let file = directory.path().join("fleet.toml");
     std::fs::write(&file, fleet_file()).unwrap();
     let settings = format!(
         "instance = \"entry-1\"\nzone = \"buda-a\"\nclient_address = \"127.0.0.1:0\"\n\
-         admin_address = \"127.0.0.1:0\"\nplatform_address = \"{}\"\nfleet_file = {file:?}\n\
-         {extra}\n",
-        platform.address,
+         admin_address = \"127.0.0.1:0\"\nfleet_file = {file:?}\n{extra}\n",
     );
     let settings = parse_settings(&settings).unwrap();
-    let instance = Instance::start(settings, discard()).await.unwrap();
-    let wanted = platform.list.lock().unwrap().items.len();
+    let (control, traffic) = (platform.clone(), platform.clone());
+    let instance = Instance::start_with(settings, discard(), control, traffic)
+        .await
+        .unwrap();
+    let wanted = platform.instances().await.unwrap().items.len();
     eventually("the instance knows its backend servers", || {
         let views = instance.shared().backends.load();
-        views.iter().filter(|view| view.accepting).count() == wanted
+        views.values().filter(|view| view.accepting).count() == wanted
     })
     .await;
     instance
--- a/crates/wagtailarch-entry/tests/streams.rs
+++ b/crates/wagtailarch-entry/tests/streams.rs
@@ -2,14 +2,14 @@
 
 mod common;
 
-use common::{FakeEngine, FakeList, QUICK, chat, client, listed, read, start, stream_text, text};
+use common::{FakeEngine, QUICK, chat, client, listed, platform, read, start, stream_text, text};
 use serde_json::{Value, json};
 
 /// Guards against text that is lost, doubled or reordered between engine and client.
 #[tokio::test]
 async fn a_whole_and_a_streamed_answer_have_the_same_text() {
     let engine = FakeEngine::start("e1").await;
-    let platform = FakeList::start(json!([listed(&engine)])).await;
+    let platform = platform(json!([listed(&engine)]));
     let instance = start(&platform, QUICK).await;
     let client = client();
     let whole = client
