--- a/crates/wagtailarch-entry/src/claims.rs
+++ b/crates/wagtailarch-entry/src/claims.rs
@@ -23,6 +23,9 @@
 /// Commands that may wait for one partition.
 const QUEUE: usize = 1_024;
 
+/// Claims that may wait for newer entries.
+const MAX_REFRESH: usize = 1_024;
+
 /// Objects that are listed at once.
 const PAGE: usize = 64;
 
@@ -114,6 +117,8 @@
                 instance: self.instance.clone(),
                 epoch: Instant::now(),
                 waiting: HashMap::new(),
+                refreshing: Vec::new(),
+                to_refresh: Vec::new(),
                 next_ticket: 0,
                 logger: self.log.clone(),
             };
@@ -172,11 +177,11 @@
         }
     }
 
-    /// Lists all entries.
-    async fn list(&self) -> Result<Vec<(u64, ClaimBatch)>, ListError> {
+    /// Lists all entries from number `first` on.
+    async fn list(&self, first: u64) -> Result<Vec<(u64, ClaimBatch)>, ListError> {
         let prefix = self.prefix();
         let mut entries = Vec::new();
-        let mut after: Option<String> = None;
+        let mut after = first.checked_sub(1).map(|before| self.key(before));
         loop {
             let page = self.platform.0.list(&prefix, after.as_deref(), PAGE).await;
             let page = page.map_err(|error| ListError(error.to_string()))?;
@@ -204,6 +209,16 @@
 enum IoResult {
     Read(u64, ReadResult),
     Created(u64, CreateResult),
+    Listed(Option<Vec<(u64, ClaimBatch)>>),
+}
+
+/// A claim without result.
+#[derive(Debug)]
+struct Waiting {
+    key: ClaimKey,
+    result: oneshot::Sender<ClaimResult>,
+    /// Whether newer entries have been listed for it.
+    refreshed: bool,
 }
 
 /// Drives the claim log of one partition.
@@ -213,7 +228,11 @@
     instance: InstanceId,
     epoch: Instant,
     /// Claims without result; bounded by the log.
-    waiting: HashMap<ClaimTicket, oneshot::Sender<ClaimResult>>,
+    waiting: HashMap<ClaimTicket, Waiting>,
+    /// Claims whose outcome may be in entries that are being listed.
+    refreshing: Vec<Waiting>,
+    /// Claims for the next listing; with `refreshing` at most `MAX_REFRESH`.
+    to_refresh: Vec<Waiting>,
     next_ticket: ClaimTicket,
     logger: Logger,
 }
@@ -239,15 +258,12 @@
                     None => return,
                 },
                 Some(result) = results.recv() => {
-                    let now = self.now();
-                    match result {
-                        IoResult::Read(seq, result) => current.on_read(now, seq, result),
-                        IoResult::Created(seq, result) => current.on_created(now, seq, result),
-                    }
+                    self.on_io(current, result)
                 }
                 () = sleep_until(tick) => current.tick(self.now()),
             };
             self.act(actions, &io);
+            self.refresh(current, &io);
             if current.is_stale() {
                 log = None;
             }
@@ -257,7 +273,7 @@
     /// Lists the partition; claims that arrive while the platform fails are refused.
     async fn open(&mut self, commands: &mut mpsc::Receiver<Command>) -> Option<ClaimLog> {
         let listed_at = self.now();
-        let entries = match self.store.list().await {
+        let entries = match self.store.list(0).await {
             Ok(entries) => entries,
             Err(error) => {
                 warn!(self.logger, "claims_unreadable"; "partition" => self.store.partition,
@@ -281,16 +297,70 @@
     fn command(&mut self, log: &mut ClaimLog, command: Command) -> Vec<ClaimAction> {
         let now = self.now();
         match command {
-            Command::Submit { key, result } => {
-                let ticket = self.next_ticket;
-                self.next_ticket += 1;
-                self.waiting.insert(ticket, result);
-                log.submit(now, ticket, key)
-            }
+            Command::Submit { key, result } => self.submit(
+                log,
+                Waiting {
+                    key,
+                    result,
+                    refreshed: false,
+                },
+            ),
             Command::Outcome { key, outcome } => log.record_outcome(now, key, outcome),
         }
     }
 
+    fn submit(&mut self, log: &mut ClaimLog, waiting: Waiting) -> Vec<ClaimAction> {
+        let (ticket, key) = (self.next_ticket, waiting.key);
+        self.next_ticket += 1;
+        self.waiting.insert(ticket, waiting);
+        log.submit(self.now(), ticket, key)
+    }
+
+    fn on_io(&mut self, log: &mut ClaimLog, result: IoResult) -> Vec<ClaimAction> {
+        let now = self.now();
+        match result {
+            IoResult::Read(seq, result) => log.on_read(now, seq, result),
+            IoResult::Created(seq, result) => log.on_created(now, seq, result),
+            IoResult::Listed(entries) => {
+                let mut actions = log.on_page(now, entries.unwrap_or_default());
+                for waiting in std::mem::take(&mut self.refreshing) {
+                    actions.extend(self.submit(log, waiting));
+                }
+                actions
+            }
+        }
+    }
+
+    /// Lists newer entries for claims whose outcome is not known.
+    ///
+    /// A log that is caught up reads no further on its own, so an outcome that another instance
+    /// has recorded since would stay unknown.
+    fn refresh(&mut self, log: &ClaimLog, io: &mpsc::Sender<IoResult>) {
+        if self.to_refresh.is_empty() || !self.refreshing.is_empty() {
+            return;
+        }
+        self.refreshing = std::mem::take(&mut self.to_refresh);
+        let (store, io, first) = (self.store.clone(), io.clone(), log.next_seq());
+        tokio::spawn(async move {
+            let entries = store.list(first).await.ok();
+            let _ = io.send(IoResult::Listed(entries)).await;
+        });
+    }
+
+    /// Answers a claim, or keeps it until newer entries were listed.
+    fn resolve(&mut self, ticket: ClaimTicket, result: ClaimResult) {
+        let Some(mut waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        let full = self.refreshing.len() + self.to_refresh.len() >= MAX_REFRESH;
+        if result == ClaimResult::AlreadyClaimed(None) && !waiting.refreshed && !full {
+            waiting.refreshed = true;
+            self.to_refresh.push(waiting);
+            return;
+        }
+        let _ = waiting.result.send(result);
+    }
+
     fn act(&mut self, actions: Vec<ClaimAction>, io: &mpsc::Sender<IoResult>) {
         for action in actions {
             let (store, io) = (self.store.clone(), io.clone());
@@ -307,11 +377,7 @@
                         let _ = io.send(IoResult::Created(seq, result)).await;
                     });
                 }
-                ClaimAction::Resolve { ticket, result } => {
-                    if let Some(waiting) = self.waiting.remove(&ticket) {
-                        let _ = waiting.send(result);
-                    }
-                }
+                ClaimAction::Resolve { ticket, result } => self.resolve(ticket, result),
             }
         }
     }
--- a/crates/wagtailarch-entry/tests/common/mod.rs
+++ b/crates/wagtailarch-entry/tests/common/mod.rs
@@ -27,13 +27,14 @@
 };
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::mpsc};
+use tokio_util::sync::CancellationToken;
 use wagtailarch_entry::{Instance, discard, parse_settings};
 use wagtailarch_platform::{FakeFaults, FakePlatform, Platform};
 use wagtailarch_wire::engine::GenerateRequest;
 
 /// Error with which a fake breaks a response.
-type Broken = Box<dyn std::error::Error + Send + Sync>;
-type FakeBody = BoxBody<Bytes, Broken>;
+pub type Broken = Box<dyn std::error::Error + Send + Sync>;
+pub type FakeBody = BoxBody<Bytes, Broken>;
 
 /// What a fake engine does with one generate call.
 #[derive(Debug, Clone)]
@@ -50,6 +51,8 @@
         code: &'static str,
         not_run: bool,
     },
+    /// Closes the engine's sockets, as when its process dies.
+    Crash,
     /// Ends a prefill.
     Prefill { handle: &'static str },
 }
@@ -65,6 +68,7 @@
     pub boot_id: AtomicU64,
     pub role: Mutex<&'static str>,
     pub state: Mutex<&'static str>,
+    pub crashed: CancellationToken,
 }
 
 /// Text of the token with the index; every fake engine generates the same text.
@@ -89,9 +93,12 @@
             boot_id: AtomicU64::new(1),
             role: Mutex::new("mixed"),
             state: Mutex::new("serving"),
+            crashed: CancellationToken::new(),
         });
         let fake = Arc::clone(&engine);
-        serve(listener, move |request| Arc::clone(&fake).answer(request));
+        serve_until(engine.crashed.clone(), listener, move |request| {
+            Arc::clone(&fake).answer(request)
+        });
         engine
     }
 
@@ -115,6 +122,10 @@
                 let call: GenerateRequest = serde_json::from_slice(&body).unwrap();
                 self.calls.lock().unwrap().push(call.clone());
                 let script = self.scripts.lock().unwrap().pop_front();
+                if matches!(script, Some(Script::Crash)) {
+                    self.crashed.cancel();
+                    return std::future::pending().await;
+                }
                 run(
                     call,
                     script.unwrap_or(Script::Answer {
@@ -192,7 +203,7 @@
             let _ = sender.send(Ok(format!("{frame}\n"))).await;
             return;
         }
-        Script::Refuse { .. } => return,
+        Script::Refuse { .. } | Script::Crash => return,
     };
     for index in call.from_index..end {
         if !pause.is_zero() {
@@ -239,13 +250,23 @@
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<FakeBody>> + Send + 'static,
 {
-    tokio::spawn(async move {
+    serve_until(CancellationToken::new(), listener, answer);
+}
+
+/// Serves every connection with `answer` and closes all sockets once `stop` is cancelled.
+fn serve_until<F, R>(stop: CancellationToken, listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<FakeBody>> + Send + 'static,
+{
+    tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 return;
             };
             let answer = answer.clone();
-            tokio::spawn(async move {
+            let stop = stop.clone();
+            tokio::spawn(stop.run_until_cancelled_owned(async move {
                 let service = service_fn(|request| {
                     let response = answer(request);
                     async move { Ok::<_, Infallible>(response.await) }
@@ -254,9 +275,9 @@
                 let _ = builder
                     .serve_connection(TokioIo::new(stream), service)
                     .await;
-            });
+            }));
         }
-    });
+    }));
 }
 
 /// A whole response of a fake.
@@ -368,3 +389,12 @@
     }
     panic!("{what} did not happen");
 }
+
+/// A response whose connection closes before its head.
+pub fn broken() -> Response<FakeBody> {
+    // hyper sends the head of a response with its first body frame or error; an error before any
+    // data closes the connection without a complete response.
+    let (sender, lines) = mpsc::channel(1);
+    sender.try_send(Err("broken on purpose".into())).unwrap();
+    streamed(lines)
+}
--- /dev/null
+++ b/crates/wagtailarch-entry/tests/shutdown.rs
@@ -0,0 +1,109 @@
+//! Shutdown without a cut request, health, metrics and the administration API.
+
+mod common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::{FakeEngine, QUICK, Script, chat, client, listed, platform, read, start, stream_text};
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use serde_json::{Value, json};
+use wagtailarch_types::{RefusalReason, RetryReason};
+
+async fn get(address: SocketAddr, path: &str, key: Option<&str>) -> (u16, String) {
+    let mut call = Request::get(format!("http://{address}{path}"));
+    if let Some(key) = key {
+        call = call.header("authorization", format!("Bearer {key}"));
+    }
+    let call = call.body(Full::default()).unwrap();
+    let (status, body) = read(client().request(call).await.unwrap()).await;
+    (status.as_u16(), body)
+}
+
+/// Guards against a shutdown that cuts a stream, refuses late clients or never ends.
+#[tokio::test]
+async fn a_drain_cuts_nothing() {
+    let engine = FakeEngine::start("e1").await;
+    engine.script(Script::Answer {
+        tokens: 100,
+        pause: Duration::from_millis(10),
+    });
+    let instance = start(&platform(json!([listed(&engine)])), QUICK).await;
+    let (clients, admin) = (instance.client_address(), instance.admin_address());
+    assert_eq!(get(admin, "/readyz", None).await.0, 200);
+    let mut body = client()
+        .request(chat(clients, "hi", true))
+        .await
+        .unwrap()
+        .into_body();
+    let mut received = body
+        .frame()
+        .await
+        .unwrap()
+        .unwrap()
+        .into_data()
+        .unwrap()
+        .to_vec();
+    let shared = instance.shared().clone();
+    let drain = tokio::spawn(instance.drain());
+    common::eventually("the drain begins", || !shared.is_ready()).await;
+    assert_eq!(get(admin, "/readyz", None).await.0, 503);
+    assert_eq!(get(admin, "/healthz", None).await.0, 200);
+    // The balancer notices with delay: until then new clients are served.
+    let late = client().request(chat(clients, "hi", false)).await.unwrap();
+    assert_eq!(read(late).await.0, 200);
+    while let Some(frame) = body.frame().await {
+        received.extend_from_slice(&frame.unwrap().into_data().unwrap());
+    }
+    let received = String::from_utf8(received).unwrap();
+    assert_eq!(stream_text(&received), (common::text(100), true));
+    assert!(drain.await.unwrap());
+    assert!(client().request(chat(clients, "hi", false)).await.is_err());
+}
+
+/// Guards against counters that appear only with their first event.
+#[tokio::test]
+async fn every_reason_has_a_counter_from_the_start() {
+    let instance = start(&platform(json!([])), QUICK).await;
+    let (status, metrics) = get(instance.admin_address(), "/metrics", None).await;
+    assert_eq!(status, 200);
+    for reason in RefusalReason::ALL {
+        let line = format!("wagtail_refusals_total{{reason=\"{reason}\"}} 0");
+        assert!(metrics.contains(&line), "{line}");
+    }
+    for reason in RetryReason::ALL {
+        let line = format!("wagtail_retries_total{{reason=\"{reason}\"}} 0");
+        assert!(metrics.contains(&line), "{line}");
+    }
+    assert!(metrics.contains("wagtail_dropped_frames_total{cause=\"other_request\"} 0"));
+}
+
+/// Guards against an administration API that is open to anyone or to clients' keys.
+#[tokio::test]
+async fn the_administration_api_needs_its_own_key() {
+    let engine = FakeEngine::start("e1").await;
+    let hash = blake3::hash(b"admin-secret").to_hex();
+    let keys = format!("{QUICK}[[admin_key]]\nname = \"ops\"\nkey_hash = \"blake3:{hash}\"\n");
+    let instance = start(&platform(json!([listed(&engine)])), &keys).await;
+    let address = instance.admin_address();
+    for key in [None, Some(common::KEY), Some("admin-secret ")] {
+        let (status, _) = get(address, "/admin/v1/generation", key).await;
+        assert_eq!(status == 401, key != Some("admin-secret "), "{key:?}");
+    }
+    let (_, body) = get(address, "/admin/v1/generation", Some("admin-secret")).await;
+    let body: Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(
+        (&body["generation"], &body["ready"]),
+        (&json!(1), &json!(true))
+    );
+    let (_, body) = get(address, "/admin/v1/backends", Some("admin-secret")).await;
+    let body: Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(body["backends"][0]["id"], "e1");
+    assert_eq!(body["backends"][0]["accepting"], true);
+    assert_eq!(
+        get(address, "/admin/v1/quarantine", Some("admin-secret"))
+            .await
+            .0,
+        200
+    );
+}
