--- a/crates/wagtailarch-control/src/lib.rs
+++ b/crates/wagtailarch-control/src/lib.rs
@@ -14,6 +14,8 @@
 mod membership;
 mod outcome;
 mod planner;
+mod planner_capacity;
+mod planner_demand;
 mod rollout;
 mod zone_status;
 
@@ -24,6 +26,8 @@
 pub use lifecycle::{EngineLifecycle, LifecycleEvent, LifecyclePhase};
 pub use membership::{BackendStatus, LeavingSign, Membership, MembershipConfig};
 pub use outcome::{ReadOutcome, WriteOutcome};
-pub use planner::{Demand, Planner, PlannerConfig, PlannerGroup, RoleChange, ZoneEngine, ZoneView};
+pub use planner::{
+    ChangeReason, Demand, Planner, PlannerConfig, PlannerGroup, RoleChange, ZoneEngine, ZoneView,
+};
 pub use rollout::{Rollout, RolloutAction, RolloutEngine, RolloutGroup, RolloutView};
 pub use zone_status::ZoneStatus;
