--- a/crates/wagtailarch-standin/src/service.rs
+++ b/crates/wagtailarch-standin/src/service.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{Logger, error};
 use smol_str::SmolStr;
+use wagtailarch_types::{BackendState, BootId};
 use wagtailarch_wire::engine::RAN_HEADER;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -26,6 +27,7 @@
 OPTIONS:
   --port <N>            port on loopback; 0 picks one and prints it [0]
   --name <NAME>         name in answers [service-1]
+  --max-running <N>     capacity that the load report states; not enforced [64]
   --delay-ms <N>        time of a run [5]
   --stop-linger-ms <N>  time to refuse new calls after SIGTERM [3000]
   --stop-grace-ms <N>   time to finish running calls after SIGTERM [10000]
@@ -42,6 +44,8 @@
 const MAX_RUNS: usize = 200_000;
 /// Longest text kept of a header or path.
 const MAX_TEXT_BYTES: usize = 256;
+/// Path of the load report.
+const REPORT_PATH: &str = "/service/v1/report";
 /// Path prefix of the control API.
 const CONTROL_PREFIX: &str = "/standin/v1/";
 
@@ -52,6 +56,8 @@
     pub port: u16,
     /// Name in answers.
     pub name: SmolStr,
+    /// Capacity that the load report states; it is not enforced.
+    pub max_running: u32,
     /// Time of a run.
     pub delay: Duration,
     /// Time to refuse new calls after SIGTERM.
@@ -66,6 +72,7 @@
         Ok(Self {
             port: option(args, "--port", 0)?,
             name: option(args, "--name", SmolStr::from("service-1"))?,
+            max_running: option(args, "--max-running", 64)?,
             delay: millis(args, "--delay-ms", 5)?,
             stop_linger: millis(args, "--stop-linger-ms", 3000)?,
             stop_grace: millis(args, "--stop-grace-ms", 10_000)?,
@@ -106,6 +113,23 @@
     pub count: u64,
 }
 
+/// Load report of the service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceReport {
+    /// Name of the service.
+    pub service: SmolStr,
+    /// Start of the process.
+    pub boot_id: BootId,
+    /// Sequence number; it rises within one boot.
+    pub seq: u64,
+    /// Calls that run now.
+    pub running: u64,
+    /// Capacity.
+    pub max_running: u32,
+    /// State; never changing.
+    pub state: BackendState,
+}
+
 /// State of the service.
 struct Inner {
     delay: Duration,
@@ -115,6 +139,8 @@
     next_run: u64,
     /// Calls that run now.
     running: u64,
+    /// Sequence number of the last report.
+    report_seq: u64,
     /// At most [`MAX_RUNS`].
     runs: VecDeque<Run>,
 }
@@ -122,6 +148,8 @@
 /// A running service.
 struct PlainService {
     name: SmolStr,
+    boot_id: BootId,
+    max_running: u32,
     started: Instant,
     inner: Mutex<Inner>,
     logger: Logger,
@@ -137,10 +165,13 @@
         refusals: 0,
         next_run: 1,
         running: 0,
+        report_seq: 0,
         runs: VecDeque::new(),
     };
     let service = Arc::new(PlainService {
         name: settings.name,
+        boot_id: rand::random(),
+        max_running: settings.max_running,
         started: Instant::now(),
         inner: Mutex::new(inner),
         logger: logger.clone(),
@@ -183,6 +214,9 @@
                 .await
                 .unwrap_or_else(|refusal| refusal);
         }
+        if path == REPORT_PATH {
+            return json_answer(StatusCode::OK, &self.report());
+        }
         if let Some(refusal) = self.refuse() {
             return refusal;
         }
@@ -206,6 +240,24 @@
         json_answer(StatusCode::OK, &run)
     }
 
+    fn report(&self) -> ServiceReport {
+        let mut inner = self.lock();
+        inner.report_seq += 1;
+        let draining = inner.draining;
+        ServiceReport {
+            service: self.name.clone(),
+            boot_id: self.boot_id,
+            seq: inner.report_seq,
+            running: inner.running,
+            max_running: self.max_running,
+            state: if draining {
+                BackendState::Draining
+            } else {
+                BackendState::Serving
+            },
+        }
+    }
+
     fn refuse(&self) -> Option<Response<Body>> {
         let mut inner = self.lock();
         let draining = inner.draining;
