Add wagtail-load, which checks every answer

The guarantees speak of whole, single and own answers, so counting status codes is not enough. The tool compares each answer with the token function of the stand-in engines and, at the end, the runs of the plain services with the answers to non-idempotent calls.

Arrivals are open-loop and planned from a seed; the mix shifts over the phases of a scenario file. A connection that cannot be made counts as unreachable, not as lost, since nothing was accepted. An error event in an accepted stream counts as lost. Direct calls to engines in the same run give the latency that entry instances add.

--- /dev/null
+++ b/crates/wagtailarch-load/src/load/client.rs
@@ -0,0 +1,166 @@
+//! Model calls through entry instances.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::TokioExecutor;
+use serde_json::json;
+use smol_str::SmolStr;
+
+use super::answer::{AnswerReader, refusal};
+use super::outcome::{Exchange, Kind, Outcome};
+use super::plan::Arrival;
+use super::scenario::Scenario;
+
+/// HTTP client with a pool of connections.
+pub(super) type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Greatest whole answer; the list of runs of a service is the largest.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Header with the id of the request.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
+/// Creates a client; HTTP/2 is used with prior knowledge.
+pub(super) fn http_client(http2: bool) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_secs(5)));
+    Client::builder(TokioExecutor::new())
+        .http2_only(http2)
+        .build(connector)
+}
+
+/// Sends a model call and checks its answer.
+pub(super) async fn call_model(
+    client: &HttpClient,
+    address: &str,
+    scenario: &Scenario,
+    arrival: &Arrival,
+) -> Exchange {
+    let start = Instant::now();
+    let streamed = arrival.kind == Kind::Stream;
+    let path = if arrival.chat {
+        "/v1/chat/completions"
+    } else {
+        "/v1/completions"
+    };
+    let mut body = json!({
+        "model": scenario.model,
+        "max_tokens": arrival.max_tokens,
+        "stream": streamed,
+    });
+    if arrival.chat {
+        body["messages"] = json!([{"role": "user", "content": arrival.prompt}]);
+    } else {
+        body["prompt"] = json!(arrival.prompt);
+    }
+    let request = Request::post(format!("http://{address}{path}"))
+        .header(
+            AUTHORIZATION,
+            format!("Bearer {}", scenario.keys[arrival.key]),
+        )
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::from(body.to_string()));
+    let response = match send(client, request).await {
+        Ok(response) => response,
+        Err(outcome) => return Exchange::ended(outcome, SmolStr::default(), start.elapsed()),
+    };
+    let request_id = request_id(&response);
+    if response.status() != StatusCode::OK {
+        let outcome = read_refusal(response).await;
+        return Exchange::ended(outcome, request_id, start.elapsed());
+    }
+    let mut reader = AnswerReader::new(start);
+    if streamed {
+        read_stream(response, &mut reader, AnswerReader::push_events).await;
+    } else {
+        match read_whole(response).await {
+            Ok(bytes) => reader.push_whole(&bytes),
+            Err(outcome) => reader.fail(outcome),
+        }
+    }
+    reader.into_exchange(arrival, request_id)
+}
+
+/// Sends a request and classifies a failure before the answer.
+pub(super) async fn send(
+    client: &HttpClient,
+    request: http::Result<Request<Full<Bytes>>>,
+) -> Result<Response<Incoming>, Outcome> {
+    let request = request.map_err(|error| Outcome::Unreachable(error.to_string().into()))?;
+    client.request(request).await.map_err(|error| {
+        let text = describe(&error);
+        if error.is_connect() {
+            Outcome::Unreachable(text)
+        } else {
+            Outcome::Lost(text)
+        }
+    })
+}
+
+/// Returns the id that the answer names.
+pub(super) fn request_id(response: &Response<Incoming>) -> SmolStr {
+    let value = response.headers().get(REQUEST_ID_HEADER);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .into()
+}
+
+/// Reads a whole body.
+pub(super) async fn read_whole(response: Response<Incoming>) -> Result<Bytes, Outcome> {
+    match Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await
+    {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) => Err(Outcome::Lost(format!("answer broke off: {error}").into())),
+    }
+}
+
+/// Reads the body of a refusal.
+pub(super) async fn read_refusal(response: Response<Incoming>) -> Outcome {
+    let status = response.status().as_u16();
+    match read_whole(response).await {
+        Ok(bytes) => Outcome::Refused(refusal(status, &bytes)),
+        Err(outcome) => outcome,
+    }
+}
+
+/// Gives the pieces of a streamed body to the reader.
+pub(super) async fn read_stream(
+    response: Response<Incoming>,
+    reader: &mut AnswerReader,
+    push: impl Fn(&mut AnswerReader, &[u8]),
+) {
+    let mut body = response.into_body();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Some(bytes) = frame.data_ref() {
+                    push(reader, bytes);
+                }
+            }
+            Err(error) => {
+                return reader.fail(Outcome::Lost(format!("stream broke off: {error}").into()));
+            }
+        }
+    }
+}
+
+/// Returns the text of an error with its causes.
+fn describe(error: &Error) -> SmolStr {
+    let mut text = error.to_string();
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text.into()
+}
--- /dev/null
+++ b/crates/wagtailarch-load/src/load/plain.rs
@@ -0,0 +1,99 @@
+//! Plain service calls and the check of what ran.
+
+use std::time::{Duration, Instant};
+
+use http::header::AUTHORIZATION;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+use wagtailarch_standin::service::{Run, body_hash};
+
+use super::client::{HttpClient, read_refusal, read_whole, request_id, send};
+use super::outcome::{Exchange, Kind, Outcome};
+use super::plan::Arrival;
+use super::scenario::Scenario;
+
+/// Time to read the runs of a service.
+const RUNS_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Returns the idempotency key of an arrival.
+pub(super) fn idempotency_key(scenario: &Scenario, arrival: &Arrival) -> SmolStr {
+    format!("load-{}-{}", scenario.seed, arrival.number).into()
+}
+
+/// Sends a plain call once and checks that the answer is its own.
+pub(super) async fn call_plain(
+    client: &HttpClient,
+    address: &str,
+    scenario: &Scenario,
+    arrival: &Arrival,
+) -> Exchange {
+    let start = Instant::now();
+    let (method, path) = match arrival.kind {
+        Kind::Post => (Method::POST, &scenario.post_path),
+        _ => (Method::GET, &scenario.get_path),
+    };
+    let body = match arrival.kind {
+        Kind::Post => arrival.prompt.clone(),
+        _ => String::new(),
+    };
+    let key = idempotency_key(scenario, arrival);
+    // The number makes the path of every call unique, which ties an answer without a body to it.
+    let path = format!("{path}?n={}", arrival.number);
+    let hash = body_hash(body.as_bytes());
+    let request = Request::builder()
+        .method(&method)
+        .uri(format!("http://{address}{path}"))
+        .header(
+            AUTHORIZATION,
+            format!("Bearer {}", scenario.keys[arrival.key]),
+        )
+        .header("idempotency-key", key.as_str())
+        .body(Full::from(body));
+    let response = match send(client, request).await {
+        Ok(response) => response,
+        Err(outcome) => return Exchange::ended(outcome, SmolStr::default(), start.elapsed()),
+    };
+    let request_id = request_id(&response);
+    if response.status() != StatusCode::OK {
+        let outcome = read_refusal(response).await;
+        return Exchange::ended(outcome, request_id, start.elapsed());
+    }
+    let outcome = match read_whole(response).await {
+        Err(outcome) => outcome,
+        Ok(bytes) => match serde_json::from_slice::<Run>(&bytes) {
+            Ok(run) if run.path == path && run.body_hash == hash => Outcome::Complete,
+            Ok(_) => Outcome::Mixed("answer belongs to another call".into()),
+            Err(error) => Outcome::Lost(format!("malformed answer: {error}").into()),
+        },
+    };
+    let mut exchange = Exchange::ended(outcome, request_id, start.elapsed());
+    exchange.first = Some(exchange.total);
+    exchange
+}
+
+/// Counts the runs of each idempotency key on the plain services.
+pub(super) async fn count_runs(
+    client: &HttpClient,
+    services: &[SmolStr],
+) -> Result<IndexMap<SmolStr, u32>, Outcome> {
+    let mut counts = IndexMap::new();
+    for service in services {
+        let uri = format!("http://{service}/standin/v1/runs");
+        let fetch = async {
+            let response = send(client, Request::get(uri).body(Full::default())).await?;
+            read_whole(response).await
+        };
+        let bytes = match tokio::time::timeout(RUNS_TIMEOUT, fetch).await {
+            Ok(fetched) => fetched?,
+            Err(_) => return Err(Outcome::Lost("no list of runs in time".into())),
+        };
+        let runs: Vec<Run> = serde_json::from_slice(&bytes)
+            .map_err(|error| Outcome::Lost(format!("malformed list of runs: {error}").into()))?;
+        for run in runs {
+            *counts.entry(run.idempotency_key).or_insert(0) += 1;
+        }
+    }
+    Ok(counts)
+}
--- /dev/null
+++ b/crates/wagtailarch-load/src/load/report.rs
@@ -0,0 +1,420 @@
+//! The report of a run: table, CSV and JSON.
+
+use std::fmt::{self, Write as _};
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::outcome::Kind;
+use super::recorder::{KindRecord, Recorder};
+
+/// Result of a run.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Seed of the scenario.
+    pub seed: u64,
+    /// Time from the first arrival to the last answer.
+    pub duration_s: f64,
+    /// Requests sent.
+    pub sent: u64,
+    /// Arrivals not sent because too many requests were in flight.
+    pub not_sent: u64,
+    /// Whole, own answers.
+    pub completed: u64,
+    /// Accepted requests without a whole answer.
+    pub lost: u64,
+    /// Answers with a repeated part.
+    pub doubled: u64,
+    /// Answers with foreign text.
+    pub mixed: u64,
+    /// Refused requests.
+    pub refused: u64,
+    /// Requests for which no connection could be made.
+    pub unreachable: u64,
+    /// Non-idempotent calls sent again with the same key.
+    pub repeated: u64,
+    /// Non-idempotent calls that ran more than once.
+    pub ran_twice: u64,
+    /// Non-idempotent calls that ran although the answer says "not run".
+    pub ran_though_refused: u64,
+    /// Non-idempotent calls with an answer that no service recorded.
+    pub answered_without_run: u64,
+    /// Completed, correct answers per second.
+    pub goodput_per_s: f64,
+    /// The same within the latency targets.
+    pub goodput_in_target_per_s: f64,
+    /// Tokens of completed answers per second.
+    pub tokens_per_s: f64,
+    /// Refusals by code.
+    pub refused_by_code: IndexMap<SmolStr, RefusalCount>,
+    /// Lost answers by the address that the request was sent to.
+    pub lost_by_target: IndexMap<SmolStr, u64>,
+    /// Figures by kind; kinds without requests are left out.
+    pub kinds: Vec<KindReport>,
+    /// Time that entry instances add to the first token of streamed answers, if there were direct
+    /// calls: difference of the percentiles, in microseconds.
+    pub added_first_token_us: Option<Added>,
+    /// The first faults, at most 50.
+    pub faults: Vec<Fault>,
+}
+
+/// Refusals with one code, by what they say about a run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusalCount {
+    /// "Not run".
+    pub ran_no: u64,
+    /// Ran.
+    pub ran_yes: u64,
+    /// Unknown, or not said.
+    pub ran_unknown: u64,
+}
+
+impl RefusalCount {
+    /// Counts one refusal.
+    pub fn add(&mut self, ran: &str) {
+        match ran {
+            "no" => self.ran_no += 1,
+            "yes" => self.ran_yes += 1,
+            _ => self.ran_unknown += 1,
+        }
+    }
+
+    /// Returns the number of refusals.
+    pub fn total(&self) -> u64 {
+        self.ran_no + self.ran_yes + self.ran_unknown
+    }
+}
+
+/// Figures of one kind of request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct KindReport {
+    /// Kind.
+    pub kind: Kind,
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole, own answers.
+    pub completed: u64,
+    /// Accepted requests without a whole answer.
+    pub lost: u64,
+    /// Answers with a repeated part.
+    pub doubled: u64,
+    /// Answers with foreign text.
+    pub mixed: u64,
+    /// Refused requests.
+    pub refused: u64,
+    /// Requests for which no connection could be made.
+    pub unreachable: u64,
+    /// Tokens of completed answers.
+    pub tokens: u64,
+    /// Microseconds to the first token or, for plain calls, to the answer.
+    pub first_us: Percentiles,
+    /// Microseconds between tokens.
+    pub between_us: Percentiles,
+    /// Microseconds to the end of the answer.
+    pub total_us: Percentiles,
+}
+
+/// Percentiles in microseconds; 0 without values.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Percentiles {
+    /// Median.
+    pub p50: u64,
+    /// 95 in 100.
+    pub p95: u64,
+    /// 99 in 100.
+    pub p99: u64,
+    /// Greatest.
+    pub max: u64,
+}
+
+/// Differences of percentiles in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Added {
+    /// Median.
+    pub p50: i64,
+    /// 99 in 100.
+    pub p99: i64,
+}
+
+/// One request with a fault.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// `lost`, `doubled`, `mixed`, `unreachable`, `ran_twice`, `ran_though_refused` or
+    /// `answered_without_run`.
+    pub kind: SmolStr,
+    /// Number of the request in the run.
+    pub request: u64,
+    /// Value of `x-request-id`, or the idempotency key for faults of runs.
+    pub request_id: SmolStr,
+    /// Address that the request was sent to.
+    pub target: SmolStr,
+    /// What was seen.
+    pub detail: SmolStr,
+}
+
+impl Percentiles {
+    fn of(histogram: &Histogram<u64>) -> Self {
+        if histogram.is_empty() {
+            return Self::default();
+        }
+        Self {
+            p50: histogram.value_at_quantile(0.5),
+            p95: histogram.value_at_quantile(0.95),
+            p99: histogram.value_at_quantile(0.99),
+            max: histogram.max(),
+        }
+    }
+}
+
+impl LoadReport {
+    /// Makes the report of a recorded run; counts of runs are filled in by the caller.
+    pub(super) fn new(seed: u64, duration_s: f64, recorder: Recorder) -> Self {
+        let mut report = Self {
+            seed,
+            duration_s,
+            not_sent: recorder.not_sent,
+            repeated: recorder.repeated,
+            refused_by_code: recorder.refused,
+            lost_by_target: recorder.lost_by_target,
+            faults: recorder.faults,
+            ..Self::default()
+        };
+        let (mut in_target, mut tokens) = (0, 0);
+        for (kind, record) in &recorder.kinds {
+            if record.sent == 0 {
+                continue;
+            }
+            report.add_counts(record);
+            in_target += record.in_target;
+            tokens += record.tokens;
+            report.kinds.push(KindReport::new(*kind, record));
+        }
+        let per_s = |count: u64| count as f64 / duration_s.max(1e-9);
+        report.goodput_per_s = per_s(report.completed);
+        report.goodput_in_target_per_s = per_s(in_target);
+        report.tokens_per_s = per_s(tokens);
+        report.added_first_token_us = report.added();
+        report
+    }
+
+    fn add_counts(&mut self, record: &KindRecord) {
+        self.sent += record.sent;
+        self.completed += record.completed;
+        self.lost += record.lost;
+        self.doubled += record.doubled;
+        self.mixed += record.mixed;
+        self.refused += record.refused;
+        self.unreachable += record.unreachable;
+    }
+
+    /// Compares streamed answers through entry instances with direct ones.
+    fn added(&self) -> Option<Added> {
+        let through = self.kind(Kind::Stream)?.first_us;
+        let direct = self.kind(Kind::Direct)?.first_us;
+        let difference = |a: u64, b: u64| i64::try_from(a).ok()?.checked_sub_unsigned(b);
+        Some(Added {
+            p50: difference(through.p50, direct.p50)?,
+            p99: difference(through.p99, direct.p99)?,
+        })
+    }
+
+    /// Returns the figures of one kind.
+    pub fn kind(&self, kind: Kind) -> Option<&KindReport> {
+        self.kinds.iter().find(|report| report.kind == kind)
+    }
+
+    /// Tells whether any answer was lost, doubled or mixed, or a call ran against its answer.
+    pub fn has_faults(&self) -> bool {
+        self.lost
+            + self.doubled
+            + self.mixed
+            + self.ran_twice
+            + self.ran_though_refused
+            + self.answered_without_run
+            > 0
+    }
+
+    /// Returns the figures by kind as CSV with a header line.
+    pub fn to_csv(&self) -> Result<String, csv::Error> {
+        let mut writer = csv::Writer::from_writer(Vec::new());
+        writer.write_record(CSV_HEADER)?;
+        for kind in &self.kinds {
+            let mut row = vec![kind.kind.as_str().to_owned()];
+            let counts = [
+                kind.sent,
+                kind.completed,
+                kind.lost,
+                kind.doubled,
+                kind.mixed,
+            ];
+            row.extend(counts.iter().map(u64::to_string));
+            row.extend(
+                [kind.refused, kind.unreachable, kind.tokens]
+                    .iter()
+                    .map(u64::to_string),
+            );
+            for times in [kind.first_us, kind.between_us, kind.total_us] {
+                row.extend(
+                    [times.p50, times.p95, times.p99, times.max]
+                        .iter()
+                        .map(u64::to_string),
+                );
+            }
+            writer.write_record(row)?;
+        }
+        let bytes = writer.into_inner().map_err(|error| error.into_error())?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    }
+}
+
+/// Columns of the CSV output.
+const CSV_HEADER: [&str; 21] = [
+    "kind",
+    "sent",
+    "completed",
+    "lost",
+    "doubled",
+    "mixed",
+    "refused",
+    "unreachable",
+    "tokens",
+    "first_p50_us",
+    "first_p95_us",
+    "first_p99_us",
+    "first_max_us",
+    "between_p50_us",
+    "between_p95_us",
+    "between_p99_us",
+    "between_max_us",
+    "total_p50_us",
+    "total_p95_us",
+    "total_p99_us",
+    "total_max_us",
+];
+
+impl KindReport {
+    fn new(kind: Kind, record: &KindRecord) -> Self {
+        Self {
+            kind,
+            sent: record.sent,
+            completed: record.completed,
+            lost: record.lost,
+            doubled: record.doubled,
+            mixed: record.mixed,
+            refused: record.refused,
+            unreachable: record.unreachable,
+            tokens: record.tokens,
+            first_us: Percentiles::of(&record.first),
+            between_us: Percentiles::of(&record.between),
+            total_us: Percentiles::of(&record.total),
+        }
+    }
+}
+
+impl fmt::Display for LoadReport {
+    /// Writes the report as a table.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "seed {}  duration {:.1} s  goodput {:.1}/s ({:.1}/s within the latency targets)  \
+             tokens {:.0}/s",
+            self.seed,
+            self.duration_s,
+            self.goodput_per_s,
+            self.goodput_in_target_per_s,
+            self.tokens_per_s
+        )?;
+        writeln!(
+            f,
+            "{:<8} {:>8} {:>9} {:>5} {:>7} {:>5} {:>7} {:>11}   {:>26}   {:>26}",
+            "kind",
+            "sent",
+            "completed",
+            "lost",
+            "doubled",
+            "mixed",
+            "refused",
+            "unreachable",
+            "first token p50/p95/p99 ms",
+            "between p50/p95/p99 ms"
+        )?;
+        for kind in &self.kinds {
+            writeln!(
+                f,
+                "{:<8} {:>8} {:>9} {:>5} {:>7} {:>5} {:>7} {:>11}   {:>26}   {:>26}",
+                kind.kind.as_str(),
+                kind.sent,
+                kind.completed,
+                kind.lost,
+                kind.doubled,
+                kind.mixed,
+                kind.refused,
+                kind.unreachable,
+                millis(kind.first_us),
+                millis(kind.between_us)
+            )?;
+        }
+        self.write_totals(f)
+    }
+}
+
+impl LoadReport {
+    fn write_totals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "total: {} sent, {} completed, {} lost, {} doubled, {} mixed, {} refused, \
+             {} unreachable, {} not sent",
+            self.sent,
+            self.completed,
+            self.lost,
+            self.doubled,
+            self.mixed,
+            self.refused,
+            self.unreachable,
+            self.not_sent
+        )?;
+        writeln!(
+            f,
+            "non-idempotent calls: {} repeated by the client, {} ran twice, {} ran though \
+             refused as not run, {} answered without a run",
+            self.repeated, self.ran_twice, self.ran_though_refused, self.answered_without_run
+        )?;
+        for (code, count) in &self.refused_by_code {
+            writeln!(
+                f,
+                "refused {code}: {} (ran no {}, yes {}, unknown {})",
+                count.total(),
+                count.ran_no,
+                count.ran_yes,
+                count.ran_unknown
+            )?;
+        }
+        if let Some(added) = self.added_first_token_us {
+            writeln!(
+                f,
+                "added to the first token against direct calls: p50 {} us, p99 {} us",
+                added.p50, added.p99
+            )?;
+        }
+        for fault in &self.faults {
+            writeln!(
+                f,
+                "{} request={} id={} target={}: {}",
+                fault.kind, fault.request, fault.request_id, fault.target, fault.detail
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn millis(times: Percentiles) -> String {
+    let mut text = String::new();
+    for (number, value) in [times.p50, times.p95, times.p99].into_iter().enumerate() {
+        let separator = if number == 0 { "" } else { "/" };
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{separator}{:.1}", value as f64 / 1000.0);
+    }
+    text
+}
