Add the harness for end-to-end tests with real processes

TestFleet starts the stand-ins and entry instances on loopback and ends them by their ids. Ports of entry instances come from a range below that of outgoing connections, because their addresses must be known before they start. rustix gives signals without unsafe code; it was in the lock file already.

--- /dev/null
+++ b/crates/wagtailarch-e2e/src/fleet.rs
@@ -0,0 +1,493 @@
+//! A fleet of real processes on loopback.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use http::{Method, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tempfile::TempDir;
+use wagtailarch_load::load::Targets;
+use wagtailarch_standin::engine::EngineCounters;
+use wagtailarch_standin::platform::{Milliseconds, StateChange};
+use wagtailarch_wire::engine::EngineReport;
+use wagtailarch_wire::platform::{InstanceKind, ListedInstance, ListedState};
+
+use crate::config::{key_hash, write_keys};
+use crate::{
+    ENGINE_GROUP, FleetFile, HarnessError, KEY, MODEL, Ports, Reply, SERVICE_GROUP, ServerProcess,
+    VERSIONS, call,
+};
+
+/// Time for a condition that takes a few seconds at most on a free machine.
+const CONDITION_LIMIT: Duration = Duration::from_secs(25);
+/// Pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(50);
+
+/// What a fleet consists of.
+#[derive(Debug, Clone)]
+pub struct FleetOptions {
+    /// Configuration.
+    pub file: FleetFile,
+    /// Number of entry instances; spread over the zones.
+    pub entries: usize,
+    /// Number of engines; spread over the zones.
+    pub engines: usize,
+    /// Number of plain services; spread over the zones.
+    pub services: usize,
+    /// Further options of the engines.
+    pub engine_args: Vec<String>,
+    /// Ports of entry instances.
+    pub ports: Range<u16>,
+    /// Traffic threads of an entry instance.
+    pub traffic_threads: usize,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            file: FleetFile {
+                zones: vec!["buda-a".into(), "pest-b".into()],
+                version: VERSIONS[0].into(),
+                checks_fencing: true,
+                roles: [(0, 0), (0, 0), (0, 12)],
+                requests_per_s: 100_000.0,
+            },
+            entries: 3,
+            engines: 4,
+            services: 1,
+            engine_args: Vec::new(),
+            ports: Ports::TESTS,
+            traffic_threads: 2,
+        }
+    }
+}
+
+/// An entry instance.
+#[derive(Debug)]
+pub struct EntryProcess {
+    /// Process.
+    pub process: ServerProcess,
+    /// Name.
+    pub id: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for clients.
+    pub client: SocketAddr,
+    /// Address for health and metrics.
+    pub admin: SocketAddr,
+    /// Address for other instances.
+    pub peer: SocketAddr,
+    settings: PathBuf,
+}
+
+/// A backend server.
+#[derive(Debug)]
+pub struct BackendProcess {
+    /// Process.
+    pub process: ServerProcess,
+    /// Address.
+    pub address: SocketAddr,
+    args: Vec<String>,
+}
+
+/// A fleet of real processes; all are killed when it is dropped.
+#[derive(Debug)]
+pub struct TestFleet {
+    /// Entry instances.
+    pub entries: Vec<EntryProcess>,
+    /// Engines.
+    pub engines: Vec<BackendProcess>,
+    /// Plain services.
+    pub services: Vec<BackendProcess>,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Address of the balancer.
+    pub balancer: SocketAddr,
+    options: FleetOptions,
+    // Dropped after the processes above.
+    _balancer: Option<ServerProcess>,
+    _platform: ServerProcess,
+    dir: TempDir,
+}
+
+impl TestFleet {
+    /// Starts all processes and waits until every entry instance is ready.
+    pub async fn start(options: FleetOptions) -> Result<Self, HarnessError> {
+        let dir = tempfile::tempdir()?;
+        let (platform_process, platform) =
+            start_standin(dir.path(), "platform", "standin-platform", &[]).await?;
+        let mut fleet = Self {
+            entries: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            platform,
+            balancer: platform,
+            options,
+            _balancer: None,
+            _platform: platform_process,
+            dir,
+        };
+        fleet.start_backends().await?;
+        std::fs::write(fleet.fleet_path(), fleet.options.file.to_toml())?;
+        fleet.start_entries().await?;
+        fleet.start_balancer().await?;
+        Ok(fleet)
+    }
+
+    async fn start_backends(&mut self) -> Result<(), HarnessError> {
+        for number in 0..self.options.engines {
+            let name = format!("engine-{number}");
+            let mut args = engine_args(&name, &self.options.file.version);
+            if self.options.file.checks_fencing {
+                args.push("--checks-fencing".into());
+            }
+            args.extend(self.options.engine_args.iter().cloned());
+            let engine = self.start_backend(&name, "standin-engine", args).await?;
+            self.register(&name, InstanceKind::Engine, number, engine.address)
+                .await?;
+            self.engines.push(engine);
+        }
+        for number in 0..self.options.services {
+            let name = format!("service-{number}");
+            let args = vec!["--name".into(), name.clone()];
+            let service = self.start_backend(&name, "standin-service", args).await?;
+            self.register(&name, InstanceKind::Service, number, service.address)
+                .await?;
+            self.services.push(service);
+        }
+        Ok(())
+    }
+
+    async fn start_backend(
+        &self,
+        name: &str,
+        program: &str,
+        args: Vec<String>,
+    ) -> Result<BackendProcess, HarnessError> {
+        let (process, address) = start_standin(self.dir.path(), name, program, &args).await?;
+        Ok(BackendProcess {
+            process,
+            address,
+            args,
+        })
+    }
+
+    /// Puts a backend server on the platform's list.
+    async fn register(
+        &self,
+        id: &str,
+        kind: InstanceKind,
+        number: usize,
+        address: SocketAddr,
+    ) -> Result<(), HarnessError> {
+        let group = match kind {
+            InstanceKind::Engine => Some(ENGINE_GROUP.into()),
+            InstanceKind::Service => Some(SERVICE_GROUP.into()),
+            InstanceKind::Entry => None,
+        };
+        let item = ListedInstance {
+            id: id.into(),
+            kind,
+            group,
+            zone: self.zone(number).into(),
+            address: address.to_string().into(),
+            peer_address: None,
+            state: ListedState::Live,
+        };
+        self.control("instances", &item).await
+    }
+
+    /// Returns the zone of the process with this number.
+    pub fn zone(&self, number: usize) -> &str {
+        let zones = &self.options.file.zones;
+        &zones[number % zones.len()]
+    }
+
+    async fn start_entries(&mut self) -> Result<(), HarnessError> {
+        let names: Vec<_> = (0..self.options.entries)
+            .map(|n| format!("entry-{n}"))
+            .collect();
+        write_keys(self.dir.path(), &names)?;
+        let ports = Ports::new(self.options.ports.clone());
+        for (number, id) in names.into_iter().enumerate() {
+            let zone = self.zone(number).to_owned();
+            let [client, admin, peer] = [ports.take()?, ports.take()?, ports.take()?];
+            let settings = self.dir.path().join(format!("{id}.toml"));
+            std::fs::write(&settings, self.settings(&id, &zone, [client, admin, peer]))?;
+            let item = ListedInstance {
+                id: id.as_str().into(),
+                kind: InstanceKind::Entry,
+                group: None,
+                zone: zone.as_str().into(),
+                address: client.to_string().into(),
+                peer_address: Some(peer.to_string().into()),
+                state: ListedState::Live,
+            };
+            self.control("instances", &item).await?;
+            let process = start_entry(self.dir.path(), &id, &settings)?;
+            let entry = EntryProcess {
+                process,
+                id,
+                zone,
+                client,
+                admin,
+                peer,
+                settings,
+            };
+            self.entries.push(entry);
+        }
+        for number in 0..self.entries.len() {
+            self.wait_ready(number).await?;
+        }
+        Ok(())
+    }
+
+    /// Formats the settings of an entry instance with its client, admin and peer address.
+    fn settings(&self, id: &str, zone: &str, addresses: [SocketAddr; 3]) -> String {
+        let [client, admin, peer] = addresses;
+        let dir = self.dir.path().display();
+        format!(
+            "instance = \"{id}\"\nzone = \"{zone}\"\nclient_address = \"{client}\"\n\
+             admin_address = \"{admin}\"\npeer_address = \"{peer}\"\n\
+             platform_address = \"{}\"\ntraffic_threads = {}\nfleet_file = \"{}\"\n\
+             [timeouts]\ndrain_delay_ms = 1000\n\
+             [peers]\nca_file = \"{dir}/ca.pem\"\ncert_file = \"{dir}/{id}.pem\"\n\
+             key_file = \"{dir}/{id}.key\"\n\
+             [[admin_key]]\nname = \"tests\"\nkey_hash = \"{}\"\n",
+            self.platform,
+            self.options.traffic_threads,
+            self.fleet_path().display(),
+            key_hash(KEY)
+        )
+    }
+
+    async fn start_balancer(&mut self) -> Result<(), HarnessError> {
+        let mut args = Vec::new();
+        for entry in &self.entries {
+            args.extend([
+                "--entry".into(),
+                format!("{}/{}", entry.client, entry.admin),
+            ]);
+        }
+        let dir = self.dir.path();
+        let (process, address) = start_standin(dir, "balancer", "standin-balancer", &args).await?;
+        self._balancer = Some(process);
+        self.balancer = address;
+        Ok(())
+    }
+
+    /// Returns the path of the fleet file.
+    pub fn fleet_path(&self) -> PathBuf {
+        self.dir.path().join("fleet.toml")
+    }
+
+    /// Waits until an entry instance is ready.
+    pub async fn wait_ready(&mut self, number: usize) -> Result<(), HarnessError> {
+        let admin = self.entries[number].admin;
+        let start = Instant::now();
+        loop {
+            if is_ready(admin).await {
+                return Ok(());
+            }
+            self.entries[number].process.check_running()?;
+            check_limit(start, || {
+                format!("readiness of {}", self.entries[number].id)
+            })?;
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Starts an entry instance again with its settings.
+    pub async fn restart_entry(&mut self, number: usize) -> Result<(), HarnessError> {
+        let entry = &mut self.entries[number];
+        entry.process = start_entry(self.dir.path(), &entry.id, &entry.settings)?;
+        self.wait_ready(number).await
+    }
+
+    /// Starts an engine again on its port.
+    pub async fn restart_engine(&mut self, number: usize) -> Result<(), HarnessError> {
+        let engine = &self.engines[number];
+        let mut args = engine.args.clone();
+        args.extend(["--port".into(), engine.address.port().to_string()]);
+        let name = format!("engine-{number}");
+        let dir = self.dir.path();
+        let (process, _) = start_standin(dir, &name, "standin-engine", &args).await?;
+        self.engines[number].process = process;
+        Ok(())
+    }
+
+    /// Returns the targets of load through the balancer.
+    pub fn targets(&self) -> Targets {
+        Targets {
+            entries: vec![self.balancer.to_string().into()],
+            engines: self
+                .engines
+                .iter()
+                .map(|e| e.address.to_string().into())
+                .collect(),
+            services: self
+                .services
+                .iter()
+                .map(|s| s.address.to_string().into())
+                .collect(),
+        }
+    }
+
+    /// Returns the targets of load on the entry instances without the balancer.
+    pub fn entry_targets(&self) -> Targets {
+        let entries = self
+            .entries
+            .iter()
+            .map(|e| e.client.to_string().into())
+            .collect();
+        Targets {
+            entries,
+            ..self.targets()
+        }
+    }
+
+    /// Makes a control call to the platform.
+    pub async fn control(&self, path: &str, body: &impl Serialize) -> Result<(), HarnessError> {
+        let path = format!("/standin/v1/{path}");
+        let body = serde_json::to_string(body).map_err(|e| HarnessError::Call(e.to_string()))?;
+        let reply = call(Method::POST, self.platform, &path, &[], body).await?;
+        if reply.status == StatusCode::NO_CONTENT {
+            return Ok(());
+        }
+        Err(HarnessError::Call(format!(
+            "{path}: status {}",
+            reply.status
+        )))
+    }
+
+    /// Takes the platform down for some time.
+    pub async fn platform_outage(&self, time: Duration) -> Result<(), HarnessError> {
+        let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.control("outage", &Milliseconds { ms }).await
+    }
+
+    /// Sets the state of an instance on the platform's list.
+    pub async fn set_listed(&self, id: &str, state: ListedState) -> Result<(), HarnessError> {
+        self.control(
+            "instances/state",
+            &StateChange {
+                id: id.into(),
+                state,
+            },
+        )
+        .await
+    }
+
+    /// Returns the counters of an engine.
+    pub async fn engine_counters(&self, number: usize) -> Result<EngineCounters, HarnessError> {
+        get(self.engines[number].address, "/standin/v1/counters").await
+    }
+
+    /// Returns the report of an engine.
+    pub async fn engine_report(&self, number: usize) -> Result<EngineReport, HarnessError> {
+        get(self.engines[number].address, "/engine/v1/report").await
+    }
+
+    /// Waits until a condition on the fleet holds.
+    pub async fn wait_until(
+        &self,
+        what: &str,
+        mut holds: impl AsyncFnMut(&Self) -> Result<bool, HarnessError>,
+    ) -> Result<(), HarnessError> {
+        let start = Instant::now();
+        while !holds(self).await? {
+            check_limit(start, || what.to_owned())?;
+            tokio::time::sleep(POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Makes a client call to an entry instance with the key of the team.
+    pub async fn client_call(
+        &self,
+        number: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Result<Reply, HarnessError> {
+        let bearer = format!("Bearer {KEY}");
+        let mut all = vec![("authorization", bearer.as_str())];
+        all.extend_from_slice(headers);
+        call(method, self.entries[number].client, path, &all, body).await
+    }
+
+    /// Stops entry instances, then backend servers, and returns whether all ended well.
+    pub async fn stop(mut self) -> Result<bool, HarnessError> {
+        let limit = Duration::from_secs(30);
+        let mut well = true;
+        for entry in &self.entries {
+            entry.process.signal(rustix::process::Signal::TERM);
+        }
+        for entry in &mut self.entries {
+            well &= entry.process.wait(limit).await?.success();
+        }
+        for backend in self.engines.iter().chain(&self.services) {
+            backend.process.signal(rustix::process::Signal::TERM);
+        }
+        for backend in self.engines.iter_mut().chain(&mut self.services) {
+            well &= backend.process.wait(limit).await?.success();
+        }
+        Ok(well)
+    }
+}
+
+/// Returns the options of an engine with the version that the fleet file names.
+fn engine_args(name: &str, version: &str) -> Vec<String> {
+    let options = [
+        ("--name", name),
+        ("--group", ENGINE_GROUP),
+        ("--model", MODEL),
+        ("--version-name", version),
+        ("--change-ms", "1000"),
+    ];
+    options
+        .iter()
+        .flat_map(|(option, value)| [(*option).into(), (*value).into()])
+        .collect()
+}
+
+fn start_entry(dir: &Path, id: &str, settings: &Path) -> Result<ServerProcess, HarnessError> {
+    let args = ["--settings".into(), settings.display().to_string()];
+    ServerProcess::start(dir, id, "wagtail-entry", &args)
+}
+
+async fn start_standin(
+    dir: &Path,
+    name: &str,
+    program: &str,
+    args: &[String],
+) -> Result<(ServerProcess, SocketAddr), HarnessError> {
+    let mut process = ServerProcess::start(dir, name, program, args)?;
+    let address = process.address().await?;
+    Ok((process, address))
+}
+
+async fn is_ready(admin: SocketAddr) -> bool {
+    let reply = call(Method::GET, admin, "/readyz", &[], String::new()).await;
+    reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+}
+
+async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, HarnessError> {
+    call(Method::GET, address, path, &[], String::new())
+        .await?
+        .json()
+}
+
+fn check_limit(start: Instant, what: impl Fn() -> String) -> Result<(), HarnessError> {
+    if start.elapsed() < CONDITION_LIMIT {
+        return Ok(());
+    }
+    Err(HarnessError::Timeout {
+        what: what(),
+        limit_s: CONDITION_LIMIT.as_secs(),
+    })
+}
--- /dev/null
+++ b/crates/wagtailarch-e2e/src/load.rs
@@ -0,0 +1,118 @@
+//! Load in the background of a test.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use wagtailarch_load::load::{
+    DirectCall, Load, LoadReport, MixPhase, Progress, Range, Scenario, Targets, Weights, run_load,
+};
+
+use crate::{ENGINE_GROUP, HarnessError, KEY, MODEL, VERSIONS};
+
+/// Longest time of a load in the background; tests stop it much earlier.
+const MAX_LOAD_S: f64 = 120.0;
+
+/// A load that runs in the background.
+#[derive(Debug)]
+pub struct LoadHandle {
+    stop: Arc<AtomicBool>,
+    progress: watch::Receiver<Progress>,
+    task: JoinHandle<Result<LoadReport, String>>,
+}
+
+impl LoadHandle {
+    /// Starts a load; without `requests` it runs until it is finished by the test.
+    pub fn start(scenario: Scenario, targets: Targets, requests: Option<u64>) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (sender, progress) = watch::channel(Progress::default());
+        let load = Load {
+            scenario,
+            targets,
+            requests,
+            http2: false,
+            stop: Arc::clone(&stop),
+        };
+        let task = tokio::spawn(async move {
+            let observer = move |progress| {
+                // The receiver lives as long as the handle.
+                let _ = sender.send(progress);
+            };
+            run_load(load, observer)
+                .await
+                .map_err(|error| error.to_string())
+        });
+        Self {
+            stop,
+            progress,
+            task,
+        }
+    }
+
+    /// Waits until so many answers more than now are complete.
+    pub async fn wait_completed(&mut self, more: u64) -> Result<(), HarnessError> {
+        let target = self.progress.borrow().completed + more;
+        let limit = Duration::from_secs(25);
+        let reached = self
+            .progress
+            .wait_for(|progress| progress.completed >= target);
+        let what = || format!("completion of {more} more answers");
+        match tokio::time::timeout(limit, reached).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) => Err(HarnessError::Load(format!("ended before {}", what()))),
+            Err(_) => Err(HarnessError::Timeout {
+                what: what(),
+                limit_s: limit.as_secs(),
+            }),
+        }
+    }
+
+    /// Sends nothing more, waits for all answers and returns the report.
+    pub async fn finish(self) -> Result<LoadReport, HarnessError> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.join().await
+    }
+
+    /// Waits until the load has ended by itself and returns the report.
+    pub async fn join(self) -> Result<LoadReport, HarnessError> {
+        let joined = self
+            .task
+            .await
+            .map_err(|error| HarnessError::Load(error.to_string()))?;
+        joined.map_err(HarnessError::Load)
+    }
+}
+
+/// Returns a scenario with one mix of requests.
+pub fn scenario(seed: u64, rate_per_s: f64, weights: Weights) -> Scenario {
+    Scenario {
+        seed,
+        model: MODEL.into(),
+        keys: vec![KEY.into()],
+        get_path: "/lids/shows".into(),
+        post_path: "/lids/reservations".into(),
+        timeout_s: 30.0,
+        max_in_flight: 2000,
+        post_repeats: 0,
+        first_token_target_ms: 340.0,
+        between_target_ms: 43.0,
+        direct: Some(DirectCall {
+            group: ENGINE_GROUP.into(),
+            model: MODEL.into(),
+            version: VERSIONS[0].into(),
+            adapter: None,
+        }),
+        phases: vec![MixPhase {
+            duration_s: MAX_LOAD_S,
+            rate_per_s,
+            ramp: false,
+            prompt_tokens: Range { min: 64, max: 512 },
+            output_tokens: Range { min: 16, max: 96 },
+            shared_tokens: 64,
+            families: 8,
+            weights,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-e2e/tests/serving.rs
@@ -0,0 +1,78 @@
+//! End-to-end tests of serving while processes stop, crash and leave.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+use wagtailarch_e2e::{FleetOptions, HarnessError, LoadHandle, TestFleet, scenario};
+use wagtailarch_load::load::Weights;
+
+/// Fleets of one test binary run one after the other, to bound processes and processor use.
+static ONE_FLEET: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
+const MODELS: Weights = Weights {
+    stream: 3.0,
+    whole: 1.0,
+    get: 0.0,
+    post: 0.0,
+    direct: 0.0,
+};
+const ALL: Weights = Weights {
+    stream: 3.0,
+    whole: 1.0,
+    get: 1.0,
+    post: 1.0,
+    direct: 0.0,
+};
+
+/// Guards against a fleet that loses, doubles or mixes answers without any failure.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn undisturbed_load_is_answered() -> Result<(), HarnessError> {
+    let _one = ONE_FLEET.lock().await;
+    let fleet = TestFleet::start(FleetOptions::default()).await?;
+    let load = LoadHandle::start(scenario(1, 100.0, ALL), fleet.targets(), Some(300));
+    let report = load.join().await?;
+    assert_eq!(report.completed, 300, "{report}");
+    assert!(!report.has_faults(), "{report}");
+    Ok(())
+}
+
+/// Guards against a shutdown of an entry instance that cuts or refuses requests (G8).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rolling_restart_cuts_nothing() -> Result<(), HarnessError> {
+    let _one = ONE_FLEET.lock().await;
+    let mut fleet = TestFleet::start(FleetOptions::default()).await?;
+    let mut load = LoadHandle::start(scenario(2, 60.0, ALL), fleet.targets(), None);
+    load.wait_completed(50).await?;
+    for number in 0..fleet.entries.len() {
+        let status = fleet.entries[number]
+            .process
+            .stop(Duration::from_secs(20))
+            .await?;
+        assert!(status.success(), "{}", fleet.entries[number].process.log());
+        fleet.restart_entry(number).await?;
+        load.wait_completed(30).await?;
+    }
+    let report = load.finish().await?;
+    assert!(!report.has_faults(), "{report}");
+    assert_eq!(report.completed, report.sent, "{report}");
+    Ok(())
+}
+
+/// Guards against streams that are lost or spoiled when their engine crashes.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_engine_loses_no_stream() -> Result<(), HarnessError> {
+    let _one = ONE_FLEET.lock().await;
+    let fleet = TestFleet::start(FleetOptions::default()).await?;
+    let mut load = LoadHandle::start(scenario(3, 40.0, MODELS), fleet.targets(), None);
+    load.wait_completed(50).await?;
+    let is_busy = async |fleet: &TestFleet| Ok(fleet.engine_report(0).await?.running > 0);
+    fleet
+        .wait_until("a running request on the engine", is_busy)
+        .await?;
+    fleet.engines[0].process.signal(Signal::KILL);
+    load.wait_completed(100).await?;
+    let report = load.finish().await?;
+    assert!(!report.has_faults(), "{report}");
+    assert_eq!(report.completed, report.sent, "{report}");
+    Ok(())
+}
