Report readiness only once the listed engines were asked for their reports

Cause: an instance said that it was ready as soon as it had a configuration. For the first second its table of backend servers was empty and it refused model requests with no_backend. Ruled out: routing, whose table matched the published views. Change: /readyz is 503 until the platform's list and one round of reports were read.

--- a/crates/wagtailarch-entry/src/control/backends.rs
+++ b/crates/wagtailarch-entry/src/control/backends.rs
@@ -34,6 +34,8 @@
     client: EngineClient,
     /// At most `limits.backends` servers.
     known: IndexMap<InstanceId, Backend>,
+    /// Whether the platform's list was read.
+    listed: bool,
 }
 
 #[derive(Debug)]
@@ -58,6 +60,7 @@
             shared,
             client,
             known: IndexMap::new(),
+            listed: false,
         }
     }
 
@@ -79,6 +82,7 @@
             next.insert(backend.listed.id.clone(), backend);
         }
         self.known = next;
+        self.listed = true;
         self.publish();
     }
 
@@ -113,6 +117,9 @@
             }
         }
         self.publish();
+        if self.listed {
+            self.shared.set_backends_known();
+        }
     }
 
     /// Takes an event of a traffic thread.
--- a/crates/wagtailarch-entry/src/shared.rs
+++ b/crates/wagtailarch-entry/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -79,6 +79,9 @@
     capacity: CapacityEstimate,
     /// Live instances of the fleet, this one included.
     instances: AtomicU32,
+    /// Whether the listed engines were asked for their reports; until then every model request
+    /// would be refused.
+    backends_known: AtomicBool,
     request_slots: Arc<Semaphore>,
     /// Requests that run; a shutdown waits for them.
     running: TaskTracker,
@@ -108,6 +111,7 @@
             stage: watch::Sender::new(Stage::Serving),
             capacity: CapacityEstimate::default(),
             instances: AtomicU32::new(1),
+            backends_known: AtomicBool::new(false),
             request_slots: Arc::new(Semaphore::new(limits.requests)),
             running: TaskTracker::new(),
             epoch: Instant::now(),
@@ -140,7 +144,14 @@
 
     /// Tells whether the instance wants new clients.
     pub fn is_ready(&self) -> bool {
-        self.stage() == Stage::Serving && self.snapshot.load().is_some()
+        self.stage() == Stage::Serving
+            && self.snapshot.load().is_some()
+            && self.backends_known.load(Ordering::Acquire)
+    }
+
+    /// Notes that the listed engines were asked for their reports.
+    pub fn set_backends_known(&self) {
+        self.backends_known.store(true, Ordering::Release);
     }
 
     /// Takes a place among the running requests.
