--- a/crates/wagtailarch-e2e/src/fleet.rs
+++ b/crates/wagtailarch-e2e/src/fleet.rs
@@ -9,9 +9,11 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tempfile::TempDir;
+use tokio::sync::{Mutex, MutexGuard};
 use wagtailarch_load::load::Targets;
 use wagtailarch_standin::engine::EngineCounters;
 use wagtailarch_standin::platform::{Milliseconds, StateChange};
+use wagtailarch_standin::service::Run;
 use wagtailarch_wire::engine::EngineReport;
 use wagtailarch_wire::platform::{InstanceKind, ListedInstance, ListedState};
 
@@ -26,6 +28,14 @@
 /// Pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(50);
 
+/// Fleets of one program run one after the other, which bounds processes and processor use.
+static ONE_FLEET: Mutex<()> = Mutex::const_new(());
+
+/// Waits until no other fleet of this program runs; the fleet may run while the guard lives.
+pub async fn one_fleet() -> MutexGuard<'static, ()> {
+    ONE_FLEET.lock().await
+}
+
 /// What a fleet consists of.
 #[derive(Debug, Clone)]
 pub struct FleetOptions {
@@ -134,6 +144,7 @@
         std::fs::write(fleet.fleet_path(), fleet.options.file.to_toml())?;
         fleet.start_entries().await?;
         fleet.start_balancer().await?;
+        fleet.wait_serving().await?;
         Ok(fleet)
     }
 
@@ -300,6 +311,27 @@
         }
     }
 
+    /// Waits until every entry instance answers a model call.
+    ///
+    /// An instance that has just started does not know the reports of engines yet. Only the start
+    /// of the whole fleet waits for them; a restart under load must not depend on this.
+    async fn wait_serving(&self) -> Result<(), HarnessError> {
+        if self.engines.is_empty() {
+            return Ok(());
+        }
+        let body = format!(r#"{{"model":"{MODEL}","prompt":"<<start>>","max_tokens":1}}"#);
+        for number in 0..self.entries.len() {
+            let what = format!("answer from {}", self.entries[number].id);
+            let path = "/v1/completions";
+            self.wait_until(&what, async |fleet| {
+                let reply = fleet.client_call(number, Method::POST, path, &[], body.clone());
+                Ok(reply.await?.status == StatusCode::OK)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Starts an entry instance again with its settings.
     pub async fn restart_entry(&mut self, number: usize) -> Result<(), HarnessError> {
         let entry = &mut self.entries[number];
@@ -391,6 +423,19 @@
         get(self.engines[number].address, "/engine/v1/report").await
     }
 
+    /// Returns the runs of a plain service.
+    pub async fn service_runs(&self, number: usize) -> Result<Vec<Run>, HarnessError> {
+        get(self.services[number].address, "/standin/v1/runs").await
+    }
+
+    /// Returns the number of engines whose process has ended.
+    pub fn crashed_engines(&mut self) -> usize {
+        let engines = self.engines.iter_mut();
+        engines
+            .filter_map(|engine| engine.process.check_running().err())
+            .count()
+    }
+
     /// Waits until a condition on the fleet holds.
     pub async fn wait_until(
         &self,
@@ -420,6 +465,17 @@
         call(method, self.entries[number].client, path, &all, body).await
     }
 
+    /// Fails if any process has ended.
+    pub fn check_running(&mut self) -> Result<(), HarnessError> {
+        for entry in &mut self.entries {
+            entry.process.check_running()?;
+        }
+        for backend in self.engines.iter_mut().chain(&mut self.services) {
+            backend.process.check_running()?;
+        }
+        Ok(())
+    }
+
     /// Stops entry instances, then backend servers, and returns whether all ended well.
     pub async fn stop(mut self) -> Result<bool, HarnessError> {
         let limit = Duration::from_secs(30);
--- a/crates/wagtailarch-e2e/src/lib.rs
+++ b/crates/wagtailarch-e2e/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use config::{ENGINE_GROUP, FleetFile, KEY, MODEL, SERVICE_GROUP, VERSIONS};
 pub use error::HarnessError;
-pub use fleet::{BackendProcess, EntryProcess, FleetOptions, TestFleet};
+pub use fleet::{BackendProcess, EntryProcess, FleetOptions, TestFleet, one_fleet};
 pub use http_call::{Reply, call};
 pub use load::{LoadHandle, scenario};
 pub use ports::Ports;
--- a/crates/wagtailarch-e2e/src/load.rs
+++ b/crates/wagtailarch-e2e/src/load.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Calls `print` about once a second until the load has ended.
+    pub async fn print_progress(&mut self, print: impl Fn(Progress)) {
+        while self.progress.changed().await.is_ok() {
+            print(*self.progress.borrow_and_update());
+        }
+    }
+
     /// Sends nothing more, waits for all answers and returns the report.
     pub async fn finish(self) -> Result<LoadReport, HarnessError> {
         self.stop.store(true, Ordering::Relaxed);
--- /dev/null
+++ b/crates/wagtailarch-e2e/tests/failures.rs
@@ -0,0 +1,176 @@
+//! End-to-end tests of failures of entry instances, the platform and backend servers.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use rustix::process::Signal;
+use wagtailarch_e2e::{
+    FleetOptions, HarnessError, LoadHandle, MODEL, TestFleet, one_fleet, scenario,
+};
+use wagtailarch_load::load::{Kind, Weights};
+use wagtailarch_wire::platform::ListedState;
+
+const MODELS: Weights = Weights {
+    stream: 3.0,
+    whole: 1.0,
+    get: 0.0,
+    post: 0.0,
+    direct: 0.0,
+};
+const ALL: Weights = Weights {
+    stream: 3.0,
+    whole: 1.0,
+    get: 1.0,
+    post: 1.0,
+    direct: 0.0,
+};
+const PLAIN: Weights = Weights {
+    stream: 0.0,
+    whole: 0.0,
+    get: 1.0,
+    post: 1.0,
+    direct: 0.0,
+};
+
+/// Guards against a killed entry instance that costs requests of others, and against calls that
+/// run twice when the client repeats them with the same key (G6).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_entry_instance_loses_only_its_own() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let fleet = TestFleet::start(FleetOptions::default()).await?;
+    let mut scenario = scenario(11, 60.0, ALL);
+    scenario.post_repeats = 3;
+    let mut load = LoadHandle::start(scenario, fleet.entry_targets(), None);
+    load.wait_completed(60).await?;
+    fleet.entries[0].process.signal(Signal::KILL);
+    load.wait_completed(100).await?;
+    let report = load.finish().await?;
+    let killed = fleet.entries[0].client.to_string();
+    let others = report
+        .lost_by_target
+        .keys()
+        .filter(|target| **target != killed)
+        .count();
+    assert_eq!(others, 0, "{report}");
+    assert_eq!((report.doubled, report.mixed), (0, 0), "{report}");
+    let runs = [
+        report.ran_twice,
+        report.ran_though_refused,
+        report.answered_without_run,
+    ];
+    assert_eq!(runs, [0; 3], "{report}");
+    Ok(())
+}
+
+/// Guards against an outage of the platform that stops serving, or lets a non-idempotent call run
+/// without a claim.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn platform_outage_stops_only_claims() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let fleet = TestFleet::start(FleetOptions::default()).await?;
+    let mut load = LoadHandle::start(scenario(12, 60.0, ALL), fleet.targets(), None);
+    load.wait_completed(60).await?;
+    fleet.platform_outage(Duration::from_secs(4)).await?;
+    load.wait_completed(300).await?;
+    let report = load.finish().await?;
+    assert!(!report.has_faults(), "{report}");
+    let posts = report.kind(Kind::Post).expect("non-idempotent calls");
+    assert_eq!(report.refused, posts.refused, "{report}");
+    assert!(posts.refused > 0 && posts.completed > 0, "{report}");
+    for (code, count) in &report.refused_by_code {
+        assert_eq!(code, "claims_unavailable", "{report}");
+        assert_eq!(count.ran_no, count.total(), "{report}");
+    }
+    Ok(())
+}
+
+/// Guards against new work on an engine that the platform lists as leaving (G7).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_engine_gets_no_new_work() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let fleet = TestFleet::start(FleetOptions::default()).await?;
+    let mut load = LoadHandle::start(scenario(13, 60.0, MODELS), fleet.targets(), None);
+    load.wait_completed(60).await?;
+    fleet.set_listed("engine-0", ListedState::Leaving).await?;
+    // The list lags by 0.5 s, so the first sign can be seen from then on; the bound is 3 s after
+    // it, and 1 s is added for the calls of the test itself.
+    tokio::time::sleep(Duration::from_millis(4500)).await;
+    let before = fleet.engine_counters(0).await?;
+    load.wait_completed(120).await?;
+    let after = fleet.engine_counters(0).await?;
+    assert_eq!(before.accepted, after.accepted);
+    let report = load.finish().await?;
+    assert!(!report.has_faults(), "{report}");
+    assert_eq!(report.completed, report.sent, "{report}");
+    Ok(())
+}
+
+/// Guards against refusals that reach clients while a plain service leaves by itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_service_refuses_no_client() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let options = FleetOptions {
+        services: 2,
+        engines: 1,
+        ..FleetOptions::default()
+    };
+    let mut fleet = TestFleet::start(options).await?;
+    let mut load = LoadHandle::start(scenario(14, 60.0, PLAIN), fleet.targets(), None);
+    load.wait_completed(60).await?;
+    let address = fleet.services[0].address;
+    let runs_before = fleet.service_runs(0).await?.len();
+    assert!(runs_before > 0);
+    let drained = wagtailarch_e2e::call(
+        Method::POST,
+        address,
+        "/standin/v1/drain",
+        &[],
+        String::new(),
+    )
+    .await?;
+    assert_eq!(drained.status, StatusCode::NO_CONTENT);
+    load.wait_completed(100).await?;
+    let report = load.finish().await?;
+    assert!(!report.has_faults(), "{report}");
+    assert_eq!(report.completed, report.sent, "{report}");
+    let status = fleet.services[0]
+        .process
+        .stop(Duration::from_secs(20))
+        .await?;
+    assert!(status.success());
+    Ok(())
+}
+
+/// Guards against a request that crashes every engine because its client repeats it everywhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashing_request_stops_after_two_engines() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let mut options = FleetOptions {
+        engines: 5,
+        ..FleetOptions::default()
+    };
+    options.file.zones.truncate(1);
+    let mut fleet = TestFleet::start(options).await?;
+    let body = serde_json::json!({
+        "model": MODEL,
+        "prompt": "<<poison>> CRASH-ON-RUN",
+        "max_tokens": 8,
+    });
+    let mut last = None;
+    for round in 0..6 {
+        let entry = round % fleet.entries.len();
+        let path = "/v1/completions";
+        let reply = fleet
+            .client_call(entry, Method::POST, path, &[], body.to_string())
+            .await?;
+        assert_ne!(reply.status, StatusCode::OK);
+        last = Some(reply);
+    }
+    let last = last.expect("six replies");
+    let text = String::from_utf8_lossy(&last.body).into_owned();
+    assert_eq!(last.status, StatusCode::UNPROCESSABLE_ENTITY, "{text}");
+    assert!(text.contains("quarantined"), "{text}");
+    let crashed = fleet.crashed_engines();
+    assert_eq!(crashed, 2, "{text}");
+    Ok(())
+}
