--- a/crates/wagtailarch-traffic/src/claim_log.rs
+++ b/crates/wagtailarch-traffic/src/claim_log.rs
@@ -200,7 +200,7 @@
     ) -> Vec<ClaimAction> {
         let mut actions = Vec::new();
         let full = self.pending.len() >= MAX_PENDING || self.claimed.len() >= MAX_KEYS;
-        if self.stale || (full && !self.claimed.contains_key(&key)) {
+        if (self.stale || full) && !self.claimed.contains_key(&key) {
             actions.push(resolve(ticket, ClaimResult::Unavailable));
             return actions;
         }
--- a/crates/wagtailarch-traffic/src/quarantine.rs
+++ b/crates/wagtailarch-traffic/src/quarantine.rs
@@ -1,9 +1,9 @@
 //! Requests that crash backend servers.
 
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use wagtailarch_types::{Fingerprint, InstanceId};
 
 /// Time for which a suspicion or a quarantine holds.
@@ -19,8 +19,17 @@
 /// Fingerprints of requests that were in flight on crashing backend servers.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    /// Oldest strike first; at most `MAX_ENTRIES`.
-    entries: Mutex<IndexMap<Fingerprint, Entry>>,
+    entries: Mutex<Entries>,
+}
+
+/// Strikes by fingerprint, with the order in which they are forgotten.
+#[derive(Debug, Default)]
+struct Entries {
+    /// At most `MAX_ENTRIES`, each of which is in `order` with its time.
+    map: HashMap<Fingerprint, Entry>,
+    /// Strikes, oldest first; at most `MAX_ENTRIES`. Those that a later strike has replaced, or
+    /// that were cleared, are not in `map` with their time.
+    order: VecDeque<(Duration, Fingerprint)>,
 }
 
 /// Strikes of one fingerprint.
@@ -72,7 +81,7 @@
 
     /// Tells what is known of a fingerprint.
     pub fn check(&self, now: Duration, fingerprint: Fingerprint) -> Verdict {
-        match self.lock().get(&fingerprint) {
+        match self.lock().map.get(&fingerprint) {
             Some(entry) if !entry.expired(now) => entry.kind.verdict(),
             _ => Verdict::Clear,
         }
@@ -90,7 +99,7 @@
         let mut entries = self.lock();
         let mut events = Vec::new();
         for &fingerprint in in_flight {
-            let Some(kind) = strike(&mut entries, now, server, fingerprint) else {
+            let Some(kind) = entries.strike(now, server, fingerprint) else {
                 continue;
             };
             events.push(StrikeEvent {
@@ -99,18 +108,17 @@
                 kind,
             });
         }
-        bound(&mut entries, now);
         events
     }
 
     /// Clears a suspect whose request completed; a quarantine stays.
     pub fn on_completed(&self, fingerprint: Fingerprint) {
         let mut entries = self.lock();
-        let Some(entry) = entries.get(&fingerprint) else {
+        let Some(entry) = entries.map.get(&fingerprint) else {
             return;
         };
         if entry.kind == StrikeKind::Suspected {
-            entries.shift_remove(&fingerprint);
+            entries.map.remove(&fingerprint);
         }
     }
 
@@ -119,32 +127,25 @@
         let mut entries = self.lock();
         match event.kind {
             StrikeKind::Suspected => {
-                strike(&mut entries, now, &event.server, event.fingerprint);
+                entries.strike(now, &event.server, event.fingerprint);
             }
             StrikeKind::Quarantined => {
-                put(
-                    &mut entries,
-                    now,
-                    event.server,
-                    event.fingerprint,
-                    event.kind,
-                );
+                entries.put(now, event.server, event.fingerprint, event.kind);
             }
         }
-        bound(&mut entries, now);
     }
 
     /// Returns the number of suspects and quarantined fingerprints kept.
     pub fn len(&self) -> usize {
-        self.lock().len()
+        self.lock().map.len()
     }
 
     /// Tells whether nothing is suspected or quarantined.
     pub fn is_empty(&self) -> bool {
-        self.lock().is_empty()
+        self.lock().map.is_empty()
     }
 
-    fn lock(&self) -> MutexGuard<'_, IndexMap<Fingerprint, Entry>> {
+    fn lock(&self) -> MutexGuard<'_, Entries> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -168,42 +169,48 @@
     }
 }
 
-/// Adds a strike; returns its result if it is new.
-fn strike(
-    entries: &mut IndexMap<Fingerprint, Entry>,
-    now: Duration,
-    server: &InstanceId,
-    fingerprint: Fingerprint,
-) -> Option<StrikeKind> {
-    let kind = match entries.get(&fingerprint) {
-        Some(entry) if entry.expired(now) => StrikeKind::Suspected,
-        Some(entry) if entry.same_crash(now, server) => return None,
-        Some(entry) if entry.kind == StrikeKind::Quarantined => return None,
-        Some(_) => StrikeKind::Quarantined,
-        None => StrikeKind::Suspected,
-    };
-    put(entries, now, server.clone(), fingerprint, kind);
-    Some(kind)
-}
-
-/// Stores an entry as the newest one.
-fn put(
-    entries: &mut IndexMap<Fingerprint, Entry>,
-    at: Duration,
-    server: InstanceId,
-    fingerprint: Fingerprint,
-    kind: StrikeKind,
-) {
-    entries.shift_remove(&fingerprint);
-    entries.insert(fingerprint, Entry { kind, server, at });
-}
+impl Entries {
+    /// Adds a strike; returns its result if it is new.
+    fn strike(
+        &mut self,
+        now: Duration,
+        server: &InstanceId,
+        fingerprint: Fingerprint,
+    ) -> Option<StrikeKind> {
+        let kind = match self.map.get(&fingerprint) {
+            Some(entry) if entry.expired(now) => StrikeKind::Suspected,
+            Some(entry) if entry.same_crash(now, server) => return None,
+            Some(entry) if entry.kind == StrikeKind::Quarantined => return None,
+            Some(_) => StrikeKind::Quarantined,
+            None => StrikeKind::Suspected,
+        };
+        self.put(now, server.clone(), fingerprint, kind);
+        Some(kind)
+    }
 
-/// Forgets expired entries and, beyond the bound, the oldest ones.
-fn bound(entries: &mut IndexMap<Fingerprint, Entry>, now: Duration) {
-    let expired = entries
-        .values()
-        .take_while(|entry| entry.expired(now))
-        .count();
-    let surplus = entries.len().saturating_sub(MAX_ENTRIES);
-    entries.drain(..expired.max(surplus));
+    /// Stores a strike as the newest one and forgets expired ones and those beyond the bound.
+    fn put(
+        &mut self,
+        at: Duration,
+        server: InstanceId,
+        fingerprint: Fingerprint,
+        kind: StrikeKind,
+    ) {
+        self.map.insert(fingerprint, Entry { kind, server, at });
+        self.order.push_back((at, fingerprint));
+        while let Some(&(oldest, fingerprint)) = self.order.front() {
+            let expired = at.saturating_sub(oldest) >= TTL;
+            if !expired && self.order.len() <= MAX_ENTRIES {
+                break;
+            }
+            self.order.pop_front();
+            if self
+                .map
+                .get(&fingerprint)
+                .is_some_and(|entry| entry.at == oldest)
+            {
+                self.map.remove(&fingerprint);
+            }
+        }
+    }
 }
--- /dev/null
+++ b/crates/wagtailarch-traffic/tests/router.rs
@@ -0,0 +1,250 @@
+//! Tests of routing.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use rstest::rstest;
+use wagtailarch_traffic::{BackendView, LoadReport, PickRequest, Router, prefix_hashes};
+use wagtailarch_types::{Assignment, BackendKind, BackendState, Phase, Role};
+
+const LATE: Duration = Duration::from_secs(100);
+
+fn engine(id: &str, zone: &str, role: Role) -> BackendView {
+    BackendView {
+        id: id.into(),
+        group: "g".into(),
+        kind: BackendKind::Engine,
+        zone: zone.into(),
+        address: "127.0.0.1:1".into(),
+        assignment: Some(Assignment {
+            role,
+            model: "m".into(),
+            version: "1".into(),
+            adapters: vec!["jam".into()],
+        }),
+        state: BackendState::Serving,
+        report: Some(LoadReport {
+            seq: 1,
+            decode_slots: 16,
+            prefill_tokens_per_s: 10_000.0,
+            ..LoadReport::default()
+        }),
+        report_age: Duration::ZERO,
+        accepting: true,
+        since: Duration::ZERO,
+    }
+}
+
+fn request() -> PickRequest {
+    PickRequest {
+        group: "g".into(),
+        kind: BackendKind::Engine,
+        phase: Phase::Full,
+        model: Some("m".into()),
+        version: Some("1".into()),
+        adapter: None,
+        prefix_hashes: Vec::new(),
+        prompt_tokens: 10,
+        near: None,
+        excluded: Vec::new(),
+        suspect: false,
+        apart_from: Vec::new(),
+    }
+}
+
+fn router(views: Vec<BackendView>) -> Router {
+    let router = Router::new("z".into(), 7);
+    router.update(LATE, views);
+    router
+}
+
+fn pool(count: usize) -> Vec<BackendView> {
+    (0..count)
+        .map(|index| engine(&format!("e{index}"), "z", Role::Mixed))
+        .collect()
+}
+
+/// Guards against new work on an engine that leaves, changes, or serves something else.
+#[rstest]
+#[case::leaving(|view: &mut BackendView| view.accepting = false)]
+#[case::draining(|view: &mut BackendView| view.state = BackendState::Draining)]
+#[case::other_role(|view: &mut BackendView| view.assignment.as_mut().unwrap().role = Role::Prefill)]
+#[case::other_version(|view: &mut BackendView| view.assignment.as_mut().unwrap().version = "2".into())]
+#[case::unknown(|view: &mut BackendView| view.assignment = None)]
+#[case::other_group(|view: &mut BackendView| view.group = "h".into())]
+fn unsuitable_engines_get_nothing(#[case] change: fn(&mut BackendView)) {
+    let mut view = engine("e", "z", Role::Mixed);
+    assert!(router(vec![view.clone()]).pick(LATE, &request()).is_some());
+    change(&mut view);
+    assert!(router(vec![view]).pick(LATE, &request()).is_none());
+}
+
+/// Guards against work after a sign of leaving, and against an excluded engine or missing adapter.
+#[test]
+fn suspended_and_excluded_engines_get_nothing() {
+    let router = router(pool(2));
+    let excluded = PickRequest {
+        excluded: vec!["e0".into()],
+        ..request()
+    };
+    assert_eq!(router.pick(LATE, &excluded).expect("e1").id, "e1");
+    router.suspend(&"e1".into());
+    assert!(router.pick(LATE, &excluded).is_none());
+    let adapter = PickRequest {
+        adapter: Some("lids".into()),
+        ..request()
+    };
+    assert!(router.pick(LATE, &adapter).is_none());
+}
+
+/// Guards against two suspects on one server, and against suspects that block it for ever.
+#[test]
+fn suspects_run_apart() {
+    let router = router(pool(3));
+    let suspect = PickRequest {
+        suspect: true,
+        apart_from: vec!["e2".into()],
+        ..request()
+    };
+    let first = router.pick(LATE, &suspect).expect("free");
+    let second = router.pick(LATE, &suspect).expect("free");
+    assert_ne!(first.id, second.id);
+    assert!(first.id != "e2" && second.id != "e2");
+    assert!(router.pick(LATE, &suspect).is_none());
+    drop(first);
+    assert!(router.pick(LATE, &suspect).is_some());
+}
+
+/// Guards against load that is not counted until the next report, and against leaks.
+#[test]
+fn own_requests_count_at_once() {
+    let router = router(pool(8));
+    let picks: Vec<_> = (0..64)
+        .map(|_| router.pick(LATE, &request()).expect("free"))
+        .collect();
+    let counts: Vec<u32> = (0..8)
+        .map(|index| router.in_flight(&format!("e{index}").into()))
+        .collect();
+    assert_eq!(counts.iter().sum::<u32>(), 64);
+    assert!(
+        *counts.iter().max().unwrap() <= 11,
+        "two choices keep the load even: {counts:?}"
+    );
+    drop(picks);
+    assert_eq!(router.in_flight(&"e0".into()), 0);
+}
+
+/// Guards against counting own requests twice, once in the report and once locally.
+#[test]
+fn own_part_of_a_late_report_counts_once() {
+    let report = |seq, running| {
+        let mut views = pool(2);
+        for view in &mut views {
+            view.report = Some(LoadReport {
+                seq,
+                running,
+                ..view.report.unwrap()
+            });
+            view.report_age = Duration::from_secs(1);
+        }
+        views
+    };
+    let router = Router::new("z".into(), 3);
+    let only_e0 = PickRequest {
+        excluded: vec!["e1".into()],
+        ..request()
+    };
+    router.update(LATE, report(1, 0));
+    let held: Vec<_> = (0..10)
+        .map(|_| router.pick(LATE, &only_e0).expect("e0"))
+        .collect();
+    router.update(LATE + Duration::from_secs(1), report(2, 0));
+    // The report shows the 10 own requests on e0 and 8 of others on e1.
+    let mut views = report(3, 10);
+    views[1].report.as_mut().unwrap().running = 8;
+    router.update(LATE + Duration::from_secs(2), views);
+    drop(held);
+    let pick = router
+        .pick(LATE + Duration::from_secs(2), &request())
+        .expect("free");
+    assert_eq!(pick.id, "e0", "without the own requests e0 is idle");
+}
+
+/// Guards against a full load on an engine that has just started.
+#[test]
+fn slow_start_limits_new_engines() {
+    let mut views = pool(4);
+    views[0].since = LATE - Duration::from_secs(1);
+    let router = router(views);
+    let picks: Vec<_> = (0..40)
+        .map(|_| router.pick(LATE, &request()).expect("free"))
+        .collect();
+    let new = router.in_flight(&"e0".into());
+    assert!(new <= 3, "{new} of {} on the new engine", picks.len());
+}
+
+/// Guards against needless traffic between zones, and against a full zone beside an idle one.
+#[test]
+fn own_zone_first_until_it_is_full() {
+    let mut views = pool(2);
+    views.push(engine("far", "y", Role::Mixed));
+    let router = router(views);
+    let picks: Vec<_> = (0..100)
+        .map(|_| router.pick(LATE, &request()).expect("some"))
+        .collect();
+    let far = picks
+        .iter()
+        .position(|pick| pick.id == "far")
+        .expect("spills");
+    assert!(
+        (20..=34).contains(&far),
+        "first spill at {far} of 32 own slots"
+    );
+    let near = PickRequest {
+        near: Some("y".into()),
+        ..request()
+    };
+    drop(picks);
+    assert_eq!(router.pick(LATE, &near).expect("some").id, "far");
+}
+
+/// Guards against prompts with one prefix on all engines, and against a prefix that overloads one.
+#[test]
+fn prefixes_stay_together_within_the_load_bound() {
+    let prompt = "x".repeat(2_000);
+    let hashes = prefix_hashes(&prompt);
+    assert_eq!(hashes.len(), 2, "1 and 4 blocks of 256 bytes fit");
+    let router = router(pool(8));
+    let same = PickRequest {
+        prefix_hashes: hashes,
+        ..request()
+    };
+    let home = router.pick(LATE, &same).expect("free").id.clone();
+    for _ in 0..20 {
+        assert_eq!(
+            router.pick(LATE, &same).expect("free").id,
+            home,
+            "idle engines keep prefixes"
+        );
+    }
+    let mut counts: HashMap<_, u32> = HashMap::new();
+    let picks: Vec<_> = (0..80)
+        .map(|_| router.pick(LATE, &same).expect("free"))
+        .collect();
+    for pick in &picks {
+        *counts.entry(pick.id.clone()).or_default() += 1;
+    }
+    assert!(
+        counts[&home] <= 14,
+        "bound of 1.25 x 10 and one: {counts:?}"
+    );
+}
+
+/// Guards against a split without a prefill engine.
+#[test]
+fn split_needs_both_roles() {
+    let views = |role| vec![engine("a", "z", role), engine("b", "z", Role::Decode)];
+    assert!(router(views(Role::Prefill)).splits(&request()));
+    assert!(!router(views(Role::Mixed)).splits(&request()));
+    assert!(!router(vec![engine("a", "z", Role::Prefill)]).splits(&request()));
+}
