--- /dev/null
+++ b/crates/wagtailarch-cli/src/status.rs
@@ -0,0 +1,220 @@
+//! Whether a generation is in force everywhere.
+
+use std::fmt;
+
+use serde::Serialize;
+use wagtailarch_types::{Generation, ZoneName};
+use wagtailarch_wire::records::{BehindReason, InstanceBehind, ZoneStatusRecord, decode_record};
+
+/// Age from which a record says nothing about the present, in milliseconds.
+const STATUS_FRESH_MS: u64 = 15_000;
+/// Length from which the list of instances behind may be cut, so that unknown ones may be missing.
+const FULL_BEHIND_LIST: usize = 64;
+/// Instances of a zone that the text output names.
+const SHOWN_INSTANCES: usize = 5;
+
+/// What is in force where, for one generation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct StatusReport {
+    /// Generation that was asked for.
+    pub generation: Generation,
+    /// Generation of the manifest.
+    pub newest_generation: Generation,
+    /// Whether every zone is `in_force`; never true without zones.
+    pub everywhere: bool,
+    /// Zones in the order of the fleet file.
+    pub zones: Vec<ZoneReport>,
+}
+
+/// What is in force in one zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ZoneReport {
+    /// Name of the zone.
+    pub zone: ZoneName,
+    /// Verdict on the generation that was asked for.
+    pub state: ZoneState,
+    /// Age of the record in milliseconds; absent without a record.
+    pub age_ms: Option<u64>,
+    /// Lowest generation that an instance has in force, as far as the record says.
+    pub generation: Option<Generation>,
+    /// Number of entry instances, as far as the record says.
+    pub instances: Option<u32>,
+    /// Instances that are behind the newest generation or unknown, as far as the record says.
+    pub behind: Vec<InstanceBehind>,
+}
+
+/// Verdict on one zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ZoneState {
+    /// Every instance has the generation in force.
+    InForce,
+    /// At least one instance has a lower generation.
+    Behind,
+    /// The generation of at least one instance is not known.
+    UnknownInstances,
+    /// The record is too old, or the clocks differ too much to tell.
+    Stale,
+    /// There is no record.
+    NoRecord,
+    /// The record is not valid.
+    Malformed,
+}
+
+impl ZoneState {
+    /// Returns the wording of the text output.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::InForce => "in force",
+            Self::Behind => "behind",
+            Self::UnknownInstances => "unknown: instances without acknowledgement",
+            Self::Stale => "unknown: the status is too old",
+            Self::NoRecord => "unknown: no status",
+            Self::Malformed => "unknown: the status cannot be read",
+        }
+    }
+}
+
+/// Judges the records of the zones; `None` stands for an absent record.
+///
+/// `generation` is in force everywhere only if every zone has a fresh record at or above it and no
+/// instance without acknowledgement.
+pub fn evaluate(
+    generation: Generation,
+    newest_generation: Generation,
+    records: Vec<(ZoneName, Option<Vec<u8>>)>,
+    now_ms: u64,
+) -> StatusReport {
+    let mut zones = Vec::with_capacity(records.len());
+    for (zone, value) in records {
+        zones.push(evaluate_zone(generation, zone, value, now_ms));
+    }
+    let in_force = zones.iter().all(|zone| zone.state == ZoneState::InForce);
+    // A generation that was never applied cannot be in force, whatever records say.
+    let exists = generation > 0 && generation <= newest_generation;
+    let everywhere = in_force && exists && !zones.is_empty();
+    StatusReport {
+        generation,
+        newest_generation,
+        everywhere,
+        zones,
+    }
+}
+
+fn evaluate_zone(
+    generation: Generation,
+    zone: ZoneName,
+    value: Option<Vec<u8>>,
+    now_ms: u64,
+) -> ZoneReport {
+    let Some(value) = value else {
+        return ZoneReport::without_record(zone, ZoneState::NoRecord);
+    };
+    let record = match decode_record::<ZoneStatusRecord>(&value) {
+        Ok(record) if record.zone == zone => record,
+        _ => return ZoneReport::without_record(zone, ZoneState::Malformed),
+    };
+    // A record from a clock ahead of this one is as uncertain as an old one.
+    let age_ms = now_ms.abs_diff(record.written_at_ms);
+    ZoneReport {
+        zone,
+        state: judge(generation, age_ms, &record),
+        age_ms: Some(age_ms),
+        generation: Some(record.generation),
+        instances: Some(record.instances),
+        behind: record.behind,
+    }
+}
+
+fn judge(generation: Generation, age_ms: u64, record: &ZoneStatusRecord) -> ZoneState {
+    let is_unknown = |instance: &InstanceBehind| match instance.reason {
+        BehindReason::NeverHeard | BehindReason::Silent => true,
+        BehindReason::OlderGeneration => false,
+    };
+    let may_be_cut = record.behind.len() >= FULL_BEHIND_LIST;
+    if age_ms >= STATUS_FRESH_MS {
+        ZoneState::Stale
+    } else if record.behind.iter().any(is_unknown) || may_be_cut || record.instances == 0 {
+        ZoneState::UnknownInstances
+    } else if record.generation < generation {
+        ZoneState::Behind
+    } else {
+        ZoneState::InForce
+    }
+}
+
+impl ZoneReport {
+    fn without_record(zone: ZoneName, state: ZoneState) -> Self {
+        Self {
+            zone,
+            state,
+            age_ms: None,
+            generation: None,
+            instances: None,
+            behind: Vec::new(),
+        }
+    }
+}
+
+impl fmt::Display for StatusReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let place = if self.everywhere {
+            "everywhere"
+        } else {
+            "not known to be everywhere"
+        };
+        writeln!(f, "generation {} in force: {place}", self.generation)?;
+        if self.newest_generation != self.generation {
+            writeln!(f, "newest generation: {}", self.newest_generation)?;
+        }
+        let width = self
+            .zones
+            .iter()
+            .map(|zone| zone.zone.len())
+            .max()
+            .unwrap_or(0)
+            .max(4);
+        writeln!(f, "{:width$}  generation  instances  age     state", "zone")?;
+        for zone in &self.zones {
+            let generation = or_dash(zone.generation.map(|g| g.to_string()));
+            let count = or_dash(zone.instances.map(|count| count.to_string()));
+            let age_s = zone
+                .age_ms
+                .map(|age_ms| format!("{:.1} s", age_ms as f64 / 1e3));
+            let age = or_dash(age_s);
+            let state = zone.state.as_str();
+            writeln!(
+                f,
+                "{:width$}  {generation:10}  {count:9}  {age:6}  {state}",
+                zone.zone
+            )?;
+            show_behind(f, zone)?;
+        }
+        Ok(())
+    }
+}
+
+fn or_dash(text: Option<String>) -> String {
+    text.unwrap_or_else(|| "-".into())
+}
+
+fn show_behind(f: &mut fmt::Formatter<'_>, zone: &ZoneReport) -> fmt::Result {
+    for InstanceBehind {
+        instance,
+        generation,
+        reason,
+    } in zone.behind.iter().take(SHOWN_INSTANCES)
+    {
+        let reason = match reason {
+            BehindReason::OlderGeneration => "older generation",
+            BehindReason::NeverHeard => "never heard of",
+            BehindReason::Silent => "silent",
+        };
+        let generation = or_dash(generation.map(|generation| generation.to_string()));
+        writeln!(f, "    {instance}: generation {generation}, {reason}")?;
+    }
+    if zone.behind.len() > SHOWN_INSTANCES {
+        writeln!(f, "    and {} more", zone.behind.len() - SHOWN_INSTANCES)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/wagtailarch-entry/src/instance.rs
@@ -0,0 +1,134 @@
+//! A running entry instance.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use displaydoc::Display;
+use slog::Logger;
+use tokio::{net::TcpListener, time::timeout};
+use wagtailarch_platform::{HttpPlatform, HttpPlatformConfig, Platform};
+
+use crate::{
+    admin::serve_admin,
+    claims::{Claims, PlatformHandle},
+    control::{ControlError, ControlInputs, ControlThread},
+    server::serve_clients,
+    settings::{Settings, ms},
+    shared::{Shared, Stage},
+};
+
+/// Why an instance could not start.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// cannot listen on {address}: {source}
+    Listen {
+        /// Address of the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// the settings name no platform
+    NoPlatform,
+    /// the control thread could not start: {0}
+    Control(ControlError),
+}
+
+impl std::error::Error for StartError {}
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Instance {
+    shared: Arc<Shared>,
+    control: ControlThread,
+    client_address: SocketAddr,
+    admin_address: SocketAddr,
+}
+
+impl Instance {
+    /// Binds the addresses and starts serving on the current runtime.
+    ///
+    /// The control thread has a platform client of its own: connections are driven by the runtime
+    /// that opened them, and traffic must not depend on the control thread.
+    pub async fn start(settings: Settings, log: Logger) -> Result<Self, StartError> {
+        let address = settings.platform_address.ok_or(StartError::NoPlatform)?;
+        let client = || -> Arc<dyn Platform> {
+            Arc::new(HttpPlatform::new(HttpPlatformConfig::new(address)))
+        };
+        Self::start_with(settings, log, client(), client()).await
+    }
+
+    /// Starts with given platform clients: one for the control thread and one for traffic.
+    pub async fn start_with(
+        settings: Settings,
+        log: Logger,
+        control: Arc<dyn Platform>,
+        traffic: Arc<dyn Platform>,
+    ) -> Result<Self, StartError> {
+        let clients = listen(settings.client_address).await?;
+        let admin = listen(settings.admin_address).await?;
+        let (shared, events) = Shared::new(settings, log);
+        let shared = Arc::new(shared);
+        let instance = shared.settings.instance.clone();
+        let claims = Claims::new(PlatformHandle(traffic), instance, shared.log.clone());
+        shared.claims.set(claims).expect("claims are set once");
+        let inputs = ControlInputs {
+            platform: control,
+            events,
+        };
+        let control =
+            ControlThread::start(Arc::clone(&shared), inputs).map_err(StartError::Control)?;
+        let instance = Self {
+            client_address: local(&clients, shared.settings.client_address),
+            admin_address: local(&admin, shared.settings.admin_address),
+            control,
+            shared: Arc::clone(&shared),
+        };
+        tokio::spawn(serve_clients(Arc::clone(&shared), clients));
+        tokio::spawn(serve_admin(Arc::clone(&shared), admin));
+        slog::info!(shared.log, "started"; "clients" => %instance.client_address,
+            "admin" => %instance.admin_address, "version" => env!("CARGO_PKG_VERSION"));
+        Ok(instance)
+    }
+
+    /// Returns the state of the instance.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Returns the address for clients.
+    pub fn client_address(&self) -> SocketAddr {
+        self.client_address
+    }
+
+    /// Returns the address for health and metrics.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Drains the instance: says that it is not ready, waits for the balancer, finishes what runs.
+    ///
+    /// Returns whether every request finished in time.
+    pub async fn drain(self) -> bool {
+        let shared = &self.shared;
+        let timeouts = shared.settings.timeouts;
+        slog::info!(shared.log, "draining"; "running" => shared.running());
+        shared.stage.send_replace(Stage::Leaving);
+        tokio::time::sleep(ms(timeouts.drain_delay_ms)).await;
+        shared.stage.send_replace(Stage::Finishing);
+        let finished = timeout(ms(timeouts.drain_ms), shared.finish_running())
+            .await
+            .is_ok();
+        shared.stage.send_replace(Stage::Stopped);
+        slog::info!(shared.log, "stopped"; "finished" => finished, "left" => shared.running());
+        self.control.stop().await;
+        finished
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| StartError::Listen { address, source })
+}
+
+fn local(listener: &TcpListener, configured: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(configured)
+}
--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -1,1 +1,41 @@
-//! The entry instance.
+//! The entry instance: client side HTTP, engine client, control thread, metrics and logs.
+//!
+//! [`Instance::start`] binds the addresses of [`Settings`] and serves on the current tokio runtime;
+//! control state lives in a thread of its own.
+
+mod admin;
+mod admin_api;
+mod attempts;
+mod auth;
+mod body;
+mod capacity;
+mod chat;
+mod claims;
+mod client_io;
+mod control;
+mod engine_client;
+mod events;
+mod in_flight;
+mod instance;
+mod logging;
+mod metrics;
+mod proxy;
+mod proxy_message;
+mod proxy_response;
+mod refusal;
+mod request;
+mod server;
+mod settings;
+mod settings_check;
+mod shared;
+mod snapshot;
+
+pub use control::ControlError;
+pub use events::ControlEvent;
+pub use instance::{Instance, StartError};
+pub use logging::{discard, logger};
+pub use metrics::Metrics;
+pub use settings::{AdminKey, Limits, PeerKeys, Settings, Timeouts};
+pub use settings_check::{Finding, parse_settings};
+pub use shared::{Shared, Stage};
+pub use snapshot::Snapshot;
--- /dev/null
+++ b/crates/wagtailarch-entry/src/server.rs
@@ -0,0 +1,216 @@
+//! The server for clients.
+
+use std::{convert::Infallible, io, sync::Arc, time::Duration};
+
+use http::{HeaderValue, Method, Request, Response};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::conn::auto,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::sleep,
+};
+use wagtailarch_types::{RefusalReason, RequestId, format_request_id};
+
+use crate::{
+    body::ClientBody,
+    chat::{self, Api},
+    client_io::{ClientIo, ClientSocket},
+    proxy,
+    refusal::Refusal,
+    request::RequestContext,
+    settings::ms,
+    shared::{Shared, Stage},
+};
+
+/// Pause after a failed accept, for instance when no file descriptors are left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts clients until the instance finishes.
+pub async fn serve_clients(shared: Arc<Shared>, listener: TcpListener) {
+    let slots = Arc::new(Semaphore::new(shared.settings.limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.reached(Stage::Finishing) => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                accept_failed(&shared, &error).await;
+                continue;
+            }
+        };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            // Closing at once is the only answer that costs nothing.
+            shared.metrics.connection("refused");
+            continue;
+        };
+        shared.metrics.connection("accepted");
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            shared.metrics.open_connections.inc();
+            serve_connection(&shared, stream).await;
+            shared.metrics.open_connections.dec();
+            drop(slot);
+        });
+    }
+}
+
+async fn accept_failed(shared: &Shared, error: &io::Error) {
+    shared.metrics.connection("failed");
+    slog::warn!(shared.log, "accept_failed"; "error" => %error);
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
+async fn serve_connection(shared: &Arc<Shared>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let timeouts = &shared.settings.timeouts;
+    let (io, socket) = ClientIo::new(stream, ms(timeouts.client_stall_ms));
+    let service = service_fn(|request| {
+        let shared = Arc::clone(shared);
+        socket.count_request();
+        async move { Ok::<_, Infallible>(handle(&shared, request).await) }
+    });
+    let builder = builder(shared);
+    let connection = builder.serve_connection(TokioIo::new(io), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut header_timer = std::pin::pin!(sleep(ms(timeouts.header_ms)));
+    let mut draining = false;
+    let result = loop {
+        tokio::select! {
+            result = connection.as_mut() => break result.map_err(ConnectionEnd::of),
+            // hyper bounds the time of the headers only once it knows the protocol.
+            () = header_timer.as_mut(), if !header_timer.is_elapsed() => {
+                if socket.is_undecided() {
+                    break Err(ConnectionEnd::HeadersTooSlow);
+                }
+            }
+            () = shared.reached(Stage::Finishing), if !draining => {
+                draining = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = shared.reached(Stage::Stopped) => break Ok(()),
+        }
+    };
+    if let Err(end) = result {
+        end.finish(shared, &socket);
+    }
+}
+
+/// How a connection failed.
+#[derive(Debug)]
+enum ConnectionEnd {
+    /// The headers of a request did not arrive in time.
+    HeadersTooSlow,
+    /// The headers could not be parsed; hyper has answered.
+    Malformed,
+    /// The client closed or reset the connection, or stopped reading.
+    Reset,
+}
+
+impl ConnectionEnd {
+    fn of(error: Box<dyn std::error::Error + Send + Sync>) -> Self {
+        match error.downcast_ref::<hyper::Error>() {
+            Some(error) if error.is_timeout() => Self::HeadersTooSlow,
+            Some(error) if error.is_parse() => Self::Malformed,
+            Some(_) | None => Self::Reset,
+        }
+    }
+
+    /// Counts the end and answers a request of which only a part has arrived.
+    fn finish(&self, shared: &Shared, socket: &ClientSocket) {
+        match self {
+            Self::HeadersTooSlow if socket.is_unanswered() => {
+                shared.metrics.refused(RefusalReason::HeadersTooSlow);
+                socket.write_last(&slow_response());
+            }
+            Self::Malformed => shared.metrics.refused(RefusalReason::BadRequest),
+            Self::HeadersTooSlow | Self::Reset => shared.metrics.connection("reset"),
+        }
+        slog::debug!(shared.log, "connection_ended"; "cause" => ?self);
+    }
+}
+
+/// Returns the bytes of an HTTP/1.1 response that ends a connection.
+fn slow_response() -> Vec<u8> {
+    let message = "the headers took too long to arrive";
+    let refusal = Refusal::not_run(RefusalReason::HeadersTooSlow, message);
+    let body = refusal.to_json().to_string();
+    format!(
+        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\nx-ran: no\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+fn builder(shared: &Shared) -> auto::Builder<TokioExecutor> {
+    let limits = &shared.settings.limits;
+    let header_time = ms(shared.settings.timeouts.header_ms);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(header_time)
+        .max_buf_size(limits.header_bytes)
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(limits.streams_per_connection)
+        .max_header_list_size(limits.header_bytes as u32)
+        .keep_alive_interval(Duration::from_secs(20))
+        .keep_alive_timeout(header_time);
+    builder
+}
+
+/// Answers one request.
+async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<ClientBody> {
+    let id: RequestId = rand::random();
+    shared.metrics.requests.inc();
+    let mut response = match answer(shared, id, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            shared.metrics.refused(refusal.reason);
+            slog::debug!(shared.log, "refused"; "request" => format_request_id(id),
+                "reason" => refusal.reason.as_str(), "ran" => refusal.ran.as_str());
+            refusal.to_response()
+        }
+    };
+    let text = format_request_id(id);
+    let text = HeaderValue::from_str(&text).expect("request ids are hexadecimal");
+    response.headers_mut().insert("x-request-id", text);
+    response
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    id: RequestId,
+    request: Request<Incoming>,
+) -> Result<Response<ClientBody>, Refusal> {
+    let running = shared.begin(id)?;
+    let (parts, body) = request.into_parts();
+    check_path(parts.uri.path())?;
+    let context = RequestContext::new(running, id, &parts.headers)?;
+    match (&parts.method, parts.uri.path()) {
+        (&Method::POST, "/v1/chat/completions") => chat::complete(context, Api::Chat, body).await,
+        (&Method::POST, "/v1/completions") => chat::complete(context, Api::Text, body).await,
+        (&Method::GET, "/v1/models") => Ok(chat::models(&context)),
+        _ => proxy::forward(context, parts, body).await,
+    }
+}
+
+/// Refuses paths that a backend server could resolve to another path.
+///
+/// Route settings are chosen by the path as it was sent; `/a/../b` would get those of `/a/`.
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let lower = path.to_ascii_lowercase();
+    let dots = lower.split('/').any(|part| matches!(part, "." | ".."));
+    if dots || lower.contains("%2e") || lower.contains("%2f") || lower.contains("//") {
+        let message = "the path must be in its normal form";
+        return Err(Refusal::not_run(RefusalReason::BadRequest, message));
+    }
+    Ok(())
+}
