--- a/crates/wagtailarch-entry/tests/common/mod.rs
+++ b/crates/wagtailarch-entry/tests/common/mod.rs
@@ -27,12 +27,14 @@
 };
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::mpsc};
+use tokio_util::sync::CancellationToken;
 use wagtailarch_entry::{Instance, discard, parse_settings};
-use wagtailarch_wire::{engine::GenerateRequest, platform::InstanceList};
+use wagtailarch_platform::{FakeFaults, FakePlatform, Platform};
+use wagtailarch_wire::engine::GenerateRequest;
 
 /// Error with which a fake breaks a response.
-type Broken = Box<dyn std::error::Error + Send + Sync>;
-type FakeBody = BoxBody<Bytes, Broken>;
+pub type Broken = Box<dyn std::error::Error + Send + Sync>;
+pub type FakeBody = BoxBody<Bytes, Broken>;
 
 /// What a fake engine does with one generate call.
 #[derive(Debug, Clone)]
@@ -49,6 +51,8 @@
         code: &'static str,
         not_run: bool,
     },
+    /// Closes the engine's sockets, as when its process dies.
+    Crash,
     /// Ends a prefill.
     Prefill { handle: &'static str },
 }
@@ -64,6 +68,7 @@
     pub boot_id: AtomicU64,
     pub role: Mutex<&'static str>,
     pub state: Mutex<&'static str>,
+    pub crashed: CancellationToken,
 }
 
 /// Text of the token with the index; every fake engine generates the same text.
@@ -88,9 +93,12 @@
             boot_id: AtomicU64::new(1),
             role: Mutex::new("mixed"),
             state: Mutex::new("serving"),
+            crashed: CancellationToken::new(),
         });
         let fake = Arc::clone(&engine);
-        serve(listener, move |request| Arc::clone(&fake).answer(request));
+        serve_until(engine.crashed.clone(), listener, move |request| {
+            Arc::clone(&fake).answer(request)
+        });
         engine
     }
 
@@ -114,6 +122,16 @@
                 let call: GenerateRequest = serde_json::from_slice(&body).unwrap();
                 self.calls.lock().unwrap().push(call.clone());
                 let script = self.scripts.lock().unwrap().pop_front();
+                if let Some(Script::Refuse {
+                    code: "draining", ..
+                }) = script
+                {
+                    *self.state.lock().unwrap() = "draining";
+                }
+                if matches!(script, Some(Script::Crash)) {
+                    self.crashed.cancel();
+                    return std::future::pending().await;
+                }
                 run(
                     call,
                     script.unwrap_or(Script::Answer {
@@ -191,7 +209,7 @@
             let _ = sender.send(Ok(format!("{frame}\n"))).await;
             return;
         }
-        Script::Refuse { .. } => return,
+        Script::Refuse { .. } | Script::Crash => return,
     };
     for index in call.from_index..end {
         if !pause.is_zero() {
@@ -213,41 +231,11 @@
     }
 }
 
-/// A fake platform that serves a list of instances and no objects.
-#[derive(Debug)]
-pub struct FakeList {
-    pub address: SocketAddr,
-    pub list: Mutex<InstanceList>,
-}
-
-impl FakeList {
-    pub async fn start(items: Value) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let platform = Arc::new(Self {
-            address: listener.local_addr().unwrap(),
-            list: Mutex::default(),
-        });
-        platform.set(items);
-        let fake = Arc::clone(&platform);
-        serve(listener, move |request| {
-            let list = serde_json::to_string(&*fake.list.lock().unwrap()).unwrap();
-            let known = request.uri().path() == "/v1/instances";
-            async move {
-                if known {
-                    whole(200, list)
-                } else {
-                    whole(503, String::new())
-                }
-            }
-        });
-        platform
-    }
-
-    pub fn set(&self, items: Value) {
-        let mut list = self.list.lock().unwrap();
-        list.revision += 1;
-        list.items = serde_json::from_value(items).unwrap();
-    }
+/// Creates an empty platform in memory with these instances.
+pub fn platform(items: Value) -> Arc<FakePlatform> {
+    let platform = Arc::new(FakePlatform::new(7, FakeFaults::default()));
+    platform.set_instances(serde_json::from_value(items).unwrap());
+    platform
 }
 
 /// An item of the list for an engine.
@@ -268,13 +256,23 @@
     F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<FakeBody>> + Send + 'static,
 {
-    tokio::spawn(async move {
+    serve_until(CancellationToken::new(), listener, answer);
+}
+
+/// Serves every connection with `answer` and closes all sockets once `stop` is cancelled.
+fn serve_until<F, R>(stop: CancellationToken, listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<FakeBody>> + Send + 'static,
+{
+    tokio::spawn(stop.clone().run_until_cancelled_owned(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 return;
             };
             let answer = answer.clone();
-            tokio::spawn(async move {
+            let stop = stop.clone();
+            tokio::spawn(stop.run_until_cancelled_owned(async move {
                 let service = service_fn(|request| {
                     let response = answer(request);
                     async move { Ok::<_, Infallible>(response.await) }
@@ -283,9 +281,9 @@
                 let _ = builder
                     .serve_connection(TokioIo::new(stream), service)
                     .await;
-            });
+            }));
         }
-    });
+    }));
 }
 
 /// A whole response of a fake.
@@ -316,19 +314,25 @@
 }
 
 /// Starts an instance with `extra` settings; returns once it has backend servers.
-pub async fn start(platform: &FakeList, extra: &str) -> Instance {
+pub async fn start(platform: &Arc<FakePlatform>, extra: &str) -> Instance {
     let directory = tempfile::tempdir().unwrap();
     let file = directory.path().join("fleet.toml");
     std::fs::write(&file, fleet_file()).unwrap();
     let settings = format!(
         "instance = \"entry-1\"\nzone = \"buda-a\"\nclient_address = \"127.0.0.1:0\"\n\
-         admin_address = \"127.0.0.1:0\"\nplatform_address = \"{}\"\nfleet_file = {file:?}\n\
-         {extra}\n",
-        platform.address,
+         admin_address = \"127.0.0.1:0\"\nfleet_file = {file:?}\n{extra}\n",
     );
     let settings = parse_settings(&settings).unwrap();
-    let instance = Instance::start(settings, discard()).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (control, traffic) = (platform.clone(), platform.clone());
+    let instance = Instance::start_with(settings, discard(), control, traffic)
+        .await
+        .unwrap();
+    let wanted = platform.instances().await.unwrap().items.len();
+    eventually("the instance knows its backend servers", || {
+        let views = instance.shared().backends.load();
+        views.values().filter(|view| view.accepting).count() == wanted
+    })
+    .await;
     instance
 }
 
@@ -380,3 +384,23 @@
     }
     (text, false)
 }
+
+/// Waits until `check` holds; the bound only limits a failing test.
+pub async fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    for _ in 0..1_000 {
+        if check() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not happen");
+}
+
+/// A response whose connection closes before its head.
+pub fn broken() -> Response<FakeBody> {
+    // hyper sends the head of a response with its first body frame or error; an error before any
+    // data closes the connection without a complete response.
+    let (sender, lines) = mpsc::channel(1);
+    sender.try_send(Err("broken on purpose".into())).unwrap();
+    streamed(lines)
+}
