Fuzz the control decisions of a zone against the guarantees

The lease, the ledger and the rollout were not tested together. Cases for single functions were ruled out, since the faults of interest need several instances, lost answers and pauses at once.

The model has three instances whose clocks run at 0.88, 1.0 and 1.12, a platform whose writes may take effect late or with a lost answer, two engines that check fencing numbers and two that do not, and connections that deliver up to 8 s after they were closed. An instance can be paused between its check and its send. The oracle looks at what engines carried out.

--- /dev/null
+++ b/crates/wagtailarch-control/tests/zone_model/oracle.rs
@@ -0,0 +1,139 @@
+//! The guarantees, checked on what really happened in the modelled zone.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use wagtailarch_control::Authority;
+use wagtailarch_types::{BootId, FencingNumber, Generation, Nonce};
+
+/// What happened over a whole run, to show that the checks were not vacuous.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Tally {
+    pub steps: u64,
+    pub sent: u64,
+    pub effects: u64,
+    pub assigns: u64,
+    pub stale_refused: u64,
+    pub late_orders: u64,
+    pub terms: u64,
+}
+
+impl Tally {
+    pub fn add(&mut self, other: &Self) {
+        self.steps += other.steps;
+        self.sent += other.sent;
+        self.effects += other.effects;
+        self.assigns += other.assigns;
+        self.stale_refused += other.stale_refused;
+        self.late_orders += other.late_orders;
+        self.terms += other.terms;
+    }
+}
+
+/// Checks G1, G2 (for orders), G3, G9 (monotonicity) and the lease.
+#[derive(Debug, Default)]
+pub struct Oracle {
+    pub tally: Tally,
+    /// Highest number whose order took effect, by engine.
+    effective: HashMap<usize, FencingNumber>,
+    /// Orders that were passed on and can still reach a non-checking engine, by engine.
+    unresolved: HashMap<usize, Vec<Nonce>>,
+    /// Nonces ever passed on for sending.
+    sent: HashMap<Nonce, FencingNumber>,
+    /// Highest generation by observer and boot.
+    generations: HashMap<(String, BootId), Generation>,
+    highest_term: FencingNumber,
+}
+
+impl Oracle {
+    /// An order was passed on for sending.
+    pub fn on_sent(&mut self, engine: usize, checks: bool, nonce: Nonce, number: FencingNumber) {
+        let again = self.sent.insert(nonce, number);
+        assert!(again.is_none(), "order {nonce:x} is sent twice");
+        self.tally.sent += 1;
+        if checks {
+            return;
+        }
+        let unresolved = self.unresolved.entry(engine).or_default();
+        unresolved.push(nonce);
+        assert!(
+            unresolved.len() == 1,
+            "G1: two unresolved orders to engine {engine}, which does not check: {unresolved:x?}"
+        );
+    }
+
+    /// An order took effect, was refused, or can no longer reach the engine.
+    pub fn on_resolved(&mut self, engine: usize, nonce: Nonce) {
+        if let Some(unresolved) = self.unresolved.get_mut(&engine) {
+            unresolved.retain(|open| *open != nonce);
+        }
+    }
+
+    /// An engine began to carry out an order.
+    pub fn on_effect(&mut self, engine: usize, number: FencingNumber, conflicts: bool) {
+        self.tally.effects += 1;
+        let highest = self.effective.entry(engine).or_default();
+        assert!(
+            number >= *highest,
+            "G3: order of number {number} took effect on engine {engine} after number {highest}"
+        );
+        *highest = number;
+        assert!(
+            !conflicts,
+            "G1: engine {engine} got an assignment while it carried out another one"
+        );
+    }
+
+    /// An assign order reached an engine that would carry it out.
+    pub fn on_assign(&mut self, engine: usize, running: u32) {
+        self.tally.assigns += 1;
+        assert!(
+            running == 0,
+            "G2: assign order reached engine {engine} with {running} running requests"
+        );
+    }
+
+    /// An engine refused an order with an old number.
+    pub fn on_stale_refused(&mut self) {
+        self.tally.stale_refused += 1;
+    }
+
+    /// The instances that run hold these authorities by their own judgement.
+    pub fn on_authorities(&mut self, now: Duration, held: &[(usize, Authority)]) {
+        assert!(
+            held.len() <= 1,
+            "lease: overlapping authority at {now:?}: {held:?}"
+        );
+        for (_, authority) in held {
+            if authority.number > self.highest_term {
+                self.highest_term = authority.number;
+                self.tally.terms += 1;
+            }
+            assert!(
+                authority.number == self.highest_term,
+                "lease: number fell to {} from {}",
+                authority.number,
+                self.highest_term
+            );
+        }
+    }
+
+    /// An observer shows a generation.
+    pub fn on_generation(&mut self, observer: String, boot_id: BootId, generation: Generation) {
+        let last = self.generations.entry((observer, boot_id)).or_default();
+        assert!(
+            generation >= *last,
+            "G9: generation fell from {last} to {generation}"
+        );
+        *last = generation;
+    }
+
+    /// The zone status says that every listed instance has `claimed` in force.
+    pub fn on_status(&self, claimed: Generation, in_force: &[Generation]) {
+        let lowest = in_force.iter().copied().min().unwrap_or(claimed);
+        assert!(
+            claimed <= lowest,
+            "G9: status says {claimed} is in force everywhere, but {lowest} is"
+        );
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-control/tests/zone_model/process.rs
@@ -0,0 +1,219 @@
+//! A modelled instance: the real decisions with mailboxes instead of sockets.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use wagtailarch_control::{ChangeReason, RoleChange};
+use wagtailarch_control::{
+    GenerationTracker, Gossip, GossipConfig, GossipEvent, Lease, LeaseAction, LeaseConfig,
+    OrderAction, OrderLedger, ReadOutcome, Rollout, RolloutAction, RolloutEngine, RolloutGroup,
+    RolloutView, SendOutcome, WriteOutcome, ZoneStatus,
+};
+use wagtailarch_fleet::RoleTable;
+use wagtailarch_types::{BootId, Generation, InstanceId, Role};
+use wagtailarch_wire::peer::Delta;
+use wagtailarch_wire::records::{LeaseRecord, OrderRecord};
+
+use super::engine::Report;
+
+/// Something that arrives at a process; a paused one finds it when it resumes.
+#[derive(Debug, Clone)]
+pub enum Mail {
+    LeaseRead(ReadOutcome<LeaseRecord>),
+    LeaseWritten(WriteOutcome),
+    OrderRead(usize, ReadOutcome<OrderRecord>),
+    OrderWritten(usize, WriteOutcome),
+    Sent(usize, SendOutcome),
+    Report(Report),
+    Manifest(Generation),
+    Delta(Delta),
+}
+
+/// Something that a process does.
+#[derive(Debug, Clone)]
+pub enum Deed {
+    Lease(LeaseAction),
+    Order(OrderAction),
+}
+
+/// A modelled instance.
+#[derive(Debug)]
+pub struct Process {
+    pub index: usize,
+    pub boot_id: BootId,
+    pub alive: bool,
+    pub paused: bool,
+    pub mailbox: VecDeque<Mail>,
+    pub lease: Lease,
+    pub ledger: OrderLedger,
+    pub gossip: Gossip,
+    pub tracker: GenerationTracker,
+    pub status: ZoneStatus,
+    rollout: Rollout,
+    reports: Vec<Option<Report>>,
+}
+
+pub fn instance(index: usize) -> InstanceId {
+    format!("i{index}").into()
+}
+
+pub fn engine_id(index: usize) -> InstanceId {
+    format!("e{index}").into()
+}
+
+/// Even engines check fencing numbers, odd ones do not.
+fn group_of(engine: usize) -> &'static str {
+    if engine.is_multiple_of(2) {
+        "checking"
+    } else {
+        "plain"
+    }
+}
+
+impl Process {
+    pub fn new(index: usize, boot_id: BootId, processes: usize, engines: usize) -> Self {
+        let name = instance(index);
+        let mut status = ZoneStatus::new("z".into());
+        status.on_list(&(0..processes).map(instance).collect::<Vec<_>>());
+        Self {
+            index,
+            boot_id,
+            alive: true,
+            paused: false,
+            mailbox: VecDeque::new(),
+            lease: Lease::new(LeaseConfig::new(name.clone(), boot_id)),
+            ledger: OrderLedger::new(name.clone(), boot_id, boot_id),
+            gossip: Gossip::new(GossipConfig {
+                instance: name,
+                boot_id,
+                zone: "z".into(),
+                peer_address: "127.0.0.1:1".into(),
+            }),
+            tracker: GenerationTracker::new(),
+            status,
+            rollout: Rollout::new(),
+            reports: vec![None; engines],
+        }
+    }
+
+    pub fn runs(&self) -> bool {
+        self.alive && !self.paused
+    }
+
+    /// Takes all mail and does what is due.
+    pub fn step(&mut self, now: Duration, planned: &[(usize, Role)]) -> Vec<Deed> {
+        while let Some(mail) = self.mailbox.pop_front() {
+            self.take(now, mail);
+        }
+        self.gossip.beat(now);
+        let in_force = self.tracker.in_force();
+        self.gossip.set_self(now, in_force, false);
+        self.status
+            .on_ack(now, &instance(self.index), self.boot_id, in_force);
+        let mut deeds: Vec<_> = self.lease.tick(now).into_iter().map(Deed::Lease).collect();
+        let authority = self.lease.authority(now);
+        match authority {
+            Some(_) => self.roll_out(now, planned),
+            None => self.rollout.abandon(),
+        }
+        let orders = self.ledger.poll(now, authority);
+        deeds.extend(orders.into_iter().map(Deed::Order));
+        deeds
+    }
+
+    fn take(&mut self, now: Duration, mail: Mail) {
+        match mail {
+            Mail::LeaseRead(outcome) => self.lease.on_read(now, outcome),
+            Mail::LeaseWritten(outcome) => self.lease.on_write(now, outcome),
+            Mail::OrderRead(engine, outcome) => {
+                self.ledger.on_record(now, &engine_id(engine), outcome);
+            }
+            Mail::OrderWritten(engine, outcome) => {
+                self.ledger.on_write(now, &engine_id(engine), outcome);
+            }
+            Mail::Sent(engine, outcome) => self.ledger.on_sent(now, &engine_id(engine), outcome),
+            Mail::Report(report) => self.take_report(report),
+            Mail::Manifest(generation) => {
+                self.tracker.on_heard(generation);
+                let _ = self.tracker.on_loaded(generation);
+            }
+            Mail::Delta(delta) => {
+                for event in self.gossip.merge(now, delta) {
+                    let GossipEvent::Instance(peer, boot_id, info) = event else {
+                        continue;
+                    };
+                    self.status.on_ack(now, &peer, boot_id, info.generation);
+                    self.tracker.on_heard(info.generation);
+                }
+            }
+        }
+    }
+
+    fn take_report(&mut self, report: Report) {
+        let slot = &mut self.reports[report.engine];
+        let older = slot
+            .as_ref()
+            .is_some_and(|last| last.proof.asked_at > report.proof.asked_at);
+        if older {
+            return;
+        }
+        self.ledger
+            .on_report(&engine_id(report.engine), report.proof);
+        *slot = Some(report);
+    }
+
+    fn roll_out(&mut self, now: Duration, planned: &[(usize, Role)]) {
+        let view = self.view(now);
+        let planned: Vec<_> = planned
+            .iter()
+            .filter_map(|(engine, to)| self.planned_change(*engine, *to))
+            .collect();
+        for action in self.rollout.step(now, &view, &planned) {
+            match action {
+                RolloutAction::Order { engine, request } => self.ledger.request(&engine, request),
+                RolloutAction::Cancel { engine } => self.ledger.cancel(&engine),
+                RolloutAction::Flood { .. } => {}
+            }
+        }
+    }
+
+    fn planned_change(&self, engine: usize, to: Role) -> Option<RoleChange> {
+        let from = self.reports[engine].as_ref()?.assignment.role;
+        (from != to).then(|| RoleChange {
+            engine: engine_id(engine),
+            group: group_of(engine).into(),
+            from,
+            to,
+            reason: ChangeReason::Demand,
+            gain: 1.0,
+            cost: 0.0,
+        })
+    }
+
+    fn view(&self, now: Duration) -> RolloutView {
+        let generation = self.tracker.in_force();
+        let groups = [("checking", true), ("plain", false)].map(|(name, checks)| RolloutGroup {
+            name: name.into(),
+            model: "m".into(),
+            version: format!("v{}", generation % 3).into(),
+            adapters: Vec::new(),
+            checks_fencing: checks,
+            roles: RoleTable::default(),
+        });
+        let engines = self.reports.iter().flatten().map(|report| RolloutEngine {
+            id: engine_id(report.engine),
+            group: group_of(report.engine).into(),
+            assignment: report.assignment.clone(),
+            state: report.state,
+            running: report.running,
+            asked_at: report.proof.asked_at,
+            healthy: now <= report.proof.asked_at + Duration::from_secs(3),
+            order: self.ledger.progress(&engine_id(report.engine)),
+        });
+        RolloutView {
+            generation,
+            groups: groups.to_vec(),
+            engines: engines.collect(),
+        }
+    }
+}
