Add policy experiments in virtual time and benches of the decisions

Routing, admission and role policies could not be compared. The experiment drives Router, Admission and Planner with a small engine model, beside a fixed split, a threshold rule, round robin, least requests and role plans that know the load; table, targets, CSV and SVG.

--- /dev/null
+++ b/crates/wagtailarch-load/src/experiment/scenario.rs
@@ -0,0 +1,142 @@
+//! Scenarios: how load and mix change over time.
+
+use displaydoc::Display;
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use super::engine::EngineModel;
+
+/// A scenario file.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Name, used in the table and in file names.
+    pub name: SmolStr,
+    /// What the scenario shows.
+    pub about: String,
+    /// Length in seconds.
+    pub duration_s: f64,
+    /// Time in seconds after which the points repeat; 0 if they do not.
+    #[serde(default)]
+    pub repeat_s: f64,
+    /// Whether role changes in this scenario cannot pay off, so that none is permitted.
+    #[serde(default)]
+    pub no_changes: bool,
+    /// Whether the load steps up to overload, so that goodput is compared with its peak.
+    #[serde(default)]
+    pub overload: bool,
+    /// Load and mix at points in time, in order; linear in between, two at one time make a step.
+    #[serde(rename = "point")]
+    pub points: Vec<Point>,
+}
+
+/// Load and mix at a point in time.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Point {
+    /// Time in seconds.
+    pub at_s: f64,
+    /// Work per second in relation to what all engines can do.
+    pub load: f64,
+    /// Mean prompt tokens of a request.
+    pub prompt_tokens: f64,
+    /// Mean generated tokens of a request.
+    pub output_tokens: f64,
+}
+
+/// What goes wrong in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// Nothing.
+    Plain,
+    /// One engine of the first zone crashes at half of the time and is away for 20 s.
+    Crash,
+    /// The reports of half of the engines of the first zone are lost for 30 s.
+    LostReports,
+}
+
+/// Why a scenario cannot be used.
+#[derive(Debug, Display)]
+pub enum ScenarioError {
+    /// cannot read {0}: {1}
+    File(String, std::io::Error),
+    /// {0}: {1}
+    Syntax(String, toml::de::Error),
+    /// {0}: a scenario needs points in the order of time, positive values and a duration
+    Points(String),
+}
+
+impl std::error::Error for ScenarioError {}
+
+impl Scenario {
+    /// Reads and checks a scenario file.
+    pub fn read(path: &std::path::Path) -> Result<Self, ScenarioError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| ScenarioError::File(name.clone(), error))?;
+        let scenario: Self =
+            toml::from_str(&text).map_err(|error| ScenarioError::Syntax(name.clone(), error))?;
+        if !scenario.is_valid() {
+            return Err(ScenarioError::Points(name));
+        }
+        Ok(scenario)
+    }
+
+    /// Returns load and mix at a time in seconds.
+    pub fn at(&self, time_s: f64) -> Point {
+        let time_s = if self.repeat_s > 0.0 {
+            time_s % self.repeat_s
+        } else {
+            time_s
+        };
+        let next = self.points.partition_point(|point| point.at_s <= time_s);
+        let Some(after) = self.points.get(next) else {
+            return self.points[self.points.len() - 1];
+        };
+        let Some(before) = next.checked_sub(1).map(|index| self.points[index]) else {
+            return *after;
+        };
+        let part = (time_s - before.at_s) / (after.at_s - before.at_s);
+        let mix = |from: f64, to: f64| from + part * (to - from);
+        Point {
+            at_s: time_s,
+            load: mix(before.load, after.load),
+            prompt_tokens: mix(before.prompt_tokens, after.prompt_tokens),
+            output_tokens: mix(before.output_tokens, after.output_tokens),
+        }
+    }
+
+    /// Returns the requests per second at a time for a number of engines.
+    pub fn requests_per_s(&self, time_s: f64, engines: usize, model: &EngineModel) -> f64 {
+        let point = self.at(time_s);
+        let work_s = point.prompt_tokens / model.prefill_tokens_per_s()
+            + point.output_tokens / model.decode_tokens_per_s();
+        point.load * engines as f64 / work_s
+    }
+
+    fn is_valid(&self) -> bool {
+        let ordered = self
+            .points
+            .windows(2)
+            .all(|pair| pair[0].at_s <= pair[1].at_s);
+        let positive = |point: &Point| {
+            point.load > 0.0 && point.prompt_tokens >= 1.0 && point.output_tokens >= 1.0
+        };
+        let known = !self.points.is_empty() && self.points.iter().all(positive);
+        known && ordered && self.duration_s > 0.0 && self.duration_s <= 7_200.0
+    }
+}
+
+impl Fault {
+    /// All faults.
+    pub const ALL: [Self; 3] = [Self::Plain, Self::Crash, Self::LostReports];
+
+    /// Returns the textual form.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Plain => "plain",
+            Self::Crash => "crash",
+            Self::LostReports => "lost-reports",
+        }
+    }
+}
