Bound admission by places and estimate the load of the fleet

Under overload the limit of requests in flight grew by the queue factor with each report, since it multiplied what had been accepted before, and queues were judged by reports a second old plus the own requests only.

The limit is now a part of all places, and the change since the reports is scaled from the own load to that of the fleet.

--- a/crates/wagtailarch-traffic/src/admission.rs
+++ b/crates/wagtailarch-traffic/src/admission.rs
@@ -196,13 +196,10 @@
         self.instance_count = instance_count;
         let mut old = std::mem::take(&mut self.groups);
         for group in capacity {
-            let load = match old.remove(&group.group) {
-                Some(mut load) => {
-                    load.set_capacity(group.clone());
-                    load
-                }
-                None => GroupLoad::new(group.clone()),
-            };
+            let mut load = old
+                .remove(&group.group)
+                .unwrap_or_else(|| GroupLoad::new(group.clone()));
+            load.set_capacity(group.clone(), instance_count);
             self.groups.insert(group.group.clone(), load);
         }
     }
@@ -230,7 +227,7 @@
             return Err((RefusalReason::TeamRateLimited, wait));
         }
         let priority = request.priority.min(team.priority);
-        if let Some(reason) = group.refuses(&request.team, priority, count) {
+        if let Some(reason) = group.refuses(&request.team, priority) {
             return Err((reason, group.time_to_place()));
         }
         let estimate = group.estimate(request);
--- a/crates/wagtailarch-traffic/src/group_load.rs
+++ b/crates/wagtailarch-traffic/src/group_load.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 pub(crate) struct GroupLoad {
     capacity: GroupCapacity,
+    /// Live instances.
+    instance_count: u32,
     /// Own requests in flight.
     in_flight: u32,
     /// Own requests in flight when `capacity` was taken over.
@@ -79,6 +81,7 @@
     pub fn new(capacity: GroupCapacity) -> Self {
         Self {
             capacity,
+            instance_count: 1,
             in_flight: 0,
             in_flight_then: 0,
             waiting_tokens: 0,
@@ -92,8 +95,9 @@
     }
 
     /// Takes over a new capacity.
-    pub fn set_capacity(&mut self, capacity: GroupCapacity) {
+    pub fn set_capacity(&mut self, capacity: GroupCapacity, instance_count: u32) {
         self.capacity = capacity;
+        self.instance_count = instance_count.max(1);
         self.in_flight_then = self.in_flight;
         self.waiting_tokens_then = self.waiting_tokens;
     }
@@ -130,16 +134,11 @@
     ///
     /// Below the limit every team may use what others leave. At the limit only teams below their
     /// share are accepted.
-    pub fn refuses(
-        &self,
-        team: &TeamName,
-        priority: Priority,
-        instance_count: u32,
-    ) -> Option<RefusalReason> {
+    pub fn refuses(&self, team: &TeamName, priority: Priority) -> Option<RefusalReason> {
         if self.capacity.slots == 0 {
             return Some(RefusalReason::NoBackend);
         }
-        let limit = self.limit(instance_count);
+        let limit = self.limit();
         let part = match priority {
             Priority::Low => LOW_PART,
             Priority::Normal => NORMAL_PART,
@@ -201,18 +200,16 @@
 
     /// Returns the requests that this instance may have in flight.
     ///
-    /// It is an equal part of all slots, or what it had plus half of the reported free slots if
-    /// that is more; half, since other instances see the same free slots.
-    fn limit(&self, instance_count: u32) -> f64 {
-        let slots = f64::from(self.capacity.slots);
-        let part = slots / f64::from(instance_count.max(1));
-        let free = (slots - f64::from(self.capacity.running)).max(0.0);
-        let reported = if self.capacity.running == 0 {
-            0.0
-        } else {
-            f64::from(self.in_flight_then) + free / 2.0
-        };
-        part.max(reported) * QUEUE_FACTOR
+    /// It is an equal part of all places, or what it had plus half of the reported free places if
+    /// that is more; half, since other instances see the same free places.
+    fn limit(&self) -> f64 {
+        let places = f64::from(self.capacity.slots) * QUEUE_FACTOR;
+        let part = places / f64::from(self.instance_count);
+        if self.capacity.running == 0 {
+            return part;
+        }
+        let free = (places - f64::from(self.capacity.running)).max(0.0);
+        part.max(f64::from(self.in_flight_then) + free / 2.0)
     }
 
     /// Returns the requests in flight of a team and its share of `limit`.
@@ -225,18 +222,29 @@
     }
 
     /// Estimates the time in seconds that a new request waits.
+    ///
+    /// The own load has changed since the reports; that of the other instances is taken to have
+    /// changed in proportion.
     fn wait_s(&self) -> f64 {
-        let own_since = self.in_flight.saturating_sub(self.in_flight_then);
-        let running = f64::from(self.capacity.running.max(self.in_flight_then) + own_since);
+        let fleet = self.fleet_factor();
+        let since = f64::from(self.in_flight) - f64::from(self.in_flight_then);
+        let running = f64::from(self.capacity.running.max(self.in_flight_then)) + since * fleet;
         let slots = f64::from(self.capacity.slots.max(1));
         let for_slot = (running - slots).max(0.0) / slots * self.service_s;
         if self.capacity.prefill_tokens_per_s < 1.0 {
             return for_slot;
         }
-        let own_tokens = self.waiting_tokens.saturating_sub(self.waiting_tokens_then);
-        let tokens = self.capacity.queued_tokens.max(self.waiting_tokens_then) + own_tokens;
+        let since = self.waiting_tokens as f64 - self.waiting_tokens_then as f64;
+        let reported = self.capacity.queued_tokens.max(self.waiting_tokens_then) as f64;
+        let tokens = (reported + since * fleet).max(0.0);
         // The prompts that wait are those of the requests that wait for a slot.
-        for_slot.max(tokens as f64 / self.capacity.prefill_tokens_per_s)
+        for_slot.max(tokens / self.capacity.prefill_tokens_per_s)
+    }
+
+    /// Returns the load of the fleet in relation to the own one at the time of the reports.
+    fn fleet_factor(&self) -> f64 {
+        let own = f64::from(self.in_flight_then.max(1));
+        (f64::from(self.capacity.running) / own).clamp(1.0, f64::from(self.instance_count))
     }
 
     /// Estimates the time in seconds that a request runs on an engine.
