Carry messages between instances over QUIC with mutual TLS

Instances need a transport for gossip, floods and configuration that proves who speaks. Each certificate names instance and zone; the introduction is checked against it in both directions.

The control thread reads the configuration from the platform and, until gossip uses the transport, only drains its events.

--- a/crates/wagtailarch-entry/src/instance.rs
+++ b/crates/wagtailarch-entry/src/instance.rs
@@ -4,13 +4,15 @@
 
 use displaydoc::Display;
 use slog::Logger;
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{net::TcpListener, sync::mpsc, time::timeout};
 use wagtailarch_platform::{HttpPlatform, HttpPlatformConfig, Platform};
+use wagtailarch_wire::peer::Hello;
 
 use crate::{
     admin::serve_admin,
     claims::{Claims, PlatformHandle},
     control::{ControlError, ControlInputs, ControlThread},
+    peers::{PeerError, PeerEvent, Peers},
     server::serve_clients,
     settings::{Settings, ms},
     shared::{Shared, Stage},
@@ -28,6 +30,8 @@
     },
     /// the settings name no platform
     NoPlatform,
+    /// the transport between instances could not start: {0}
+    Peers(PeerError),
     /// the control thread could not start: {0}
     Control(ControlError),
 }
@@ -39,6 +43,7 @@
 pub struct Instance {
     shared: Arc<Shared>,
     control: ControlThread,
+    peers: Option<Peers>,
     client_address: SocketAddr,
     admin_address: SocketAddr,
 }
@@ -70,9 +75,12 @@
         let instance = shared.settings.instance.clone();
         let claims = Claims::new(PlatformHandle(traffic), instance, shared.log.clone());
         shared.claims.set(claims).expect("claims are set once");
+        let peers = start_peers(&shared)?;
+        let transport = peers.as_ref().map(|(peers, _)| peers.clone());
         let inputs = ControlInputs {
             platform: control,
             events,
+            peers,
         };
         let control =
             ControlThread::start(Arc::clone(&shared), inputs).map_err(StartError::Control)?;
@@ -80,6 +88,7 @@
             client_address: local(&clients, shared.settings.client_address),
             admin_address: local(&admin, shared.settings.admin_address),
             control,
+            peers: transport,
             shared: Arc::clone(&shared),
         };
         tokio::spawn(serve_clients(Arc::clone(&shared), clients));
@@ -104,6 +113,11 @@
         self.admin_address
     }
 
+    /// Returns the address of the transport between instances.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peers.as_ref()?.local_address().ok()
+    }
+
     /// Drains the instance: says that it is not ready, waits for the balancer, finishes what runs.
     ///
     /// Returns whether every request finished in time.
@@ -120,10 +134,29 @@
         shared.stage.send_replace(Stage::Stopped);
         slog::info!(shared.log, "stopped"; "finished" => finished, "left" => shared.running());
         self.control.stop().await;
+        if let Some(peers) = &self.peers {
+            peers.close().await;
+        }
         finished
     }
 }
 
+/// Starts the transport to other instances if the settings name its address.
+fn start_peers(shared: &Shared) -> Result<Option<(Peers, mpsc::Receiver<PeerEvent>)>, StartError> {
+    let settings = &shared.settings;
+    let (Some(address), Some(keys)) = (settings.peer_address, &settings.peers) else {
+        return Ok(None);
+    };
+    let hello = Hello {
+        instance: settings.instance.clone(),
+        boot_id: shared.boot_id,
+        zone: settings.zone.clone(),
+        generation: 0,
+    };
+    let started = Peers::start(address, keys, hello, shared.log.clone());
+    started.map(Some).map_err(StartError::Peers)
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| StartError::Listen { address, source })
--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod instance;
 mod logging;
 mod metrics;
+mod peers;
 mod proxy;
 mod proxy_message;
 mod proxy_response;
@@ -35,6 +36,10 @@
 pub use instance::{Instance, StartError};
 pub use logging::{discard, logger};
 pub use metrics::Metrics;
+pub use peers::{
+    KeyError, PeerAddress, PeerError, PeerEvent, PeerIdentity, Peers, TlsError, create_authority,
+    create_instance,
+};
 pub use settings::{AdminKey, Limits, PeerKeys, Settings, Timeouts};
 pub use settings_check::{Finding, parse_settings};
 pub use shared::{Shared, Stage};
--- /dev/null
+++ b/crates/wagtailarch-entry/src/peers/transport.rs
@@ -0,0 +1,380 @@
+//! Connections to other instances.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use displaydoc::Display;
+use quinn::{Connection, Endpoint, Incoming, TransportConfig, VarInt};
+use slog::{Logger, debug, warn};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+use wagtailarch_types::InstanceId;
+use wagtailarch_wire::peer::{Hello, PeerMessage};
+
+use super::{
+    connection::{MESSAGE_TIMEOUT, MessageError, receive, receive_hello, send},
+    identity::{PeerIdentity, Tls, TlsError},
+};
+use crate::settings::PeerKeys;
+
+/// Messages that may wait for one peer; further ones are dropped.
+const PEER_QUEUE: usize = 64;
+
+/// Messages that may wait for the control thread; then reading from the connections pauses.
+const EVENT_QUEUE: usize = 1_024;
+
+/// Instances with a queue or a connection; the design size is 370.
+const MAX_PEERS: usize = 1_024;
+
+/// Time without messages after which a connection ends.
+///
+/// At the design size a pair of instances speaks about once a minute, and a handshake costs more
+/// than many messages.
+const IDLE: Duration = Duration::from_secs(600);
+
+/// Messages that a peer may send at the same time.
+const STREAMS: u32 = 32;
+
+/// Bytes of one message that may be in flight, and of all messages of a connection.
+const STREAM_WINDOW_BYTES: u32 = 128 * 1024;
+const CONNECTION_WINDOW_BYTES: u32 = 512 * 1024;
+
+/// Why the transport could not start.
+#[derive(Debug, Display)]
+pub enum PeerError {
+    /// {0}
+    Tls(TlsError),
+    /// cannot listen on {0}: {1}
+    Listen(SocketAddr, io::Error),
+}
+
+impl std::error::Error for PeerError {}
+
+/// Where an instance can be reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    /// Instance and its zone, which its certificate must name.
+    pub identity: PeerIdentity,
+    /// Address of its transport.
+    pub address: SocketAddr,
+}
+
+/// What happened at the transport.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerEvent {
+    /// A connection was established; the identity is that of the certificate.
+    Connected(Hello),
+    /// A message of an instance with this identity.
+    Message(PeerIdentity, PeerMessage),
+    /// A message could not be delivered; the connection was closed.
+    Unreachable(PeerIdentity),
+}
+
+/// Handle of the transport.
+#[derive(Debug, Clone)]
+pub struct Peers(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    endpoint: Endpoint,
+    own: PeerIdentity,
+    hello: ArcSwap<Hello>,
+    events: mpsc::Sender<PeerEvent>,
+    log: Logger,
+    /// At most `MAX_PEERS`.
+    peers: Mutex<HashMap<InstanceId, Peer>>,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    queue: Option<mpsc::Sender<PeerMessage>>,
+    connection: Option<Connection>,
+}
+
+impl Peers {
+    /// Binds `address` and accepts other instances on the current runtime.
+    pub fn start(
+        address: SocketAddr,
+        keys: &PeerKeys,
+        hello: Hello,
+        log: Logger,
+    ) -> Result<(Self, mpsc::Receiver<PeerEvent>), PeerError> {
+        let own = PeerIdentity {
+            instance: hello.instance.clone(),
+            zone: hello.zone.clone(),
+        };
+        let mut tls = Tls::load(keys, &own).map_err(PeerError::Tls)?;
+        let transport = Arc::new(transport());
+        tls.server.transport_config(Arc::clone(&transport));
+        tls.client.transport_config(transport);
+        let endpoint = Endpoint::server(tls.server, address);
+        let mut endpoint = endpoint.map_err(|error| PeerError::Listen(address, error))?;
+        endpoint.set_default_client_config(tls.client);
+        let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+        let hello = ArcSwap::from_pointee(hello);
+        let peers = Mutex::default();
+        let inner = Arc::new(Inner {
+            endpoint,
+            own,
+            hello,
+            events,
+            log,
+            peers,
+        });
+        tokio::spawn(Arc::clone(&inner).accept());
+        Ok((Self(inner), receiver))
+    }
+
+    /// Returns the address of the transport.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.0.endpoint.local_addr()
+    }
+
+    /// Sets the introduction for further connections.
+    pub fn set_hello(&self, hello: Hello) {
+        self.0.hello.store(Arc::new(hello));
+    }
+
+    /// Sends a message; returns false if the queue of the peer is full.
+    pub fn send(&self, to: &PeerAddress, message: PeerMessage) -> bool {
+        self.0.enqueue(&to.identity, Some(to.address), message)
+    }
+
+    /// Sends a message over the connection that the peer has opened; returns false without one.
+    pub fn reply(&self, to: &PeerIdentity, message: PeerMessage) -> bool {
+        self.0.enqueue(to, None, message)
+    }
+
+    /// Closes all connections.
+    pub async fn close(&self) {
+        self.0.endpoint.close(VarInt::from_u32(0), b"shutdown");
+        let _ = timeout(Duration::from_secs(1), self.0.endpoint.wait_idle()).await;
+    }
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport
+        .max_concurrent_bidi_streams(VarInt::from_u32(0))
+        .max_concurrent_uni_streams(VarInt::from_u32(STREAMS))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES))
+        .receive_window(VarInt::from_u32(CONNECTION_WINDOW_BYTES))
+        .datagram_receive_buffer_size(None)
+        .max_idle_timeout(IDLE.try_into().ok());
+    transport
+}
+
+impl Inner {
+    /// Accepts connections until the endpoint is closed.
+    async fn accept(self: Arc<Self>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            if self.endpoint.open_connections() > MAX_PEERS {
+                incoming.refuse();
+                continue;
+            }
+            let inner = Arc::clone(&self);
+            tokio::spawn(async move {
+                let result = timeout(MESSAGE_TIMEOUT, inner.establish_incoming(incoming)).await;
+                if let Ok(Err(error)) = result {
+                    warn!(inner.log, "peer_refused"; "error" => %error);
+                }
+            });
+        }
+    }
+
+    async fn establish_incoming(
+        self: &Arc<Self>,
+        incoming: Incoming,
+    ) -> Result<Connection, MessageError> {
+        let connection = incoming.await?;
+        self.introduce(connection, None).await
+    }
+
+    async fn establish(self: &Arc<Self>, to: &PeerAddress) -> Result<Connection, MessageError> {
+        let connecting = self.endpoint.connect(to.address, &to.identity.name());
+        let connecting = connecting.map_err(|error| MessageError::Stream(error.to_string()))?;
+        let connection = timeout(MESSAGE_TIMEOUT, connecting).await;
+        let connection = connection.map_err(|_| MessageError::TimedOut)??;
+        self.introduce(connection, Some(&to.identity)).await
+    }
+
+    /// Exchanges introductions and reads messages from then on.
+    async fn introduce(
+        self: &Arc<Self>,
+        connection: Connection,
+        expected: Option<&PeerIdentity>,
+    ) -> Result<Connection, MessageError> {
+        let own = PeerMessage::Hello(Hello::clone(&self.hello.load()));
+        let exchange =
+            async { tokio::try_join!(send(&connection, &own), receive_hello(&connection)) };
+        let hello = match exchange.await {
+            Ok(((), hello)) => hello,
+            Err(error) => {
+                connection.close(VarInt::from_u32(1), b"no introduction");
+                return Err(error);
+            }
+        };
+        let identity = PeerIdentity {
+            instance: hello.instance.clone(),
+            zone: hello.zone.clone(),
+        };
+        if expected.is_some_and(|expected| *expected != identity) || identity == self.own {
+            connection.close(VarInt::from_u32(2), b"wrong identity");
+            return Err(MessageError::WrongIdentity(identity));
+        }
+        if let Some(peer) = self.peer(&mut self.lock(), &identity.instance) {
+            peer.connection = Some(connection.clone());
+        }
+        let _ = self.events.send(PeerEvent::Connected(hello)).await;
+        tokio::spawn(Arc::clone(self).read(connection.clone(), identity));
+        Ok(connection)
+    }
+
+    /// Hands the messages of a connection to the control thread.
+    async fn read(self: Arc<Self>, connection: Connection, identity: PeerIdentity) {
+        loop {
+            match receive(&connection).await {
+                Ok(message) => {
+                    let event = PeerEvent::Message(identity.clone(), message);
+                    if self.events.send(event).await.is_err() {
+                        break;
+                    }
+                }
+                Err(MessageError::Connection(error)) => {
+                    debug!(self.log, "peer_closed"; "peer" => %identity.instance, "why" => %error);
+                    break;
+                }
+                Err(error) => {
+                    warn!(self.log, "peer_message"; "peer" => %identity.instance,
+                        "error" => %error);
+                    connection.close(VarInt::from_u32(3), b"bad message");
+                    break;
+                }
+            }
+        }
+        self.forget(&connection, &identity);
+    }
+
+    fn enqueue(
+        self: &Arc<Self>,
+        to: &PeerIdentity,
+        address: Option<SocketAddr>,
+        message: PeerMessage,
+    ) -> bool {
+        let mut peers = self.lock();
+        let Some(peer) = self.peer(&mut peers, &to.instance) else {
+            return false;
+        };
+        if address.is_none() && peer.connection.is_none() {
+            return false;
+        }
+        let full = match &peer.queue {
+            Some(queue) => match queue.try_send(message) {
+                Ok(()) => return true,
+                Err(mpsc::error::TrySendError::Full(_)) => return false,
+                Err(mpsc::error::TrySendError::Closed(message)) => message,
+            },
+            None => message,
+        };
+        let (queue, receiver) = mpsc::channel(PEER_QUEUE);
+        let sent = queue.try_send(full).is_ok();
+        peer.queue = Some(queue);
+        tokio::spawn(Arc::clone(self).deliver(to.clone(), address, receiver));
+        sent
+    }
+
+    /// Sends the messages of one peer's queue until it was idle for long.
+    async fn deliver(
+        self: Arc<Self>,
+        to: PeerIdentity,
+        address: Option<SocketAddr>,
+        mut queue: mpsc::Receiver<PeerMessage>,
+    ) {
+        while let Some(message) = tokio::select! {
+            message = queue.recv() => message,
+            () = sleep(IDLE) => None,
+        } {
+            let Err(error) = self.deliver_one(&to, address, &message).await else {
+                continue;
+            };
+            debug!(self.log, "peer_unreachable"; "peer" => %to.instance, "error" => %error);
+            let _ = self.events.send(PeerEvent::Unreachable(to.clone())).await;
+            // A failure closes the queue: what waits in it is as old as the failed message, and
+            // the next message may come with a new address.
+            break;
+        }
+    }
+
+    async fn deliver_one(
+        self: &Arc<Self>,
+        to: &PeerIdentity,
+        address: Option<SocketAddr>,
+        message: &PeerMessage,
+    ) -> Result<(), MessageError> {
+        if let Some(connection) = self.connection(to) {
+            match send(&connection, message).await {
+                Ok(()) => return Ok(()),
+                Err(error @ MessageError::Frame(_)) => return Err(error),
+                Err(_) => {
+                    connection.close(VarInt::from_u32(4), b"not delivered");
+                    self.forget(&connection, to);
+                }
+            }
+        }
+        let address = address.ok_or(MessageError::TimedOut)?;
+        let to = PeerAddress {
+            identity: to.clone(),
+            address,
+        };
+        let connection = self.establish(&to).await?;
+        send(&connection, message).await
+    }
+
+    fn connection(&self, to: &PeerIdentity) -> Option<Connection> {
+        let peers = self.lock();
+        let connection = peers.get(&to.instance)?.connection.as_ref()?;
+        connection
+            .close_reason()
+            .is_none()
+            .then(|| connection.clone())
+    }
+
+    /// Forgets a connection that has ended.
+    fn forget(&self, connection: &Connection, identity: &PeerIdentity) {
+        let mut peers = self.lock();
+        let Some(peer) = peers.get_mut(&identity.instance) else {
+            return;
+        };
+        let same = |known: &Connection| known.stable_id() == connection.stable_id();
+        if peer.connection.as_ref().is_some_and(same) {
+            peer.connection = None;
+        }
+        if peer.connection.is_none() && peer.queue.as_ref().is_none_or(mpsc::Sender::is_closed) {
+            peers.remove(&identity.instance);
+        }
+    }
+
+    /// Returns the entry of a peer; `None` when there are too many.
+    fn peer<'a>(
+        &self,
+        peers: &'a mut HashMap<InstanceId, Peer>,
+        instance: &InstanceId,
+    ) -> Option<&'a mut Peer> {
+        if peers.len() >= MAX_PEERS && !peers.contains_key(instance) {
+            return None;
+        }
+        Some(peers.entry(instance.clone()).or_default())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
