--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -84,6 +84,9 @@
     /// Asks for admission.
     pub fn admit(&self, prompt_tokens: u32, max_tokens: u32) -> Result<Admitted, Refusal> {
         let context = &self.context;
+        if context.time_left().is_zero() {
+            return Err(context.too_late(Ran::No));
+        }
         let request = AdmitRequest {
             team: context.team().name.clone(),
             group: self.target.group.clone(),
--- a/crates/wagtailarch-entry/src/body.rs
+++ b/crates/wagtailarch-entry/src/body.rs
@@ -28,8 +28,8 @@
 pub struct HeldBody {
     /// The body.
     pub bytes: Bytes,
-    /// Releases the memory of the body for other requests.
-    _permit: Option<OwnedSemaphorePermit>,
+    /// Permits of the memory that the body takes.
+    pub memory: Option<OwnedSemaphorePermit>,
 }
 
 /// Reads request bodies within a bound for each and for all together.
@@ -104,7 +104,7 @@
         }
         Ok(HeldBody {
             bytes: bytes.freeze(),
-            _permit: permit,
+            memory: permit,
         })
     }
 
--- a/crates/wagtailarch-entry/src/chat/generation.rs
+++ b/crates/wagtailarch-entry/src/chat/generation.rs
@@ -4,7 +4,7 @@
 
 use smol_str::SmolStr;
 use tokio::{
-    sync::mpsc,
+    sync::{OwnedSemaphorePermit, mpsc},
     time::{Instant, timeout, timeout_at},
 };
 use wagtailarch_traffic::{
@@ -37,6 +37,8 @@
     pub admitted: Admitted,
     /// The call.
     pub call: CompletionCall,
+    /// Memory that the prompt takes.
+    pub _memory: Option<OwnedSemaphorePermit>,
     /// Group of the engines.
     pub group: wagtailarch_fleet::Group,
 }
--- a/crates/wagtailarch-entry/src/chat/handler.rs
+++ b/crates/wagtailarch-entry/src/chat/handler.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     attempts::{Attempts, Target},
-    body::{BodyError, ClientBody, full},
+    body::{BodyError, ClientBody, HeldBody, full},
     metrics::Metrics,
     refusal::Refusal,
     request::RequestContext,
@@ -34,8 +34,7 @@
     let shared = context.shared.clone();
     let held = shared.bodies.read(body).await?;
     let call = parse_call(api, &held.bytes, shared.settings.limits.max_tokens)?;
-    let job = job(context, call, &held.bytes)?;
-    drop(held);
+    let job = job(context, call, held)?;
     let context = job.attempts.context().clone();
     let stream = job.call.stream;
     let renderer = Renderer::new(&job.call, &context.id_text, unix_time_s());
@@ -72,7 +71,7 @@
 }
 
 /// Finds the service and group of a call.
-fn job(context: RequestContext, call: CompletionCall, body: &[u8]) -> Result<Job, Refusal> {
+fn job(context: RequestContext, call: CompletionCall, held: HeldBody) -> Result<Job, Refusal> {
     let unknown = || {
         let message = format!("the model {:?} does not exist", call.model);
         Refusal::not_run(RefusalReason::UnknownModel, message)
@@ -100,12 +99,13 @@
         resumable: true,
     };
     let group = group.clone();
-    let attempts = Attempts::new(context, target, body)?;
+    let attempts = Attempts::new(context, target, &held.bytes)?;
     let admitted = attempts.admit(estimate_tokens(&call.prompt), call.max_tokens)?;
     Ok(Job {
         attempts,
         admitted,
         call,
+        _memory: held.memory,
         group,
     })
 }
--- a/crates/wagtailarch-entry/src/client_io.rs
+++ b/crates/wagtailarch-entry/src/client_io.rs
@@ -120,6 +120,11 @@
         self.state().requests += 1;
     }
 
+    /// Tells whether the headers of a request were read.
+    pub fn has_requests(&self) -> bool {
+        self.state().requests > 0
+    }
+
     /// Tells whether too little was read to know the protocol.
     pub fn is_undecided(&self) -> bool {
         let state = self.state();
--- a/crates/wagtailarch-entry/src/instance.rs
+++ b/crates/wagtailarch-entry/src/instance.rs
@@ -4,7 +4,7 @@
 
 use displaydoc::Display;
 use slog::Logger;
-use tokio::{net::TcpListener, sync::mpsc, time::timeout};
+use tokio::{net::TcpListener, sync::mpsc};
 use wagtailarch_platform::{HttpPlatform, HttpPlatformConfig, Platform};
 use wagtailarch_wire::peer::Hello;
 
@@ -12,10 +12,11 @@
     admin::serve_admin,
     claims::{Claims, PlatformHandle},
     control::{ControlError, ControlInputs, ControlThread},
+    drain::Drain,
     peers::{PeerError, PeerEvent, Peers},
     server::serve_clients,
-    settings::{Settings, ms},
-    shared::{Shared, Stage},
+    settings::Settings,
+    shared::Shared,
 };
 
 /// Why an instance could not start.
@@ -122,17 +123,7 @@
     ///
     /// Returns whether every request finished in time.
     pub async fn drain(self) -> bool {
-        let shared = &self.shared;
-        let timeouts = shared.settings.timeouts;
-        slog::info!(shared.log, "draining"; "running" => shared.running());
-        shared.stage.send_replace(Stage::Leaving);
-        tokio::time::sleep(ms(timeouts.drain_delay_ms)).await;
-        shared.stage.send_replace(Stage::Finishing);
-        let finished = timeout(ms(timeouts.drain_ms), shared.finish_running())
-            .await
-            .is_ok();
-        shared.stage.send_replace(Stage::Stopped);
-        slog::info!(shared.log, "stopped"; "finished" => finished, "left" => shared.running());
+        let finished = Drain::new(Arc::clone(&self.shared)).run().await;
         self.control.stop().await;
         if let Some(peers) = &self.peers {
             peers.close().await;
--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod claims;
 mod client_io;
 mod control;
+mod drain;
 mod engine_client;
 mod events;
 mod in_flight;
--- a/crates/wagtailarch-entry/src/proxy_message.rs
+++ b/crates/wagtailarch-entry/src/proxy_message.rs
@@ -14,7 +14,7 @@
 };
 
 /// Headers that concern one connection only, and those that are the instance's own.
-const NOT_FORWARDED: [HeaderName; 11] = [
+const NOT_FORWARDED: [HeaderName; 10] = [
     header::CONNECTION,
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
@@ -23,7 +23,6 @@
     header::TRANSFER_ENCODING,
     header::UPGRADE,
     header::HOST,
-    header::CONTENT_LENGTH,
     header::AUTHORIZATION,
     header::EXPECT,
 ];
@@ -41,12 +40,14 @@
     *request.uri_mut() = uri(address, path)?;
     *request.headers_mut() = parts.headers.clone();
     strip(request.headers_mut());
+    // The body is sent whole, whatever the framing of the client was.
+    request.headers_mut().remove(header::CONTENT_LENGTH);
     let id = HeaderValue::from_str(&context.id_text).expect("request ids are hexadecimal");
     request.headers_mut().insert("x-request-id", id);
     Ok(request)
 }
 
-/// Removes the headers that are not forwarded, and those that `Connection` names.
+/// Removes the headers that are not forwarded, in both directions, and those that `Connection` names.
 pub fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
--- a/crates/wagtailarch-entry/src/server.rs
+++ b/crates/wagtailarch-entry/src/server.rs
@@ -2,7 +2,8 @@
 
 use std::{convert::Infallible, io, sync::Arc, time::Duration};
 
-use http::{HeaderValue, Method, Request, Response};
+use futures_util::FutureExt;
+use http::{HeaderValue, Method, Request, Response, Version, header};
 use hyper::{body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -29,37 +30,48 @@
 /// Pause after a failed accept, for instance when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for the first request of a connection that was accepted just before accepting ended.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// Accepts clients until the instance finishes.
 pub async fn serve_clients(shared: Arc<Shared>, listener: TcpListener) {
     let slots = Arc::new(Semaphore::new(shared.settings.limits.connections));
+    let finishing = shared.reached(Stage::Finishing);
+    let mut finishing = std::pin::pin!(finishing);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = shared.reached(Stage::Finishing) => return,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                accept_failed(&shared, &error).await;
-                continue;
-            }
-        };
-        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
-            // Closing at once is the only answer that costs nothing.
-            shared.metrics.connection("refused");
-            continue;
+            () = finishing.as_mut() => break,
         };
-        shared.metrics.connection("accepted");
-        let shared = Arc::clone(&shared);
-        tokio::spawn(async move {
-            shared.metrics.open_connections.inc();
-            serve_connection(&shared, stream).await;
-            shared.metrics.open_connections.dec();
-            drop(slot);
-        });
+        match accepted {
+            Ok((stream, _)) => serve(&shared, &slots, stream),
+            Err(error) => accept_failed(&shared, &error).await,
+        }
+    }
+    // Closing the listener resets the connections that wait to be accepted.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        serve(&shared, &slots, stream);
     }
 }
 
+/// Serves a connection in a task of its own, if there is room.
+fn serve(shared: &Arc<Shared>, slots: &Arc<Semaphore>, stream: TcpStream) {
+    let Ok(slot) = Arc::clone(slots).try_acquire_owned() else {
+        // Closing at once is the only answer that costs nothing.
+        shared.metrics.connection("refused");
+        return;
+    };
+    shared.metrics.connection("accepted");
+    let shared = Arc::clone(shared);
+    let token = shared.connection();
+    tokio::spawn(async move {
+        shared.metrics.open_connections.inc();
+        serve_connection(&shared, stream).await;
+        shared.metrics.open_connections.dec();
+        drop((slot, token));
+    });
+}
+
 async fn accept_failed(shared: &Shared, error: &io::Error) {
     shared.metrics.connection("failed");
     slog::warn!(shared.log, "accept_failed"; "error" => %error);
@@ -89,7 +101,7 @@
                     break Err(ConnectionEnd::HeadersTooSlow);
                 }
             }
-            () = shared.reached(Stage::Finishing), if !draining => {
+            () = finishing(shared, &socket), if !draining => {
                 draining = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -101,6 +113,17 @@
     }
 }
 
+/// Waits until a connection may take no further requests.
+///
+/// hyper closes a connection at once that has not received a request, so one that was accepted
+/// just before the end of accepting is given time for its first.
+async fn finishing(shared: &Shared, socket: &ClientSocket) {
+    shared.reached(Stage::Finishing).await;
+    if !socket.has_requests() {
+        sleep(FIRST_REQUEST_TIME).await;
+    }
+}
+
 /// How a connection failed.
 #[derive(Debug)]
 enum ConnectionEnd {
@@ -170,6 +193,7 @@
 async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<ClientBody> {
     let id: RequestId = rand::random();
     shared.metrics.requests.inc();
+    let version = request.version();
     let mut response = match answer(shared, id, request).await {
         Ok(response) => response,
         Err(refusal) => {
@@ -182,6 +206,11 @@
     let text = format_request_id(id);
     let text = HeaderValue::from_str(&text).expect("request ids are hexadecimal");
     response.headers_mut().insert("x-request-id", text);
+    if version < Version::HTTP_2 && shared.stage() >= Stage::Leaving {
+        // The client then opens its next connection, which the balancer sends elsewhere.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     response
 }
 
--- a/crates/wagtailarch-entry/src/shared.rs
+++ b/crates/wagtailarch-entry/src/shared.rs
@@ -176,7 +176,14 @@
         self.running.len()
     }
 
-    /// Waits until no request runs.
+    /// Returns a token of an open connection; a shutdown waits until it is dropped.
+    ///
+    /// The last bytes of a response may still have to be written when its request has ended.
+    pub fn connection(&self) -> TaskTrackerToken {
+        self.running.token()
+    }
+
+    /// Waits until no request runs and no connection is open.
     pub async fn finish_running(&self) {
         self.running.close();
         self.running.wait().await;
--- a/crates/wagtailarch-entry/tests/bad_input.rs
+++ b/crates/wagtailarch-entry/tests/bad_input.rs
@@ -228,7 +228,7 @@
     drop(open);
 }
 
-/// Guards against a plain service that is called with a key of the client.
+/// Guards against a service that sees a client's key, and against a wrong length for HEAD.
 #[tokio::test]
 async fn a_plain_service_does_not_see_the_key() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -245,8 +245,11 @@
         .request(call.body(Full::default()).unwrap())
         .await
         .unwrap();
-    assert_eq!(
-        read(response).await,
-        (http::StatusCode::OK, "/lids/3?full=1 false".into())
-    );
+    let whole = (http::StatusCode::OK, "/lids/3?full=1 false".to_owned());
+    assert_eq!(read(response).await, whole);
+    let uri = format!("http://{}/lids/3", instance.client_address());
+    let call = Request::head(uri).header("authorization", format!("Bearer {KEY}"));
+    let call = call.body(Full::default()).unwrap();
+    let response = client().request(call).await.unwrap();
+    assert_eq!(response.headers()["content-length"], "13");
 }
