--- /dev/null
+++ b/crates/wagtailarch-e2e/src/ctl.rs
@@ -0,0 +1,44 @@
+//! Runs of `wagtailctl`.
+
+use std::process::Stdio;
+
+use crate::HarnessError;
+use crate::process::program_path;
+
+/// Result of a run of `wagtailctl`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CtlOutput {
+    /// Exit code; its meaning is in `wagtailctl --help`.
+    pub code: i32,
+    /// Standard output and standard error.
+    pub text: String,
+}
+
+impl CtlOutput {
+    /// Fails unless the exit code is 0.
+    pub fn check(&self) -> Result<(), HarnessError> {
+        if self.code == 0 {
+            return Ok(());
+        }
+        Err(HarnessError::Call(format!(
+            "wagtailctl: exit code {}: {}",
+            self.code, self.text
+        )))
+    }
+}
+
+/// Runs `wagtailctl` to its end.
+pub(crate) async fn run_ctl(args: &[&str]) -> Result<CtlOutput, HarnessError> {
+    let output = tokio::process::Command::new(program_path("wagtailctl")?)
+        .args(args)
+        .stdin(Stdio::null())
+        .kill_on_drop(true)
+        .output()
+        .await?;
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.push_str(&String::from_utf8_lossy(&output.stderr));
+    Ok(CtlOutput {
+        code: output.status.code().unwrap_or(-1),
+        text,
+    })
+}
--- a/crates/wagtailarch-e2e/src/fleet.rs
+++ b/crates/wagtailarch-e2e/src/fleet.rs
@@ -1,32 +1,25 @@
 //! A fleet of real processes on loopback.
 
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tempfile::TempDir;
 use tokio::sync::{Mutex, MutexGuard};
 use wagtailarch_load::load::Targets;
-use wagtailarch_standin::engine::EngineCounters;
-use wagtailarch_standin::platform::{Milliseconds, StateChange};
-use wagtailarch_standin::service::Run;
-use wagtailarch_wire::engine::EngineReport;
 use wagtailarch_wire::platform::{InstanceKind, ListedInstance, ListedState};
 
 use crate::config::{key_hash, write_keys};
 use crate::{
-    ENGINE_GROUP, FleetFile, HarnessError, KEY, MODEL, Ports, Reply, SERVICE_GROUP, ServerProcess,
-    VERSIONS, call,
+    ConfigSource, ENGINE_GROUP, FleetOptions, HarnessError, KEY, MODEL, Ports, SERVICE_GROUP,
+    ServerProcess, call,
 };
 
 /// Time for a condition that takes a few seconds at most on a free machine.
-const CONDITION_LIMIT: Duration = Duration::from_secs(25);
+pub(crate) const CONDITION_LIMIT: Duration = Duration::from_secs(25);
 /// Pause between two looks at a condition.
-const POLL: Duration = Duration::from_millis(50);
+pub(crate) const POLL: Duration = Duration::from_millis(50);
 
 /// Fleets of one program run one after the other, which bounds processes and processor use.
 static ONE_FLEET: Mutex<()> = Mutex::const_new(());
@@ -36,45 +29,6 @@
     ONE_FLEET.lock().await
 }
 
-/// What a fleet consists of.
-#[derive(Debug, Clone)]
-pub struct FleetOptions {
-    /// Configuration.
-    pub file: FleetFile,
-    /// Number of entry instances; spread over the zones.
-    pub entries: usize,
-    /// Number of engines; spread over the zones.
-    pub engines: usize,
-    /// Number of plain services; spread over the zones.
-    pub services: usize,
-    /// Further options of the engines.
-    pub engine_args: Vec<String>,
-    /// Ports of entry instances.
-    pub ports: Range<u16>,
-    /// Traffic threads of an entry instance.
-    pub traffic_threads: usize,
-}
-
-impl Default for FleetOptions {
-    fn default() -> Self {
-        Self {
-            file: FleetFile {
-                zones: vec!["buda-a".into(), "pest-b".into()],
-                version: VERSIONS[0].into(),
-                checks_fencing: true,
-                roles: [(0, 0), (0, 0), (0, 12)],
-                requests_per_s: 100_000.0,
-            },
-            entries: 3,
-            engines: 4,
-            services: 1,
-            engine_args: Vec::new(),
-            ports: Ports::TESTS,
-            traffic_threads: 2,
-        }
-    }
-}
-
 /// An entry instance.
 #[derive(Debug)]
 pub struct EntryProcess {
@@ -116,11 +70,11 @@
     pub platform: SocketAddr,
     /// Address of the balancer.
     pub balancer: SocketAddr,
-    options: FleetOptions,
+    pub(crate) options: FleetOptions,
     // Dropped after the processes above.
     _balancer: Option<ServerProcess>,
     _platform: ServerProcess,
-    dir: TempDir,
+    pub(crate) dir: TempDir,
 }
 
 impl TestFleet {
@@ -142,6 +96,10 @@
         };
         fleet.start_backends().await?;
         std::fs::write(fleet.fleet_path(), fleet.options.file.to_toml())?;
+        if fleet.options.source == ConfigSource::Platform {
+            let applied = fleet.apply(&fleet.options.file, "0").await?;
+            applied.check()?;
+        }
         fleet.start_entries().await?;
         fleet.start_balancer().await?;
         fleet.wait_serving().await?;
@@ -260,17 +218,20 @@
     fn settings(&self, id: &str, zone: &str, addresses: [SocketAddr; 3]) -> String {
         let [client, admin, peer] = addresses;
         let dir = self.dir.path().display();
+        let file = match self.options.source {
+            ConfigSource::File => format!("fleet_file = \"{}\"\n", self.fleet_path().display()),
+            ConfigSource::Platform => String::new(),
+        };
         format!(
             "instance = \"{id}\"\nzone = \"{zone}\"\nclient_address = \"{client}\"\n\
              admin_address = \"{admin}\"\npeer_address = \"{peer}\"\n\
-             platform_address = \"{}\"\ntraffic_threads = {}\nfleet_file = \"{}\"\n\
+             platform_address = \"{}\"\ntraffic_threads = {}\n{file}\
              [timeouts]\ndrain_delay_ms = 1000\n\
              [peers]\nca_file = \"{dir}/ca.pem\"\ncert_file = \"{dir}/{id}.pem\"\n\
              key_file = \"{dir}/{id}.key\"\n\
              [[admin_key]]\nname = \"tests\"\nkey_hash = \"{}\"\n",
             self.platform,
             self.options.traffic_threads,
-            self.fleet_path().display(),
             key_hash(KEY)
         )
     }
@@ -381,53 +342,6 @@
         }
     }
 
-    /// Makes a control call to the platform.
-    pub async fn control(&self, path: &str, body: &impl Serialize) -> Result<(), HarnessError> {
-        let path = format!("/standin/v1/{path}");
-        let body = serde_json::to_string(body).map_err(|e| HarnessError::Call(e.to_string()))?;
-        let reply = call(Method::POST, self.platform, &path, &[], body).await?;
-        if reply.status == StatusCode::NO_CONTENT {
-            return Ok(());
-        }
-        Err(HarnessError::Call(format!(
-            "{path}: status {}",
-            reply.status
-        )))
-    }
-
-    /// Takes the platform down for some time.
-    pub async fn platform_outage(&self, time: Duration) -> Result<(), HarnessError> {
-        let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-        self.control("outage", &Milliseconds { ms }).await
-    }
-
-    /// Sets the state of an instance on the platform's list.
-    pub async fn set_listed(&self, id: &str, state: ListedState) -> Result<(), HarnessError> {
-        self.control(
-            "instances/state",
-            &StateChange {
-                id: id.into(),
-                state,
-            },
-        )
-        .await
-    }
-
-    /// Returns the counters of an engine.
-    pub async fn engine_counters(&self, number: usize) -> Result<EngineCounters, HarnessError> {
-        get(self.engines[number].address, "/standin/v1/counters").await
-    }
-
-    /// Returns the report of an engine.
-    pub async fn engine_report(&self, number: usize) -> Result<EngineReport, HarnessError> {
-        get(self.engines[number].address, "/engine/v1/report").await
-    }
-
-    /// Returns the runs of a plain service.
-    pub async fn service_runs(&self, number: usize) -> Result<Vec<Run>, HarnessError> {
-        get(self.services[number].address, "/standin/v1/runs").await
-    }
-
     /// Returns the number of engines whose process has ended.
     pub fn crashed_engines(&mut self) -> usize {
         let engines = self.engines.iter_mut();
@@ -436,35 +350,6 @@
             .count()
     }
 
-    /// Waits until a condition on the fleet holds.
-    pub async fn wait_until(
-        &self,
-        what: &str,
-        mut holds: impl AsyncFnMut(&Self) -> Result<bool, HarnessError>,
-    ) -> Result<(), HarnessError> {
-        let start = Instant::now();
-        while !holds(self).await? {
-            check_limit(start, || what.to_owned())?;
-            tokio::time::sleep(POLL).await;
-        }
-        Ok(())
-    }
-
-    /// Makes a client call to an entry instance with the key of the team.
-    pub async fn client_call(
-        &self,
-        number: usize,
-        method: Method,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: String,
-    ) -> Result<Reply, HarnessError> {
-        let bearer = format!("Bearer {KEY}");
-        let mut all = vec![("authorization", bearer.as_str())];
-        all.extend_from_slice(headers);
-        call(method, self.entries[number].client, path, &all, body).await
-    }
-
     /// Fails if any process has ended.
     pub fn check_running(&mut self) -> Result<(), HarnessError> {
         for entry in &mut self.entries {
@@ -532,13 +417,7 @@
     reply.is_ok_and(|reply| reply.status == StatusCode::OK)
 }
 
-async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, HarnessError> {
-    call(Method::GET, address, path, &[], String::new())
-        .await?
-        .json()
-}
-
-fn check_limit(start: Instant, what: impl Fn() -> String) -> Result<(), HarnessError> {
+pub(crate) fn check_limit(start: Instant, what: impl Fn() -> String) -> Result<(), HarnessError> {
     if start.elapsed() < CONDITION_LIMIT {
         return Ok(());
     }
--- a/crates/wagtailarch-e2e/src/lib.rs
+++ b/crates/wagtailarch-e2e/src/lib.rs
@@ -2,18 +2,25 @@
 //!
 //! [`TestFleet`] starts stand-ins and entry instances on loopback and stops them by their ids.
 
+mod calls;
 mod config;
+mod ctl;
 mod error;
 mod fleet;
 mod http_call;
 mod load;
+mod options;
 mod ports;
 mod process;
+mod usage;
 
 pub use config::{ENGINE_GROUP, FleetFile, KEY, MODEL, SERVICE_GROUP, VERSIONS};
+pub use ctl::CtlOutput;
 pub use error::HarnessError;
-pub use fleet::{BackendProcess, EntryProcess, FleetOptions, TestFleet, one_fleet};
+pub use fleet::{BackendProcess, EntryProcess, TestFleet, one_fleet};
 pub use http_call::{Reply, call};
 pub use load::{LoadHandle, scenario};
+pub use options::{ConfigSource, FleetOptions};
 pub use ports::Ports;
 pub use process::ServerProcess;
+pub use usage::Usage;
--- a/crates/wagtailarch-e2e/src/process.rs
+++ b/crates/wagtailarch-e2e/src/process.rs
@@ -139,7 +139,7 @@
 }
 
 /// Finds a program beside the running one: in the target directory of the same profile.
-fn program_path(program: &str) -> Result<PathBuf, HarnessError> {
+pub(crate) fn program_path(program: &str) -> Result<PathBuf, HarnessError> {
     let own = std::env::current_exe()?;
     let mut dir = own.parent().unwrap_or(Path::new(".")).to_owned();
     if dir.ends_with("deps") {
--- /dev/null
+++ b/crates/wagtailarch-e2e/tests/control.rs
@@ -0,0 +1,200 @@
+//! End-to-end tests of configuration, orders and the lease.
+
+use std::time::Duration;
+
+use rustix::process::Signal;
+use wagtailarch_e2e::{
+    ConfigSource, FleetFile, FleetOptions, HarnessError, LoadHandle, TestFleet, VERSIONS,
+    one_fleet, scenario,
+};
+use wagtailarch_load::load::Weights;
+use wagtailarch_types::{BackendState, Role};
+
+const MODELS: Weights = Weights {
+    stream: 3.0,
+    whole: 1.0,
+    get: 0.0,
+    post: 0.0,
+    direct: 0.0,
+};
+/// Exit code of `wagtailctl` for a conflict.
+const CONFLICT: i32 = 3;
+
+fn options() -> FleetOptions {
+    FleetOptions {
+        source: ConfigSource::Platform,
+        ..FleetOptions::default()
+    }
+}
+
+/// Returns the file of the fleet with another version.
+fn other_version(options: &FleetOptions) -> FleetFile {
+    FleetFile {
+        version: VERSIONS[1].into(),
+        ..options.file.clone()
+    }
+}
+
+/// Waits until all engines serve the version.
+async fn wait_for_version(fleet: &TestFleet, version: &str) -> Result<(), HarnessError> {
+    let what = format!("version {version} on all engines");
+    fleet
+        .wait_until(&what, async |fleet| {
+            for number in 0..fleet.engines.len() {
+                let report = fleet.engine_report(number).await?;
+                if report.version != version || report.state != BackendState::Serving {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        })
+        .await
+}
+
+/// Returns the sums of cut requests and conflicting orders over all engines.
+async fn cuts_and_conflicts(fleet: &TestFleet) -> Result<(u64, u64), HarnessError> {
+    let mut sums = (0, 0);
+    for number in 0..fleet.engines.len() {
+        let counters = fleet.engine_counters(number).await?;
+        sums.0 += counters.cut_requests;
+        sums.1 += counters.order_conflicts;
+    }
+    Ok(sums)
+}
+
+/// Guards against an apply that overwrites that of another operator (G9).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_racing_operators_wins() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let options = options();
+    let fleet = TestFleet::start(options.clone()).await?;
+    let file = |number: u32| FleetFile {
+        requests_per_s: 50_000.0 + f64::from(number),
+        ..options.file.clone()
+    };
+    let files: Vec<_> = (0..4).map(file).collect();
+    let (a, b, c, d) = tokio::join!(
+        fleet.apply(&files[0], "1"),
+        fleet.apply(&files[1], "1"),
+        fleet.apply(&files[2], "1"),
+        fleet.apply(&files[3], "1"),
+    );
+    let outputs = [a?, b?, c?, d?];
+    let with_code = |code| outputs.iter().filter(|output| output.code == code).count();
+    assert_eq!((with_code(0), with_code(CONFLICT)), (1, 3), "{outputs:?}");
+    let winner = outputs
+        .iter()
+        .position(|output| output.code == 0)
+        .unwrap_or(0);
+    fleet.wait_in_force(2).await?;
+    let got = fleet.ctl(&["get"]).await?;
+    let limit = format!("requests_per_s = {:.1}", files[winner].requests_per_s);
+    assert!(got.text.contains(&limit), "{}", got.text);
+    Ok(())
+}
+
+/// Guards against a change of version that cuts or refuses requests (G2).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_version_cuts_nothing() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let options = options();
+    let fleet = TestFleet::start(options.clone()).await?;
+    let mut load = LoadHandle::start(scenario(21, 30.0, MODELS), fleet.targets(), None);
+    load.wait_completed(30).await?;
+    fleet.apply(&other_version(&options), "1").await?.check()?;
+    wait_for_version(&fleet, VERSIONS[1]).await?;
+    load.wait_completed(30).await?;
+    let report = load.finish().await?;
+    assert!(!report.has_faults(), "{report}");
+    assert_eq!(report.completed, report.sent, "{report}");
+    assert_eq!(cuts_and_conflicts(&fleet).await?, (0, 0), "{report}");
+    Ok(())
+}
+
+/// Guards against a change of roles that cuts or refuses requests (G2).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_roles_cut_nothing() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let options = options();
+    let fleet = TestFleet::start(options.clone()).await?;
+    let mut load = LoadHandle::start(scenario(22, 30.0, MODELS), fleet.targets(), None);
+    load.wait_completed(30).await?;
+    let file = FleetFile {
+        roles: [(1, 1), (1, 1), (0, 0)],
+        ..options.file
+    };
+    fleet.apply(&file, "1").await?.check()?;
+    fleet
+        .wait_until(
+            "a prefill and a decode engine in each zone",
+            async |fleet| {
+                let mut counts = [0, 0];
+                for number in 0..fleet.engines.len() {
+                    let report = fleet.engine_report(number).await?;
+                    match report.role {
+                        Role::Prefill => counts[0] += 1,
+                        Role::Decode => counts[1] += 1,
+                        Role::Mixed => {}
+                    }
+                }
+                Ok(counts == [2, 2])
+            },
+        )
+        .await?;
+    load.wait_completed(60).await?;
+    let report = load.finish().await?;
+    assert!(!report.has_faults(), "{report}");
+    assert_eq!(report.completed, report.sent, "{report}");
+    assert_eq!(cuts_and_conflicts(&fleet).await?, (0, 0), "{report}");
+    Ok(())
+}
+
+/// Guards against orders of a holder that was paused beyond its term (G1, G3).
+#[rstest::rstest]
+#[case::checking_engines(true)]
+#[case::other_engines(false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paused_lease_holder_gives_no_conflicting_order(
+    #[case] checks_fencing: bool,
+) -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let mut options = options();
+    options.file.zones.truncate(1);
+    options.file.checks_fencing = checks_fencing;
+    let zone = options.file.zones[0].clone();
+    let fleet = TestFleet::start(options.clone()).await?;
+    fleet
+        .wait_until("a lease", async |fleet| {
+            Ok(fleet.lease(&zone).await.is_ok())
+        })
+        .await?;
+    let before = fleet.lease(&zone).await?;
+    let holder = fleet
+        .entries
+        .iter()
+        .find(|entry| entry.id == before.holder.as_str());
+    let holder = holder.expect("the holder is an entry instance");
+    fleet.apply(&other_version(&options), "1").await?.check()?;
+    // The pause falls into the roll-out: the first order has been taken.
+    fleet
+        .wait_until("a first order", async |fleet| {
+            let mut orders = 0;
+            for number in 0..fleet.engines.len() {
+                orders += fleet.engine_report(number).await?.fencing_number;
+            }
+            Ok(orders > 0)
+        })
+        .await?;
+    holder.process.signal(Signal::STOP);
+    fleet
+        .wait_until("another lease holder", async |fleet| {
+            Ok(fleet.lease(&zone).await?.number > before.number)
+        })
+        .await?;
+    holder.process.signal(Signal::CONT);
+    wait_for_version(&fleet, VERSIONS[1]).await?;
+    // Orders of the resumed holder that were under way would arrive within this time.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(cuts_and_conflicts(&fleet).await?, (0, 0));
+    Ok(())
+}
