Run the control decisions in the control thread

The control thread published the list and the reports only; no lease was taken, no order was given, and no news went between instances.

Calls run as tasks of the control thread's runtime and come back over one bounded queue, so a slow platform or engine delays no decision.

The manifest is followed by a watch. Lists, reports, signs of traffic threads and floods of peers meet in Membership. Gossip carries generations, loads and usage of teams; strikes, signs of leaving and drains are flooded. Up to 64 listed engines are polled by every instance, more by one owner each.

--- a/crates/wagtailarch-control/src/gossip.rs
+++ b/crates/wagtailarch-control/src/gossip.rs
@@ -187,7 +187,9 @@
     pub fn set_teams(&mut self, now: Duration, teams: &[(TeamName, f64, f64)]) {
         let heavy: IndexSet<&TeamName> = teams.iter().map(|(team, ..)| team).collect();
         for index in self.teams.retain(|team| heavy.contains(team)) {
-            self.own().remove_team(index);
+            // Usage stands until it changes, so the end of it is gossiped as well.
+            let usage = PackedUsage::new(0.0, 0.0);
+            self.own().push(now, Item::Team { index, usage });
         }
         for (team, requests_per_s, tokens_per_s) in teams.iter().take(MAX_TEAMS) {
             let Some(index) = self.teams.index(team) else {
--- a/crates/wagtailarch-control/src/gossip_origin.rs
+++ b/crates/wagtailarch-control/src/gossip_origin.rs
@@ -136,11 +136,6 @@
         self.items.swap_remove(&Key::Engine(index));
     }
 
-    pub(crate) fn remove_team(&mut self, index: u16) {
-        self.items.swap_remove(&Key::TeamName(index));
-        self.items.swap_remove(&Key::Team(index));
-    }
-
     fn insert(&mut self, now: Duration, item: VersionedItem) {
         let key = Key::of(&item.item);
         if self.items.len() >= MAX_ITEMS && !self.items.contains_key(&key) {
@@ -241,7 +236,7 @@
                         backend,
                         fingerprints,
                     } => backend.len() + 19 * fingerprints.len(),
-                    UrgentBody::Quarantined { .. } => 24,
+                    UrgentBody::Quarantined { backend, .. } => 24 + backend.len(),
                     UrgentBody::NewGeneration { .. } => 10,
                 };
                 48 + urgent.origin.len() + urgent.zone.len() + body
--- a/crates/wagtailarch-control/src/membership.rs
+++ b/crates/wagtailarch-control/src/membership.rs
@@ -26,6 +26,8 @@
     pub list_lag: Duration,
     /// Consecutive connect failures after which a backend server counts as failed.
     pub connect_failures: u32,
+    /// Time after which a plain service that could not be reached is tried again.
+    pub service_retry: Duration,
     /// Time over which a returning engine takes a rising share of work.
     pub ease_in: Duration,
 }
@@ -37,6 +39,7 @@
             gossip_silent_after: Duration::from_secs(15),
             list_lag: Duration::from_secs(10),
             connect_failures: 3,
+            service_retry: Duration::from_secs(1),
             ease_in: Duration::from_secs(10),
         }
     }
@@ -76,6 +79,8 @@
     pub load_at: Option<Duration>,
     /// Whether new work may be sent.
     pub accepting: bool,
+    /// Whether the platform's list shows it as leaving.
+    pub leaving: bool,
     /// Lifecycle phase.
     pub phase: LifecyclePhase,
     /// Start of slow start.
@@ -99,9 +104,9 @@
 /// Where a sign of leaving came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SignKind {
-    /// The engine says that it drains, which a planned change causes too.
+    /// The engine or a peer says that it drains, which a planned change causes too.
     OwnWord,
-    /// The list or a peer says that the server leaves.
+    /// The list says that the server leaves.
     Leaving,
 }
 
@@ -130,6 +135,8 @@
     boot_id: Option<BootId>,
     /// Consecutive connect failures.
     failures: u32,
+    /// When the last connect failed.
+    failed_at: Duration,
 }
 
 impl Membership {
@@ -244,6 +251,7 @@
             }
             LeavingSign::ConnectFailed => {
                 backend.failures = backend.failures.saturating_add(1);
+                backend.failed_at = now;
                 if backend.failures == self.config.connect_failures {
                     backend.lifecycle.on_event(now, LifecycleEvent::Lost);
                 }
@@ -260,10 +268,11 @@
         }
     }
 
-    /// Takes a peer's message that a server is leaving.
+    /// Takes a peer's message that a server is leaving. The peer may have it from the engine's own
+    /// word, so a planned drain that is heard of later takes it back.
     pub fn on_peer_sign(&mut self, now: Duration, backend: &InstanceId) {
         if let Some(backend) = self.backends.get_mut(backend) {
-            backend.sign(now, SignKind::Leaving);
+            backend.sign(now, SignKind::OwnWord);
         }
     }
 
@@ -307,6 +316,7 @@
             asked_at: None,
             boot_id: None,
             failures: 0,
+            failed_at: Duration::ZERO,
         }
     }
 
@@ -370,7 +380,11 @@
         }
         self.lifecycle.on_event(now, LifecycleEvent::Tick);
         let phase = self.lifecycle.phase();
-        let takes_work = matches!(phase, LifecyclePhase::Serving | LifecyclePhase::EasingIn);
+        // A request to a plain service that could not be reached is its probe.
+        let probe = self.listed.kind == InstanceKind::Service
+            && now > self.failed_at + config.service_retry;
+        let takes_work =
+            probe || matches!(phase, LifecyclePhase::Serving | LifecyclePhase::EasingIn);
         BackendStatus {
             id: self.listed.id.clone(),
             kind: self.listed.kind,
@@ -382,6 +396,7 @@
             load: self.load,
             load_at: self.load_at,
             accepting: takes_work && self.sign.is_none() && self.planned_drain.is_none(),
+            leaving: self.listed.state == ListedState::Leaving,
             phase,
             since: self.lifecycle.since(),
         }
--- a/crates/wagtailarch-entry/src/control/backends.rs
+++ b/crates/wagtailarch-entry/src/control/backends.rs
@@ -2,217 +2,229 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures_util::{StreamExt, stream};
 use indexmap::IndexMap;
-use wagtailarch_control::LeavingSign;
-use wagtailarch_platform::Platform;
+use wagtailarch_control::{BackendStatus, LeavingSign, Membership, MembershipConfig};
 use wagtailarch_traffic::{BackendView, LoadReport};
-use wagtailarch_types::{Assignment, BackendKind, BackendState, InstanceId};
+use wagtailarch_types::{Assignment, BackendKind, BackendState, InstanceId, ZoneName};
 use wagtailarch_wire::{
     engine::EngineReport,
-    platform::{InstanceKind, ListedInstance, ListedState},
+    peer::EngineLoad,
+    platform::{InstanceKind, InstanceList, ListedInstance, ListedState},
 };
 
-use crate::{engine_client::EngineClient, events::ControlEvent, shared::Shared};
-
-/// Reports that are read at the same time.
-const REPORTS_AT_ONCE: usize = 32;
-
-/// Time without a report after which an engine gets no new work.
-const SILENT_AFTER: Duration = Duration::from_secs(3);
-
-/// Consecutive connect failures after which a plain service gets no new work.
-const CONNECT_FAILURES: u32 = 3;
-
-/// Time after which a plain service that could not be reached is tried again.
-const SERVICE_RETRY: Duration = Duration::from_secs(1);
+use crate::shared::Shared;
 
 /// Backend servers as the platform lists them and as they report themselves.
 #[derive(Debug)]
-pub struct Backends {
+pub(super) struct Backends {
     shared: Arc<Shared>,
-    client: EngineClient,
-    /// At most `limits.backends` servers.
-    known: IndexMap<InstanceId, Backend>,
+    membership: Membership,
+    /// Last report of each listed engine; at most `limits.backends`.
+    reports: IndexMap<InstanceId, Known>,
+    /// Entry instances of the list.
+    entries: Vec<ListedInstance>,
+    /// Addresses of the listed engines.
+    engines: IndexMap<InstanceId, Engine>,
     /// Whether the platform's list was read.
     listed: bool,
 }
 
-#[derive(Debug)]
-struct Backend {
-    listed: ListedInstance,
-    report: Option<EngineReport>,
-    /// When the last report arrived.
-    report_at: Duration,
-    /// When it began to serve.
-    since: Duration,
-    failures: u32,
-    failed_at: Duration,
-    /// When it last said that it is draining; reports asked for before are older than that.
-    drained_at: Duration,
+/// A listed engine.
+#[derive(Debug, Clone)]
+pub(super) struct Engine {
+    pub(super) address: String,
+    pub(super) zone: ZoneName,
+}
+
+/// A report with its times.
+#[derive(Debug, Clone)]
+pub(super) struct Known {
+    pub(super) report: EngineReport,
+    /// When it was asked for.
+    pub(super) asked_at: Duration,
 }
 
 impl Backends {
     /// Creates an empty table.
-    pub fn new(shared: Arc<Shared>) -> Self {
-        let client = EngineClient::new(&shared.settings.timeouts, &shared.settings.limits);
+    pub(super) fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
-            client,
-            known: IndexMap::new(),
+            membership: Membership::new(MembershipConfig::default()),
+            reports: IndexMap::new(),
+            entries: Vec::new(),
+            engines: IndexMap::new(),
             listed: false,
         }
     }
 
-    /// Reads the platform's list and publishes the backend servers.
-    pub async fn read_list(&mut self, platform: &dyn Platform) {
-        let Ok(list) = platform.instances().await else {
-            return;
-        };
-        let now = self.shared.now();
-        let mut next = IndexMap::new();
-        for listed in list.items {
-            let full = next.len() >= self.shared.settings.limits.backends;
-            if listed.kind == InstanceKind::Entry || full {
-                continue;
+    /// Takes the platform's list that was asked for at a time; returns the servers that it shows
+    /// as leaving for the first time.
+    pub(super) fn on_list(
+        &mut self,
+        asked_at: Duration,
+        mut list: InstanceList,
+    ) -> Vec<InstanceId> {
+        list.items.truncate(self.shared.settings.limits.backends);
+        let leaving = self.membership.on_list(asked_at, &list);
+        self.engines.clear();
+        self.entries.clear();
+        for item in list.items {
+            match item.kind {
+                InstanceKind::Entry => self.entries.push(item),
+                InstanceKind::Engine => {
+                    let engine = Engine {
+                        address: item.address.to_string(),
+                        zone: item.zone,
+                    };
+                    self.engines.insert(item.id, engine);
+                }
+                InstanceKind::Service => {}
             }
-            let known = self.known.swap_remove(&listed.id);
-            let mut backend = known.unwrap_or_else(|| Backend::new(listed.clone(), now));
-            backend.listed = listed;
-            next.insert(backend.listed.id.clone(), backend);
         }
-        self.known = next;
+        let engines = &self.engines;
+        self.reports.retain(|id, _| engines.contains_key(id));
+        let live = self.live_entries().count();
+        self.shared.set_instances(live as u32);
         self.listed = true;
         self.publish();
+        leaving
     }
 
-    /// Reads the reports of all engines and publishes the backend servers.
-    pub async fn read_reports(&mut self) {
-        let asked_at = self.shared.now();
-        let engines = self
-            .known
-            .values()
-            .filter(|b| b.listed.kind == InstanceKind::Engine);
-        let calls: Vec<_> = engines
-            .map(|b| (b.listed.id.clone(), b.listed.address.clone()))
-            .map(|(id, address)| {
-                let client = self.client.clone();
-                async move { (id, client.report(&address).await) }
-            })
-            .collect();
-        let reports: Vec<_> = stream::iter(calls)
-            .buffer_unordered(REPORTS_AT_ONCE)
-            .collect()
-            .await;
+    /// Takes a report; returns true if it is the first sign that the engine is leaving.
+    pub(super) fn on_report(&mut self, asked_at: Duration, report: EngineReport) -> bool {
+        let id = report.engine.clone();
+        if !self.engines.contains_key(&id) {
+            return false;
+        }
         let now = self.shared.now();
-        for (id, report) in reports {
-            let (Some(known), Ok(report)) = (self.known.get_mut(&id), report) else {
-                continue;
-            };
-            if asked_at < known.drained_at {
-                continue;
-            }
-            if known.take(report, now) {
-                self.shared.on_crash(&id);
-            }
+        let first_sign = self.membership.on_report(now, asked_at, &report);
+        let last = self.reports.get(&id);
+        if last.is_some_and(|last| asked_at < last.asked_at) {
+            return false;
         }
-        self.publish();
-        if self.listed {
-            self.shared.set_backends_known();
+        if last.is_some_and(|last| last.report.boot_id != report.boot_id) {
+            self.shared.on_crash(&id);
         }
+        self.reports.insert(id, Known { report, asked_at });
+        first_sign
     }
 
-    /// Takes an event of a traffic thread.
-    pub fn on_event(&mut self, event: ControlEvent) {
-        let ControlEvent::Sign { backend, sign } = event else {
-            return;
-        };
+    /// Takes the gossiped load of an engine that another instance polls.
+    pub(super) fn on_load(
+        &mut self,
+        engine: &InstanceId,
+        assignment: &Assignment,
+        load: EngineLoad,
+    ) {
         let now = self.shared.now();
-        let Some(known) = self.known.get_mut(&backend) else {
-            return;
-        };
-        match sign {
-            LeavingSign::ConnectFailed => {
-                known.failures += 1;
-                known.failed_at = now;
-            }
-            LeavingSign::Succeeded => known.failures = 0,
-            LeavingSign::Draining => {
-                known.drained_at = now;
-                if let Some(report) = &mut known.report {
-                    report.state = BackendState::Draining;
-                }
-            }
-        }
+        self.membership.on_load(now, engine, assignment, load);
+    }
+
+    /// Takes what a traffic thread experienced; returns true for a first sign of leaving.
+    pub(super) fn on_sign(&mut self, backend: &InstanceId, sign: LeavingSign) -> bool {
+        let first = self.membership.on_word(self.shared.now(), backend, sign);
+        self.publish();
+        first
+    }
+
+    /// Takes a peer's message that a server is leaving.
+    pub(super) fn on_peer_sign(&mut self, backend: &InstanceId) {
+        self.membership.on_peer_sign(self.shared.now(), backend);
         self.publish();
     }
 
-    fn publish(&self) {
+    /// Takes the message that an engine is drained for a change or takes work again.
+    pub(super) fn on_planned_drain(&mut self, backend: &InstanceId, drained: bool) {
         let now = self.shared.now();
-        self.shared
-            .publish_backends(self.known.values().map(|b| b.view(now)).collect());
+        self.membership.on_planned_drain(now, backend, drained);
+        self.publish();
     }
-}
 
-impl Backend {
-    fn new(listed: ListedInstance, now: Duration) -> Self {
-        Self {
-            listed,
-            report: None,
-            report_at: now,
-            since: now,
-            failures: 0,
-            failed_at: now,
-            drained_at: Duration::ZERO,
+    /// Notes that every listed engine was asked for its report.
+    pub(super) fn on_all_asked(&self) {
+        if self.listed {
+            self.shared.set_backends_known();
         }
     }
 
-    /// Takes a report; returns whether the engine has restarted.
-    fn take(&mut self, report: EngineReport, now: Duration) -> bool {
-        let before = self.report.as_ref();
-        let restarted = before.is_some_and(|before| before.boot_id != report.boot_id);
-        let served = before.is_some_and(|before| before.state == BackendState::Serving);
-        if restarted || !served {
-            self.since = now;
-        }
-        self.report = Some(report);
-        self.report_at = now;
-        self.failures = 0;
-        restarted
-    }
-
-    fn view(&self, now: Duration) -> BackendView {
-        let report = self.report.as_ref();
-        let age = now.saturating_sub(self.report_at);
-        let serving = match self.listed.kind {
-            InstanceKind::Engine => {
-                age < SILENT_AFTER && report.is_some_and(|r| r.state == BackendState::Serving)
-            }
-            InstanceKind::Service | InstanceKind::Entry => {
-                self.failures < CONNECT_FAILURES
-                    || now.saturating_sub(self.failed_at) > SERVICE_RETRY
-            }
+    /// Returns what is known of every backend server.
+    pub(super) fn statuses(&mut self) -> Vec<BackendStatus> {
+        self.membership.views(self.shared.now())
+    }
+
+    /// Returns the listed engines.
+    pub(super) fn engines(&self) -> &IndexMap<InstanceId, Engine> {
+        &self.engines
+    }
+
+    /// Returns the last report of an engine.
+    pub(super) fn report(&self, engine: &InstanceId) -> Option<&Known> {
+        self.reports.get(engine)
+    }
+
+    /// Returns the listed entry instances, leaving ones included.
+    pub(super) fn entries(&self) -> &[ListedInstance] {
+        &self.entries
+    }
+
+    /// Returns the entry instances that are listed as live.
+    pub(super) fn live_entries(&self) -> impl Iterator<Item = &ListedInstance> {
+        let live = |entry: &&ListedInstance| entry.state == ListedState::Live;
+        self.entries.iter().filter(live)
+    }
+
+    /// Tells whether the platform's list was read.
+    pub(super) fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Publishes the backend servers to the traffic threads.
+    pub(super) fn publish(&mut self) {
+        let now = self.shared.now();
+        let statuses = self.membership.views(now);
+        let views = statuses
+            .into_iter()
+            .map(|status| self.view(now, status))
+            .collect();
+        self.shared.publish_backends(views);
+    }
+
+    fn view(&self, now: Duration, status: BackendStatus) -> BackendView {
+        let report = match (self.reports.get(&status.id), status.load) {
+            (Some(known), _) => Some(LoadReport::from(&known.report)),
+            (None, Some(load)) => Some(load_report(now, &load)),
+            (None, None) => None,
         };
         BackendView {
-            id: self.listed.id.clone(),
-            group: self.listed.group.clone().unwrap_or_default(),
-            kind: match self.listed.kind {
+            id: status.id,
+            group: status.group,
+            kind: match status.kind {
                 InstanceKind::Engine => BackendKind::Engine,
                 InstanceKind::Service | InstanceKind::Entry => BackendKind::Service,
             },
-            zone: self.listed.zone.clone(),
-            address: self.listed.address.clone(),
-            assignment: report.map(|report| Assignment {
-                role: report.role,
-                model: report.model.clone(),
-                version: report.version.clone(),
-                adapters: report.adapters.clone(),
-            }),
-            state: report.map_or(BackendState::Serving, |report| report.state),
-            report: report.map(LoadReport::from),
-            report_age: age,
-            accepting: serving && self.listed.state == ListedState::Live,
-            since: self.since,
+            zone: status.zone,
+            address: status.address,
+            assignment: status.assignment,
+            state: status.state.unwrap_or(BackendState::Serving),
+            report,
+            report_age: status
+                .load_at
+                .map_or(Duration::ZERO, |at| now.saturating_sub(at)),
+            accepting: status.accepting,
+            since: status.since,
         }
     }
 }
+
+/// Returns a gossiped load as a report; its sequence number is the time, since gossip has none.
+fn load_report(now: Duration, load: &EngineLoad) -> LoadReport {
+    LoadReport {
+        seq: now.as_millis() as u64,
+        running: load.running as u32,
+        queued_tokens: load.queued_tokens as u64,
+        decode_slots: 0,
+        kv_used_ratio: load.kv_used_ratio,
+        prefill_tokens_per_s: load.prefill_tokens_per_s,
+        decode_tokens_per_s: load.decode_tokens_per_s,
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-entry/src/control/gossip.rs
@@ -0,0 +1,387 @@
+//! Exchange with the other instances: gossip rounds and floods.
+
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use wagtailarch_control::{EngineNews, Gossip, GossipConfig, GossipEvent};
+use wagtailarch_traffic::{StrikeEvent, StrikeKind};
+use wagtailarch_types::{Generation, InstanceId, rendezvous_weight};
+use wagtailarch_wire::{
+    peer::{EngineLoad, PeerMessage, Urgent, UrgentBody},
+    platform::ListedInstance,
+};
+
+use super::{
+    backends::{Backends, Known},
+    remote_usage::RemoteUsage,
+    zone::Zone,
+};
+use crate::{
+    peers::{PeerAddress, PeerEvent, PeerIdentity, Peers},
+    shared::{Shared, Stage},
+};
+
+/// Interval of gossip rounds.
+const ROUND_EVERY: Duration = Duration::from_secs(1);
+/// Interval of summaries for other zones.
+const REMOTE_EVERY: Duration = Duration::from_secs(5);
+/// Interval of gossiping the load of one engine.
+const LOAD_EVERY: Duration = Duration::from_secs(4);
+/// Teams whose usage is gossiped.
+const TEAMS: usize = 60;
+/// Listed engines up to which every instance polls all of them, which keeps loads fresher.
+const POLL_ALL: usize = 64;
+/// Time in seconds for which a request stays quarantined.
+const QUARANTINE_S: u16 = 600;
+/// Time without a word after which the usage of a peer no longer counts.
+const SILENT_AFTER: Duration = Duration::from_secs(15);
+/// Time without a word after which a peer that is not listed is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// Gossip state with its transport.
+pub(super) struct PeerPort {
+    shared: Arc<Shared>,
+    peers: Peers,
+    gossip: Gossip,
+    usage: RemoteUsage,
+    round_at: Duration,
+    remote_at: Duration,
+    /// When the load of an engine was last gossiped; engines that this instance polls.
+    loads_at: IndexMap<InstanceId, Duration>,
+}
+
+impl PeerPort {
+    pub(super) fn new(shared: Arc<Shared>, peers: Peers) -> Self {
+        let settings = &shared.settings;
+        let gossip = Gossip::new(GossipConfig {
+            instance: settings.instance.clone(),
+            boot_id: shared.boot_id,
+            zone: settings.zone.clone(),
+            peer_address: settings
+                .peer_address
+                .map(|address| address.to_string().into())
+                .unwrap_or_default(),
+        });
+        Self {
+            shared,
+            peers,
+            gossip,
+            usage: RemoteUsage::default(),
+            round_at: Duration::ZERO,
+            remote_at: Duration::ZERO,
+            loads_at: IndexMap::new(),
+        }
+    }
+
+    /// Makes the rounds that are due.
+    pub(super) fn tick(&mut self, backends: &Backends) {
+        let now = self.shared.now();
+        if now < self.round_at + ROUND_EVERY {
+            return;
+        }
+        self.round_at = now;
+        let snapshot = self.shared.snapshot.load();
+        let generation = snapshot.as_ref().map_or(0, |snapshot| snapshot.generation);
+        let draining = self.shared.stage() > Stage::Serving;
+        self.gossip.set_self(now, generation, draining);
+        self.peers.set_hello(self.gossip.hello());
+        let teams = self.shared.admission.heaviest(TEAMS);
+        let teams: Vec<_> = teams
+            .into_iter()
+            .map(|usage| (usage.team, usage.requests_per_s, usage.tokens_per_s))
+            .collect();
+        self.gossip.set_teams(now, &teams);
+        let silent = now.saturating_sub(SILENT_AFTER);
+        let peers = self.gossip.peers().into_iter();
+        let heard = peers.filter(|peer| peer.heard_at >= silent);
+        let heard: HashSet<_> = heard.map(|peer| peer.instance).collect();
+        self.usage
+            .publish(&self.shared.admission, |instance| heard.contains(instance));
+        self.gossip.beat(now);
+        let listed = |id: &InstanceId| backends.entries().iter().any(|entry| entry.id == *id);
+        self.gossip.forget(now.saturating_sub(FORGET_AFTER), listed);
+        if let Some(peer) = pick(&self.own_zone(backends)) {
+            let digest = PeerMessage::Digest(self.gossip.digest());
+            self.peers.send(peer, digest);
+        }
+        if now >= self.remote_at + REMOTE_EVERY {
+            self.remote_at = now;
+            if let Some(peer) = pick(&self.other_zones(backends)) {
+                let summary = PeerMessage::Remote(self.gossip.remote_summary());
+                self.peers.send(peer, summary);
+            }
+        }
+    }
+
+    /// Tells whether this instance polls an engine: with many engines, each engine of the zone is
+    /// polled by one instance only, and those of other zones by none.
+    pub(super) fn polls(&self, backends: &Backends, engine: &InstanceId) -> bool {
+        if backends.engines().len() <= POLL_ALL {
+            return true;
+        }
+        let own = &self.shared.settings;
+        let in_zone = |zone: &str| zone == own.zone.as_str();
+        let listed = backends.engines().get(engine);
+        if !listed.is_some_and(|listed| in_zone(&listed.zone)) {
+            return false;
+        }
+        let key = rendezvous_weight(0, engine);
+        let weight = |instance: &InstanceId| rendezvous_weight(key, instance);
+        let others = backends.live_entries().filter(|entry| in_zone(&entry.zone));
+        let best = others.map(|entry| weight(&entry.id)).max();
+        best.is_none_or(|best| weight(&own.instance) >= best)
+    }
+
+    /// Gossips the load of an engine that this instance polls.
+    pub(super) fn on_report(&mut self, engine: &InstanceId, known: &Known) {
+        let now = self.shared.now();
+        let due = self
+            .loads_at
+            .get(engine)
+            .is_none_or(|at| now >= *at + LOAD_EVERY);
+        if !due {
+            return;
+        }
+        self.loads_at.insert(engine.clone(), now);
+        if self.loads_at.len() > self.shared.settings.limits.backends {
+            self.loads_at.clear();
+        }
+        let report = &known.report;
+        self.gossip.set_engine(
+            now,
+            &EngineNews {
+                engine: engine.clone(),
+                assignment: super::zone::assignment(report),
+                load: EngineLoad {
+                    role: report.role,
+                    state: report.state,
+                    running: f64::from(report.running),
+                    queued_tokens: report.queued_tokens as f64,
+                    prefill_tokens_per_s: report.prefill_tokens_per_s,
+                    decode_tokens_per_s: report.decode_tokens_per_s,
+                    kv_used_ratio: report.kv_used_ratio,
+                },
+            },
+        );
+    }
+
+    pub(super) fn flood_leaving(&mut self, backends: &Backends, backend: &InstanceId) {
+        let backend = backend.clone();
+        self.flood(backends, UrgentBody::Leaving { backend });
+    }
+
+    pub(super) fn flood_drain(&mut self, backends: &Backends, engine: &InstanceId, drained: bool) {
+        let backend = engine.clone();
+        self.flood(backends, UrgentBody::Drain { backend, drained });
+    }
+
+    pub(super) fn flood_generation(&mut self, backends: &Backends, generation: Generation) {
+        self.gossip.set_self(self.shared.now(), generation, false);
+        self.flood(backends, UrgentBody::NewGeneration { generation });
+    }
+
+    /// Floods strikes: the suspects of one server in one message, quarantined requests singly.
+    pub(super) fn flood_strikes(&mut self, backends: &Backends, strikes: Vec<StrikeEvent>) {
+        let mut suspects: IndexMap<InstanceId, Vec<u128>> = IndexMap::new();
+        for strike in strikes {
+            match strike.kind {
+                StrikeKind::Suspected => suspects
+                    .entry(strike.server)
+                    .or_default()
+                    .push(strike.fingerprint),
+                StrikeKind::Quarantined => self.flood(
+                    backends,
+                    UrgentBody::Quarantined {
+                        backend: strike.server,
+                        fingerprint: strike.fingerprint,
+                        ttl_s: QUARANTINE_S,
+                    },
+                ),
+            }
+        }
+        for (backend, fingerprints) in suspects {
+            for part in fingerprints.chunks(256) {
+                let body = UrgentBody::Strike {
+                    backend: backend.clone(),
+                    fingerprints: part.to_vec(),
+                };
+                self.flood(backends, body);
+            }
+        }
+    }
+
+    /// Takes an event of the transport.
+    pub(super) fn on_event(&mut self, backends: &mut Backends, zone: &mut Zone, event: PeerEvent) {
+        match event {
+            PeerEvent::Connected(hello) => {
+                let now = self.shared.now();
+                zone.on_boot(&hello.instance, hello.boot_id);
+                if hello.zone == self.shared.settings.zone {
+                    let (instance, boot_id) = (&hello.instance, hello.boot_id);
+                    zone.status.on_ack(now, instance, boot_id, hello.generation);
+                }
+            }
+            PeerEvent::Message(from, message) => self.on_message(backends, zone, &from, message),
+            PeerEvent::Unreachable(peer) => {
+                slog::debug!(self.shared.log, "peer_unreachable"; "peer" => peer.instance.as_str());
+            }
+        }
+    }
+
+    fn on_message(
+        &mut self,
+        backends: &mut Backends,
+        zone: &mut Zone,
+        from: &PeerIdentity,
+        message: PeerMessage,
+    ) {
+        match message {
+            PeerMessage::Digest(digest) if from.zone == self.shared.settings.zone => {
+                let delta = self.gossip.delta_for(&digest);
+                self.peers.reply(from, PeerMessage::Delta(delta));
+            }
+            PeerMessage::Delta(delta) if from.zone == self.shared.settings.zone => {
+                let now = self.shared.now();
+                for event in self.gossip.merge(now, delta) {
+                    self.on_news(backends, zone, event);
+                }
+            }
+            PeerMessage::Urgent(urgent) => {
+                if self.gossip.on_urgent(&urgent) {
+                    self.on_urgent(backends, &urgent);
+                    if urgent.zone != self.shared.settings.zone {
+                        self.send_all(&self.own_zone(backends), &urgent);
+                    }
+                }
+            }
+            PeerMessage::Hello(_)
+            | PeerMessage::Digest(_)
+            | PeerMessage::Delta(_)
+            | PeerMessage::Remote(_)
+            | PeerMessage::FetchConfig(_)
+            | PeerMessage::Config(_) => {}
+        }
+    }
+
+    fn on_news(&mut self, backends: &mut Backends, zone: &mut Zone, event: GossipEvent) {
+        let now = self.shared.now();
+        match event {
+            GossipEvent::Instance(peer, boot_id, info) => {
+                zone.status.on_ack(now, &peer, boot_id, info.generation);
+                zone.on_boot(&peer, boot_id);
+            }
+            GossipEvent::Heartbeat(peer) => self.acknowledge_again(zone, &peer),
+            GossipEvent::Engine(engine, assignment, load) => {
+                backends.on_load(&engine, &assignment, load);
+            }
+            GossipEvent::Team(peer, team, requests_per_s, tokens_per_s) => {
+                let usage = (requests_per_s, tokens_per_s);
+                self.usage.set(peer, team, usage);
+            }
+            GossipEvent::Urgent(urgent) => self.on_urgent(backends, &urgent),
+            GossipEvent::Restarted(peer, boot_id) => zone.on_boot(&peer, boot_id + 1),
+        }
+    }
+
+    /// A heartbeat shows that the last acknowledgement still stands.
+    fn acknowledge_again(&self, zone: &mut Zone, peer: &InstanceId) {
+        let now = self.shared.now();
+        for view in self.gossip.peers() {
+            if view.instance == *peer {
+                let generation = view.info.generation;
+                zone.status.on_ack(now, peer, view.boot_id, generation);
+            }
+        }
+    }
+
+    fn on_urgent(&self, backends: &mut Backends, urgent: &Urgent) {
+        let now = self.shared.now();
+        let quarantine = &self.shared.quarantine;
+        match &urgent.body {
+            UrgentBody::Leaving { backend } => backends.on_peer_sign(backend),
+            UrgentBody::Drain { backend, drained } => backends.on_planned_drain(backend, *drained),
+            UrgentBody::Strike {
+                backend,
+                fingerprints,
+            } => {
+                for fingerprint in fingerprints {
+                    let event = StrikeEvent {
+                        fingerprint: *fingerprint,
+                        server: backend.clone(),
+                        kind: StrikeKind::Suspected,
+                    };
+                    quarantine.apply_remote(now, event);
+                }
+            }
+            UrgentBody::Quarantined {
+                backend,
+                fingerprint,
+                ..
+            } => {
+                let event = StrikeEvent {
+                    fingerprint: *fingerprint,
+                    server: backend.clone(),
+                    kind: StrikeKind::Quarantined,
+                };
+                quarantine.apply_remote(now, event);
+            }
+            // The watch of the manifest brings the configuration.
+            UrgentBody::NewGeneration { .. } => {}
+        }
+    }
+
+    fn flood(&mut self, backends: &Backends, body: UrgentBody) {
+        let urgent = self.gossip.urgent(self.shared.now(), body);
+        self.send_all(&self.own_zone(backends), &urgent);
+        let mut zones: IndexMap<_, Vec<PeerAddress>> = IndexMap::new();
+        for peer in self.other_zones(backends) {
+            let zone = peer.identity.zone.clone();
+            zones.entry(zone).or_default().push(peer);
+        }
+        for peers in zones.values() {
+            if let Some(peer) = pick(peers) {
+                self.send_all(std::slice::from_ref(peer), &urgent);
+            }
+        }
+    }
+
+    fn send_all(&self, peers: &[PeerAddress], urgent: &Urgent) {
+        for peer in peers {
+            let sent = self.peers.send(peer, PeerMessage::Urgent(urgent.clone()));
+            if !sent {
+                slog::debug!(self.shared.log, "flood_dropped";
+                    "peer" => peer.identity.instance.as_str());
+            }
+        }
+    }
+
+    fn own_zone(&self, backends: &Backends) -> Vec<PeerAddress> {
+        let own = &self.shared.settings;
+        let entries = backends.entries().iter();
+        let peers = entries.filter(|entry| entry.zone == own.zone && entry.id != own.instance);
+        peers.filter_map(peer_address).collect()
+    }
+
+    fn other_zones(&self, backends: &Backends) -> Vec<PeerAddress> {
+        let own = &self.shared.settings;
+        let entries = backends.live_entries();
+        let peers = entries.filter(|entry| entry.zone != own.zone);
+        peers.filter_map(peer_address).collect()
+    }
+}
+
+fn peer_address(entry: &ListedInstance) -> Option<PeerAddress> {
+    let address: SocketAddr = entry.peer_address.as_ref()?.parse().ok()?;
+    Some(PeerAddress {
+        identity: PeerIdentity {
+            instance: entry.id.clone(),
+            zone: entry.zone.clone(),
+        },
+        address,
+    })
+}
+
+fn pick(peers: &[PeerAddress]) -> Option<&PeerAddress> {
+    use rand::seq::IndexedRandom as _;
+    peers.choose(&mut rand::rng())
+}
--- a/crates/wagtailarch-entry/src/control/mod.rs
+++ b/crates/wagtailarch-entry/src/control/mod.rs
@@ -1,6 +1,13 @@
 //! The control thread: it owns all control state and publishes what traffic threads read.
 
 mod backends;
+mod calls;
+mod configuration;
+mod driver;
+mod gossip;
+mod order_call;
+mod remote_usage;
 mod thread;
+mod zone;
 
 pub use thread::{ControlError, ControlInputs, ControlThread};
--- /dev/null
+++ b/crates/wagtailarch-entry/src/control/remote_usage.rs
@@ -0,0 +1,57 @@
+//! Usage of teams at the other instances.
+
+use indexmap::IndexMap;
+use wagtailarch_traffic::Admission;
+use wagtailarch_types::{InstanceId, TeamName};
+
+/// Greatest number of teams; each of 370 instances gossips 60 teams at most.
+const MAX_TEAMS: usize = 8_192;
+/// Greatest number of instances that use one team's limit.
+const MAX_INSTANCES: usize = 512;
+
+/// Usage of teams at the other instances.
+#[derive(Debug, Default)]
+pub(super) struct RemoteUsage {
+    /// At most `MAX_TEAMS` teams with at most `MAX_INSTANCES` instances each.
+    teams: IndexMap<TeamName, IndexMap<InstanceId, Usage>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Usage {
+    requests_per_s: f64,
+    tokens_per_s: f64,
+}
+
+impl RemoteUsage {
+    /// Takes the usage of a team at an instance.
+    pub(super) fn set(
+        &mut self,
+        instance: InstanceId,
+        team: TeamName,
+        (requests_per_s, tokens_per_s): (f64, f64),
+    ) {
+        if self.teams.len() >= MAX_TEAMS && !self.teams.contains_key(&team) {
+            return;
+        }
+        let usages = self.teams.entry(team).or_default();
+        if usages.len() < MAX_INSTANCES || usages.contains_key(&instance) {
+            let usage = Usage {
+                requests_per_s,
+                tokens_per_s,
+            };
+            usages.insert(instance, usage);
+        }
+    }
+
+    /// Passes the sums on and forgets instances that are gone. A usage stands until the instance
+    /// gossips another one.
+    pub(super) fn publish(&mut self, admission: &Admission, alive: impl Fn(&InstanceId) -> bool) {
+        self.teams.retain(|team, usages| {
+            usages.retain(|instance, usage| usage.tokens_per_s > 0.0 && alive(instance));
+            let requests_per_s = usages.values().map(|usage| usage.requests_per_s).sum();
+            let tokens_per_s = usages.values().map(|usage| usage.tokens_per_s).sum();
+            admission.set_remote_usage(team, requests_per_s, tokens_per_s);
+            !usages.is_empty()
+        });
+    }
+}
--- a/crates/wagtailarch-entry/src/control/thread.rs
+++ b/crates/wagtailarch-entry/src/control/thread.rs
@@ -3,18 +3,14 @@
 use std::{io, sync::Arc, thread};
 
 use displaydoc::Display;
-use tokio::{
-    sync::{mpsc, oneshot},
-    time::MissedTickBehavior,
-};
+use tokio::sync::{mpsc, oneshot};
 use wagtailarch_fleet::Fleet;
-use wagtailarch_platform::{ConfigStore, Platform};
+use wagtailarch_platform::Platform;
 
-use super::backends::Backends;
+use super::driver::run;
 use crate::{
     events::ControlEvent,
     peers::{PeerEvent, Peers},
-    settings::ms,
     shared::Shared,
     snapshot::Snapshot,
 };
@@ -89,60 +85,3 @@
     shared.publish_configuration(Snapshot::new(1, Arc::new(fleet)));
     Ok(())
 }
-
-async fn run(shared: Arc<Shared>, mut inputs: ControlInputs) {
-    let mut backends = Backends::new(Arc::clone(&shared));
-    let store = ConfigStore::new(Arc::clone(&inputs.platform), &shared.settings.instance);
-    let mut list = tokio::time::interval(ms(shared.settings.timeouts.list_ms));
-    let mut report = tokio::time::interval(ms(shared.settings.timeouts.report_ms));
-    list.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    report.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = list.tick() => {
-                backends.read_list(&*inputs.platform).await;
-                load_configuration(&shared, &store).await;
-            }
-            _ = report.tick() => backends.read_reports().await,
-            Some(event) = inputs.events.recv() => backends.on_event(event),
-            Some(event) = peer_event(&mut inputs.peers) => {
-                slog::trace!(shared.log, "peer_event"; "event" => ?event);
-            }
-        }
-    }
-}
-
-/// Waits for an event of the transport; for ever without one.
-async fn peer_event(peers: &mut Option<(Peers, mpsc::Receiver<PeerEvent>)>) -> Option<PeerEvent> {
-    match peers {
-        Some((_, events)) => events.recv().await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Publishes the configuration of the platform if it is newer than the one in force.
-async fn load_configuration(shared: &Shared, store: &ConfigStore) {
-    if shared.settings.fleet_file.is_some() {
-        return;
-    }
-    let Ok(Some(manifest)) = store.current().await else {
-        return;
-    };
-    let in_force = shared
-        .snapshot
-        .load()
-        .as_ref()
-        .map_or(0, |snapshot| snapshot.generation);
-    if manifest.generation <= in_force {
-        return;
-    }
-    match store.load(&manifest).await {
-        Ok(fleet) => {
-            shared.publish_configuration(Snapshot::new(manifest.generation, Arc::new(fleet)));
-        }
-        Err(error) => {
-            slog::warn!(shared.log, "configuration_not_loaded"; "error" => %error,
-                "generation" => manifest.generation);
-        }
-    }
-}
--- a/crates/wagtailarch-wire/src/peer.rs
+++ b/crates/wagtailarch-wire/src/peer.rs
@@ -189,6 +189,8 @@
     },
     /// A request crashed a second backend server.
     Quarantined {
+        /// Backend server that crashed.
+        backend: InstanceId,
         /// Request.
         fingerprint: Fingerprint,
         /// Time in seconds for which it stays quarantined.
