Split a request only when a prefill engine processes its prompt earlier

The router sent every prompt to the prefill engines of the zone while there were any, so that prompts waited there beside decode engines with spare time, and the planner, which counts on that time, rightly changed no role.

The router now compares the time until the prompt is processed on the best prefill engine with that on the best engine for the whole generation. Prefill rates are learned from reports under backlog only and again for each role.

--- a/crates/wagtailarch-load/src/experiment/routing.rs
+++ b/crates/wagtailarch-load/src/experiment/routing.rs
@@ -265,10 +265,14 @@
             Role::Prefill => 0,
             Role::Decode | Role::Mixed => model.slots as u32,
         };
-        if engine.role != Role::Decode {
-            capacity.backends += 1;
-            capacity.prefill_tokens_per_s += model.prefill_tokens_per_s();
-        }
+        // A decode engine takes prompts in small pieces.
+        let share = if engine.role == Role::Decode {
+            0.25
+        } else {
+            1.0
+        };
+        capacity.backends += 1;
+        capacity.prefill_tokens_per_s += share * model.prefill_tokens_per_s();
     }
     capacity
 }
--- a/crates/wagtailarch-traffic/src/router.rs
+++ b/crates/wagtailarch-traffic/src/router.rs
@@ -53,6 +53,7 @@
 #[derive(Clone, Copy)]
 struct Candidate<'a> {
     slot: &'a Slot,
+    role: Option<Role>,
     /// Cost of serving this request's phase with its role, in units of the score.
     role_cost: f64,
 }
@@ -128,23 +129,35 @@
         start(chosen?.slot, request)
     }
 
-    /// Tells whether a request can be split: prefill engines and engines that decode accept
-    /// requests in its zone.
+    /// Tells whether a request should be split into prefill and decode on different engines.
+    ///
+    /// It should if the zone has engines for both and a prefill engine is likely to process the
+    /// prompt earlier than an engine that would run the whole generation. Otherwise the spare
+    /// capacity of mixed and decode engines is used before any role is changed.
     pub fn splits(&self, request: &PickRequest) -> bool {
         let table = self.table.load();
         let Some(classes) = table.get(&request.group) else {
             return false;
         };
-        let mut whole = request.clone();
-        let mut has = |phase, role: Option<Role>| {
-            whole.phase = phase;
-            classes.iter().any(|class| {
-                class.suits(&whole)
-                    && role.is_none_or(|role| class.role() == Some(role))
-                    && class.slots.iter().any(|slot| slot.zone == self.own_zone)
-            })
+        let in_phase = |phase| {
+            let request = PickRequest {
+                phase,
+                ..request.clone()
+            };
+            candidates(classes, &request, &self.own_zone).0
+        };
+        let first = |candidates: Vec<Candidate>| {
+            let times = candidates
+                .iter()
+                .map(|it| it.slot.prompt_time_s(request.prompt_tokens));
+            times.fold(f64::INFINITY, f64::min)
         };
-        has(Phase::Prefill, Some(Role::Prefill)) && has(Phase::Decode, None)
+        let mut prefill = in_phase(Phase::Prefill);
+        prefill.retain(|candidate| candidate.role == Some(Role::Prefill));
+        if prefill.is_empty() || in_phase(Phase::Decode).is_empty() {
+            return false;
+        }
+        first(prefill) <= first(in_phase(Phase::Full))
     }
 
     /// Returns the number of own requests in flight on a backend server.
@@ -263,7 +276,7 @@
         if !class.suits(request) {
             continue;
         }
-        let role_cost = class.role_cost(request.phase);
+        let (role, role_cost) = (class.role(), class.role_cost(request.phase));
         near.reserve(class.slots.len());
         for slot in &class.slots {
             if slot.counters.is_suspended() || request.excluded.contains(&slot.id) {
@@ -274,7 +287,11 @@
             } else {
                 &mut far
             };
-            list.push(Candidate { slot, role_cost });
+            list.push(Candidate {
+                slot,
+                role,
+                role_cost,
+            });
         }
     }
     (near, far)
--- a/crates/wagtailarch-traffic/src/slot.rs
+++ b/crates/wagtailarch-traffic/src/slot.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use smol_str::SmolStr;
-use wagtailarch_types::{InstanceId, ZoneName};
+use wagtailarch_types::{InstanceId, Role, ZoneName};
 
-use crate::BackendView;
+use crate::{BackendView, LoadReport};
 
 /// Time over which the weight of a new or recovered backend server rises to 1.
 const SLOW_START: Duration = Duration::from_secs(10);
@@ -16,11 +16,17 @@
 const SLOW_START_MIN: f64 = 0.1;
 /// Slots of a backend server that reports none.
 const DEFAULT_SLOTS: u32 = 64;
-/// Prompt tokens per second of an engine that has not reported any yet.
+/// Prompt tokens per second of a prefill engine whose rate is not known yet.
 const DEFAULT_PREFILL_TOKENS_PER_S: f64 = 8_000.0;
-/// Share of the best known prefill rate that is kept with each report; a rate reported while
-/// little is processed says little of what the engine can do.
-const PREFILL_RATE_KEPT: f64 = 0.999;
+/// Share of that rate that a mixed engine has, since it generates as well.
+const MIXED_PREFILL_SHARE: f64 = 0.5;
+/// Share of that rate that a decode engine has, which takes prompts in small pieces.
+const DECODE_PREFILL_SHARE: f64 = 0.25;
+/// Seconds of waiting prompts in a report above which its prefill rate is what the engine can
+/// do; the rate of an engine that waits for prompts says little.
+const BACKLOG_S: f64 = 0.2;
+/// Weight of a newly reported prefill rate.
+const RATE_WEIGHT: f64 = 0.2;
 /// Share of the KV cache above which running requests are about to be preempted.
 const KV_FULL_RATIO: f64 = 0.9;
 /// Score added to a backend server whose KV cache is full.
@@ -71,6 +77,9 @@
     last_seq: Option<u64>,
     others_running: f64,
     others_tokens: f64,
+    /// Role for which `prefill_tokens_per_s` holds.
+    role: Option<Role>,
+    /// Prompt tokens per second under backlog; 0 while unknown.
     prefill_tokens_per_s: f64,
 }
 
@@ -92,6 +101,18 @@
         load / self.weight(now)
     }
 
+    /// Estimates the time in seconds until a prompt is processed.
+    ///
+    /// A backend server without a free slot is taken to need a time that no other exceeds.
+    pub fn prompt_time_s(&self, prompt_tokens: u32) -> f64 {
+        let running = self.others_running + f64::from(self.counters.in_flight()) + 1.0;
+        if running * self.per_slot > 1.0 {
+            return f64::MAX;
+        }
+        let tokens = self.others_tokens + self.counters.waiting_tokens() as f64;
+        (tokens + f64::from(prompt_tokens)) * self.s_per_token
+    }
+
     /// Returns the score of one request on an otherwise idle backend server.
     pub fn unit_score(&self) -> f64 {
         self.per_slot
@@ -190,10 +211,29 @@
     }
 
     fn prefill_rate(&self) -> f64 {
-        if self.prefill_tokens_per_s < 1.0 {
-            return DEFAULT_PREFILL_TOKENS_PER_S;
+        if self.prefill_tokens_per_s >= 1.0 {
+            return self.prefill_tokens_per_s;
+        }
+        let share = match self.role {
+            Some(Role::Prefill) | None => 1.0,
+            Some(Role::Mixed) => MIXED_PREFILL_SHARE,
+            Some(Role::Decode) => DECODE_PREFILL_SHARE,
+        };
+        DEFAULT_PREFILL_TOKENS_PER_S * share
+    }
+
+    /// Learns the prefill rate from a report under backlog.
+    fn learn_rate(&mut self, role: Option<Role>, report: &LoadReport) {
+        if self.role != role {
+            self.role = role;
+            self.prefill_tokens_per_s = 0.0;
+        }
+        let rate = report.prefill_tokens_per_s;
+        if rate < 1.0 || report.queued_tokens as f64 <= BACKLOG_S * rate {
+            return;
         }
-        self.prefill_tokens_per_s
+        let known = self.prefill_rate();
+        self.prefill_tokens_per_s = known + RATE_WEIGHT * (rate - known);
     }
 
     /// Separates the load of other instances in a new report from the own load that it includes.
@@ -210,8 +250,8 @@
         let own = self.own_load_at(now.saturating_sub(view.report_age));
         self.others_running = f64::from(report.running.saturating_sub(own.in_flight));
         self.others_tokens = report.queued_tokens.saturating_sub(own.waiting_tokens) as f64;
-        self.prefill_tokens_per_s =
-            (self.prefill_tokens_per_s * PREFILL_RATE_KEPT).max(report.prefill_tokens_per_s);
+        let role = view.assignment.as_ref().map(|assignment| assignment.role);
+        self.learn_rate(role, &report);
     }
 
     /// Returns the own load at the last update before `at`, or the oldest that is known.
