--- a/crates/wagtailarch-e2e/src/config.rs
+++ b/crates/wagtailarch-e2e/src/config.rs
@@ -76,21 +76,17 @@
     format!("blake3:{hex}")
 }
 
-/// Writes a certificate authority and one certificate per instance into `dir`.
-pub(crate) fn write_keys(dir: &Path, instances: &[String]) -> Result<(), HarnessError> {
+/// Writes a certificate authority and one certificate per instance and its zone into `dir`.
+pub(crate) fn write_keys(dir: &Path, instances: &[(String, String)]) -> Result<(), HarnessError> {
     let mut params = CertificateParams::new(Vec::new())?;
     params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
     let ca_key = KeyPair::generate()?;
     let ca = params.self_signed(&ca_key)?;
     std::fs::write(dir.join("ca.pem"), ca.pem())?;
     let issuer = Issuer::new(params, ca_key);
-    for instance in instances {
+    for (instance, zone) in instances {
         let key = KeyPair::generate()?;
-        let names = vec![
-            instance.clone(),
-            "localhost".to_owned(),
-            "127.0.0.1".to_owned(),
-        ];
+        let names = vec![format!("{instance}.{zone}.wagtail")];
         let certificate = CertificateParams::new(names)?.signed_by(&key, &issuer)?;
         std::fs::write(dir.join(format!("{instance}.pem")), certificate.pem())?;
         std::fs::write(dir.join(format!("{instance}.key")), key.serialize_pem())?;
--- a/crates/wagtailarch-e2e/src/fleet.rs
+++ b/crates/wagtailarch-e2e/src/fleet.rs
@@ -219,12 +219,11 @@
 
     async fn start_entries(&mut self) -> Result<(), HarnessError> {
         let names: Vec<_> = (0..self.options.entries)
-            .map(|n| format!("entry-{n}"))
+            .map(|n| (format!("entry-{n}"), self.zone(n).to_owned()))
             .collect();
         write_keys(self.dir.path(), &names)?;
         let ports = Ports::new(self.options.ports.clone());
-        for (number, id) in names.into_iter().enumerate() {
-            let zone = self.zone(number).to_owned();
+        for (id, zone) in names {
             let [client, admin, peer] = [ports.take()?, ports.take()?, ports.take()?];
             let settings = self.dir.path().join(format!("{id}.toml"));
             std::fs::write(&settings, self.settings(&id, &zone, [client, admin, peer]))?;
