Send nothing to a server that refused a connection or said that it leaves

Until the control thread publishes again, every request tried a crashed engine first and spent its attempts and the retry budget there; a plain service that said it was leaving came back with the next list. In the end-to-end test of a leaving service 23 of 207 calls were refused with retry_budget_exhausted. The router now suspends such a server at once, and a service stays out for 10 s.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -152,12 +152,11 @@
         let shared = &self.context.shared;
         let sign = match error {
             CallError::ConnectFailed => LeavingSign::ConnectFailed,
-            CallError::Refused { leaving: true, .. } => {
-                shared.router.suspend(&pick.id);
-                LeavingSign::Draining
-            }
+            CallError::Refused { leaving: true, .. } => LeavingSign::Draining,
             _ => return,
         };
+        // Until the control thread has decided, other requests would fail there as well.
+        shared.router.suspend(&pick.id);
         shared.events.failed(&shared.metrics, &pick.id, sign);
     }
 
@@ -256,6 +255,7 @@
             return;
         }
         self.metrics.crashes.inc();
+        self.router.suspend(server);
         let strikes = self.quarantine.on_crash(now, server, &hit);
         let quarantined = strikes
             .iter()
--- a/crates/wagtailarch-entry/src/control/backends.rs
+++ b/crates/wagtailarch-entry/src/control/backends.rs
@@ -27,6 +27,11 @@
 /// Time after which a plain service that could not be reached is tried again.
 const SERVICE_RETRY: Duration = Duration::from_secs(1);
 
+/// Time for which a plain service that said that it leaves gets no new work.
+///
+/// It has no report that would show its return, and the platform's list lags by some seconds.
+const LEAVING_FOR: Duration = Duration::from_secs(10);
+
 /// Backend servers as the platform lists them and as they report themselves.
 #[derive(Debug)]
 pub struct Backends {
@@ -49,7 +54,7 @@
     failures: u32,
     failed_at: Duration,
     /// When it last said that it is draining; reports asked for before are older than that.
-    drained_at: Duration,
+    drained_at: Option<Duration>,
 }
 
 impl Backends {
@@ -109,7 +114,7 @@
             let (Some(known), Ok(report)) = (self.known.get_mut(&id), report) else {
                 continue;
             };
-            if asked_at < known.drained_at {
+            if known.drained_at.is_some_and(|at| asked_at < at) {
                 continue;
             }
             if known.take(report, now) {
@@ -138,7 +143,7 @@
             }
             LeavingSign::Succeeded => known.failures = 0,
             LeavingSign::Draining => {
-                known.drained_at = now;
+                known.drained_at = Some(now);
                 if let Some(report) = &mut known.report {
                     report.state = BackendState::Draining;
                 }
@@ -163,7 +168,7 @@
             since: now,
             failures: 0,
             failed_at: now,
-            drained_at: Duration::ZERO,
+            drained_at: None,
         }
     }
 
@@ -189,8 +194,11 @@
                 age < SILENT_AFTER && report.is_some_and(|r| r.state == BackendState::Serving)
             }
             InstanceKind::Service | InstanceKind::Entry => {
-                self.failures < CONNECT_FAILURES
-                    || now.saturating_sub(self.failed_at) > SERVICE_RETRY
+                let left = self
+                    .drained_at
+                    .is_some_and(|at| now.saturating_sub(at) < LEAVING_FOR);
+                let retry = now.saturating_sub(self.failed_at) > SERVICE_RETRY;
+                !left && (self.failures < CONNECT_FAILURES || retry)
             }
         };
         BackendView {
