--- a/crates/wagtailarch-traffic/src/quarantine.rs
+++ b/crates/wagtailarch-traffic/src/quarantine.rs
@@ -135,6 +135,24 @@
         }
     }
 
+    /// Returns at most `limit` fingerprints, the oldest first, with what is known of each and the
+    /// time for which it holds.
+    pub fn list(&self, now: Duration, limit: usize) -> Vec<(Fingerprint, Verdict, Duration)> {
+        let entries = self.lock();
+        let mut listed = Vec::new();
+        for (at, fingerprint) in &entries.order {
+            let Some(entry) = entries.map.get(fingerprint) else {
+                continue;
+            };
+            if entry.at != *at || entry.expired(now) || listed.len() >= limit {
+                continue;
+            }
+            let left = (entry.at + TTL).saturating_sub(now);
+            listed.push((*fingerprint, entry.kind.verdict(), left));
+        }
+        listed
+    }
+
     /// Returns the number of suspects and quarantined fingerprints kept.
     pub fn len(&self) -> usize {
         self.lock().map.len()
