Let suspects wait for a server of their own instead of giving up

When an engine with 16 streams crashed, all became suspects, of which each other engine takes one at a time. The rest tried the crashed engine again until their attempts were exhausted: a new test showed 502 for them. A suspect now waits up to 30 s for its turn and uses a server that failed it only after 4 s. An engine that could not be reached is out until its next report.

The administration API lists suspects and quarantined fingerprints.

--- a/crates/wagtailarch-entry/src/admin_api.rs
+++ b/crates/wagtailarch-entry/src/admin_api.rs
@@ -1,12 +1,15 @@
 //! The administration API: read-only views of one instance.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use serde_json::{Value, json};
 use smol_str::SmolStr;
 use subtle::ConstantTimeEq;
 
-use wagtailarch_traffic::BackendView;
+use wagtailarch_traffic::{BackendView, Verdict};
+use wagtailarch_types::Fingerprint;
 
 use crate::{
     admin::json_response,
@@ -14,6 +17,9 @@
     shared::Shared,
 };
 
+/// Fingerprints that are listed at once.
+const MAX_LISTED: usize = 1_024;
+
 /// Path prefix of the administration API.
 pub const PREFIX: &str = "/admin/v1/";
 
@@ -33,7 +39,7 @@
     match path.strip_prefix(PREFIX) {
         Some("generation") => json_response(StatusCode::OK, &generation(shared)),
         Some("backends") => json_response(StatusCode::OK, &backends(shared)),
-        Some("quarantine") => json_response(StatusCode::OK, &json!({"quarantined": []})),
+        Some("quarantine") => json_response(StatusCode::OK, &quarantine(shared)),
         _ => json_response(StatusCode::NOT_FOUND, &json!({"error": "unknown path"})),
     }
 }
@@ -67,6 +73,20 @@
     json!({"backends": views.values().map(backend).collect::<Vec<_>>()})
 }
 
+/// Returns what the instance holds against requests.
+fn quarantine(shared: &Shared) -> Value {
+    let listed = shared.quarantine.list(shared.now(), MAX_LISTED);
+    let entry = |(fingerprint, verdict, left): (Fingerprint, Verdict, Duration)| {
+        let quarantined = verdict == Verdict::Quarantined;
+        json!({
+            "fingerprint": format!("{fingerprint:032x}"),
+            "state": if quarantined { "quarantined" } else { "suspect" },
+            "left_s": left.as_secs(),
+        })
+    };
+    json!({"fingerprints": listed.into_iter().map(entry).collect::<Vec<_>>()})
+}
+
 fn backend(view: &BackendView) -> Value {
     json!({
         "id": view.id,
--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -1,6 +1,6 @@
 //! The attempts of one request: choice of backend servers, retries and strikes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use slog::info;
 use wagtailarch_control::LeavingSign;
@@ -22,6 +22,14 @@
 /// Pause before a server that has failed this request is used again, per failure.
 const REUSE_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest time that a suspect waits for a server without another suspect, and between two tries.
+const SUSPECT_WAIT: Duration = Duration::from_secs(30);
+/// Time after which a suspect may use a server again that has failed it.
+///
+/// By then a crashed server is known to be gone; before, each try would cost an attempt.
+const SUSPECT_REUSE: Duration = Duration::from_secs(4);
+const SUSPECT_POLL: Duration = Duration::from_millis(20);
+
 /// Which service a request calls and how it may be repeated.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -107,19 +115,21 @@
     }
 
     /// Chooses a backend server, at best one that has not failed this request.
+    ///
+    /// A crash makes a suspect of every request that was in flight, and suspects run apart: one
+    /// that finds no server without another suspect waits for its turn.
     pub async fn pick(&mut self, mut request: PickRequest) -> Result<Pick, Refusal> {
-        request.suspect = self.is_suspect();
-        let shared = &self.context.shared;
-        request.excluded.clone_from(&self.excluded);
-        if let Some(pick) = shared.router.pick(shared.now(), &request) {
-            return Ok(pick);
-        }
-        if !self.excluded.is_empty() {
-            tokio::time::sleep(REUSE_PAUSE * self.failures).await;
-            request.excluded.clear();
-            if let Some(pick) = shared.router.pick(shared.now(), &request) {
+        let started = Instant::now();
+        loop {
+            request.suspect = self.is_suspect();
+            let reuse = !request.suspect || started.elapsed() > SUSPECT_REUSE;
+            if let Some(pick) = self.pick_now(&mut request, reuse).await {
                 return Ok(pick);
             }
+            if !request.suspect || started.elapsed() > SUSPECT_WAIT {
+                break;
+            }
+            tokio::time::sleep(SUSPECT_POLL).await;
         }
         Err(Refusal::not_run(
             RefusalReason::NoBackend,
@@ -130,6 +140,19 @@
         .with_jitter(self.context.id))
     }
 
+    /// Chooses a backend server; with `reuse` also one that has failed this request.
+    async fn pick_now(&self, request: &mut PickRequest, reuse: bool) -> Option<Pick> {
+        let shared = &self.context.shared;
+        request.excluded.clone_from(&self.excluded);
+        let pick = shared.router.pick(shared.now(), request);
+        if pick.is_some() || self.excluded.is_empty() || !reuse {
+            return pick;
+        }
+        tokio::time::sleep(REUSE_PAUSE * self.failures).await;
+        request.excluded.clear();
+        shared.router.pick(shared.now(), request)
+    }
+
     /// Notes that the request is sent to a server, until the guard is dropped.
     pub fn enter(&self, pick: &Pick) -> InFlightGuard {
         self.context
--- a/crates/wagtailarch-entry/src/control/backends.rs
+++ b/crates/wagtailarch-entry/src/control/backends.rs
@@ -191,7 +191,9 @@
         let age = now.saturating_sub(self.report_at);
         let serving = match self.listed.kind {
             InstanceKind::Engine => {
-                age < SILENT_AFTER && report.is_some_and(|r| r.state == BackendState::Serving)
+                let reached = self.failures == 0;
+                let serves = report.is_some_and(|report| report.state == BackendState::Serving);
+                reached && age < SILENT_AFTER && serves
             }
             InstanceKind::Service | InstanceKind::Entry => {
                 let left = self
--- a/crates/wagtailarch-entry/tests/streams.rs
+++ b/crates/wagtailarch-entry/tests/streams.rs
@@ -309,6 +309,41 @@
     assert_eq!(read(client().request(other).await.unwrap()).await.0, 200);
 }
 
+/// Guards against streams that are given up because the suspects of a crash must run apart.
+#[tokio::test]
+async fn every_stream_of_a_crashed_engine_is_resumed() {
+    let (engines, instance) = fixture(2).await;
+    for engine in &engines {
+        for _ in 0..16 {
+            engine.script(Script::Answer {
+                tokens: 40,
+                pause: Duration::from_millis(10),
+            });
+        }
+    }
+    let calls: Vec<_> = (0..16)
+        .map(|number| chat(instance.client_address(), &format!("prompt {number}"), true))
+        .map(|call| tokio::spawn(async { read(client().request(call).await.unwrap()).await }))
+        .collect();
+    let busy = || {
+        engines
+            .iter()
+            .map(|engine| engine.calls().len())
+            .sum::<usize>()
+            == 16
+    };
+    eventually("every stream has started", busy).await;
+    engines[0].crashed.cancel();
+    for call in calls {
+        let (status, body) = call.await.unwrap();
+        assert_eq!(
+            (status.as_u16(), stream_text(&body)),
+            (200, (text(40), true))
+        );
+    }
+    assert!(instance.shared().metrics.crashes.get() >= 1);
+}
+
 /// Guards against endless attempts: the last one ends the request with what is known of it.
 #[tokio::test]
 async fn attempts_are_bounded() {
