Take over drained engines from their record and keep a zone serving

After a lease holder was paused, its successor let a drained engine wait for 15 s, and a change of roles left zones without an engine that decodes.

The successor reads the order record of a draining engine and takes it over at once if the engine's last order is that drain; 15 s remain for engines that drain without one. A shorter wait for all was ruled out, since an engine that shuts down by itself drains too. The last engine of a zone that serves whole requests is changed only while another zone has one, zones taking turns, and missing decode engines are made before prefill engines.

--- a/crates/wagtailarch-control/src/ledger.rs
+++ b/crates/wagtailarch-control/src/ledger.rs
@@ -219,6 +219,19 @@
         senders
     }
 
+    /// Asks for the record of an engine whose orders this process does not know.
+    pub fn inspect(&mut self, engine: &InstanceId) {
+        if self.slots.len() < MAX_ENGINES || self.slots.contains_key(engine) {
+            self.slots.entry(engine.clone()).or_default().inspect();
+        }
+    }
+
+    /// Tells whether the order with `nonce` is the last recorded one and a drain.
+    pub fn is_drain(&self, engine: &InstanceId, nonce: Nonce) -> bool {
+        let slot = self.slots.get(engine);
+        slot.is_some_and(|slot| slot.is_drain(nonce))
+    }
+
     /// Returns the state of the newest request to `engine`.
     pub fn progress(&self, engine: &InstanceId) -> OrderProgress {
         self.slots
--- a/crates/wagtailarch-control/src/ledger_slot.rs
+++ b/crates/wagtailarch-control/src/ledger_slot.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use wagtailarch_types::{BootId, InstanceId, Nonce, ObjectVersion};
+use wagtailarch_wire::engine::OrderKind;
 use wagtailarch_wire::records::{OrderRecord, OrderState};
 
 use crate::{
@@ -91,7 +92,8 @@
     busy: Option<Busy>,
     sent: Option<Sent>,
     proof: Option<EngineProof>,
-    /// Whether a write of this process may have taken effect without its knowledge.
+    /// Whether the record must be read, for instance since a write of this process may have taken
+    /// effect without its knowledge.
     in_doubt: bool,
     /// When the record is read once more, since a doubtful write may take effect after the first
     /// read.
@@ -127,6 +129,18 @@
         self.progress.unwrap_or(OrderProgress::Idle)
     }
 
+    /// Reads the record once if it is not known.
+    pub(crate) fn inspect(&mut self) {
+        if matches!(self.known, Known::Unread) {
+            self.in_doubt = true;
+        }
+    }
+
+    pub(crate) fn is_drain(&self, nonce: Nonce) -> bool {
+        matches!(&self.known, Known::Found(record, _)
+            if record.nonce == nonce && record.desired == OrderKind::Drain)
+    }
+
     /// Tells whether this process owes nothing to the record.
     pub(crate) fn is_settled(&self) -> bool {
         let recorded =
--- a/crates/wagtailarch-control/src/planner.rs
+++ b/crates/wagtailarch-control/src/planner.rs
@@ -255,7 +255,9 @@
             count > roles.bounds(*role).min && count > 0
         };
         let room = |role: &Role| counts.get(*role) < roles.bounds(*role).max;
-        let to = Role::ALL.into_iter().find(|role| below(role));
+        // Decode comes before prefill, since only it can serve whole requests meanwhile.
+        let wanted = [Role::Decode, Role::Mixed, Role::Prefill];
+        let to = wanted.into_iter().find(|role| below(role));
         let from = Role::ALL.into_iter().find(|role| above(role));
         let (from, to) = match (from, to) {
             (None, None) => return None,
--- a/crates/wagtailarch-control/src/rollout.rs
+++ b/crates/wagtailarch-control/src/rollout.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 use wagtailarch_fleet::RoleTable;
 use wagtailarch_types::{
-    AdapterName, Assignment, BackendState, Generation, GroupName, InstanceId, ModelName, Role,
-    VersionName,
+    AdapterName, Assignment, BackendState, Generation, GroupName, InstanceId, ModelName, Phase,
+    Role, VersionName,
 };
 use wagtailarch_wire::engine::OrderKind;
 
@@ -16,12 +16,12 @@
 const LARGE_POOL: usize = 20;
 /// Share of a large pool that may be away at once, as a divisor.
 const LARGE_POOL_DIVISOR: usize = 10;
-/// Time for which an engine must drain without a known change before the rollout takes it over.
+/// Time for which an engine must drain without a known order before the rollout takes it over.
 /// It exceeds the lag of the platform's list, so that an engine that is shutting down by itself is
 /// listed as leaving by then.
 const ADOPT_AFTER: Duration = Duration::from_secs(15);
 /// Time for which an engine is left alone after an older order blocked a change of it.
-const BLOCKED_PAUSE: Duration = Duration::from_secs(30);
+const BLOCKED_PAUSE: Duration = Duration::from_secs(5);
 /// Greatest number of engines of one zone.
 const MAX_ENGINES: usize = 1_024;
 
@@ -51,6 +51,9 @@
     pub checks_fencing: bool,
     /// Bounds per role.
     pub roles: RoleTable,
+    /// Whether the last engine of the zone that serves whole requests may be changed, since
+    /// another zone takes over or nothing can.
+    pub may_empty: bool,
 }
 
 /// An engine of the zone.
@@ -72,6 +75,8 @@
     pub healthy: bool,
     /// State of the newest order to it.
     pub order: OrderProgress,
+    /// Whether the last order that took effect on it was a drain.
+    pub drained_by_order: bool,
 }
 
 /// What the rollout asks for.
@@ -244,7 +249,7 @@
             let due = self
                 .orphans
                 .get(&engine.id)
-                .is_some_and(|since| now >= *since + ADOPT_AFTER);
+                .is_some_and(|since| engine.drained_by_order || now >= *since + ADOPT_AFTER);
             if !due || self.paused.contains_key(&engine.id) {
                 continue;
             }
@@ -306,7 +311,7 @@
                 .paused
                 .get(&engine.id)
                 .is_none_or(|until| now >= *until);
-        if free && self.pool_permits(view, &engine.group) {
+        if free && self.pool_permits(view, &engine.group) && self.keeps_serving(view, engine) {
             self.insert(engine, target, Step::Drain);
         }
     }
@@ -324,6 +329,24 @@
         self.changes.insert(engine.id.clone(), change);
     }
 
+    /// Tells whether requests of the group can still be served while `engine` is away.
+    fn keeps_serving(&self, view: &RolloutView, engine: &RolloutEngine) -> bool {
+        let group = view.groups.iter().find(|group| group.name == engine.group);
+        if group.is_some_and(|group| group.may_empty) {
+            return true;
+        }
+        let whole = |engine: &RolloutEngine| engine.assignment.role.serves(Phase::Full);
+        let mut others = view.engines.iter().filter(|other| other.id != engine.id);
+        !whole(engine)
+            || others.any(|other| {
+                other.group == engine.group
+                    && whole(other)
+                    && other.healthy
+                    && other.state == BackendState::Serving
+                    && !self.changes.contains_key(&other.id)
+            })
+    }
+
     /// Tells whether one more engine of `group` may be away.
     fn pool_permits(&self, view: &RolloutView, group: &GroupName) -> bool {
         let pool = view.engines.iter().filter(|engine| engine.group == *group);
--- a/crates/wagtailarch-control/tests/zone_model/process.rs
+++ b/crates/wagtailarch-control/tests/zone_model/process.rs
@@ -10,7 +10,7 @@
     RolloutView, SendOutcome, WriteOutcome, ZoneStatus,
 };
 use wagtailarch_fleet::RoleTable;
-use wagtailarch_types::{BootId, Generation, InstanceId, Role};
+use wagtailarch_types::{BackendState, BootId, Generation, InstanceId, Role};
 use wagtailarch_wire::peer::Delta;
 use wagtailarch_wire::records::{LeaseRecord, OrderRecord};
 
@@ -163,6 +163,11 @@
     }
 
     fn roll_out(&mut self, now: Duration, planned: &[(usize, Role)]) {
+        for report in self.reports.iter().flatten() {
+            if report.state == BackendState::Draining {
+                self.ledger.inspect(&engine_id(report.engine));
+            }
+        }
         let view = self.view(now);
         let planned: Vec<_> = planned
             .iter()
@@ -199,6 +204,7 @@
             adapters: Vec::new(),
             checks_fencing: checks,
             roles: RoleTable::default(),
+            may_empty: true,
         });
         let engines = self.reports.iter().flatten().map(|report| RolloutEngine {
             id: engine_id(report.engine),
@@ -209,6 +215,10 @@
             asked_at: report.proof.asked_at,
             healthy: now <= report.proof.asked_at + Duration::from_secs(3),
             order: self.ledger.progress(&engine_id(report.engine)),
+            drained_by_order: report
+                .proof
+                .last_order_nonce
+                .is_some_and(|nonce| self.ledger.is_drain(&engine_id(report.engine), nonce)),
         });
         RolloutView {
             generation,
--- a/crates/wagtailarch-entry/src/control/zone.rs
+++ b/crates/wagtailarch-entry/src/control/zone.rs
@@ -4,12 +4,14 @@
 
 use indexmap::IndexMap;
 use wagtailarch_control::{
-    Authority, EngineProof, Lease, LeaseConfig, OrderAction, OrderLedger, Planner, PlannerConfig,
-    PlannerGroup, Rollout, RolloutAction, RolloutEngine, RolloutGroup, RolloutView, ZoneEngine,
-    ZoneStatus, ZoneView,
+    Authority, BackendStatus, EngineProof, Lease, LeaseConfig, OrderAction, OrderLedger, Planner,
+    PlannerConfig, PlannerGroup, Rollout, RolloutAction, RolloutEngine, RolloutGroup, RolloutView,
+    ZoneEngine, ZoneStatus, ZoneView,
 };
 use wagtailarch_fleet::{Fleet, Group, GroupKind};
-use wagtailarch_types::{Assignment, BackendState, BootId, Generation, GroupName, InstanceId};
+use wagtailarch_types::{
+    Assignment, BackendState, BootId, Generation, GroupName, InstanceId, Phase,
+};
 use wagtailarch_wire::{engine::EngineReport, records::ZoneStatusRecord};
 
 use super::backends::{Backends, Known};
@@ -18,6 +20,10 @@
 /// Time without a report after which an engine is not changed.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
 
+/// Length in seconds of a zone's turn to be without engines that serve whole requests; a change
+/// takes about half of it.
+const TURN_S: u64 = 20;
+
 /// Interval of planning roles.
 const PLAN_EVERY: Duration = Duration::from_secs(1);
 
@@ -150,6 +156,11 @@
         backends: &mut Backends,
     ) -> Vec<DrainFlood> {
         let engines = self.engines(now, backends);
+        for engine in &engines {
+            if engine.state == BackendState::Draining {
+                self.ledger.inspect(&engine.id);
+            }
+        }
         if now >= self.planned_at + PLAN_EVERY {
             self.planned_at = now;
             let view = self.zone_view(now, &snapshot.fleet, backends, &engines);
@@ -158,7 +169,10 @@
         let view = RolloutView {
             generation: snapshot.generation,
             groups: engine_groups(&snapshot.fleet)
-                .filter_map(rollout_group)
+                .filter_map(|group| {
+                    let may_empty = self.may_empty(&snapshot.fleet, group, backends);
+                    rollout_group(group, may_empty)
+                })
                 .collect(),
             engines,
         };
@@ -173,6 +187,32 @@
         floods
     }
 
+    /// Tells whether the zone may be without an engine of the group that serves whole requests.
+    ///
+    /// Another zone must have such an engine, and zones take turns, so that they do not give up
+    /// their last ones at once. A group with one engine in all zones has no choice.
+    fn may_empty(&self, fleet: &Fleet, group: &Group, backends: &mut Backends) -> bool {
+        let zone = &self.shared.settings.zone;
+        let statuses = backends.statuses();
+        let mut engines = statuses.iter().filter(|status| status.group == group.name);
+        if engines.clone().count() < 2 {
+            return true;
+        }
+        let whole = |status: &BackendStatus| {
+            let assignment = status.assignment.as_ref();
+            assignment.is_some_and(|assignment| assignment.role.serves(Phase::Full))
+        };
+        let elsewhere =
+            engines.any(|status| status.zone != *zone && status.accepting && whole(status));
+        let zones = &fleet.fleet.zones;
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let since_s = since.map_or(0, |since| since.as_secs());
+        let turn = (since_s / TURN_S) as usize % zones.len().max(1);
+        // A change started late in a turn would reach into the next one.
+        let early = since_s % TURN_S < TURN_S / 2;
+        elsewhere && early && zones.iter().position(|name| name == zone) == Some(turn)
+    }
+
     /// Returns the engines of the zone that have reported.
     fn engines(&self, now: Duration, backends: &mut Backends) -> Vec<RolloutEngine> {
         let zone = &self.shared.settings.zone;
@@ -192,6 +232,10 @@
                 asked_at: known.asked_at,
                 healthy: !silent && !status.leaving,
                 order: self.ledger.progress(&status.id),
+                drained_by_order: known
+                    .report
+                    .last_order_nonce
+                    .is_some_and(|nonce| self.ledger.is_drain(&status.id, nonce)),
                 id: status.id,
                 group: status.group,
             });
@@ -261,7 +305,7 @@
     fleet.groups.iter().filter(engines)
 }
 
-fn rollout_group(group: &Group) -> Option<RolloutGroup> {
+fn rollout_group(group: &Group, may_empty: bool) -> Option<RolloutGroup> {
     let mut adapters = group.adapters.clone();
     adapters.sort();
     adapters.dedup();
@@ -272,6 +316,7 @@
         adapters,
         checks_fencing: group.checks_fencing,
         roles: group.roles,
+        may_empty,
     })
 }
 
