--- a/crates/wagtailarch-control/src/planner.rs
+++ b/crates/wagtailarch-control/src/planner.rs
@@ -40,7 +40,7 @@
 impl Default for PlannerConfig {
     fn default() -> Self {
         Self {
-            fast: Duration::from_secs(7),
+            fast: Duration::from_secs(10),
             slow: Duration::from_secs(60),
             stale_after: Duration::from_secs(10),
             target_utilisation: 0.85,
