--- a/crates/wagtailarch-control/src/planner.rs
+++ b/crates/wagtailarch-control/src/planner.rs
@@ -43,7 +43,7 @@
             fast: Duration::from_secs(10),
             slow: Duration::from_secs(60),
             stale_after: Duration::from_secs(10),
-            target_utilisation: 0.95,
+            target_utilisation: 0.85,
             // 0.9 kept mixed engines whose streams missed their deadlines under long prompts; see
             // docs/policy.md.
             mixed_efficiency: 0.6,
