Measure how the cost of decisions grows with a fleet

wagtail-capacity runs each slope over several sizes on the decision code (gossip with encoded frames, membership, routing table, lease, planner, order ledger, configuration on FakePlatform, team limits, claim log), fits a line by least squares and prints intercept, slope, R squared and the value at the design size with its target. Processor time is that of the thread, memory is resident memory in a process of its own, since freed memory is reused without growth.

Ruled out: an allocation counter, which needs an unsafe global allocator that the workspace forbids; applying through ConfigStore, whose pauses between parts would take ten seconds for each point.

--- /dev/null
+++ b/crates/wagtailarch-load/src/capacity/error.rs
@@ -0,0 +1,35 @@
+//! Why a measurement failed.
+
+use displaydoc::Display;
+
+/// Why a measurement failed.
+#[derive(Debug, Display)]
+pub enum CapacityError {
+    /// cannot measure the process: {0}
+    Process(std::io::Error),
+    /// the process of a measurement failed: {0}
+    Child(String),
+    /// the measured code failed: {0}
+    Measured(String),
+    /// fewer than two different sizes were measured
+    TooFewSizes,
+    /// unknown measurement: {0}
+    UnknownName(String),
+    /// cannot write the table: {0}
+    Output(csv::Error),
+}
+
+impl std::error::Error for CapacityError {}
+
+impl From<std::io::Error> for CapacityError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Process(error)
+    }
+}
+
+impl CapacityError {
+    /// Wraps an error of the measured code.
+    pub(crate) fn measured(error: impl std::fmt::Display) -> Self {
+        Self::Measured(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-load/src/capacity/table.rs
@@ -0,0 +1,119 @@
+//! The table of results.
+
+use std::io::Write;
+
+use crate::capacity::{CapacityError, Measured};
+
+/// Form of the table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// Aligned columns.
+    Text,
+    /// Comma-separated values with a header.
+    Csv,
+}
+
+impl Format {
+    /// Parses the name of a format.
+    pub fn parse(text: &str) -> Option<Self> {
+        match text {
+            "text" => Some(Self::Text),
+            "csv" => Some(Self::Csv),
+            _ => None,
+        }
+    }
+}
+
+const HEADER: [&str; 12] = [
+    "name",
+    "quantity",
+    "size of",
+    "sizes",
+    "intercept",
+    "slope",
+    "r_squared",
+    "design_size",
+    "value",
+    "low..high",
+    "target",
+    "result",
+];
+
+/// Writes the table of results.
+pub fn write_table(
+    results: &[Measured],
+    format: Format,
+    out: &mut impl Write,
+) -> Result<(), CapacityError> {
+    let rows: Vec<[String; 12]> = results.iter().map(row).collect();
+    match format {
+        Format::Csv => {
+            let mut writer = csv::Writer::from_writer(out);
+            writer.write_record(HEADER).map_err(CapacityError::Output)?;
+            for row in &rows {
+                writer.write_record(row).map_err(CapacityError::Output)?;
+            }
+            writer.flush()?;
+        }
+        Format::Text => write_text(&rows, out)?,
+    }
+    Ok(())
+}
+
+fn row(result: &Measured) -> [String; 12] {
+    let slope = &result.slope;
+    let verdict = match result.meets_target() {
+        None => "",
+        Some(true) => "met",
+        Some(false) => "missed",
+    };
+    let first = result.points.first().map_or(0.0, |point| point.x);
+    let last = result.points.last().map_or(0.0, |point| point.x);
+    [
+        slope.name.into(),
+        slope.quantity.into(),
+        slope.size_of.into(),
+        format!("{}..{}", number(first), number(last)),
+        number(result.line.intercept),
+        number(result.line.slope),
+        format!("{:.4}", result.line.r_squared),
+        number(slope.design),
+        number(result.value()),
+        format!("{}..{}", number(result.low), number(result.high)),
+        slope.target.map_or_else(String::new, number),
+        verdict.into(),
+    ]
+}
+
+fn write_text(rows: &[[String; 12]], out: &mut impl Write) -> Result<(), CapacityError> {
+    let mut widths = HEADER.map(str::len);
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = (*width).max(cell.len());
+        }
+    }
+    let header = HEADER.map(String::from);
+    for row in std::iter::once(&header).chain(rows) {
+        let cells = row.iter().zip(widths);
+        let line: Vec<String> = cells
+            .map(|(cell, width)| format!("{cell:width$}"))
+            .collect();
+        writeln!(out, "{}", line.join("  ").trim_end())?;
+    }
+    Ok(())
+}
+
+/// Formats a number with four significant digits.
+fn number(value: f64) -> String {
+    let magnitude = if value == 0.0 {
+        0
+    } else {
+        value.abs().log10().floor() as i32
+    };
+    let decimals = (3 - magnitude).clamp(0, 6) as usize;
+    let text = format!("{value:.decimals$}");
+    match text.contains('.') {
+        true => text.trim_end_matches('0').trim_end_matches('.').to_owned(),
+        false => text,
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-load/src/capacity/zone.rs
@@ -0,0 +1,314 @@
+//! The lease holder of a zone: lease, status, planner and orders.
+
+use std::time::Duration;
+
+use smol_str::format_smolstr;
+use wagtailarch_control::{
+    Authority, EngineProof, Lease, LeaseAction, LeaseConfig, OrderAction, OrderLedger,
+    OrderProgress, OrderRequest, Planner, PlannerConfig, PlannerGroup, ReadOutcome, SendOutcome,
+    WriteOutcome, ZoneEngine, ZoneStatus, ZoneView,
+};
+use wagtailarch_fleet::{Policy, RoleTable};
+use wagtailarch_types::{Assignment, InstanceId, Role};
+use wagtailarch_wire::engine::OrderKind;
+use wagtailarch_wire::records::{LeaseRecord, encode_record};
+
+use crate::capacity::probe::{call_us, resident_bytes, thread_time};
+use crate::capacity::slope::{
+    NODE_MEMORY_BYTES, NODE_US_PER_S, PLATFORM_READS_PER_S, PLATFORM_WRITES_PER_S,
+};
+use crate::capacity::{CapacityError, DESIGN, Point, Slope};
+
+const ENGINES: &[u32] = &[32, 64, 128, 256, 512];
+const PEERS: &[u32] = &[4, 8, 16, 32, 64];
+/// Virtual time over which lease calls are counted.
+const LEASE_S: u32 = 60;
+
+/// Slopes of the lease holder.
+pub(crate) const SLOPES: &[Slope] = &[
+    Slope {
+        name: "lease-reads",
+        quantity: "platform reads/s for the leases of all zones",
+        size_of: "instances, in 13 zones",
+        sizes: PEERS,
+        design: DESIGN.instances,
+        target: Some(PLATFORM_READS_PER_S),
+        own_process: false,
+        measure: |size, _| lease_calls(size, false),
+    },
+    Slope {
+        name: "lease-writes",
+        quantity: "platform writes/s for the leases of all zones",
+        size_of: "instances, in 13 zones",
+        sizes: PEERS,
+        design: DESIGN.instances,
+        target: Some(PLATFORM_WRITES_PER_S),
+        own_process: false,
+        measure: |size, _| lease_calls(size, true),
+    },
+    Slope {
+        name: "status-bytes",
+        quantity: "bytes of a status object with every instance behind",
+        size_of: "instances of the zone",
+        sizes: PEERS,
+        design: DESIGN.instances / DESIGN.zones,
+        target: None,
+        own_process: false,
+        measure: status_bytes,
+    },
+    Slope {
+        name: "planner-cpu",
+        quantity: "us/s of the lease holder: one plan a second",
+        size_of: "engines of the zone",
+        sizes: ENGINES,
+        design: DESIGN.engines / DESIGN.zones,
+        target: Some(NODE_US_PER_S),
+        own_process: false,
+        measure: planner_cpu,
+    },
+    Slope {
+        name: "order-calls",
+        quantity: "platform calls for orders",
+        size_of: "orders, one to each engine",
+        sizes: ENGINES,
+        design: DESIGN.engines / DESIGN.zones,
+        target: None,
+        own_process: false,
+        measure: |size, seed| Ok(orders(size, seed)?.calls),
+    },
+    Slope {
+        name: "order-writes",
+        quantity: "platform writes for orders",
+        size_of: "orders, one to each engine",
+        sizes: ENGINES,
+        design: DESIGN.engines / DESIGN.zones,
+        target: None,
+        own_process: false,
+        measure: |size, seed| Ok(orders(size, seed)?.writes),
+    },
+    Slope {
+        name: "order-cpu",
+        quantity: "us of the ledger for orders from request to effect",
+        size_of: "orders, one to each engine",
+        sizes: ENGINES,
+        design: DESIGN.engines / DESIGN.zones,
+        target: None,
+        own_process: false,
+        measure: |size, seed| Ok(orders(size, seed)?.us),
+    },
+    Slope {
+        name: "ledger-memory",
+        quantity: "resident bytes of the ledger",
+        size_of: "engines of the zone with an order",
+        sizes: ENGINES,
+        design: DESIGN.engines / DESIGN.zones,
+        target: Some(NODE_MEMORY_BYTES),
+        own_process: true,
+        measure: ledger_memory,
+    },
+];
+
+fn point(size: u32, y: f64) -> Point {
+    Point {
+        x: f64::from(size),
+        y,
+    }
+}
+
+/// Counts calls in one zone of `size` instances and scales them to 13 such zones.
+///
+/// The size of the point is that of all zones.
+fn lease_calls(size: u32, writes: bool) -> Result<Point, CapacityError> {
+    let mut leases: Vec<Lease> = (0..size).map(|n| Lease::new(lease_config(n))).collect();
+    let mut object: Option<(LeaseRecord, u64)> = None;
+    let mut count = 0;
+    // The first 20 s, in which the lease is taken, do not count.
+    let ticks = (LEASE_S + 20) * 10;
+    for tick in 0..ticks {
+        let now = Duration::from_millis(u64::from(tick) * 100);
+        for lease in &mut leases {
+            let action = lease.tick(now);
+            let counted = u32::from(tick >= 200);
+            match action {
+                None => {}
+                Some(LeaseAction::Read) => {
+                    count += counted * u32::from(!writes);
+                    lease.on_read(now, found(object.as_ref()));
+                }
+                Some(LeaseAction::Write { record, expect }) => {
+                    count += counted * u32::from(writes);
+                    let version = object.as_ref().map(|object| object.1);
+                    let outcome = if version == expect {
+                        let next = version.unwrap_or(0) + 1;
+                        object = Some((record, next));
+                        WriteOutcome::Written(next)
+                    } else {
+                        WriteOutcome::Conflict
+                    };
+                    lease.on_write(now, outcome);
+                }
+            }
+        }
+    }
+    let zones = DESIGN.zones;
+    Ok(Point {
+        x: f64::from(size) * zones,
+        y: f64::from(count) / f64::from(LEASE_S) * zones,
+    })
+}
+
+fn lease_config(number: u32) -> LeaseConfig {
+    LeaseConfig::new(
+        format_smolstr!("entry-{number:03}"),
+        u64::MAX - u64::from(number),
+    )
+}
+
+fn found(object: Option<&(LeaseRecord, u64)>) -> ReadOutcome<LeaseRecord> {
+    match object {
+        None => ReadOutcome::Absent,
+        Some((record, version)) => ReadOutcome::Found(record.clone(), *version),
+    }
+}
+
+fn status_bytes(size: u32, _seed: u64) -> Result<Point, CapacityError> {
+    let now = Duration::from_secs(100);
+    let names: Vec<InstanceId> = (0..size).map(|n| lease_config(n).instance).collect();
+    let mut status = ZoneStatus::new("buda-a".into());
+    status.on_list(&names);
+    for name in &names {
+        status.on_ack(now, name, 1, 4_899);
+    }
+    let record = status.record(now, 4_900, 1_800_000_000_000, 17);
+    Ok(point(size, encode_record(&record).len() as f64))
+}
+
+fn planner_cpu(size: u32, _seed: u64) -> Result<Point, CapacityError> {
+    let engine = |number: u32| ZoneEngine {
+        id: format_smolstr!("engine-{number:04}"),
+        group: "fedel-lm".into(),
+        role: Role::ALL[number as usize % 3],
+        serving: true,
+        report_age: Some(Duration::from_secs(2)),
+        running: f64::from(number % 32),
+        queued_tokens: f64::from(number % 7) * 900.0,
+        prefill_tokens_per_s: 8_000.0,
+        decode_tokens_per_s: 1_000.0,
+    };
+    let view = ZoneView {
+        policy: Policy {
+            goodput_weight: 0.8,
+            role_change_weight: 0.2,
+            role_change_cost_s: 6.0,
+            mix_horizon_s: 120.0,
+            retry_budget_ratio: 0.1,
+            retry_budget_floor_per_s: 2.0,
+        },
+        groups: vec![PlannerGroup {
+            name: "fedel-lm".into(),
+            roles: RoleTable::default(),
+            prefill_capacity_per_s: 10_000.0,
+            decode_capacity_per_s: 2_000.0,
+            demand: None,
+        }],
+        engines: (0..size).map(engine).collect(),
+    };
+    let mut planner = Planner::new(PlannerConfig::default());
+    let mut now = Duration::ZERO;
+    let us = call_us(40, || {
+        now += Duration::from_secs(1);
+        drop(planner.plan(now, &view));
+    });
+    Ok(point(size, us))
+}
+
+/// Costs of orders to all engines of a zone.
+struct OrderCosts {
+    calls: Point,
+    writes: Point,
+    us: Point,
+}
+
+fn orders(size: u32, seed: u64) -> Result<OrderCosts, CapacityError> {
+    let start = thread_time();
+    let (_, calls, writes) = run_orders(size, seed)?;
+    let used = thread_time().saturating_sub(start);
+    Ok(OrderCosts {
+        calls: point(size, f64::from(calls)),
+        writes: point(size, f64::from(writes)),
+        us: point(size, used.as_secs_f64() * 1e6),
+    })
+}
+
+/// Gives one order to each engine until all are effective; returns calls and writes.
+fn run_orders(size: u32, seed: u64) -> Result<(OrderLedger, u32, u32), CapacityError> {
+    let mut ledger = OrderLedger::new("entry-000".into(), 1, seed);
+    let engines: Vec<InstanceId> = (0..size)
+        .map(|n| format_smolstr!("engine-{n:04}"))
+        .collect();
+    for engine in &engines {
+        ledger.request(engine, order_request());
+    }
+    let authority = Some(Authority {
+        number: 17,
+        remaining: Duration::from_secs(4),
+    });
+    let (mut calls, mut writes, mut version) = (0, 0, 0);
+    for step in 0..100 {
+        let now = Duration::from_secs(1 + step);
+        let actions = ledger.poll(now, authority);
+        if actions.is_empty() && is_effective(&ledger, &engines) {
+            return Ok((ledger, calls, writes));
+        }
+        for action in actions {
+            match action {
+                OrderAction::ReadRecord { engine } => {
+                    calls += 1;
+                    ledger.on_record(now, &engine, ReadOutcome::Absent);
+                }
+                OrderAction::WriteRecord { engine, .. } => {
+                    calls += 1;
+                    writes += 1;
+                    version += 1;
+                    ledger.on_write(now, &engine, WriteOutcome::Written(version));
+                }
+                OrderAction::Send { engine, order, .. } => {
+                    ledger.on_sent(now, &engine, SendOutcome::Accepted);
+                    let proof = EngineProof {
+                        boot_id: 1,
+                        last_order_nonce: Some(order.nonce),
+                        changing: false,
+                        asked_at: now + Duration::from_millis(500),
+                    };
+                    ledger.on_report(&engine, proof);
+                }
+            }
+        }
+    }
+    Err(CapacityError::Measured(
+        "orders did not become effective".into(),
+    ))
+}
+
+fn is_effective(ledger: &OrderLedger, engines: &[InstanceId]) -> bool {
+    let effective = |engine| ledger.progress(engine) == OrderProgress::Effective;
+    engines.iter().all(effective)
+}
+
+fn order_request() -> OrderRequest {
+    OrderRequest {
+        generation: 4_900,
+        kind: OrderKind::Assign(Assignment {
+            role: Role::Decode,
+            model: "fedel".into(),
+            version: "2026-11".into(),
+            adapters: vec!["jam".into()],
+        }),
+        checks_fencing: true,
+    }
+}
+
+fn ledger_memory(size: u32, seed: u64) -> Result<Point, CapacityError> {
+    let bytes = resident_bytes(16, |_| run_orders(size, seed))?;
+    Ok(point(size, bytes))
+}
--- /dev/null
+++ b/crates/wagtailarch-load/tests/capacity.rs
@@ -0,0 +1,77 @@
+//! Tests of the capacity measurements: fits, counts and the table.
+
+use rstest::rstest;
+use wagtailarch_load::capacity::{Format, Line, Measured, Point, Slope, slopes, write_table};
+
+fn slope(name: &str) -> Slope {
+    let found = slopes().into_iter().find(|slope| slope.name == name);
+    found.unwrap_or_else(|| panic!("no measurement {name}"))
+}
+
+fn measured(name: &str) -> Measured {
+    slope(name).run(1, 1).expect("the measurement succeeds")
+}
+
+/// Guards against a fit that swaps intercept and slope or misjudges how well the line explains.
+#[test]
+fn line_fits_points() {
+    let exact = [1.0, 2.0, 5.0].map(|x| Point {
+        x,
+        y: 3.0 + 2.0 * x,
+    });
+    let line = Line::fit(&exact).expect("three sizes");
+    assert!((line.intercept - 3.0).abs() < 1e-9 && (line.slope - 2.0).abs() < 1e-9);
+    assert!((line.r_squared - 1.0).abs() < 1e-9);
+    let bent = [(0.0, 0.0), (1.0, 1.0), (2.0, 0.0)].map(|(x, y)| Point { x, y });
+    assert!(Line::fit(&bent).expect("three sizes").r_squared < 1e-9);
+    assert!(Line::fit(&[Point { x: 1.0, y: 1.0 }; 2]).is_err());
+}
+
+/// Guards against counts that miss or repeat calls of the decision code.
+#[rstest]
+#[case("order-writes", 2.0)]
+#[case("order-calls", 3.0)]
+#[case("change-reads", 3.0)]
+#[case("lease-reads", 1.0)]
+fn calls_are_counted(#[case] name: &str, #[case] per_unit: f64) {
+    let line = measured(name).line;
+    assert!((line.slope - per_unit).abs() < 1e-9, "{line:?}");
+}
+
+/// Guards against a simulated zone that depends on anything but its seed.
+#[test]
+fn same_seed_gives_same_bytes() {
+    let slope = slope("gossip-bytes-peers");
+    let bytes = |seed| slope.measure_here(8, seed).expect("the zone runs").y;
+    assert_eq!(bytes(7), bytes(7));
+    assert_ne!(bytes(7), bytes(8));
+}
+
+/// Guards against a target that is missed and not marked, in both formats.
+#[rstest]
+#[case(Format::Text)]
+#[case(Format::Csv)]
+fn missed_target_is_marked(#[case] format: Format) {
+    let mut results = vec![measured("order-writes"), measured("status-bytes")];
+    results[0].slope.target = Some(1.0);
+    results[1].slope.target = Some(1e9);
+    let mut table = Vec::new();
+    write_table(&results, format, &mut table).expect("the table is written");
+    let table = String::from_utf8(table).expect("the table is text");
+    let lines: Vec<&str> = table.lines().collect();
+    assert_eq!(lines.len(), 3);
+    assert!(
+        lines[1].ends_with("missed") && lines[2].ends_with("met"),
+        "{table}"
+    );
+}
+
+/// Guards against measurements that cannot be selected because their names collide.
+#[test]
+fn names_are_unique() {
+    let mut names: Vec<&str> = slopes().iter().map(|slope| slope.name).collect();
+    let count = names.len();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), count);
+}
