Measure processor time by answer length in wagtail-bench

Cause: the cost of an entry instance for each request and each token cannot be told apart from runs with answers of one length.

The command "tokens" streams answers of 1 to 256 tokens through one entry instance and prints the processor time of its process for each request.

--- a/crates/wagtailarch-e2e/src/bin/wagtail-bench.rs
+++ b/crates/wagtailarch-e2e/src/bin/wagtail-bench.rs
@@ -17,6 +17,8 @@
                arrivals go through an entry instance [--requests 8000, --rate 400]
   throughput   plain calls and short completions through one entry instance with two traffic
                threads [--requests 40000, --rate 5000]
+  tokens       processor time of one entry instance for each streamed request, by answer length
+               [--requests 3000, --rate 300]
   idle         processor, memory and platform calls of an entry instance without load [--seconds 30]
 
 OPTIONS:
@@ -51,6 +53,7 @@
         "requests" => requests(&options).await,
         "latency" => latency(&options).await,
         "throughput" => throughput(&options).await,
+        "tokens" => tokens(&options).await,
         "idle" => idle(&options).await,
         _ => {
             eprintln!("wagtail-bench: unknown command {command}");
@@ -162,6 +165,38 @@
     );
 }
 
+/// Prints one line for each answer length, so that a fit gives time per request and per token.
+async fn tokens(options: &Options) -> Result<(), HarnessError> {
+    let rate_per_s = options.rate_per_s.unwrap_or(300.0);
+    let count = options.requests.unwrap_or(3_000);
+    for length in [1, 16, 64, 128, 256] {
+        let fleet = TestFleet::start(fast_fleet(1, 6)).await?;
+        let weights = Weights {
+            stream: 1.0,
+            ..Weights::default()
+        };
+        let lengths = Range {
+            min: length,
+            max: length,
+        };
+        let scenario = short_answers(scenario(34, rate_per_s, weights), lengths);
+        let id = fleet.entries[0].process.id();
+        let before = Usage::of(id)?;
+        let report = LoadHandle::start(scenario, fleet.entry_targets(), Some(count))
+            .join()
+            .await?;
+        let after = Usage::of(id)?;
+        println!(
+            "{length} tokens: {} completed at {:.0}/s, {:.1} us of a core each, {:.1} MB",
+            report.completed,
+            report.goodput_per_s,
+            (after.processor_s - before.processor_s) * 1e6 / report.completed.max(1) as f64,
+            after.memory_bytes as f64 / 1e6
+        );
+    }
+    Ok(())
+}
+
 async fn idle(options: &Options) -> Result<(), HarnessError> {
     let fleet = TestFleet::start(FleetOptions {
         engines: 6,
