Open connections to the peers of a zone before the first flood

A flood to a peer without a connection waited for a handshake, in which a client repeated a crashing request at the next instance. Each listed peer of the zone gets a digest at once; the gossip rounds alone reach a peer only by chance.

--- a/crates/wagtailarch-entry/src/control/gossip.rs
+++ b/crates/wagtailarch-entry/src/control/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use wagtailarch_control::{EngineNews, Gossip, GossipConfig, GossipEvent};
 use wagtailarch_traffic::{StrikeEvent, StrikeKind};
 use wagtailarch_types::{Generation, InstanceId, rendezvous_weight};
@@ -46,6 +46,8 @@
     usage: RemoteUsage,
     round_at: Duration,
     remote_at: Duration,
+    /// Peers of the zone that a connection was opened to, so that a flood waits for no handshake.
+    contacted: IndexSet<InstanceId>,
     /// When the load of an engine was last gossiped; engines that this instance polls.
     loads_at: IndexMap<InstanceId, Duration>,
 }
@@ -69,6 +71,7 @@
             usage: RemoteUsage::default(),
             round_at: Duration::ZERO,
             remote_at: Duration::ZERO,
+            contacted: IndexSet::new(),
             loads_at: IndexMap::new(),
         }
     }
@@ -76,6 +79,7 @@
     /// Makes the rounds that are due.
     pub(super) fn tick(&mut self, backends: &Backends) {
         let now = self.shared.now();
+        self.contact(backends);
         if now < self.round_at + ROUND_EVERY {
             return;
         }
@@ -113,6 +117,19 @@
         }
     }
 
+    /// Opens connections to peers of the zone that are new in the list.
+    fn contact(&mut self, backends: &Backends) {
+        let peers = self.own_zone(backends);
+        let listed = |id: &InstanceId| peers.iter().any(|peer| peer.identity.instance == *id);
+        self.contacted.retain(listed);
+        for peer in &peers {
+            if self.contacted.insert(peer.identity.instance.clone()) {
+                let digest = PeerMessage::Digest(self.gossip.digest());
+                self.peers.send(peer, digest);
+            }
+        }
+    }
+
     /// Tells whether this instance polls an engine: with many engines, each engine of the zone is
     /// polled by one instance only, and those of other zones by none.
     pub(super) fn polls(&self, backends: &Backends, engine: &InstanceId) -> bool {
@@ -223,7 +240,7 @@
             }
             PeerEvent::Message(from, message) => self.on_message(backends, zone, &from, message),
             PeerEvent::Unreachable(peer) => {
-                slog::debug!(self.shared.log, "peer_unreachable"; "peer" => peer.instance.as_str());
+                self.contacted.swap_remove(&peer.instance);
             }
         }
     }
