Refuse a suspect at once when no server would take it

A suspect waited 30 s for a server without another suspect even when every engine was gone; an end-to-end test got no answer in time. It now waits only while some server would take it if it were no suspect.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -126,7 +126,8 @@
             if let Some(pick) = self.pick_now(&mut request, reuse).await {
                 return Ok(pick);
             }
-            if !request.suspect || started.elapsed() > SUSPECT_WAIT {
+            let wait = request.suspect && started.elapsed() < SUSPECT_WAIT;
+            if !wait || !self.is_served(&request) {
                 break;
             }
             tokio::time::sleep(SUSPECT_POLL).await;
@@ -140,6 +141,15 @@
         .with_jitter(self.context.id))
     }
 
+    /// Tells whether some backend server would take the request if it were no suspect.
+    fn is_served(&self, request: &PickRequest) -> bool {
+        let mut request = request.clone();
+        request.suspect = false;
+        request.excluded.clear();
+        let shared = &self.context.shared;
+        shared.router.pick(shared.now(), &request).is_some()
+    }
+
     /// Chooses a backend server; with `reuse` also one that has failed this request.
     async fn pick_now(&self, request: &mut PickRequest, reuse: bool) -> Option<Pick> {
         let shared = &self.context.shared;
