Send urgent messages to a peer side by side

A message waits for the acknowledgement of the one before, which a QUIC peer may hold back for 25 ms; the second strike of a request arrived that much later than the first. Up to 16 urgent messages to a peer are now on their way at once. Dropping the acknowledgement was ruled out, since it is how an unreachable peer is noticed. Floods are logged with kind and number, and connections to listed peers are opened as soon as the list is read.

--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -190,6 +190,9 @@
                     self.flood_leaving(&server);
                 }
                 self.zone.on_list(&self.backends);
+                if let Some(peers) = &mut self.peers {
+                    peers.contact(&self.backends);
+                }
                 if first {
                     self.ask_reports();
                 }
--- a/crates/wagtailarch-entry/src/control/gossip.rs
+++ b/crates/wagtailarch-entry/src/control/gossip.rs
@@ -79,7 +79,6 @@
     /// Makes the rounds that are due.
     pub(super) fn tick(&mut self, backends: &Backends) {
         let now = self.shared.now();
-        self.contact(backends);
         if now < self.round_at + ROUND_EVERY {
             return;
         }
@@ -118,7 +117,7 @@
     }
 
     /// Opens connections to peers of the zone that are new in the list.
-    fn contact(&mut self, backends: &Backends) {
+    pub(super) fn contact(&mut self, backends: &Backends) {
         let peers = self.own_zone(backends);
         let listed = |id: &InstanceId| peers.iter().any(|peer| peer.identity.instance == *id);
         self.contacted.retain(listed);
@@ -265,6 +264,8 @@
             }
             PeerMessage::Urgent(urgent) => {
                 if self.gossip.on_urgent(&urgent) {
+                    slog::debug!(self.shared.log, "flooded"; "kind" => kind_of(&urgent.body),
+                        "origin" => urgent.origin.as_str(), "seq" => urgent.seq);
                     self.on_urgent(backends, &urgent);
                     if urgent.zone != self.shared.settings.zone {
                         self.send_all(&self.own_zone(backends), &urgent);
@@ -349,6 +350,7 @@
 
     fn flood(&mut self, backends: &Backends, body: UrgentBody) {
         let urgent = self.gossip.urgent(self.shared.now(), body);
+        slog::debug!(self.shared.log, "flood"; "kind" => kind_of(&urgent.body), "seq" => urgent.seq);
         self.send_all(&self.own_zone(backends), &urgent);
         let mut zones: IndexMap<_, Vec<PeerAddress>> = IndexMap::new();
         for peer in self.other_zones(backends) {
@@ -387,6 +389,16 @@
     }
 }
 
+fn kind_of(body: &UrgentBody) -> &'static str {
+    match body {
+        UrgentBody::Leaving { .. } => "leaving",
+        UrgentBody::Strike { .. } => "strike",
+        UrgentBody::Quarantined { .. } => "quarantined",
+        UrgentBody::Drain { .. } => "drain",
+        UrgentBody::NewGeneration { .. } => "new_generation",
+    }
+}
+
 fn peer_address(entry: &ListedInstance) -> Option<PeerAddress> {
     let address: SocketAddr = entry.peer_address.as_ref()?.parse().ok()?;
     Some(PeerAddress {
--- a/crates/wagtailarch-entry/src/peers/transport.rs
+++ b/crates/wagtailarch-entry/src/peers/transport.rs
@@ -14,6 +14,7 @@
 use slog::{Logger, debug, warn};
 use tokio::{
     sync::mpsc,
+    task::JoinSet,
     time::{sleep, timeout},
 };
 use wagtailarch_types::InstanceId;
@@ -40,6 +41,9 @@
 /// than many messages.
 const IDLE: Duration = Duration::from_secs(600);
 
+/// Urgent messages that are on their way to one peer at the same time.
+const URGENT_AT_ONCE: usize = 16;
+
 /// Messages that a peer may send at the same time.
 const STREAMS: u32 = 32;
 
@@ -298,10 +302,25 @@
         address: Option<SocketAddr>,
         mut queue: mpsc::Receiver<PeerMessage>,
     ) {
+        let mut urgent = JoinSet::new();
         while let Some(message) = tokio::select! {
             message = queue.recv() => message,
             () = sleep(IDLE) => None,
         } {
+            if matches!(message, PeerMessage::Urgent(_)) && self.connection(&to).is_some() {
+                // An acknowledgement can take 25 ms; urgent messages do not wait for each other.
+                if urgent.len() >= URGENT_AT_ONCE {
+                    urgent.join_next().await;
+                }
+                let (inner, peer) = (Arc::clone(&self), to.clone());
+                urgent.spawn(async move { inner.deliver_one(&peer, address, &message).await });
+                while let Some(Ok(result)) = urgent.try_join_next() {
+                    if result.is_err() {
+                        let _ = self.events.send(PeerEvent::Unreachable(to.clone())).await;
+                    }
+                }
+                continue;
+            }
             let Err(error) = self.deliver_one(&to, address, &message).await else {
                 continue;
             };
