Notice a crash whose listener still accepts the probe

A process that is ending resets its requests before its listener is closed, so the probe after a broken connection could be accepted and the crash was not counted: a crashing request then reached up to four engines with two strikes. The probe now waits up to 30 ms for the end of the accepted connection. Taking every broken connection for a crash was ruled out, since connections break without one.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -19,6 +19,9 @@
 /// Time for the connection attempt that tells a crashed server from a broken connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which a probe waits for the end of a connection that was accepted.
+const PROBE_READ_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Pause before a server that has failed this request is used again, per failure.
 const REUSE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -255,7 +258,17 @@
     /// Connects to a server whose connection broke; a refused connection means that it crashed.
     async fn probe(&self, pick: &Pick) {
         let connect = tokio::net::TcpStream::connect(pick.address.as_str());
-        if let Ok(Err(_)) = tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+        let crashed = match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+            Ok(Ok(stream)) => {
+                // A process that is ending closes its requests before its listener, so the
+                // connection may be accepted and reset at once.
+                let ended = tokio::time::timeout(PROBE_READ_TIMEOUT, stream.readable()).await;
+                ended.is_ok()
+            }
+            Ok(Err(_)) => true,
+            Err(_) => false,
+        };
+        if crashed {
             self.context.shared.on_crash(&pick.id);
         }
     }
