Compare zones by index and take the mean load over a sample

A routing decision with prefix affinity among 300 candidates took 4.8 to 6.9 us on a busy machine, above the target of 5 us. Comparing zone names for each candidate and reading the load of every one for the mean took most of it. Storing all scores in a list first was slower (5.9 to 8.5 us).

--- a/crates/wagtailarch-traffic/src/router.rs
+++ b/crates/wagtailarch-traffic/src/router.rs
@@ -24,6 +24,9 @@
 const DECODE_PREFILL_COST: f64 = 0.5;
 /// Load of the preferred backend server, in relation to the mean, above which affinity yields.
 const AFFINITY_LOAD: f64 = 1.25;
+/// Greatest number of candidates over which the mean load is taken; reading the load of 300
+/// takes longer than the rest of the decision.
+const MEAN_SAMPLE: usize = 32;
 
 /// Chooses backend servers.
 #[derive(Debug)]
@@ -37,8 +40,14 @@
     affinity: Affinity,
 }
 
-/// Backend servers that accept requests, by group.
-type Table = HashMap<GroupName, Vec<Class>>;
+/// Backend servers that accept requests.
+#[derive(Debug, Default)]
+struct Table {
+    groups: HashMap<GroupName, Vec<Class>>,
+    /// Zones of all backend servers; slots refer to them by index, since comparing names for each
+    /// candidate took most of the time of a decision.
+    zones: Vec<ZoneName>,
+}
 
 /// Backend servers of one group that serve the same.
 #[derive(Debug)]
@@ -75,13 +84,15 @@
     /// Takes over what is known of all backend servers.
     pub fn update(&self, now: Duration, views: Vec<BackendView>) {
         let mut known = self.lock_known();
-        let mut table = Table::new();
+        let mut table = Table::default();
         for view in &views {
-            let slot = known.entry(view.id.clone()).or_default().slot(now, view);
+            let zone = table.zone(&view.zone);
+            let known = known.entry(view.id.clone()).or_default();
+            let slot = known.slot(now, view, zone);
             if !accepts(view) {
                 continue;
             }
-            let classes = table.entry(view.group.clone()).or_default();
+            let classes = table.groups.entry(view.group.clone()).or_default();
             class_of(classes, view).slots.push(slot);
         }
         let listed: std::collections::HashSet<_> = views.iter().map(|view| &view.id).collect();
@@ -105,9 +116,8 @@
     /// Chooses a backend server, or none if none is suitable.
     pub fn pick(&self, now: Duration, request: &PickRequest) -> Option<Pick> {
         let table = self.table.load();
-        let classes = table.get(&request.group)?;
         let zone = request.near.as_ref().unwrap_or(&self.own_zone);
-        let (near, far) = candidates(classes, request, zone);
+        let (near, far) = table.candidates(request, zone);
         if request.suspect {
             return pick_apart(now, near, request).or_else(|| pick_apart(now, far, request));
         }
@@ -136,15 +146,12 @@
     /// capacity of mixed and decode engines is used before any role is changed.
     pub fn splits(&self, request: &PickRequest) -> bool {
         let table = self.table.load();
-        let Some(classes) = table.get(&request.group) else {
-            return false;
-        };
         let in_phase = |phase| {
             let request = PickRequest {
                 phase,
                 ..request.clone()
             };
-            candidates(classes, &request, &self.own_zone).0
+            table.candidates(&request, &self.own_zone).0
         };
         let first = |candidates: Vec<Candidate>| {
             let times = candidates
@@ -209,6 +216,50 @@
     }
 }
 
+impl Table {
+    /// Returns the index of a zone, which is added if it is new.
+    fn zone(&mut self, zone: &ZoneName) -> usize {
+        let position = self.zones.iter().position(|known| known == zone);
+        position.unwrap_or_else(|| {
+            self.zones.push(zone.clone());
+            self.zones.len() - 1
+        })
+    }
+
+    /// Collects the candidates in `zone` and those in other zones.
+    fn candidates<'a>(
+        &'a self,
+        request: &PickRequest,
+        zone: &ZoneName,
+    ) -> (Vec<Candidate<'a>>, Vec<Candidate<'a>>) {
+        let zone = self.zones.iter().position(|known| known == zone);
+        let (mut near, mut far) = (Vec::new(), Vec::new());
+        for class in self.groups.get(&request.group).into_iter().flatten() {
+            if !class.suits(request) {
+                continue;
+            }
+            let (role, role_cost) = (class.role(), class.role_cost(request.phase));
+            near.reserve(class.slots.len());
+            for slot in &class.slots {
+                if slot.counters.is_suspended() || request.excluded.contains(&slot.id) {
+                    continue;
+                }
+                let list = if Some(slot.zone_index) == zone {
+                    &mut near
+                } else {
+                    &mut far
+                };
+                list.push(Candidate {
+                    slot,
+                    role,
+                    role_cost,
+                });
+            }
+        }
+        (near, far)
+    }
+}
+
 impl Class {
     fn role(&self) -> Option<Role> {
         self.assignment.as_ref().map(|assignment| assignment.role)
@@ -265,38 +316,6 @@
     &mut classes[index]
 }
 
-/// Collects the candidates in `zone` and those in other zones.
-fn candidates<'a>(
-    classes: &'a [Class],
-    request: &PickRequest,
-    zone: &ZoneName,
-) -> (Vec<Candidate<'a>>, Vec<Candidate<'a>>) {
-    let (mut near, mut far) = (Vec::new(), Vec::new());
-    for class in classes {
-        if !class.suits(request) {
-            continue;
-        }
-        let (role, role_cost) = (class.role(), class.role_cost(request.phase));
-        near.reserve(class.slots.len());
-        for slot in &class.slots {
-            if slot.counters.is_suspended() || request.excluded.contains(&slot.id) {
-                continue;
-            }
-            let list = if slot.zone == *zone {
-                &mut near
-            } else {
-                &mut far
-            };
-            list.push(Candidate {
-                slot,
-                role,
-                role_cost,
-            });
-        }
-    }
-    (near, far)
-}
-
 /// Chooses the candidate that most likely holds the prefix, unless its load is above the bound.
 ///
 /// Beyond the bound the next one in the order of rendezvous hashing follows, so that a prefix
@@ -306,11 +325,9 @@
     candidates: &[Candidate<'a>],
     preference: &Preference,
 ) -> Option<(Candidate<'a>, f64)> {
-    let mut sum = 0.0;
-    for candidate in candidates {
-        sum += candidate.score(now);
-    }
-    let mean = sum / candidates.len() as f64;
+    let step = candidates.len().div_ceil(MEAN_SAMPLE);
+    let sample = candidates.iter().step_by(step);
+    let mean = sample.clone().map(|it| it.score(now)).sum::<f64>() / sample.len() as f64;
     let mut best: Option<(Candidate<'a>, f64, (bool, u64))> = None;
     for &candidate in candidates {
         let rank = (
--- a/crates/wagtailarch-traffic/src/slot.rs
+++ b/crates/wagtailarch-traffic/src/slot.rs
@@ -40,6 +40,8 @@
 pub(crate) struct Slot {
     pub id: InstanceId,
     pub zone: ZoneName,
+    /// Index of the zone in the table.
+    pub zone_index: usize,
     pub address: SmolStr,
     pub counters: Arc<Counters>,
     /// Hash of `id`, for rendezvous hashing.
@@ -54,6 +56,8 @@
     s_per_token: f64,
     kv_penalty: f64,
     since: Duration,
+    /// End of the slow start.
+    full_at: Duration,
 }
 
 /// Own load on one backend server.
@@ -98,6 +102,9 @@
         let running = self.others_running + f64::from(self.counters.in_flight()) + 1.0;
         let tokens = self.others_tokens + self.counters.waiting_tokens() as f64;
         let load = running * self.per_slot + tokens * self.s_per_token + self.kv_penalty;
+        if now >= self.full_at {
+            return load;
+        }
         load / self.weight(now)
     }
 
@@ -120,9 +127,6 @@
 
     fn weight(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.since);
-        if age >= SLOW_START {
-            return 1.0;
-        }
         (age.as_secs_f64() / SLOW_START.as_secs_f64()).max(SLOW_START_MIN)
     }
 }
@@ -180,7 +184,7 @@
 
 impl Known {
     /// Takes over a view and returns its slot in the table.
-    pub fn slot(&mut self, now: Duration, view: &BackendView) -> Slot {
+    pub fn slot(&mut self, now: Duration, view: &BackendView, zone_index: usize) -> Slot {
         self.take_report(now, view);
         self.remember(now);
         self.counters.set_suspended(false);
@@ -193,6 +197,7 @@
         Slot {
             id: view.id.clone(),
             zone: view.zone.clone(),
+            zone_index,
             address: view.address.clone(),
             counters: Arc::clone(&self.counters),
             id_hash: wagtailarch_types::rendezvous_weight(0, &view.id),
@@ -202,6 +207,7 @@
             s_per_token: 1.0 / self.prefill_rate(),
             kv_penalty: if kv_full { KV_FULL_PENALTY } else { 0.0 },
             since: view.since,
+            full_at: view.since + SLOW_START,
         }
     }
 
