--- a/crates/wagtailarch-load/src/experiment/roles.rs
+++ b/crates/wagtailarch-load/src/experiment/roles.rs
@@ -15,6 +15,8 @@
 const LOW_QUEUE_S: f64 = 0.1;
 /// Share of the slots in use above which the threshold rule wants decode engines.
 const HIGH_SLOTS: f64 = 0.7;
+/// Age above which an engine without reports counts as failed.
+pub(crate) const REPORT_TIMEOUT_S: f64 = 3.0;
 /// Time between two changes by the threshold rule in a zone.
 const THRESHOLD_PAUSE_S: f64 = 10.0;
 
@@ -117,7 +119,7 @@
             id: engine.id.clone(),
             group: "lm".into(),
             role: engine.role,
-            serving: engine.state == EngineState::Serving,
+            serving: engine.state == EngineState::Serving && *age_s < REPORT_TIMEOUT_S,
             report_age: Some(Duration::from_secs_f64(*age_s)),
             running: report.running as f64,
             queued_tokens: report.queued_tokens as f64,
--- a/crates/wagtailarch-load/src/experiment/world.rs
+++ b/crates/wagtailarch-load/src/experiment/world.rs
@@ -11,7 +11,7 @@
 use super::fleet::FleetKind;
 use super::job::Job;
 use super::outcome::{Outcome, SAMPLE_S, Sample};
-use super::roles::{EngineReportData, RoleControl, ZoneReports};
+use super::roles::{EngineReportData, REPORT_TIMEOUT_S, RoleControl, ZoneReports};
 use super::routing::Entry;
 use super::scenario::Fault;
 use super::suite::Case;
@@ -19,8 +19,6 @@
 
 /// Greatest number of attempts of a generation.
 const MAX_ATTEMPTS: u32 = 4;
-/// Age above which an engine without reports counts as failed.
-const REPORT_TIMEOUT_S: f64 = 3.0;
 /// Time for which a crashed engine is away.
 const CRASH_S: f64 = 20.0;
 /// Time for which reports are lost.
