Use a connection of its own for a call that may not be repeated

A pooled connection that the service closes while the request is written leaves it unknown whether the call ran, so the call was given up. A 503 response with Connection: close is now a sign of leaving without x-ran too; such a call is retried elsewhere if it may be repeated. Completed calls of plain services are counted, and servers that are gone leave nothing in the table of requests in flight.

--- a/crates/wagtailarch-entry/src/engine_client.rs
+++ b/crates/wagtailarch-entry/src/engine_client.rs
@@ -73,6 +73,8 @@
 #[derive(Debug, Clone)]
 pub struct EngineClient {
     http: Client<HttpConnector, Full<Bytes>>,
+    /// Opens a connection for each call.
+    fresh: Client<HttpConnector, Full<Bytes>>,
     frame_bytes: usize,
 }
 
@@ -86,9 +88,14 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(limits.idle_per_backend)
+            .build(connector.clone());
+        let fresh = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
             .build(connector);
         Self {
             http,
+            fresh,
             frame_bytes: limits.frame_bytes,
         }
     }
@@ -98,13 +105,18 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, CallError> {
-        self.http.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                CallError::ConnectFailed
-            } else {
-                CallError::ClosedBeforeAnswer
-            }
-        })
+        self.http.request(request).await.map_err(call_error)
+    }
+
+    /// Sends a request over a connection of its own.
+    ///
+    /// A pooled connection can be closed by the server while the request is being written; whether
+    /// it ran is then unknown, and a call that may not be repeated would be given up.
+    pub async fn send_once(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
+        self.fresh.request(request).await.map_err(call_error)
     }
 
     /// Starts a generation.
@@ -220,6 +232,14 @@
     }
 }
 
+fn call_error(error: hyper_util::client::legacy::Error) -> CallError {
+    if error.is_connect() {
+        CallError::ConnectFailed
+    } else {
+        CallError::ClosedBeforeAnswer
+    }
+}
+
 /// Returns what the server said about whether a refused request ran.
 pub fn said_ran(headers: &http::HeaderMap) -> Ran {
     match headers.get(RAN_HEADER).map(http::HeaderValue::as_bytes) {
--- a/crates/wagtailarch-entry/src/in_flight.rs
+++ b/crates/wagtailarch-entry/src/in_flight.rs
@@ -83,6 +83,11 @@
     /// Notes that the connection of the request broke.
     pub fn broken(self, now: Duration) {
         let mut servers = self.all.lock();
+        // Servers that are gone for good leave nothing behind.
+        servers.retain(|_, server| {
+            let recent = |&(at, _): &(Duration, _)| now.saturating_sub(at) < BROKEN_FOR;
+            !server.running.is_empty() || server.broken.last().is_some_and(recent)
+        });
         let Some(entry) = servers.get_mut(&self.server) else {
             return;
         };
--- a/crates/wagtailarch-entry/src/proxy.rs
+++ b/crates/wagtailarch-entry/src/proxy.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 use wagtailarch_fleet::Service;
 use wagtailarch_traffic::{
-    ClaimKey, ClaimOutcome, ClaimResult, MAX_OUTCOME_BYTES, PickRequest, claim_key,
+    ClaimKey, ClaimOutcome, ClaimResult, MAX_OUTCOME_BYTES, Pick, PickRequest, claim_key,
 };
 use wagtailarch_types::{BackendKind, Phase, Ran, RefusalReason, RetryReason};
 
@@ -19,7 +19,7 @@
     engine_client::CallError,
     metrics::Metrics,
     proxy_message::{outgoing, recorded_response},
-    proxy_response::{Held, ServiceAnswer, hold},
+    proxy_response::{Held, ServiceAnswer, hold, refusal},
     refusal::Refusal,
     request::{RequestContext, idempotency_key},
     settings::ms,
@@ -61,6 +61,7 @@
         let run = tokio::spawn(claimed(call, key));
         run.await.unwrap_or_else(|_| Err(lost()))?
     };
+    context.shared.metrics.completed.inc();
     // The share is free again once the response was sent.
     Ok(answer.map(|body| crate::body::with_guard(body, (admitted, held, context))))
 }
@@ -144,7 +145,7 @@
         loop {
             let pick = self.attempts.pick(self.pick_request()).await?;
             let guard = self.attempts.enter(&pick);
-            let reason = match self.attempt(&pick.address).await {
+            let reason = match self.attempt(&pick).await {
                 Ok(Held::Answer(mut answer)) => {
                     self.attempts.completed(&pick);
                     answer.keep((pick, guard));
@@ -160,21 +161,35 @@
         }
     }
 
-    async fn attempt(&self, address: &str) -> Result<Held, CallError> {
+    async fn attempt(&self, pick: &Pick) -> Result<Held, CallError> {
         let context = self.attempts.context();
         let shared = &context.shared;
-        let request = outgoing(context, &self.parts, address, self.body.clone())?;
-        let sent = shared.engines.send(request);
+        let request = outgoing(context, &self.parts, &pick.address, self.body.clone())?;
         let limit = ms(shared.settings.timeouts.service_ms);
+        let idempotent = self.target.idempotent;
+        let sent = async {
+            if idempotent {
+                shared.engines.send(request).await
+            } else {
+                shared.engines.send_once(request).await
+            }
+        };
         let response = timeout(limit, sent)
             .await
             .map_err(|_| CallError::TimedOut)??;
-        hold(
+        if let Some(refusal) = refusal(&response) {
+            // A service that leaves may have run the call; only one that may be repeated is.
+            if idempotent || matches!(refusal, CallError::Refused { ran: Ran::No, .. }) {
+                return Err(refusal);
+            }
+            self.attempts.note_signs(pick, &refusal);
+        }
+        Ok(hold(
             response,
             shared.settings.limits.response_buffer_bytes,
             limit,
         )
-        .await
+        .await)
     }
 
     fn pick_request(&self) -> PickRequest {
--- a/crates/wagtailarch-entry/src/proxy_response.rs
+++ b/crates/wagtailarch-entry/src/proxy_response.rs
@@ -63,26 +63,21 @@
 /// Receives the beginning of a response: all of it if it fits in `buffer_bytes`.
 ///
 /// Until then a broken response can still be repeated. Event streams are passed on at once.
-pub async fn hold(
-    response: Response<Incoming>,
-    buffer_bytes: usize,
-    limit: Duration,
-) -> Result<Held, CallError> {
+pub async fn hold(response: Response<Incoming>, buffer_bytes: usize, limit: Duration) -> Held {
     let (mut head, body) = response.into_parts();
-    refusal(&head)?;
     strip(&mut head.headers);
     let large = body.size_hint().lower() > buffer_bytes as u64;
     if large || is_event_stream(&head) {
         let held = Bytes::new();
-        return Ok(Held::Answer(ServiceAnswer {
+        return Held::Answer(ServiceAnswer {
             head,
             held,
             rest: Some(body),
             kept: None,
-        }));
+        });
     }
     let read = timeout(limit, read_up_to(body, buffer_bytes)).await;
-    Ok(match read {
+    match read {
         Ok(Some((held, rest))) => Held::Answer(ServiceAnswer {
             head,
             held,
@@ -90,18 +85,21 @@
             kept: None,
         }),
         Ok(None) | Err(_) => Held::Broken,
-    })
+    }
 }
 
-/// Recognises a refusal that did not run; other responses are the service's own answer.
-fn refusal(head: &Parts) -> Result<(), CallError> {
-    let ran = said_ran(&head.headers);
-    if head.status != StatusCode::SERVICE_UNAVAILABLE || ran != Ran::No {
-        return Ok(());
+/// Recognises a refusal: one that did not run, or that of a server that leaves.
+///
+/// Other responses are the service's own answer.
+pub fn refusal(response: &Response<Incoming>) -> Option<CallError> {
+    let status = response.status();
+    let ran = said_ran(response.headers());
+    let leaving = says_close(response.headers());
+    if status != StatusCode::SERVICE_UNAVAILABLE || (ran != Ran::No && !leaving) {
+        return None;
     }
-    let leaving = says_close(&head.headers);
-    Err(CallError::Refused {
-        status: head.status,
+    Some(CallError::Refused {
+        status,
         code: None,
         ran,
         leaving,
--- a/crates/wagtailarch-entry/tests/services.rs
+++ b/crates/wagtailarch-entry/tests/services.rs
@@ -25,6 +25,8 @@
     Break,
     /// Refuses and says that nothing ran.
     NotRun,
+    /// Refuses as a server that leaves, without saying whether the call ran.
+    Leave,
 }
 
 #[derive(Debug, Default)]
@@ -61,6 +63,13 @@
                 .insert("x-ran", "no".parse().unwrap());
             return response;
         }
+        if let Some(Step::Leave) = step {
+            let mut response = common::whole(503, "{}".into());
+            response
+                .headers_mut()
+                .insert("connection", "close".parse().unwrap());
+            return response;
+        }
         *self.ran.lock().unwrap().entry(body.clone()).or_default() += 1;
         if let Some(Step::Break) = step {
             return common::broken();
@@ -139,6 +148,22 @@
     assert_eq!(service.ran(), 1);
 }
 
+/// Guards against a refusal of a leaving service that reaches clients, and against work for it.
+#[tokio::test]
+async fn a_leaving_service_gets_no_new_work() {
+    let (leaving, first) = FakeService::start().await;
+    let (staying, second) = FakeService::start().await;
+    leaving.steps.lock().unwrap().extend([Step::Leave; 40]);
+    let items = json!([listed_service("s1", first), listed_service("s2", second)]);
+    let instance = start(&platform(items), QUICK).await;
+    for number in 0..40 {
+        let path = "/lids/quotes";
+        assert_eq!(call(&instance, path, &number.to_string()).await.0, 201);
+    }
+    assert_eq!(staying.ran(), 40);
+    assert!(leaving.steps.lock().unwrap().len() >= 39);
+}
+
 /// Guards against a second run of a claimed key, at the same or another instance.
 #[tokio::test]
 async fn a_claimed_key_returns_its_outcome() {
