Let a request that arrives as a suspect wait for news of other instances

Cause: a client that repeated a quarantined request through another instance within 14 ms was served there, since the flooded quarantine had not arrived; a third engine crashed. Seen in the logs of the end-to-end test: strike 2 at .757 on the first instance, the next engine lost at .771 by the second one. Ruled out: the probe for crashes (both strikes were counted at once) and the set-up of connections between instances (opening them early changed nothing). Change: a request whose fingerprint is already suspect waits up to 250 ms for its verdict before it is sent. Only suspects wait.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -29,6 +29,11 @@
 /// By then a crashed server is known to be gone; before, each try would cost an attempt.
 const SUSPECT_REUSE: Duration = Duration::from_secs(4);
 const SUSPECT_POLL: Duration = Duration::from_millis(20);
+/// Time that a request waits that arrives as a suspect.
+///
+/// Another instance may be running the same request. Without the pause, a client that repeats a
+/// quarantined request at once crashes a server before the flooded quarantine arrives.
+const SUSPECT_SETTLE: Duration = Duration::from_millis(250);
 
 /// Which service a request calls and how it may be repeated.
 #[derive(Debug, Clone)]
@@ -55,6 +60,8 @@
     /// What is known of all failed attempts.
     ran: Ran,
     suspect: bool,
+    /// Whether the request has waited for news of another instance, if it arrived as a suspect.
+    settled: bool,
 }
 
 impl Attempts {
@@ -64,6 +71,7 @@
         let fingerprint = fingerprint(&[team, target.service.as_bytes(), body]);
         let attempts = Self {
             suspect: false,
+            settled: false,
             context,
             target,
             fingerprint,
@@ -119,6 +127,7 @@
     /// A crash makes a suspect of every request that was in flight, and suspects run apart: one
     /// that finds no server without another suspect waits for its turn.
     pub async fn pick(&mut self, mut request: PickRequest) -> Result<Pick, Refusal> {
+        self.settle().await?;
         let started = Instant::now();
         loop {
             request.suspect = self.is_suspect();
@@ -141,6 +150,20 @@
         .with_jitter(self.context.id))
     }
 
+    /// Lets a request that arrived as a suspect wait until other instances had time to say how
+    /// it ended there.
+    async fn settle(&mut self) -> Result<(), Refusal> {
+        if std::mem::replace(&mut self.settled, true) {
+            return Ok(());
+        }
+        let started = Instant::now();
+        while self.is_suspect() && started.elapsed() < SUSPECT_SETTLE {
+            tokio::time::sleep(SUSPECT_POLL).await;
+            self.check_quarantine()?;
+        }
+        Ok(())
+    }
+
     /// Tells whether some backend server would take the request if it were no suspect.
     fn is_served(&self, request: &PickRequest) -> bool {
         let mut request = request.clone();
