Offer TLS with HTTP/2 and HTTP/1.1 to clients

The client protocol names the upgrade by ALPN when TLS is set, and there was no setting for it. tokio-rustls, declared in the workspace, runs the handshake over the same bounded socket; its time is bounded by header_ms.

--- a/crates/wagtailarch-entry/src/client_io.rs
+++ b/crates/wagtailarch-entry/src/client_io.rs
@@ -34,6 +34,7 @@
             read_bytes: 0,
             unanswered: false,
             requests: 0,
+            encrypted: false,
         };
         let socket = Arc::new(ClientSocket(Mutex::new(state)));
         (
@@ -125,15 +126,21 @@
         self.state().requests > 0
     }
 
+    /// Notes that the socket carries TLS, so that what was read says nothing of HTTP.
+    pub fn set_encrypted(&self) {
+        self.state().encrypted = true;
+    }
+
     /// Tells whether too little was read to know the protocol.
     pub fn is_undecided(&self) -> bool {
         let state = self.state();
-        state.requests == 0 && state.read_bytes < PREFACE_BYTES
+        state.requests == 0 && (state.encrypted || state.read_bytes < PREFACE_BYTES)
     }
 
-    /// Tells whether a part of a request was read that has no response yet.
+    /// Tells whether a part of a request was read that can be answered in plain text.
     pub fn is_unanswered(&self) -> bool {
-        self.state().unanswered
+        let state = self.state();
+        state.unanswered && !state.encrypted
     }
 
     /// Writes a response after the HTTP connection has ended; what does not fit is dropped.
@@ -153,6 +160,7 @@
     /// Whether bytes were read since the last write.
     unanswered: bool,
     requests: u64,
+    encrypted: bool,
 }
 
 impl State {
--- /dev/null
+++ b/crates/wagtailarch-entry/src/client_tls.rs
@@ -0,0 +1,40 @@
+//! TLS towards clients.
+
+use std::{sync::Arc, time::Duration};
+
+use rustls::{crypto::ring, version::TLS13};
+use tokio::time::timeout;
+use tokio_rustls::{TlsAcceptor, server::TlsStream};
+
+use crate::{
+    client_io::ClientIo,
+    peers::{TlsError, certificates, private_key},
+    settings::ClientTls,
+};
+
+/// Accepts TLS handshakes of clients; HTTP/2 is offered by ALPN.
+#[derive(Clone)]
+pub struct ClientAcceptor(TlsAcceptor);
+
+impl ClientAcceptor {
+    /// Reads the PEM files of the settings.
+    pub fn load(files: &ClientTls) -> Result<Self, TlsError> {
+        let chain = certificates(&files.cert_file)?;
+        let key = private_key(&files.key_file)?;
+        let config = |error: rustls::Error| TlsError::Config(error.to_string());
+        let provider = Arc::new(ring::default_provider());
+        let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&TLS13])
+            .map_err(config)?
+            .with_no_client_auth()
+            .with_single_cert(chain, key)
+            .map_err(config)?;
+        tls.alpn_protocols = vec![b"h2".to_vec(), b"http/1.1".to_vec()];
+        Ok(Self(TlsAcceptor::from(Arc::new(tls))))
+    }
+
+    /// Runs the handshake of one connection; `None` if it fails or takes longer than `limit`.
+    pub async fn accept(&self, io: ClientIo, limit: Duration) -> Option<TlsStream<ClientIo>> {
+        timeout(limit, self.0.accept(io)).await.ok()?.ok()
+    }
+}
--- a/crates/wagtailarch-entry/src/instance.rs
+++ b/crates/wagtailarch-entry/src/instance.rs
@@ -11,9 +11,10 @@
 use crate::{
     admin::serve_admin,
     claims::{Claims, PlatformHandle},
+    client_tls::ClientAcceptor,
     control::{ControlError, ControlInputs, ControlThread},
     drain::Drain,
-    peers::{PeerError, PeerEvent, Peers},
+    peers::{PeerError, PeerEvent, Peers, TlsError},
     server::serve_clients,
     settings::Settings,
     shared::Shared,
@@ -31,6 +32,8 @@
     },
     /// the settings name no platform
     NoPlatform,
+    /// TLS towards clients cannot be set up: {0}
+    ClientTls(TlsError),
     /// the transport between instances could not start: {0}
     Peers(PeerError),
     /// the control thread could not start: {0}
@@ -71,6 +74,12 @@
     ) -> Result<Self, StartError> {
         let clients = listen(settings.client_address).await?;
         let admin = listen(settings.admin_address).await?;
+        let tls = settings
+            .client_tls
+            .as_ref()
+            .map(ClientAcceptor::load)
+            .transpose();
+        let tls = tls.map_err(StartError::ClientTls)?;
         let (shared, events) = Shared::new(settings, log);
         let shared = Arc::new(shared);
         let instance = shared.settings.instance.clone();
@@ -92,7 +101,7 @@
             peers: transport,
             shared: Arc::clone(&shared),
         };
-        tokio::spawn(serve_clients(Arc::clone(&shared), clients));
+        tokio::spawn(serve_clients(Arc::clone(&shared), clients, tls));
         tokio::spawn(serve_admin(Arc::clone(&shared), admin));
         slog::info!(shared.log, "started"; "clients" => %instance.client_address,
             "admin" => %instance.admin_address, "version" => env!("CARGO_PKG_VERSION"));
--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod chat;
 mod claims;
 mod client_io;
+mod client_tls;
 mod control;
 mod drain;
 mod engine_client;
@@ -41,7 +42,7 @@
     KeyError, PeerAddress, PeerError, PeerEvent, PeerIdentity, Peers, TlsError, create_authority,
     create_instance,
 };
-pub use settings::{AdminKey, Limits, PeerKeys, Settings, Timeouts};
+pub use settings::{AdminKey, ClientTls, Limits, PeerKeys, Settings, Timeouts};
 pub use settings_check::{Finding, parse_settings};
 pub use shared::{Shared, Stage};
 pub use snapshot::Snapshot;
--- a/crates/wagtailarch-entry/src/peers/identity.rs
+++ b/crates/wagtailarch-entry/src/peers/identity.rs
@@ -1,6 +1,9 @@
 //! TLS settings and the check of a peer's name.
 
-use std::{path::PathBuf, sync::Arc};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+};
 
 use displaydoc::Display;
 use quinn::{
@@ -88,8 +91,13 @@
         }
         let roots = Arc::new(roots);
         Ok(Self {
-            server: server(&provider, &roots, chain.clone(), private_key(keys)?)?,
-            client: client(&provider, &roots, chain, private_key(keys)?)?,
+            server: server(
+                &provider,
+                &roots,
+                chain.clone(),
+                private_key(&keys.key_file)?,
+            )?,
+            client: client(&provider, &roots, chain, private_key(&keys.key_file)?)?,
         })
     }
 }
@@ -132,14 +140,16 @@
     Ok(ClientConfig::new(Arc::new(quic)))
 }
 
-fn certificates(path: &PathBuf) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+/// Reads all certificates of a PEM file.
+pub fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, TlsError> {
     let read = CertificateDer::pem_file_iter(path).and_then(Iterator::collect);
-    read.map_err(|error| TlsError::File(path.clone(), error))
+    read.map_err(|error| TlsError::File(path.to_owned(), error))
 }
 
-fn private_key(keys: &PeerKeys) -> Result<PrivateKeyDer<'static>, TlsError> {
-    let read = PrivateKeyDer::from_pem_file(&keys.key_file);
-    read.map_err(|error| TlsError::File(keys.key_file.clone(), error))
+/// Reads the private key of a PEM file.
+pub fn private_key(path: &Path) -> Result<PrivateKeyDer<'static>, TlsError> {
+    let read = PrivateKeyDer::from_pem_file(path);
+    read.map_err(|error| TlsError::File(path.to_owned(), error))
 }
 
 fn config_error(error: impl std::fmt::Display) -> TlsError {
--- a/crates/wagtailarch-entry/src/peers/mod.rs
+++ b/crates/wagtailarch-entry/src/peers/mod.rs
@@ -11,5 +11,6 @@
 mod transport;
 
 pub use identity::{PeerIdentity, TlsError};
+pub(crate) use identity::{certificates, private_key};
 pub use keys::{KeyError, create_authority, create_instance};
 pub use transport::{PeerAddress, PeerError, PeerEvent, Peers};
--- a/crates/wagtailarch-entry/src/server.rs
+++ b/crates/wagtailarch-entry/src/server.rs
@@ -10,6 +10,7 @@
     server::conn::auto,
 };
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
     sync::Semaphore,
     time::sleep,
@@ -20,6 +21,7 @@
     body::ClientBody,
     chat::{self, Api},
     client_io::{ClientIo, ClientSocket},
+    client_tls::ClientAcceptor,
     proxy,
     refusal::Refusal,
     request::RequestContext,
@@ -34,7 +36,11 @@
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
 /// Accepts clients until the instance finishes.
-pub async fn serve_clients(shared: Arc<Shared>, listener: TcpListener) {
+pub async fn serve_clients(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    tls: Option<ClientAcceptor>,
+) {
     let slots = Arc::new(Semaphore::new(shared.settings.limits.connections));
     let finishing = shared.reached(Stage::Finishing);
     let mut finishing = std::pin::pin!(finishing);
@@ -44,18 +50,23 @@
             () = finishing.as_mut() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(&shared, &slots, stream),
+            Ok((stream, _)) => serve(&shared, &slots, &tls, stream),
             Err(error) => accept_failed(&shared, &error).await,
         }
     }
     // Closing the listener resets the connections that wait to be accepted.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        serve(&shared, &slots, stream);
+        serve(&shared, &slots, &tls, stream);
     }
 }
 
 /// Serves a connection in a task of its own, if there is room.
-fn serve(shared: &Arc<Shared>, slots: &Arc<Semaphore>, stream: TcpStream) {
+fn serve(
+    shared: &Arc<Shared>,
+    slots: &Arc<Semaphore>,
+    tls: &Option<ClientAcceptor>,
+    stream: TcpStream,
+) {
     let Ok(slot) = Arc::clone(slots).try_acquire_owned() else {
         // Closing at once is the only answer that costs nothing.
         shared.metrics.connection("refused");
@@ -64,9 +75,10 @@
     shared.metrics.connection("accepted");
     let shared = Arc::clone(shared);
     let token = shared.connection();
+    let tls = tls.clone();
     tokio::spawn(async move {
         shared.metrics.open_connections.inc();
-        serve_connection(&shared, stream).await;
+        open_connection(&shared, stream, tls).await;
         shared.metrics.open_connections.dec();
         drop((slot, token));
     });
@@ -78,10 +90,34 @@
     tokio::time::sleep(ACCEPT_PAUSE).await;
 }
 
-async fn serve_connection(shared: &Arc<Shared>, stream: TcpStream) {
+/// Runs the TLS handshake, if TLS is set, and serves the connection.
+async fn open_connection(shared: &Arc<Shared>, stream: TcpStream, tls: Option<ClientAcceptor>) {
     let _ = stream.set_nodelay(true);
     let timeouts = &shared.settings.timeouts;
     let (io, socket) = ClientIo::new(stream, ms(timeouts.client_stall_ms));
+    let Some(tls) = tls else {
+        return serve_connection(shared, io, &socket).await;
+    };
+    let handshake = tls.accept(io, ms(timeouts.header_ms));
+    let stream = tokio::select! {
+        stream = handshake => stream,
+        () = shared.reached(Stage::Stopped) => None,
+    };
+    match stream {
+        Some(stream) => {
+            socket.set_encrypted();
+            serve_connection(shared, stream, &socket).await;
+        }
+        None => shared.metrics.connection("reset"),
+    }
+}
+
+async fn serve_connection(
+    shared: &Arc<Shared>,
+    io: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    socket: &ClientSocket,
+) {
+    let timeouts = &shared.settings.timeouts;
     let service = service_fn(|request| {
         let shared = Arc::clone(shared);
         socket.count_request();
@@ -101,7 +137,7 @@
                     break Err(ConnectionEnd::HeadersTooSlow);
                 }
             }
-            () = finishing(shared, &socket), if !draining => {
+            () = finishing(shared, socket), if !draining => {
                 draining = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -109,7 +145,7 @@
         }
     };
     if let Err(end) = result {
-        end.finish(shared, &socket);
+        end.finish(shared, socket);
     }
 }
 
--- a/crates/wagtailarch-entry/src/settings.rs
+++ b/crates/wagtailarch-entry/src/settings.rs
@@ -36,6 +36,9 @@
     /// Bounds of bodies, connections and buffers.
     #[serde(default)]
     pub limits: Limits,
+    /// TLS towards clients; none for plain TCP behind a balancer that ends TLS.
+    #[serde(default)]
+    pub client_tls: Option<ClientTls>,
     /// Keys for the transport between instances; required with `peer_address`.
     #[serde(default)]
     pub peers: Option<PeerKeys>,
@@ -147,6 +150,16 @@
     }
 }
 
+/// PEM files of the TLS towards clients.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClientTls {
+    /// Certificate chain, the server's own certificate first.
+    pub cert_file: PathBuf,
+    /// Private key.
+    pub key_file: PathBuf,
+}
+
 /// PEM files of the mutual TLS between instances.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/wagtailarch-entry/src/settings_check.rs
+++ b/crates/wagtailarch-entry/src/settings_check.rs
@@ -117,7 +117,7 @@
     optional(name, Shape::Integer { min, max })
 }
 
-const ROOT: [Key; 12] = [
+const ROOT: [Key; 13] = [
     required("instance", Shape::Text),
     required("zone", Shape::Text),
     required("client_address", Shape::Address),
@@ -128,6 +128,7 @@
     bound("traffic_threads", 0, 1024),
     optional("timeouts", Shape::Table(&TIMEOUTS)),
     optional("limits", Shape::Table(&LIMITS)),
+    optional("client_tls", Shape::Table(&CLIENT_TLS)),
     optional("peers", Shape::Table(&PEERS)),
     optional("admin_key", Shape::Tables(&ADMIN_KEY)),
 ];
@@ -163,6 +164,11 @@
     bound("idle_per_backend", 0, 65_536),
 ];
 
+const CLIENT_TLS: [Key; 2] = [
+    required("cert_file", Shape::Text),
+    required("key_file", Shape::Text),
+];
+
 const PEERS: [Key; 3] = [
     required("ca_file", Shape::Text),
     required("cert_file", Shape::Text),
--- a/crates/wagtailarch-entry/tests/shutdown.rs
+++ b/crates/wagtailarch-entry/tests/shutdown.rs
@@ -7,7 +7,13 @@
 use common::{FakeEngine, QUICK, Script, chat, client, listed, platform, read, start, stream_text};
 use http::Request;
 use http_body_util::{BodyExt, Full};
+use rustls::pki_types::{CertificateDer, ServerName, pem::PemObject};
 use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use wagtailarch_entry::{PeerIdentity, create_authority, create_instance};
 use wagtailarch_types::{RefusalReason, RetryReason};
 
 async fn get(address: SocketAddr, path: &str, key: Option<&str>) -> (u16, String) {
@@ -61,6 +67,53 @@
     assert!(client().request(chat(clients, "hi", false)).await.is_err());
 }
 
+/// Guards against TLS without HTTP/2, and against clients that hold a connection without a request.
+#[tokio::test]
+async fn tls_offers_both_protocols() {
+    let keys = tempfile::tempdir().unwrap();
+    let identity = PeerIdentity {
+        instance: "entry-1".into(),
+        zone: "buda-a".into(),
+    };
+    create_authority(keys.path(), (2036, 1, 1)).unwrap();
+    create_instance(keys.path(), &identity, (2036, 1, 1)).unwrap();
+    let file = |name: &str| keys.path().join(name);
+    let (cert, key) = (file("entry-1.pem"), file("entry-1.key"));
+    let extra = format!(
+        "[timeouts]\nheader_ms = 1000\n[client_tls]\ncert_file = {cert:?}\nkey_file = {key:?}\n"
+    );
+    let instance = start(&platform(json!([])), &extra).await;
+    let mut roots = rustls::RootCertStore::empty();
+    roots
+        .add(CertificateDer::from_pem_file(file("ca.pem")).unwrap())
+        .unwrap();
+    for protocol in ["h2", "http/1.1"] {
+        let provider = rustls::crypto::ring::default_provider().into();
+        let mut config = rustls::ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .unwrap()
+            .with_root_certificates(roots.clone())
+            .with_no_client_auth();
+        config.alpn_protocols = vec![protocol.into()];
+        let stream = TcpStream::connect(instance.client_address()).await.unwrap();
+        let name = ServerName::try_from("entry-1.buda-a.wagtail").unwrap();
+        let connector = tokio_rustls::TlsConnector::from(std::sync::Arc::new(config));
+        let mut stream = connector.connect(name, stream).await.unwrap();
+        assert_eq!(
+            stream.get_ref().1.alpn_protocol(),
+            Some(protocol.as_bytes())
+        );
+        if protocol == "http/1.1" {
+            let head = "GET /v1/models HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.unwrap();
+        }
+        let mut answer = Vec::new();
+        let read = tokio::time::timeout(Duration::from_secs(10), stream.read_to_end(&mut answer));
+        let _ = read.await.expect("the server closes");
+        assert_eq!(answer.starts_with(b"HTTP/1.1 401"), protocol == "http/1.1");
+    }
+}
+
 /// Guards against counters that appear only with their first event.
 #[tokio::test]
 async fn every_reason_has_a_counter_from_the_start() {
