Complete requests of a crashed backend server outside the retry budget

Cause: the retry budget also refused requests whose server had crashed, so that a rack failure could end accepted requests that other servers had room for. Ruled out: a larger floor, which only moves the size of the failure. Change: a retry after a crash, or after part of the answer was delivered, does not take from the budget. It stays bounded by the attempts of a request and by the quarantine, and is counted by reason like any other. Before: with an empty budget, a request of the crashed engine got 503 (new test a_crash_is_survived_without_a_retry_budget).

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -239,15 +239,22 @@
         if !self.excluded.contains(&pick.id) && reason != RetryReason::KvImportFailed {
             self.excluded.push(pick.id.clone());
         }
+        let mut crashed = false;
         if matches!(
             reason,
             RetryReason::ClosedBeforeAnswer | RetryReason::StreamBroken
         ) {
             guard.broken(self.context.shared.now());
-            self.probe(pick).await;
+            crashed = self.probe(pick).await;
             self.check_quarantine()?;
         }
         match RetryPolicy::next(&failure, &traits) {
+            // The budget keeps retries from amplifying an overload. A crash is none, and a
+            // request that is part of the way through its answer must be completed.
+            RetryDecision::Retry(reason) if crashed || delivered => {
+                self.context.shared.metrics.retried(reason);
+                Ok(())
+            }
             RetryDecision::Retry(reason) => self.spend(reason),
             RetryDecision::GiveUp(reason, ran) => {
                 let message = format!("the last attempt failed: {}", failure.reason);
@@ -276,11 +283,18 @@
     }
 
     /// Connects to a server whose connection broke; a refused connection means that it crashed.
-    async fn probe(&self, pick: &Pick) {
+    ///
+    /// Returns whether it crashed.
+    async fn probe(&self, pick: &Pick) -> bool {
         let connect = tokio::net::TcpStream::connect(pick.address.as_str());
-        if let Ok(Err(_)) = tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+        let crashed = matches!(
+            tokio::time::timeout(PROBE_TIMEOUT, connect).await,
+            Ok(Err(_))
+        );
+        if crashed {
             self.context.shared.on_crash(&pick.id);
         }
+        crashed
     }
 
     fn is_suspect(&mut self) -> bool {
--- a/crates/wagtailarch-entry/tests/common/mod.rs
+++ b/crates/wagtailarch-entry/tests/common/mod.rs
@@ -315,9 +315,14 @@
 
 /// Starts an instance with `extra` settings; returns once it has backend servers.
 pub async fn start(platform: &Arc<FakePlatform>, extra: &str) -> Instance {
+    start_with_fleet(platform, extra, &fleet_file()).await
+}
+
+/// Starts an instance with `extra` settings and `fleet` as its fleet file.
+pub async fn start_with_fleet(platform: &Arc<FakePlatform>, extra: &str, fleet: &str) -> Instance {
     let directory = tempfile::tempdir().unwrap();
     let file = directory.path().join("fleet.toml");
-    std::fs::write(&file, fleet_file()).unwrap();
+    std::fs::write(&file, fleet).unwrap();
     let settings = format!(
         "instance = \"entry-1\"\nzone = \"buda-a\"\nclient_address = \"127.0.0.1:0\"\n\
          admin_address = \"127.0.0.1:0\"\nfleet_file = {file:?}\n{extra}\n",
--- a/crates/wagtailarch-entry/tests/streams.rs
+++ b/crates/wagtailarch-entry/tests/streams.rs
@@ -8,8 +8,8 @@
 };
 
 use common::{
-    FakeEngine, QUICK, Script, chat, client, eventually, listed, platform, read, start,
-    stream_text, text, token_line,
+    FakeEngine, QUICK, Script, chat, client, eventually, fleet_file, listed, platform, read, start,
+    start_with_fleet, stream_text, text, token_line,
 };
 use http_body_util::BodyExt;
 use rstest::rstest;
@@ -313,7 +313,12 @@
 #[tokio::test]
 async fn every_stream_of_a_crashed_engine_is_resumed() {
     let (engines, instance) = fixture(2).await;
-    for engine in &engines {
+    crash_with_streams(&engines, &instance).await;
+}
+
+/// Crashes the first engine under 16 streams, which must all be complete.
+async fn crash_with_streams(engines: &[Arc<FakeEngine>], instance: &Instance) {
+    for engine in engines {
         for _ in 0..16 {
             engine.script(Script::Answer {
                 tokens: 40,
@@ -344,6 +349,26 @@
     assert!(instance.shared().metrics.crashes.get() >= 1);
 }
 
+/// Guards against accepted requests that a crash ends because the retry budget is used up.
+#[tokio::test]
+async fn a_crash_is_survived_without_a_retry_budget() {
+    let mut engines = Vec::new();
+    for number in 0..2 {
+        engines.push(FakeEngine::start(&format!("e{number}")).await);
+    }
+    let items: Vec<_> = engines.iter().map(|engine| listed(engine)).collect();
+    let fleet = fleet_file()
+        .replace("retry_budget_ratio = 0.5", "retry_budget_ratio = 0.0")
+        .replace(
+            "retry_budget_floor_per_s = 20.0",
+            "retry_budget_floor_per_s = 0.0",
+        );
+    let instance = start_with_fleet(&platform(json!(items)), QUICK, &fleet).await;
+    crash_with_streams(&engines, &instance).await;
+    let metrics = &instance.shared().metrics;
+    assert_eq!(metrics.refusals(RefusalReason::RetryBudgetExhausted), 0);
+}
+
 /// Guards against endless attempts: the last one ends the request with what is known of it.
 #[tokio::test]
 async fn attempts_are_bounded() {
