Apply fleet files in every end-to-end test and say which request crashed a stand-in

The crash line of the stand-ins is written at once; the asynchronous logger lost it.

The test of the crashing request demanded that a repeat at another instance, one millisecond after the 422, is refused. Quarantines travel by message, so a second test waits until every instance lists the quarantine and then repeats.

WAGTAIL_E2E_DIR keeps settings and logs of a fleet for inspection.

--- a/crates/wagtailarch-e2e/src/calls.rs
+++ b/crates/wagtailarch-e2e/src/calls.rs
@@ -16,7 +16,7 @@
 
 use crate::ctl::{CtlOutput, run_ctl};
 use crate::fleet::{CONDITION_LIMIT, POLL, check_limit};
-use crate::{FleetFile, HarnessError, KEY, Reply, TestFleet, call};
+use crate::{EntryProcess, FleetFile, HarnessError, KEY, Reply, TestFleet, call};
 
 impl TestFleet {
     /// Makes a control call to the platform.
@@ -109,6 +109,17 @@
         get(self.services[number].address, "/standin/v1/runs").await
     }
 
+    /// Makes a call of the administration API.
+    pub async fn admin_call(
+        &self,
+        entry: &EntryProcess,
+        path: &str,
+    ) -> Result<Reply, HarnessError> {
+        let bearer = format!("Bearer {KEY}");
+        let headers = [("authorization", bearer.as_str())];
+        call(Method::GET, entry.admin, path, &headers, String::new()).await
+    }
+
     /// Waits until a condition on the fleet holds.
     pub async fn wait_until(
         &self,
--- a/crates/wagtailarch-e2e/src/fleet.rs
+++ b/crates/wagtailarch-e2e/src/fleet.rs
@@ -80,7 +80,7 @@
 impl TestFleet {
     /// Starts all processes and waits until every entry instance is ready.
     pub async fn start(options: FleetOptions) -> Result<Self, HarnessError> {
-        let dir = tempfile::tempdir()?;
+        let dir = work_dir()?;
         let (platform_process, platform) =
             start_standin(dir.path(), "platform", "standin-platform", &[]).await?;
         let mut fleet = Self {
@@ -380,6 +380,18 @@
     }
 }
 
+/// Creates the directory of settings and logs; `WAGTAIL_E2E_DIR` names a place where it is kept.
+fn work_dir() -> Result<TempDir, HarnessError> {
+    let Some(place) = std::env::var_os("WAGTAIL_E2E_DIR") else {
+        return Ok(tempfile::tempdir()?);
+    };
+    let mut builder = tempfile::Builder::new();
+    Ok(builder
+        .prefix("fleet-")
+        .disable_cleanup(true)
+        .tempdir_in(place)?)
+}
+
 /// Returns the options of an engine with the version that the fleet file names.
 fn engine_args(name: &str, version: &str) -> Vec<String> {
     let options = [
--- a/crates/wagtailarch-e2e/src/options.rs
+++ b/crates/wagtailarch-e2e/src/options.rs
@@ -50,7 +50,7 @@
             engine_args: Vec::new(),
             ports: Ports::TESTS,
             traffic_threads: 2,
-            source: ConfigSource::File,
+            source: ConfigSource::Platform,
         }
     }
 }
--- a/crates/wagtailarch-e2e/tests/failures.rs
+++ b/crates/wagtailarch-e2e/tests/failures.rs
@@ -5,7 +5,7 @@
 use http::{Method, StatusCode};
 use rustix::process::Signal;
 use wagtailarch_e2e::{
-    FleetOptions, HarnessError, LoadHandle, MODEL, TestFleet, one_fleet, scenario,
+    FleetOptions, HarnessError, LoadHandle, MODEL, Reply, TestFleet, one_fleet, scenario,
 };
 use wagtailarch_load::load::{Kind, Weights};
 use wagtailarch_wire::platform::ListedState;
@@ -141,36 +141,77 @@
     Ok(())
 }
 
-/// Guards against a request that crashes every engine because its client repeats it everywhere.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn crashing_request_stops_after_two_engines() -> Result<(), HarnessError> {
-    let _one = one_fleet().await;
+/// Returns a fleet with one zone and more engines than one request may crash.
+async fn fleet_to_crash() -> Result<TestFleet, HarnessError> {
     let mut options = FleetOptions {
         engines: 5,
         ..FleetOptions::default()
     };
     options.file.zones.truncate(1);
-    let mut fleet = TestFleet::start(options).await?;
+    TestFleet::start(options).await
+}
+
+/// Sends a request that crashes engines and returns the reply.
+async fn send_poison(fleet: &TestFleet, entry: usize) -> Result<Reply, HarnessError> {
     let body = serde_json::json!({
         "model": MODEL,
         "prompt": "<<poison>> CRASH-ON-RUN",
         "max_tokens": 8,
     });
-    let mut last = None;
+    fleet
+        .client_call(
+            entry,
+            Method::POST,
+            "/v1/completions",
+            &[],
+            body.to_string(),
+        )
+        .await
+}
+
+/// Asserts that a reply is the refusal of a quarantined request.
+fn assert_quarantined(reply: &Reply) {
+    let text = String::from_utf8_lossy(&reply.body);
+    assert_eq!(reply.status, StatusCode::UNPROCESSABLE_ENTITY, "{text}");
+    assert!(text.contains("quarantined"), "{text}");
+}
+
+/// Guards against a quarantine that does not stop the request or does not reach other instances.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn quarantine_spreads_to_all_instances() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let mut fleet = fleet_to_crash().await?;
+    assert_quarantined(&send_poison(&fleet, 0).await?);
+    assert_eq!(fleet.crashed_engines(), 2);
+    fleet
+        .wait_until("the quarantine at every instance", async |fleet| {
+            for entry in &fleet.entries {
+                let listed = fleet.admin_call(entry, "/admin/v1/quarantine").await?;
+                let text = String::from_utf8_lossy(&listed.body).into_owned();
+                if !text.contains("\"quarantined\"") {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        })
+        .await?;
+    for entry in 0..fleet.entries.len() {
+        assert_quarantined(&send_poison(&fleet, entry).await?);
+    }
+    assert_eq!(fleet.crashed_engines(), 2);
+    Ok(())
+}
+
+/// Guards against a request that crashes every engine because its client repeats it everywhere
+/// without a pause.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashing_request_stops_after_two_engines() -> Result<(), HarnessError> {
+    let _one = one_fleet().await;
+    let mut fleet = fleet_to_crash().await?;
     for round in 0..6 {
         let entry = round % fleet.entries.len();
-        let path = "/v1/completions";
-        let reply = fleet
-            .client_call(entry, Method::POST, path, &[], body.to_string())
-            .await?;
-        assert_ne!(reply.status, StatusCode::OK);
-        last = Some(reply);
+        assert_quarantined(&send_poison(&fleet, entry).await?);
     }
-    let last = last.expect("six replies");
-    let text = String::from_utf8_lossy(&last.body).into_owned();
-    assert_eq!(last.status, StatusCode::UNPROCESSABLE_ENTITY, "{text}");
-    assert!(text.contains("quarantined"), "{text}");
-    let crashed = fleet.crashed_engines();
-    assert_eq!(crashed, 2, "{text}");
+    assert_eq!(fleet.crashed_engines(), 2);
     Ok(())
 }
--- a/crates/wagtailarch-standin/src/engine/batch.rs
+++ b/crates/wagtailarch-standin/src/engine/batch.rs
@@ -94,8 +94,8 @@
     pub decoded_tokens: u32,
     /// Sequences whose prefill ended; the caller sends the KV handle.
     pub prefilled: Vec<Sequence>,
-    /// Whether a request that crashes the engine is in the batch.
-    pub crash: bool,
+    /// Request and attempt in the batch that crash the engine.
+    pub crash: Option<String>,
 }
 
 /// Waiting and running requests.
@@ -191,7 +191,8 @@
 
     /// Runs one step: a token for each decoding request and a chunk of waiting prompt tokens.
     pub fn step(&mut self, cache: &mut PrefixCache, chunk_tokens: u32) -> StepOutcome {
-        let crash = self.running.iter().any(|sequence| sequence.crashes);
+        let crashing = self.running.iter().find(|sequence| sequence.crashes);
+        let crash = crashing.map(|s| format!("request {} attempt {}", s.request, s.attempt));
         let mut outcome = StepOutcome {
             crash,
             ..StepOutcome::default()
--- a/crates/wagtailarch-standin/src/engine/server.rs
+++ b/crates/wagtailarch-standin/src/engine/server.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::TokioExecutor;
-use slog::{Logger, error, info};
+use slog::{Logger, info};
 use tokio::sync::{Notify, mpsc};
 use wagtailarch_types::{BootId, Phase};
 use wagtailarch_wire::engine::{
@@ -97,8 +97,9 @@
         // The schedule is kept across steps, since a single sleep is rounded up to 1 ms.
         next = (next + step_time).max(Instant::now() - MAX_CATCH_UP);
         tokio::time::sleep_until(next.into()).await;
-        if engine.lock().step() {
-            engine.crash("crash mark in a running request");
+        let crashing = engine.lock().step();
+        if let Some(request) = crashing {
+            engine.crash(&format!("crash mark in {request}"));
         }
         tokio::task::yield_now().await;
     }
@@ -122,7 +123,8 @@
 
     /// Ends the process as a crash does: without closing anything.
     fn crash(&self, why: &str) -> ! {
-        error!(self.logger, "crash"; "why" => why);
+        // The asynchronous logger would lose the line, since the process ends at once.
+        eprintln!("level=ERRO event=crash why={why:?} program=standin-engine");
         std::process::exit(101)
     }
 
--- a/crates/wagtailarch-standin/src/engine/state.rs
+++ b/crates/wagtailarch-standin/src/engine/state.rs
@@ -246,8 +246,8 @@
         self.kv.clear();
     }
 
-    /// Runs one step; returns true if the process must crash.
-    pub fn step(&mut self) -> bool {
+    /// Runs one step; returns the request that crashes the process, if there is one.
+    pub fn step(&mut self) -> Option<String> {
         let chunk = self.settings.prefill_chunk_tokens;
         let outcome: StepOutcome = self.batch.step(&mut self.cache, chunk);
         self.counters.completed += outcome.finished;
--- a/crates/wagtailarch-standin/src/service.rs
+++ b/crates/wagtailarch-standin/src/service.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use slog::{Logger, error};
+use slog::Logger;
 use smol_str::SmolStr;
 use wagtailarch_types::{BackendState, BootId};
 use wagtailarch_wire::engine::RAN_HEADER;
@@ -152,7 +152,6 @@
     max_running: u32,
     started: Instant,
     inner: Mutex<Inner>,
-    logger: Logger,
 }
 
 /// Runs the service until SIGTERM; calls that run are finished first.
@@ -174,7 +173,6 @@
         max_running: settings.max_running,
         started: Instant::now(),
         inner: Mutex::new(inner),
-        logger: logger.clone(),
     });
     let handler = Arc::clone(&service);
     let server = serve_http(listener, move |request| {
@@ -229,7 +227,10 @@
             .windows(CRASH_MARK.len())
             .any(|window| window == CRASH_MARK.as_bytes())
         {
-            error!(self.logger, "crash"; "why" => "crash mark in a body");
+            // The asynchronous logger would lose the line, since the process ends at once.
+            eprintln!(
+                "level=ERRO event=crash why=\"crash mark in a body\" program=standin-service"
+            );
             std::process::exit(101);
         }
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
--- a/crates/wagtailarch-standin/tests/engine.rs
+++ b/crates/wagtailarch-standin/tests/engine.rs
@@ -42,7 +42,7 @@
     for _ in 0..count {
         let max_running = engine.settings().max_running;
         engine.batch.start_waiting(&mut engine.cache, max_running);
-        assert!(!engine.step());
+        assert_eq!(engine.step(), None);
     }
 }
 
