Measure the flood of generations as the control thread sends it

Cause: every instance that publishes a generation floods it, and each flood is forwarded in every other zone; the slope counted one flood for each zone.

The new slope counts both, so that they can be compared.

--- a/crates/wagtailarch-load/src/capacity/gossip.rs
+++ b/crates/wagtailarch-load/src/capacity/gossip.rs
@@ -102,6 +102,24 @@
             bytes(setup, size, seed)
         },
     },
+    Slope {
+        name: "gossip-bytes-floods",
+        quantity: "bytes/s sent by a node when every instance floods each change (as the code does)",
+        size_of: "configuration changes an hour",
+        sizes: &[0, 90, 180, 360, 720],
+        design: DESIGN.changes_per_day / 24.0,
+        target: Some(NODE_BYTES_PER_S),
+        own_process: false,
+        measure: |size, seed| {
+            let setup = Setup {
+                changes_per_h: size,
+                rounds: 360,
+                all_flood: true,
+                ..Setup::default()
+            };
+            bytes(setup, size, seed)
+        },
+    },
     Slope {
         name: "gossip-join-bytes",
         quantity: "bytes received by an instance that joins the zone",
@@ -161,6 +179,8 @@
     teams: u32,
     changes_per_h: u32,
     rounds: u32,
+    /// Whether every instance floods a new generation, not only the first one.
+    all_flood: bool,
 }
 
 impl Default for Setup {
@@ -171,6 +191,7 @@
             teams: 0,
             changes_per_h: 0,
             rounds: ROUNDS,
+            all_flood: false,
         }
     }
 }
@@ -242,17 +263,29 @@
         Ok(())
     }
 
-    /// Puts a new generation in force everywhere and floods the message of the first instance.
+    /// Puts a new generation in force everywhere and floods it from one instance or from all.
     fn change(&mut self) -> Result<(), CapacityError> {
         self.generation += 1;
         let (now, generation) = (self.now(), self.generation);
-        let first = self.round as usize % self.nodes.len();
-        let urgent = self.nodes[first].urgent(now, UrgentBody::NewGeneration { generation });
-        let frame = frame_bytes(&PeerMessage::Urgent(urgent.clone()))?;
-        // All peers of the zone and one instance of each other zone.
-        self.bytes += frame * (self.nodes.len() - 1 + DESIGN.zones as usize - 1);
+        let (peers, other_zones) = (self.nodes.len() - 1, DESIGN.zones as usize - 1);
+        let origins = match self.setup.all_flood {
+            true => 0..self.nodes.len(),
+            false => {
+                let first = self.round as usize % self.nodes.len();
+                first..first + 1
+            }
+        };
+        for origin in origins {
+            let urgent = self.nodes[origin].urgent(now, UrgentBody::NewGeneration { generation });
+            let frame = frame_bytes(&PeerMessage::Urgent(urgent.clone()))?;
+            // All peers of the zone, one instance of each other zone, and, since the other zones
+            // do the same, one forward in this zone of a message from each of them.
+            self.bytes += frame * (peers + other_zones + other_zones * peers);
+            for node in &mut self.nodes {
+                node.on_urgent(&urgent);
+            }
+        }
         for node in &mut self.nodes {
-            node.on_urgent(&urgent);
             node.set_self(now, generation, false);
         }
         Ok(())
