Count on decode engines for prompts again in the role planner

The router has sent them the prompts that a prefill engine would process later since the split goes by time, so the planner made changes that gained nothing, also in swings.

The tests of the planner pass.

--- a/crates/wagtailarch-control/src/planner_capacity.rs
+++ b/crates/wagtailarch-control/src/planner_capacity.rs
@@ -5,9 +5,6 @@
 /// Steps of the bisection; the share is exact to one in a million.
 const BISECTION_STEPS: u32 = 20;
 
-/// Rounding error, in engines, up to which a demand fits.
-const FITS: f64 = 1e-9;
-
 /// Number of engines per role.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct RoleCounts {
@@ -78,17 +75,14 @@
     low
 }
 
-/// Tells whether the demand fits: prompts go to prefill engines first, then to mixed ones;
-/// generation takes what is left. Decode engines get prompts only without prefill engines, since
-/// requests are split otherwise.
+/// Tells whether the demand fits: prompts go to prefill engines first, then to mixed ones, then to
+/// decode engines; generation takes what is left. The router splits a request only when a prefill
+/// engine processes its prompt earlier, so decode engines get prompts beside prefill engines.
 fn serves(counts: &RoleCounts, prefill: f64, decode: f64, efficiency: Efficiency) -> bool {
     let mixed = f64::from(counts.mixed);
     let rest = (prefill - f64::from(counts.prefill)).max(0.0);
     let on_mixed = mixed.min(rest / efficiency.mixed);
     let rest = rest - on_mixed * efficiency.mixed;
-    if counts.prefill > 0 && rest > FITS {
-        return false;
-    }
     let on_decode = rest / efficiency.decode_prefill;
     let left_decode = f64::from(counts.decode) - on_decode;
     let left_mixed = (mixed - on_mixed) * efficiency.mixed;
