Probe a broken server twice, since its listening socket may outlive its connections

Cause: a request that crashes engines crashed a third one. The log of the end-to-end test shows attempts 1, 2 and 3 ending three engines, but only two backend_crashed events: after the first crash the probe still got a connection, so no strike was counted. The system closes the connections of an ended process before its listening socket.

Ruled out: an engine that still runs (all three had logged their crash).

Change: a probe that is accepted is repeated after 50 ms. Only requests whose connection broke wait.

Before: 5 of 10 runs of quarantine_spreads_to_all_instances failed with 3 or 4 crashed engines. After: 10 of 10 runs passed with 2.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -19,6 +19,9 @@
 /// Time for the connection attempt that tells a crashed server from a broken connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for an ended process to close its listening socket after its connections.
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Pause before a server that has failed this request is used again, per failure.
 const REUSE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -276,10 +279,16 @@
     }
 
     /// Connects to a server whose connection broke; a refused connection means that it crashed.
+    ///
+    /// The system closes the connections of an ended process before its listening socket, so that
+    /// a first connection may still be accepted.
     async fn probe(&self, pick: &Pick) {
-        let connect = tokio::net::TcpStream::connect(pick.address.as_str());
-        if let Ok(Err(_)) = tokio::time::timeout(PROBE_TIMEOUT, connect).await {
-            self.context.shared.on_crash(&pick.id);
+        for pause in [Duration::ZERO, PROBE_PAUSE] {
+            tokio::time::sleep(pause).await;
+            let connect = tokio::net::TcpStream::connect(pick.address.as_str());
+            if let Ok(Err(_)) = tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+                return self.context.shared.on_crash(&pick.id);
+            }
         }
     }
 
