Remove configuration parts that no manifest refers to

A part is never removed under an apply that relies on it: before a step removes anything, it replaces the manifest by an equal one under its version, so that an apply that read it earlier fails and starts anew; applies write every part that the previous manifest does not name unconditionally, which gives it a new version; and a removal is conditional on the listed version, so that one that takes effect late changes nothing.

ConfigStore::apply starts anew when the manifest was replaced by an equal one. A condition that no longer holds while the manifest cannot be read back is now Unavailable instead of a conflict, since the writer may have been a collector.

Ruled out: a grace time alone, which a paused apply outlives; create-if-absent parts, whose version does not tell that an apply relies on them.

Tests: cargo test -p wagtailarch-platform -p wagtailarch-cli.

--- a/crates/wagtailarch-platform/src/config_store.rs
+++ b/crates/wagtailarch-platform/src/config_store.rs
@@ -111,6 +111,16 @@
 /// Greatest number of cached parts; 100,000 teams have 4,096 buckets and 128 index parts.
 const MAX_CACHED_PARTS: usize = 16_384;
 
+/// What reading the manifest back has shown.
+enum ReadBack {
+    /// Nothing yet.
+    Undecided,
+    /// The replaced manifest was written again with the same generation.
+    Rewritten,
+    /// Who made the generation.
+    Decided(Result<ApplyOutcome, ConfigError>),
+}
+
 /// Manifest in the platform with the version of its object.
 type StoredManifest = Option<(ObjectVersion, Manifest)>;
 
@@ -207,51 +217,72 @@
         fleet: &Fleet,
         nonce: Nonce,
     ) -> Result<ApplyOutcome, ConfigError> {
+        for attempt in 0..self.limits.attempts {
+            if let Some(outcome) = self.try_apply(base, fleet, nonce).await? {
+                return Ok(outcome);
+            }
+            self.pause(attempt, &PlatformError::Conflict).await;
+        }
+        let reason = "the manifest was replaced by an equal one during each attempt";
+        Err(PlatformError::Unavailable(reason.into()).into())
+    }
+
+    /// Applies once; `None` if the manifest was replaced by an equal one, so that nothing was
+    /// applied.
+    async fn try_apply(
+        &self,
+        base: Generation,
+        fleet: &Fleet,
+        nonce: Nonce,
+    ) -> Result<Option<ApplyOutcome>, ConfigError> {
         let stored = self.read_from(base).await?;
         let in_force = stored
             .as_ref()
             .map_or(0, |(_, manifest)| manifest.generation);
         if in_force != base {
-            return Ok(ApplyOutcome::Conflict { in_force });
+            return Ok(Some(ApplyOutcome::Conflict { in_force }));
         }
         let (content, parts) = split(fleet);
         if stored
             .as_ref()
             .is_some_and(|(_, manifest)| manifest.content == content)
         {
-            return Ok(ApplyOutcome::Unchanged(base));
+            return Ok(Some(ApplyOutcome::Unchanged(base)));
         }
+        self.write_parts(&stored, parts).await?;
         let previous = stored.as_ref().map(|(_, manifest)| manifest);
-        self.write_parts(previous, parts).await?;
         let next = Manifest::next(previous, content, nonce, &self.applied_by);
-        let expect = stored
-            .as_ref()
-            .map_or(Expect::Absent, |(v, _)| Expect::Version(*v));
-        self.replace_manifest(next, expect).await
+        let replaced = stored.as_ref().map(|(version, _)| *version);
+        self.replace_manifest(next, replaced).await
     }
 
-    /// Writes the manifest under a condition that only the manifest with the base generation
-    /// meets, and finds out what became of it.
+    /// Writes the manifest under the condition that the object has still the version `replaced`,
+    /// and finds out what became of it; `None` if it was replaced by an equal manifest.
     ///
     /// The same conditional write may be sent again after a lost answer, since at most one of them
     /// can take effect.
     async fn replace_manifest(
         &self,
         next: Manifest,
-        expect: Expect,
-    ) -> Result<ApplyOutcome, ConfigError> {
+        replaced: Option<ObjectVersion>,
+    ) -> Result<Option<ApplyOutcome>, ConfigError> {
         let value = encode_manifest(&next)?;
+        let expect = replaced.map_or(Expect::Absent, Expect::Version);
         let mut may_have_won = false;
         let mut last_error = PlatformError::Unavailable("no attempt was made".into());
         for attempt in 0..self.limits.attempts {
             match self.platform.put(MANIFEST_KEY, value.clone(), expect).await {
-                Ok(_) => return Ok(self.applied(next)),
-                Err(PlatformError::Conflict) => return self.settle(next, may_have_won).await,
+                Ok(_) => return Ok(Some(self.applied(next))),
+                Err(PlatformError::Conflict) => {
+                    return self.settle(next, replaced, may_have_won).await;
+                }
                 Err(PlatformError::Unknown(reason)) => {
                     may_have_won = true;
                     last_error = PlatformError::Unknown(reason);
-                    if let Some(outcome) = self.read_outcome(&next).await {
-                        return outcome;
+                    match self.read_back(&next, replaced).await {
+                        ReadBack::Undecided => {}
+                        ReadBack::Rewritten => return Ok(None),
+                        ReadBack::Decided(outcome) => return outcome.map(Some),
                     }
                 }
                 Err(error) if is_passing(&error) => last_error = error,
@@ -270,37 +301,46 @@
     async fn settle(
         &self,
         next: Manifest,
+        replaced: Option<ObjectVersion>,
         may_have_won: bool,
-    ) -> Result<ApplyOutcome, ConfigError> {
+    ) -> Result<Option<ApplyOutcome>, ConfigError> {
         for attempt in 0..self.limits.attempts {
-            if let Some(outcome) = self.read_outcome(&next).await {
-                return outcome;
+            match self.read_back(&next, replaced).await {
+                ReadBack::Undecided => {}
+                ReadBack::Rewritten => return Ok(None),
+                ReadBack::Decided(outcome) => return outcome.map(Some),
             }
             self.pause(attempt, &PlatformError::Conflict).await;
         }
+        let reason = "the manifest could not be read back".to_owned();
         if may_have_won {
-            return Err(
-                PlatformError::Unknown("the manifest could not be read back".into()).into(),
-            );
+            return Err(PlatformError::Unknown(reason).into());
         }
-        // The condition failed and no earlier write was sent, so another writer has won.
-        Ok(ApplyOutcome::Conflict {
-            in_force: next.generation,
-        })
+        // The condition failed and no earlier write was sent, so nothing was applied.
+        Err(PlatformError::Unavailable(reason).into())
     }
 
-    /// Reads the manifest back; `None` if it does not tell yet who made the generation of `next`.
-    async fn read_outcome(&self, next: &Manifest) -> Option<Result<ApplyOutcome, ConfigError>> {
+    /// Reads the manifest back to find out who made the generation of `next`.
+    async fn read_back(&self, next: &Manifest, replaced: Option<ObjectVersion>) -> ReadBack {
         // The callers repeat the read; repetitions at both levels would multiply.
-        let object = self.platform.get(MANIFEST_KEY).await.ok()??;
-        let manifest = decode_manifest(&object).ok()?;
+        let Ok(Some(object)) = self.platform.get(MANIFEST_KEY).await else {
+            return ReadBack::Undecided;
+        };
+        let Ok(manifest) = decode_manifest(&object) else {
+            return ReadBack::Undecided;
+        };
         let in_force = manifest.generation;
         if in_force < next.generation {
-            return None;
+            // Generations never fall, so a later version without the generation of `next` means
+            // that the write of `next` can no longer take effect.
+            return match replaced.is_some_and(|version| object.version > version) {
+                true => ReadBack::Rewritten,
+                false => ReadBack::Undecided,
+            };
         }
         let winner = manifest.nonce_of(next.generation);
         self.observe(Some(manifest));
-        Some(match winner {
+        ReadBack::Decided(match winner {
             Some(nonce) if nonce == next.apply_nonce => Ok(ApplyOutcome::Applied(next.generation)),
             Some(_) => Ok(ApplyOutcome::Conflict { in_force }),
             None => {
@@ -414,10 +454,11 @@
     /// Writes the parts that the previous configuration does not have.
     async fn write_parts(
         &self,
-        previous: Option<&Manifest>,
+        previous: &StoredManifest,
         mut parts: Parts,
     ) -> Result<(), ConfigError> {
-        if let Some(previous) = previous {
+        let base = previous.as_ref().map_or(0, |(version, _)| *version);
+        if let Some((_, previous)) = previous {
             let known = self.fetch_index(&previous.content).await?;
             parts.retain(|hash, _| !known.contains(hash));
         }
@@ -432,7 +473,7 @@
                 tokio::time::sleep(PART_PAUSE).await;
             }
             written += set.len();
-            let write = |(hash, value)| self.write_part(hash, Bytes::from(value));
+            let write = |(hash, value)| self.write_part(hash, Bytes::from(value), base);
             try_join_all(set.into_iter().map(write)).await?;
         }
     }
@@ -453,20 +494,32 @@
         Ok(known.into_iter().collect())
     }
 
-    /// Creates a part; an existing one has the same content.
-    async fn write_part(&self, hash: PartHash, value: Bytes) -> PlatformResult<()> {
+    /// Writes a part; an existing one has the same content and gets a new version, so that a
+    /// [`PartCollector`](crate::PartCollector) that saw it unreferenced does not remove it.
+    ///
+    /// `base` is the version of the manifest that the apply has read. A part with a later version
+    /// settles a lost answer: it was written after the last manifest that a collector replaced, or
+    /// the apply fails for its base.
+    async fn write_part(
+        &self,
+        hash: PartHash,
+        value: Bytes,
+        base: ObjectVersion,
+    ) -> PlatformResult<()> {
         let key = part_key(&hash);
         let mut attempt = 0;
         loop {
-            let result = self.platform.put(&key, value.clone(), Expect::Absent).await;
+            let result = self.platform.put(&key, value.clone(), Expect::Any).await;
             attempt += 1;
             let error = match result {
-                Ok(_) | Err(PlatformError::Conflict) => return Ok(()),
+                Ok(_) => return Ok(()),
                 Err(error) => error,
             };
-            // Only this content can be under the key, so that its presence settles a lost answer.
             let is_lost = matches!(error, PlatformError::Unknown(_));
-            if is_lost && matches!(self.platform.get(&key).await, Ok(Some(_))) {
+            if is_lost
+                && let Ok(Some(object)) = self.platform.get(&key).await
+                && object.version > base
+            {
                 return Ok(());
             }
             let passing = is_passing(&error) || is_lost;
--- /dev/null
+++ b/crates/wagtailarch-platform/tests/part_collector.rs
@@ -0,0 +1,158 @@
+//! Checks that unreferenced configuration parts go and that parts in use stay.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rstest::rstest;
+use smol_str::format_smolstr;
+use wagtailarch_fleet::{Fleet, MANIFEST_KEY, Manifest, assemble, part_key};
+use wagtailarch_platform::{
+    ApplyOutcome, ConfigStore, FakeFaults, FakePlatform, PartCollector, Platform, RetryLimits,
+};
+
+/// Longer than a part must be unreferenced.
+const STEP: Duration = Duration::from_secs(1_000);
+
+fn fleet(variant: u32, team_count: usize) -> Fleet {
+    let text = include_str!("../../../examples/budapest.toml");
+    let mut fleet = Fleet::parse("budapest.toml", text).unwrap();
+    let first = fleet.teams[0].clone();
+    for number in fleet.teams.len()..team_count {
+        let mut team = first.clone();
+        team.name = format_smolstr!("team-{number}");
+        fleet.teams.push(team);
+    }
+    fleet.teams[0].weight = f64::from(variant + 1);
+    fleet
+}
+
+fn store(platform: &Arc<FakePlatform>) -> ConfigStore {
+    let limits = RetryLimits {
+        attempts: 12,
+        first_pause: Duration::ZERO,
+        max_pause: Duration::from_millis(1),
+    };
+    ConfigStore::with_limits(Arc::clone(platform) as Arc<dyn Platform>, "test", limits)
+}
+
+fn collector(platform: &Arc<FakePlatform>) -> PartCollector {
+    PartCollector::new(Arc::clone(platform) as Arc<dyn Platform>)
+}
+
+/// Assembles the configuration from the true state of the platform.
+fn true_fleet(platform: &FakePlatform) -> Result<Fleet, String> {
+    let object = platform.peek(MANIFEST_KEY).ok_or("no manifest")?;
+    let manifest: Manifest = serde_json::from_slice(&object.value).unwrap();
+    let parts = part_values(platform);
+    let find = |hash: &str| Some(parts.get(&part_key(hash))?.as_ref());
+    assemble(&manifest.content, find).map_err(|error| error.to_string())
+}
+
+fn part_values(platform: &FakePlatform) -> std::collections::HashMap<String, bytes::Bytes> {
+    platform.set_faults(FakeFaults::default());
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    let page = std::thread::scope(|scope| {
+        let listing = scope.spawn(|| {
+            runtime
+                .unwrap()
+                .block_on(platform.list("part/", None, 9999))
+        });
+        listing.join().unwrap().unwrap()
+    });
+    let items = page.items.into_iter();
+    items.map(|item| (item.key, item.value)).collect()
+}
+
+/// Guards against parts that pile up with each change, and against the removal of parts in use,
+/// with and without index parts.
+#[rstest]
+#[case::buckets(2)]
+#[case::index_parts(1_200)]
+#[tokio::test]
+async fn only_unreferenced_parts_go(#[case] team_count: usize) {
+    let platform = Arc::new(FakePlatform::new(1, FakeFaults::default()));
+    let store = store(&platform);
+    let mut generation = 0;
+    for variant in 0..4 {
+        let fleet = fleet(variant, team_count);
+        let nonce = 7 + u64::from(variant);
+        let applied = store.apply(generation, &fleet, nonce).await;
+        generation += 1;
+        assert_eq!(applied, Ok(ApplyOutcome::Applied(generation)));
+    }
+    let before = part_values(&platform).len();
+    let mut collector = collector(&platform);
+    let mut removed = 0;
+    for step in 0..20 {
+        removed += collector.step(STEP * step).await.unwrap().removed;
+    }
+    let changed = if team_count > 1_024 { 2 } else { 1 };
+    assert_eq!(removed, 3 * changed);
+    assert_eq!(part_values(&platform).len(), before - removed);
+    assert_eq!(true_fleet(&platform).unwrap().teams[0].weight, 4.0);
+}
+
+/// Guards against a part that goes before a slow reader of the previous manifest has read it.
+#[tokio::test]
+async fn recently_unreferenced_parts_stay() {
+    let platform = Arc::new(FakePlatform::new(1, FakeFaults::default()));
+    let store = store(&platform);
+    store.apply(0, &fleet(0, 2), 1).await.unwrap();
+    store.apply(1, &fleet(1, 2), 2).await.unwrap();
+    let mut collector = collector(&platform);
+    for second in [0, 100, 300, 599] {
+        let collected = collector.step(Duration::from_secs(second)).await.unwrap();
+        assert_eq!(collected.removed, 0);
+    }
+    let collected = collector.step(Duration::from_secs(600)).await.unwrap();
+    assert_eq!(collected.removed, 1);
+}
+
+/// Guards against a manifest that names a removed part when applies bring old parts back while
+/// they are removed, answers are lost and writes take effect late; and against an apply that
+/// reports a conflict although nobody else applied.
+#[rstest]
+#[tokio::test]
+async fn racing_applies_keep_their_parts(#[values(0.0, 0.2)] fault_ratio: f64) {
+    // The runs wait most of the time, so they overlap.
+    join_all((0..100).map(|seed| race(seed, fault_ratio))).await;
+}
+
+async fn race(seed: u64, fault_ratio: f64) {
+    let faults = FakeFaults {
+        lost_answer_ratio: fault_ratio,
+        lost_write_ratio: fault_ratio / 2.0,
+        late_write_ratio: fault_ratio / 2.0,
+        stale_get_ratio: fault_ratio / 2.0,
+        max_delay: Duration::from_millis(2),
+        ..FakeFaults::default()
+    };
+    let platform = Arc::new(FakePlatform::new(seed, faults));
+    let store = store(&platform);
+    let mut collector = collector(&platform);
+    let collecting = async {
+        for step in 0..60 {
+            // An error leaves the rest to the next step.
+            let _ = collector.step(STEP * step).await;
+        }
+    };
+    let applying = async {
+        let mut conflicts = 0;
+        for round in 0..12 {
+            let base = store.highest().map_or(0, |manifest| manifest.generation);
+            let nonce = seed * 100 + u64::from(round) + 1;
+            let applied = store.apply(base, &fleet(round % 3, 2), nonce).await;
+            let _ = store.current().await;
+            let is_conflict = matches!(applied, Ok(ApplyOutcome::Conflict { .. }));
+            conflicts += u32::from(is_conflict);
+        }
+        conflicts
+    };
+    let ((), conflicts) = tokio::join!(collecting, applying);
+    platform.settle();
+    if fault_ratio == 0.0 {
+        assert_eq!(conflicts, 0, "seed {seed}");
+    }
+    true_fleet(&platform).unwrap_or_else(|error| panic!("seed {seed}: {error}"));
+}
