--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -19,6 +19,9 @@
 /// Time for the connection attempt that tells a crashed server from a broken connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which a probe waits for the end of a connection that was accepted.
+const PROBE_READ_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Pause before a server that has failed this request is used again, per failure.
 const REUSE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -29,6 +32,11 @@
 /// By then a crashed server is known to be gone; before, each try would cost an attempt.
 const SUSPECT_REUSE: Duration = Duration::from_secs(4);
 const SUSPECT_POLL: Duration = Duration::from_millis(20);
+/// Time that a request waits that arrives as a suspect.
+///
+/// Another instance may be running the same request. Without the pause, a client that repeats a
+/// quarantined request at once crashes a server before the flooded quarantine arrives.
+const SUSPECT_SETTLE: Duration = Duration::from_millis(250);
 
 /// Which service a request calls and how it may be repeated.
 #[derive(Debug, Clone)]
@@ -55,6 +63,8 @@
     /// What is known of all failed attempts.
     ran: Ran,
     suspect: bool,
+    /// Whether the request has waited for news of another instance, if it arrived as a suspect.
+    settled: bool,
 }
 
 impl Attempts {
@@ -64,6 +74,7 @@
         let fingerprint = fingerprint(&[team, target.service.as_bytes(), body]);
         let attempts = Self {
             suspect: false,
+            settled: false,
             context,
             target,
             fingerprint,
@@ -119,6 +130,7 @@
     /// A crash makes a suspect of every request that was in flight, and suspects run apart: one
     /// that finds no server without another suspect waits for its turn.
     pub async fn pick(&mut self, mut request: PickRequest) -> Result<Pick, Refusal> {
+        self.settle().await?;
         let started = Instant::now();
         loop {
             request.suspect = self.is_suspect();
@@ -126,7 +138,8 @@
             if let Some(pick) = self.pick_now(&mut request, reuse).await {
                 return Ok(pick);
             }
-            if !request.suspect || started.elapsed() > SUSPECT_WAIT {
+            let wait = request.suspect && started.elapsed() < SUSPECT_WAIT;
+            if !wait || !self.is_served(&request) {
                 break;
             }
             tokio::time::sleep(SUSPECT_POLL).await;
@@ -140,6 +153,29 @@
         .with_jitter(self.context.id))
     }
 
+    /// Lets a request that arrived as a suspect wait until other instances had time to say how
+    /// it ended there.
+    async fn settle(&mut self) -> Result<(), Refusal> {
+        if std::mem::replace(&mut self.settled, true) {
+            return Ok(());
+        }
+        let started = Instant::now();
+        while self.is_suspect() && started.elapsed() < SUSPECT_SETTLE {
+            tokio::time::sleep(SUSPECT_POLL).await;
+            self.check_quarantine()?;
+        }
+        Ok(())
+    }
+
+    /// Tells whether some backend server would take the request if it were no suspect.
+    fn is_served(&self, request: &PickRequest) -> bool {
+        let mut request = request.clone();
+        request.suspect = false;
+        request.excluded.clear();
+        let shared = &self.context.shared;
+        shared.router.pick(shared.now(), &request).is_some()
+    }
+
     /// Chooses a backend server; with `reuse` also one that has failed this request.
     async fn pick_now(&self, request: &mut PickRequest, reuse: bool) -> Option<Pick> {
         let shared = &self.context.shared;
@@ -206,15 +242,22 @@
         if !self.excluded.contains(&pick.id) && reason != RetryReason::KvImportFailed {
             self.excluded.push(pick.id.clone());
         }
+        let mut crashed = false;
         if matches!(
             reason,
             RetryReason::ClosedBeforeAnswer | RetryReason::StreamBroken
         ) {
             guard.broken(self.context.shared.now());
-            self.probe(pick).await;
+            crashed = self.probe(pick).await;
             self.check_quarantine()?;
         }
         match RetryPolicy::next(&failure, &traits) {
+            // The budget keeps retries from amplifying an overload. A crash is none, and a
+            // request that is part of the way through its answer must be completed.
+            RetryDecision::Retry(reason) if crashed || delivered => {
+                self.context.shared.metrics.retried(reason);
+                Ok(())
+            }
             RetryDecision::Retry(reason) => self.spend(reason),
             RetryDecision::GiveUp(reason, ran) => {
                 let message = format!("the last attempt failed: {}", failure.reason);
@@ -243,11 +286,24 @@
     }
 
     /// Connects to a server whose connection broke; a refused connection means that it crashed.
-    async fn probe(&self, pick: &Pick) {
+    ///
+    /// Returns whether it crashed.
+    async fn probe(&self, pick: &Pick) -> bool {
         let connect = tokio::net::TcpStream::connect(pick.address.as_str());
-        if let Ok(Err(_)) = tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+        let crashed = match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+            Ok(Ok(stream)) => {
+                // A process that is ending closes its requests before its listener, so the
+                // connection may be accepted and reset at once.
+                let ended = tokio::time::timeout(PROBE_READ_TIMEOUT, stream.readable()).await;
+                ended.is_ok()
+            }
+            Ok(Err(_)) => true,
+            Err(_) => false,
+        };
+        if crashed {
             self.context.shared.on_crash(&pick.id);
         }
+        crashed
     }
 
     fn is_suspect(&mut self) -> bool {
--- a/crates/wagtailarch-entry/src/control/gossip.rs
+++ b/crates/wagtailarch-entry/src/control/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use wagtailarch_control::{EngineNews, Gossip, GossipConfig, GossipEvent};
 use wagtailarch_traffic::{StrikeEvent, StrikeKind};
 use wagtailarch_types::{Generation, InstanceId, rendezvous_weight};
@@ -46,6 +46,8 @@
     usage: RemoteUsage,
     round_at: Duration,
     remote_at: Duration,
+    /// Peers of the zone that a connection was opened to, so that a flood waits for no handshake.
+    contacted: IndexSet<InstanceId>,
     /// When the load of an engine was last gossiped; engines that this instance polls.
     loads_at: IndexMap<InstanceId, Duration>,
 }
@@ -69,6 +71,7 @@
             usage: RemoteUsage::default(),
             round_at: Duration::ZERO,
             remote_at: Duration::ZERO,
+            contacted: IndexSet::new(),
             loads_at: IndexMap::new(),
         }
     }
@@ -113,6 +116,19 @@
         }
     }
 
+    /// Opens connections to peers of the zone that are new in the list.
+    pub(super) fn contact(&mut self, backends: &Backends) {
+        let peers = self.own_zone(backends);
+        let listed = |id: &InstanceId| peers.iter().any(|peer| peer.identity.instance == *id);
+        self.contacted.retain(listed);
+        for peer in &peers {
+            if self.contacted.insert(peer.identity.instance.clone()) {
+                let digest = PeerMessage::Digest(self.gossip.digest());
+                self.peers.send(peer, digest);
+            }
+        }
+    }
+
     /// Tells whether this instance polls an engine: with many engines, each engine of the zone is
     /// polled by one instance only, and those of other zones by none.
     pub(super) fn polls(&self, backends: &Backends, engine: &InstanceId) -> bool {
@@ -223,7 +239,7 @@
             }
             PeerEvent::Message(from, message) => self.on_message(backends, zone, &from, message),
             PeerEvent::Unreachable(peer) => {
-                slog::debug!(self.shared.log, "peer_unreachable"; "peer" => peer.instance.as_str());
+                self.contacted.swap_remove(&peer.instance);
             }
         }
     }
@@ -248,6 +264,8 @@
             }
             PeerMessage::Urgent(urgent) => {
                 if self.gossip.on_urgent(&urgent) {
+                    slog::debug!(self.shared.log, "flooded"; "kind" => kind_of(&urgent.body),
+                        "origin" => urgent.origin.as_str(), "seq" => urgent.seq);
                     self.on_urgent(backends, &urgent);
                     if urgent.zone != self.shared.settings.zone {
                         self.send_all(&self.own_zone(backends), &urgent);
@@ -332,6 +350,7 @@
 
     fn flood(&mut self, backends: &Backends, body: UrgentBody) {
         let urgent = self.gossip.urgent(self.shared.now(), body);
+        slog::debug!(self.shared.log, "flood"; "kind" => kind_of(&urgent.body), "seq" => urgent.seq);
         self.send_all(&self.own_zone(backends), &urgent);
         let mut zones: IndexMap<_, Vec<PeerAddress>> = IndexMap::new();
         for peer in self.other_zones(backends) {
@@ -370,6 +389,16 @@
     }
 }
 
+fn kind_of(body: &UrgentBody) -> &'static str {
+    match body {
+        UrgentBody::Leaving { .. } => "leaving",
+        UrgentBody::Strike { .. } => "strike",
+        UrgentBody::Quarantined { .. } => "quarantined",
+        UrgentBody::Drain { .. } => "drain",
+        UrgentBody::NewGeneration { .. } => "new_generation",
+    }
+}
+
 fn peer_address(entry: &ListedInstance) -> Option<PeerAddress> {
     let address: SocketAddr = entry.peer_address.as_ref()?.parse().ok()?;
     Some(PeerAddress {
