--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -19,11 +19,6 @@
 /// Time for the connection attempt that tells a crashed server from a broken connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time that a new quarantine gets to reach the other instances before the client is told.
-///
-/// Without it, a client that repeated its call at once crashed a third engine in 1 of 10 runs.
-const FLOOD_TIME: Duration = Duration::from_millis(20);
-
 /// Time for which a probe waits for the end of a connection that was accepted.
 const PROBE_READ_TIMEOUT: Duration = Duration::from_millis(30);
 
@@ -247,18 +242,22 @@
         if !self.excluded.contains(&pick.id) && reason != RetryReason::KvImportFailed {
             self.excluded.push(pick.id.clone());
         }
+        let mut crashed = false;
         if matches!(
             reason,
             RetryReason::ClosedBeforeAnswer | RetryReason::StreamBroken
         ) {
             guard.broken(self.context.shared.now());
-            self.probe(pick).await;
-            if let Err(refusal) = self.check_quarantine() {
-                tokio::time::sleep(FLOOD_TIME).await;
-                return Err(refusal);
-            }
+            crashed = self.probe(pick).await;
+            self.check_quarantine()?;
         }
         match RetryPolicy::next(&failure, &traits) {
+            // The budget keeps retries from amplifying an overload. A crash is none, and a
+            // request that is part of the way through its answer must be completed.
+            RetryDecision::Retry(reason) if crashed || delivered => {
+                self.context.shared.metrics.retried(reason);
+                Ok(())
+            }
             RetryDecision::Retry(reason) => self.spend(reason),
             RetryDecision::GiveUp(reason, ran) => {
                 let message = format!("the last attempt failed: {}", failure.reason);
@@ -287,7 +286,9 @@
     }
 
     /// Connects to a server whose connection broke; a refused connection means that it crashed.
-    async fn probe(&self, pick: &Pick) {
+    ///
+    /// Returns whether it crashed.
+    async fn probe(&self, pick: &Pick) -> bool {
         let connect = tokio::net::TcpStream::connect(pick.address.as_str());
         let crashed = match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
             Ok(Ok(stream)) => {
@@ -302,6 +303,7 @@
         if crashed {
             self.context.shared.on_crash(&pick.id);
         }
+        crashed
     }
 
     fn is_suspect(&mut self) -> bool {
