Collect old configuration parts and tell other zones of quarantines

Nothing removed the parts that applies leave behind, and a zone that missed a flood never heard of a quarantine.

The lease holder of the fleet's first zone takes a step of PartCollector every 5 s; one holder suffices, and several would only replace the manifest more often. The summary that goes to another zone each 5 s lists the quarantined requests with the time left, which the receiver keeps, since a fresh TTL would let zones prolong a quarantine for each other.

--- a/crates/wagtailarch-entry/src/control/calls.rs
+++ b/crates/wagtailarch-entry/src/control/calls.rs
@@ -6,7 +6,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{sync::mpsc, time::timeout};
 use wagtailarch_control::{LeaseAction, OrderAction, ReadOutcome, SendOutcome, WriteOutcome};
-use wagtailarch_platform::{Expect, Platform, PlatformError};
+use wagtailarch_platform::{Expect, PartCollector, Platform, PlatformError};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::{
     engine::{EngineReport, Order},
@@ -27,7 +27,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Result of a call.
-#[derive(Debug)]
 pub(super) enum Done {
     /// The list that was asked for at a time; `None` if the platform did not answer.
     List(Duration, Option<InstanceList>),
@@ -38,6 +37,8 @@
     OrderRead(InstanceId, ReadOutcome<OrderRecord>),
     OrderWritten(InstanceId, WriteOutcome),
     Sent(InstanceId, SendOutcome),
+    /// A step of the collector is over.
+    Collected(Box<PartCollector>),
 }
 
 /// Starts calls on the runtime of the control thread.
@@ -135,6 +136,23 @@
         });
     }
 
+    /// Removes configuration parts that no manifest refers to; a failed step is made up for later.
+    pub(super) fn collect(&self, mut collector: Box<PartCollector>) {
+        let shared = Arc::clone(&self.shared);
+        self.start(async move {
+            match collector.step(shared.now()).await {
+                Ok(parts) if parts.removed > 0 => {
+                    slog::info!(shared.log, "parts_removed"; "count" => parts.removed);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    slog::debug!(shared.log, "parts_not_removed"; "error" => %error);
+                }
+            }
+            Done::Collected(collector)
+        });
+    }
+
     fn send(&self, engine: InstanceId, address: Option<String>, order: Order, not_after: Duration) {
         let shared = Arc::clone(&self.shared);
         self.start(async move {
--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -7,6 +7,7 @@
     sync::mpsc,
     time::{MissedTickBehavior, interval},
 };
+use wagtailarch_platform::PartCollector;
 use wagtailarch_types::InstanceId;
 
 use super::{
@@ -30,6 +31,10 @@
 /// Interval of writing the zone's status; readers take it for stale after 15 s.
 const STATUS_EVERY: Duration = Duration::from_secs(4);
 
+/// Interval of removing a page of old configuration parts. A day leaves 9,800 of them, and a page
+/// of 16 each 5 s passes over 276,000.
+const COLLECT_EVERY: Duration = Duration::from_secs(5);
+
 /// State of the control thread.
 pub(super) struct Driver {
     shared: Arc<Shared>,
@@ -42,6 +47,9 @@
     /// Engines whose report is being read.
     asking: IndexSet<InstanceId>,
     status_at: Duration,
+    /// Collector of old configuration parts; `None` while a step of it runs.
+    collector: Option<Box<PartCollector>>,
+    collected_at: Duration,
 }
 
 /// Runs the control thread until it is dropped.
@@ -55,6 +63,7 @@
         }
         None => (None, None),
     };
+    let collector = Some(Box::new(PartCollector::new(Arc::clone(&inputs.platform))));
     let mut configurations = follow_configuration(&shared, inputs.platform);
     let mut driver = Driver {
         backends: Backends::new(Arc::clone(&shared)),
@@ -64,6 +73,8 @@
         listing: false,
         asking: IndexSet::new(),
         status_at: Duration::ZERO,
+        collector,
+        collected_at: Duration::ZERO,
         shared,
     };
     let timeouts = driver.shared.settings.timeouts;
@@ -131,9 +142,26 @@
             self.status_at = now;
             self.calls.status(&record);
         }
+        self.collect(now);
         self.backends.publish();
     }
 
+    /// Lets the lease holder of the fleet's first zone remove old configuration parts.
+    fn collect(&mut self, now: Duration) {
+        let snapshot = self.shared.snapshot.load();
+        let first = snapshot.as_ref().is_some_and(|snapshot| {
+            snapshot.fleet.fleet.zones.first() == Some(&self.shared.settings.zone)
+        });
+        let due = now >= self.collected_at + COLLECT_EVERY;
+        if !first || !due || self.zone.lease.authority(now).is_none() {
+            return;
+        }
+        if let Some(collector) = self.collector.take() {
+            self.collected_at = now;
+            self.calls.collect(collector);
+        }
+    }
+
     fn generation(&self) -> u64 {
         let snapshot = self.shared.snapshot.load();
         snapshot.as_ref().map_or(0, |snapshot| snapshot.generation)
@@ -207,6 +235,7 @@
                     self.backends.on_all_asked();
                 }
             }
+            Done::Collected(collector) => self.collector = Some(collector),
             Done::LeaseRead(outcome) => self.zone.lease.on_read(now, outcome),
             Done::LeaseWritten(outcome) => self.zone.lease.on_write(now, outcome),
             Done::OrderRead(engine, outcome) => self.zone.ledger.on_record(now, &engine, outcome),
--- a/crates/wagtailarch-entry/src/control/gossip.rs
+++ b/crates/wagtailarch-entry/src/control/gossip.rs
@@ -4,7 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use wagtailarch_control::{EngineNews, Gossip, GossipConfig, GossipEvent};
-use wagtailarch_traffic::{StrikeEvent, StrikeKind};
+use wagtailarch_traffic::{StrikeEvent, StrikeKind, Verdict};
 use wagtailarch_types::{Generation, InstanceId, rendezvous_weight};
 use wagtailarch_wire::{
     peer::{EngineLoad, PeerMessage, Urgent, UrgentBody},
@@ -31,6 +31,8 @@
 const TEAMS: usize = 60;
 /// Listed engines up to which every instance polls all of them, which keeps loads fresher.
 const POLL_ALL: usize = 64;
+/// Quarantined requests in a summary for another zone; the oldest come first.
+const SUMMARY_QUARANTINED: usize = 1_024;
 /// Time in seconds for which a request stays quarantined.
 const QUARANTINE_S: u16 = 600;
 /// Time without a word after which the usage of a peer no longer counts.
@@ -110,8 +112,9 @@
         if now >= self.remote_at + REMOTE_EVERY {
             self.remote_at = now;
             if let Some(peer) = pick(&self.other_zones(backends)) {
-                let summary = PeerMessage::Remote(self.gossip.remote_summary());
-                self.peers.send(peer, summary);
+                let mut summary = self.gossip.remote_summary();
+                summary.quarantined = self.quarantined(now);
+                self.peers.send(peer, PeerMessage::Remote(summary));
             }
         }
     }
@@ -272,15 +275,46 @@
                     }
                 }
             }
+            PeerMessage::Remote(summary) => {
+                for (fingerprint, left_s) in summary.quarantined {
+                    self.take_quarantined(fingerprint, left_s);
+                }
+            }
             PeerMessage::Hello(_)
             | PeerMessage::Digest(_)
             | PeerMessage::Delta(_)
-            | PeerMessage::Remote(_)
             | PeerMessage::FetchConfig(_)
             | PeerMessage::Config(_) => {}
         }
     }
 
+    /// Returns quarantined requests with the time in seconds that is left.
+    fn quarantined(&self, now: Duration) -> Vec<(u128, u16)> {
+        let known = self.shared.quarantine.list(now, SUMMARY_QUARANTINED);
+        let known = known.into_iter();
+        let quarantined = known.filter(|(_, verdict, _)| *verdict == Verdict::Quarantined);
+        quarantined
+            .map(|(fingerprint, _, left)| (fingerprint, left.as_secs() as u16))
+            .collect()
+    }
+
+    /// Takes over a quarantine of another zone for the time that is left, so that zones do not
+    /// prolong it for each other.
+    fn take_quarantined(&self, fingerprint: u128, left_s: u16) {
+        let now = self.shared.now();
+        let quarantine = &self.shared.quarantine;
+        if quarantine.check(now, fingerprint) == Verdict::Quarantined {
+            return;
+        }
+        let age = Duration::from_secs(u64::from(QUARANTINE_S.saturating_sub(left_s)));
+        let event = StrikeEvent {
+            fingerprint,
+            server: InstanceId::default(),
+            kind: StrikeKind::Quarantined,
+        };
+        quarantine.apply_remote(now.saturating_sub(age), event);
+    }
+
     fn on_news(&mut self, backends: &mut Backends, zone: &mut Zone, event: GossipEvent) {
         let now = self.shared.now();
         match event {
