Look at the engines once a second while none is under change

Each step of 200 ms copied the state of all listed engines up to four times, which a list of 3,800 engines turns into tens of milliseconds a second; this is an estimate and was not measured. The backend servers are published on events and once a second, and the rollout looks at the engines once a second unless a change is in progress.

--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -28,6 +28,9 @@
 /// Interval of the decisions.
 const STEP_EVERY: Duration = Duration::from_millis(200);
 
+/// Interval of publishing the backend servers when no event does, so that silence is noticed.
+const PUBLISH_EVERY: Duration = Duration::from_secs(1);
+
 /// Interval of writing the zone's status; readers take it for stale after 15 s.
 const STATUS_EVERY: Duration = Duration::from_secs(4);
 
@@ -47,6 +50,7 @@
     /// Engines whose report is being read.
     asking: IndexSet<InstanceId>,
     status_at: Duration,
+    published_at: Duration,
     /// Collector of old configuration parts; `None` while a step of it runs.
     collector: Option<Box<PartCollector>>,
     collected_at: Duration,
@@ -73,6 +77,7 @@
         listing: false,
         asking: IndexSet::new(),
         status_at: Duration::ZERO,
+        published_at: Duration::ZERO,
         collector,
         collected_at: Duration::ZERO,
         shared,
@@ -114,9 +119,12 @@
         if let Some(peers) = &mut self.peers {
             peers.tick(&self.backends);
         }
+        if now >= self.published_at + PUBLISH_EVERY {
+            self.published_at = now;
+            self.backends.publish();
+        }
         // A fleet file in the settings stands for a fleet without orders.
         if self.shared.settings.fleet_file.is_some() {
-            self.backends.publish();
             return;
         }
         if self.shared.stage() > Stage::Serving {
@@ -143,7 +151,6 @@
             self.calls.status(&record);
         }
         self.collect(now);
-        self.backends.publish();
     }
 
     /// Lets the lease holder of the fleet's first zone remove old configuration parts.
--- a/crates/wagtailarch-entry/src/control/zone.rs
+++ b/crates/wagtailarch-entry/src/control/zone.rs
@@ -24,6 +24,9 @@
 /// takes about half of it.
 const TURN_S: u64 = 20;
 
+/// Interval of looking at the engines while none is under change.
+const IDLE_EVERY: Duration = Duration::from_secs(1);
+
 /// Interval of planning roles.
 const PLAN_EVERY: Duration = Duration::from_secs(1);
 
@@ -43,6 +46,8 @@
     rollout: Rollout,
     planner: Planner,
     planned_at: Duration,
+    /// When the rollout last looked at the engines.
+    rolled_at: Duration,
     planned: Vec<wagtailarch_control::RoleChange>,
     /// Highest rates of one engine lately, by group: prefill and decode tokens per second.
     rates: HashMap<GroupName, (f64, f64)>,
@@ -61,6 +66,7 @@
             rollout: Rollout::new(),
             planner: Planner::new(PlannerConfig::default()),
             planned_at: Duration::ZERO,
+            rolled_at: Duration::ZERO,
             planned: Vec::new(),
             rates: HashMap::new(),
             number: None,
@@ -155,7 +161,13 @@
         snapshot: &Snapshot,
         backends: &mut Backends,
     ) -> Vec<DrainFlood> {
-        let engines = self.engines(now, backends);
+        // At the design size a look at all 3,800 engines takes milliseconds.
+        if now < self.rolled_at + IDLE_EVERY && self.rollout.changing().is_empty() {
+            return Vec::new();
+        }
+        self.rolled_at = now;
+        let statuses = backends.statuses();
+        let engines = self.engines(now, &statuses, backends);
         for engine in &engines {
             if engine.state == BackendState::Draining {
                 self.ledger.inspect(&engine.id);
@@ -170,7 +182,7 @@
             generation: snapshot.generation,
             groups: engine_groups(&snapshot.fleet)
                 .filter_map(|group| {
-                    let may_empty = self.may_empty(&snapshot.fleet, group, backends);
+                    let may_empty = self.may_empty(&snapshot.fleet, group, &statuses);
                     rollout_group(group, may_empty)
                 })
                 .collect(),
@@ -191,9 +203,8 @@
     ///
     /// Another zone must have such an engine, and zones take turns, so that they do not give up
     /// their last ones at once. A group with one engine in all zones has no choice.
-    fn may_empty(&self, fleet: &Fleet, group: &Group, backends: &mut Backends) -> bool {
+    fn may_empty(&self, fleet: &Fleet, group: &Group, statuses: &[BackendStatus]) -> bool {
         let zone = &self.shared.settings.zone;
-        let statuses = backends.statuses();
         let mut engines = statuses.iter().filter(|status| status.group == group.name);
         if engines.clone().count() < 2 {
             return true;
@@ -214,10 +225,15 @@
     }
 
     /// Returns the engines of the zone that have reported.
-    fn engines(&self, now: Duration, backends: &mut Backends) -> Vec<RolloutEngine> {
+    fn engines(
+        &self,
+        now: Duration,
+        statuses: &[BackendStatus],
+        backends: &Backends,
+    ) -> Vec<RolloutEngine> {
         let zone = &self.shared.settings.zone;
         let mut engines = Vec::new();
-        for status in backends.statuses() {
+        for status in statuses {
             if status.zone != *zone {
                 continue;
             }
@@ -236,8 +252,8 @@
                     .report
                     .last_order_nonce
                     .is_some_and(|nonce| self.ledger.is_drain(&status.id, nonce)),
-                id: status.id,
-                group: status.group,
+                id: status.id.clone(),
+                group: status.group.clone(),
             });
         }
         engines
