Test the split by time and the limit under overload

Switched off in a scratch copy: a split whenever there is a prefill engine fails split_goes_where..., a limit that multiplies what was accepted fails with 256 requests in 13 places.

--- a/crates/wagtailarch-traffic/tests/admission.rs
+++ b/crates/wagtailarch-traffic/tests/admission.rs
@@ -245,3 +245,25 @@
         );
     }
 }
+
+/// Guards against a limit that grows with what was accepted, which let queues grow under overload.
+#[test]
+fn the_limit_does_not_grow_under_overload() {
+    let admission = Admission::new(1);
+    admission.update(Duration::ZERO, &[team("a", 1e6, 1.0)], 4, &[capacity(40)]);
+    let mut held = Vec::new();
+    for second in 1..20 {
+        let now = Duration::from_secs(second);
+        let running = 4 * held.len() as u32;
+        admission.set_capacity(
+            now,
+            4,
+            &[GroupCapacity {
+                running,
+                ..capacity(40)
+            }],
+        );
+        held.extend((0..100).map_while(|id| admission.admit(now, &request("a", id)).ok()));
+    }
+    assert!(held.len() <= 13, "{} of a quarter of 50 places", held.len());
+}
--- a/crates/wagtailarch-traffic/tests/router.rs
+++ b/crates/wagtailarch-traffic/tests/router.rs
@@ -248,3 +248,23 @@
     assert!(!router(views(Role::Mixed)).splits(&request()));
     assert!(!router(vec![engine("a", "z", Role::Prefill)]).splits(&request()));
 }
+
+/// Guards against prompts that wait at a prefill engine beside a decode engine with spare time.
+#[test]
+fn split_goes_where_the_prompt_is_processed_earlier() {
+    let views = |queued_tokens, running| {
+        let mut views = vec![
+            engine("a", "z", Role::Prefill),
+            engine("b", "z", Role::Decode),
+        ];
+        views[0].report.as_mut().unwrap().queued_tokens = queued_tokens;
+        views[1].report.as_mut().unwrap().running = running;
+        views
+    };
+    assert!(router(views(0, 0)).splits(&request()));
+    assert!(!router(views(20_000, 0)).splits(&request()));
+    assert!(
+        router(views(20_000, 16)).splits(&request()),
+        "the decode engine is full"
+    );
+}
