Count an engine as away for 2 s after its change

Cause: new_version_cuts_nothing failed at times with 2 or 3 requests refused with no_backend. The log shows that the lease holders of both zones drained their second engine in the same millisecond (engine-2 and engine-3 at .356 and .348), 1 s after the first ones were back. An instance that does not hold the lease still waited for fresh reports of engine-0 and engine-1, which travel by gossip, and refused requests for 150 ms.

Ruled out: a late drain order, and engines that were not back (both reported the new version).

Change: the rollout counts an engine as away until 2 s after its change, one gossip round and the report lag. A rollout takes 2 s longer for each engine of a small pool.

--- a/crates/wagtailarch-control/src/rollout.rs
+++ b/crates/wagtailarch-control/src/rollout.rs
@@ -22,6 +22,9 @@
 const ADOPT_AFTER: Duration = Duration::from_secs(15);
 /// Time for which an engine is left alone after an older order blocked a change of it.
 const BLOCKED_PAUSE: Duration = Duration::from_secs(5);
+/// Time after its change for which an engine still counts as away. The other instances take it
+/// back on its next report, which reaches them within one gossip round of 1 s and the report lag.
+const SETTLE: Duration = Duration::from_secs(2);
 /// Greatest number of engines of one zone.
 const MAX_ENGINES: usize = 1_024;
 
@@ -115,6 +118,8 @@
     orphans: IndexMap<InstanceId, Duration>,
     /// Engines that are left alone until a time; at most `MAX_ENGINES`.
     paused: IndexMap<InstanceId, Duration>,
+    /// Engines whose change has ended and until when they count as away; at most `MAX_ENGINES`.
+    settling: IndexMap<InstanceId, Duration>,
 }
 
 /// A change of one engine.
@@ -151,6 +156,7 @@
         self.changes.clear();
         self.orphans.clear();
         self.paused.clear();
+        self.settling.clear();
     }
 
     /// Returns the engines under change.
@@ -168,6 +174,7 @@
         let mut actions = Vec::new();
         self.advance(now, view, &mut actions);
         self.paused.retain(|_, until| now < *until);
+        self.settling.retain(|_, until| now < *until);
         self.adopt(now, view);
         self.start(now, view, planned);
         for (engine, change) in &self.changes {
@@ -206,6 +213,7 @@
                 change.follow(group);
             }
             if change.advance(now, engine) {
+                self.settling.insert(id.clone(), now + SETTLE);
                 ended.push(id.clone());
                 continue;
             }
@@ -354,7 +362,8 @@
         for engine in pool {
             size += 1;
             let serves = engine.healthy && engine.state == BackendState::Serving;
-            if !serves || self.changes.contains_key(&engine.id) {
+            let settling = self.settling.contains_key(&engine.id);
+            if !serves || settling || self.changes.contains_key(&engine.id) {
                 away += 1;
             }
         }
