Show the status in the demonstration, and pause the lease holder of three engines

The rollout takes 2 s longer for each engine, so that four engines after a pause of the lease holder would come near the limit of 25 s for one condition. Three engines keep the same order of events: one change under way, two still to come.

--- a/crates/wagtailarch-e2e/src/bin/wagtail-demo.rs
+++ b/crates/wagtailarch-e2e/src/bin/wagtail-demo.rs
@@ -93,6 +93,8 @@
         elapsed_s(start),
         fleet.balancer
     );
+    fleet.wait_in_force(1).await?;
+    print!("wagtailctl: {}", fleet.ctl(&["status"]).await?.text);
     let load = scenario_of(options);
     println!(
         "sending {} requests at {}/s ...",
--- a/crates/wagtailarch-e2e/tests/control.rs
+++ b/crates/wagtailarch-e2e/tests/control.rs
@@ -159,6 +159,7 @@
 ) -> Result<(), HarnessError> {
     let _one = one_fleet().await;
     let mut options = options();
+    options.engines = 3;
     options.file.zones.truncate(1);
     options.file.checks_fencing = checks_fencing;
     let zone = options.file.zones[0].clone();
