Remove claim log entries whose retention is over

Cause: claim log entries are kept for ever; design.md keeps them for 24 h.

Entries have no time, and the lease holder changes about once a day, so that a holder's memory cannot tell which entries are old. ClaimCollector notes the end of every log in the platform each hour and lets these marks age only by time that one process has measured between two looks at the same version of them. Entries below a mark of 24 h are removed, at most 600 a step, and the newest stays, since a writer that finds a log empty begins at 0.

Ruled out: wall clocks, which may jump; marks in memory, which a new holder would begin anew.

Nothing runs the collector yet.

--- a/crates/wagtailarch-platform/src/lib.rs
+++ b/crates/wagtailarch-platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`ConfigStore`] reads and applies configurations; [`PartCollector`] removes what no manifest refers
 //! to any more.
 
+mod claim_collector;
 mod config_store;
 mod error;
 mod fake;
@@ -12,6 +13,7 @@
 mod part_collector;
 mod platform;
 
+pub use claim_collector::{ClaimCollector, CollectError, CollectedClaims};
 pub use config_store::{ApplyOutcome, ConfigError, ConfigStore, RetryLimits};
 pub use error::{PlatformError, PlatformResult};
 pub use fake::{FakeFaults, FakePlatform};
