Run the collector of claim entries at a lease holder

Cause: ClaimCollector existed and nothing ran it.

The lease holder of the first zone of the fleet file lets both collectors make a step each minute. A mark below which everything was removed is not listed again, since each listing returns the entries' values. Tests: cargo test -p wagtailarch-platform -p wagtailarch-entry passes. Not tested: a run of an instance long enough to remove an entry, since the retention is 24 h.

--- a/crates/wagtailarch-entry/src/control/calls.rs
+++ b/crates/wagtailarch-entry/src/control/calls.rs
@@ -9,7 +9,8 @@
     time::timeout,
 };
 use wagtailarch_control::{LeaseAction, OrderAction, ReadOutcome, SendOutcome, WriteOutcome};
-use wagtailarch_platform::{Expect, PartCollector, Platform, PlatformError};
+use wagtailarch_platform::{ClaimCollector, Expect, PartCollector, Platform, PlatformError};
+use wagtailarch_traffic::CLAIM_PARTITIONS;
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::{
     engine::{EngineReport, Order},
@@ -43,13 +44,19 @@
     Sent(InstanceId, SendOutcome),
 }
 
+/// Remove objects that are no longer needed.
+struct Collectors {
+    parts: PartCollector,
+    claims: ClaimCollector,
+}
+
 /// Starts calls on the runtime of the control thread.
 pub(super) struct Calls {
     shared: Arc<Shared>,
     platform: Arc<dyn Platform>,
     engines: EngineClient,
     done: mpsc::Sender<Done>,
-    parts: Arc<Mutex<PartCollector>>,
+    collectors: Arc<Mutex<Collectors>>,
 }
 
 impl Calls {
@@ -60,10 +67,13 @@
     ) -> (Self, mpsc::Receiver<Done>) {
         let (done, results) = mpsc::channel(RESULT_QUEUE);
         let engines = EngineClient::new(&shared.settings.timeouts, &shared.settings.limits);
-        let parts = PartCollector::new(Arc::clone(&platform));
+        let collectors = Collectors {
+            parts: PartCollector::new(Arc::clone(&platform)),
+            claims: ClaimCollector::new(Arc::clone(&platform), CLAIM_PARTITIONS),
+        };
         let calls = Self {
             shared,
-            parts: Arc::new(Mutex::new(parts)),
+            collectors: Arc::new(Mutex::new(collectors)),
             platform,
             engines,
             done,
@@ -141,14 +151,14 @@
         });
     }
 
-    /// Lets the collector of configuration parts make a step, unless one is under way.
-    pub(super) fn collect_parts(&self) {
-        let Ok(mut parts) = Arc::clone(&self.parts).try_lock_owned() else {
+    /// Lets the collectors make a step, unless one is under way.
+    pub(super) fn collect(&self) {
+        let Ok(mut collectors) = Arc::clone(&self.collectors).try_lock_owned() else {
             return;
         };
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
-            match parts.step(shared.now()).await {
+            match collectors.parts.step(shared.now()).await {
                 Ok(step) if step.removed > 0 => {
                     slog::info!(shared.log, "parts_removed"; "count" => step.removed);
                 }
@@ -157,6 +167,15 @@
                     slog::debug!(shared.log, "parts_not_removed"; "error" => %error);
                 }
             }
+            match collectors.claims.step(|| shared.now()).await {
+                Ok(step) if step.removed > 0 => {
+                    slog::info!(shared.log, "claims_removed"; "count" => step.removed);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    slog::debug!(shared.log, "claims_not_removed"; "error" => %error);
+                }
+            }
         });
     }
 
--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -30,8 +30,8 @@
 /// Interval of writing the zone's status; readers take it for stale after 15 s.
 const STATUS_EVERY: Duration = Duration::from_secs(4);
 
-/// Interval of the steps that remove configuration parts without references. A step lists 16
-/// parts, 960 an hour, and 4,900 changes a day leave 408 an hour.
+/// Interval of the steps that remove old claims and configuration parts without references. A
+/// step lists 16 parts, 960 an hour, and 4,900 changes a day leave 408 an hour.
 const COLLECT_EVERY: Duration = Duration::from_secs(60);
 
 /// State of the control thread.
@@ -137,9 +137,9 @@
             self.status_at = now;
             self.calls.status(&record);
         }
-        if now >= self.collected_at + COLLECT_EVERY && self.zone.removes_parts() {
+        if now >= self.collected_at + COLLECT_EVERY && self.zone.collects() {
             self.collected_at = now;
-            self.calls.collect_parts();
+            self.calls.collect();
         }
         self.backends.publish();
     }
--- a/crates/wagtailarch-entry/src/control/zone.rs
+++ b/crates/wagtailarch-entry/src/control/zone.rs
@@ -139,9 +139,9 @@
         Some(self.status.record(now, newest, written_at_ms, number))
     }
 
-    /// Tells whether this instance removes configuration parts without references: it holds the
-    /// lease of the first zone of the file, since one instance of all zones is enough.
-    pub(super) fn removes_parts(&self) -> bool {
+    /// Tells whether this instance removes objects that are no longer needed: it holds the lease
+    /// of the first zone of the file, since one instance of all zones is enough.
+    pub(super) fn collects(&self) -> bool {
         let snapshot = self.shared.snapshot.load();
         let first = snapshot.as_ref().and_then(|s| s.fleet.fleet.zones.first());
         let holds = self.lease.authority(self.shared.now()).is_some();
--- a/crates/wagtailarch-platform/src/claim_collector.rs
+++ b/crates/wagtailarch-platform/src/claim_collector.rs
@@ -63,6 +63,8 @@
     known: Option<(ObjectVersion, Duration)>,
     /// Partition at which the next removals begin, so that a busy one holds up no other.
     first_partition: u32,
+    /// Ends of the mark below which everything was removed, so that it is not listed again.
+    cleared: Vec<u64>,
 }
 
 /// Value of the object with the marks.
@@ -89,6 +91,7 @@
             partitions,
             known: None,
             first_partition: 0,
+            cleared: Vec::new(),
         }
     }
 
@@ -126,10 +129,14 @@
             marks.add(ends);
         }
         self.store(&marks, version, &clock).await?;
-        let removed = match marks.expired() {
-            Some(mark) => self.remove(&mark.ends).await?,
-            None => 0,
-        };
+        let expired = marks.expired().filter(|mark| mark.ends != self.cleared);
+        let mut removed = 0;
+        if let Some(mark) = expired {
+            removed = self.remove(&mark.ends).await?;
+            if removed < MAX_REMOVED {
+                self.cleared.clone_from(&mark.ends);
+            }
+        }
         Ok(CollectedClaims { marked, removed })
     }
 
