Test that an apply writes a part again after a lost answer

Cause: a trial that took any stored part for the own one passed the tests of the collector.

The test lets a collector replace the manifest, an apply lose the write of a part that is stored unreferenced, and the collector remove the listed version after.

--- a/crates/wagtailarch-platform/tests/part_collector.rs
+++ b/crates/wagtailarch-platform/tests/part_collector.rs
@@ -1,15 +1,21 @@
 //! Checks that unreferenced configuration parts go and that parts in use stay.
 
-use std::sync::Arc;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::join_all;
 use rstest::rstest;
 use smol_str::format_smolstr;
 use wagtailarch_fleet::{Fleet, MANIFEST_KEY, Manifest, assemble, part_key};
 use wagtailarch_platform::{
-    ApplyOutcome, ConfigStore, FakeFaults, FakePlatform, PartCollector, Platform, RetryLimits,
+    ApplyOutcome, ConfigStore, Expect, FakeFaults, FakePlatform, ListPage, PartCollector, Platform,
+    PlatformError, PlatformFuture, RetryLimits, Versioned,
 };
+use wagtailarch_types::ObjectVersion;
+use wagtailarch_wire::platform::{InstanceList, WatchAnswer};
 
 /// Longer than a part must be unreferenced.
 const STEP: Duration = Duration::from_secs(1_000);
@@ -156,3 +162,99 @@
     }
     true_fleet(&platform).unwrap_or_else(|error| panic!("seed {seed}: {error}"));
 }
+
+/// Guards against an apply that takes an old part for the one that it wrote, when the answer to
+/// its write was lost and a collector that replaced the manifest before removes the part after.
+#[tokio::test]
+async fn a_lost_part_is_written_again() {
+    let platform = Arc::new(FakePlatform::new(1, FakeFaults::default()));
+    let store = store(&platform);
+    store.apply(0, &fleet(0, 2), 1).await.unwrap();
+    store.apply(1, &fleet(1, 2), 2).await.unwrap();
+    let applying = Hooked::new(&platform);
+    applying.lose_part.store(true, Ordering::Relaxed);
+    let collecting = Arc::new(Hooked::new(&platform));
+    let mut collector = PartCollector::new(Arc::clone(&collecting) as Arc<dyn Platform>);
+    collector.step(Duration::ZERO).await.unwrap();
+    let applier = ConfigStore::new(Arc::new(applying), "test");
+    *collecting.before_delete.lock().unwrap() = Some(Box::pin(async move {
+        let applied = applier.apply(2, &fleet(0, 2), 3).await;
+        assert_eq!(applied, Ok(ApplyOutcome::Applied(3)));
+    }));
+    let collected = collector.step(STEP).await.unwrap();
+    assert_eq!(collected.removed, 0);
+    assert_eq!(true_fleet(&platform).unwrap().teams[0].weight, 1.0);
+}
+
+type Hook = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// A platform that loses the first write of a part or lets something happen before a removal.
+struct Hooked {
+    inner: Arc<FakePlatform>,
+    lose_part: AtomicBool,
+    before_delete: Mutex<Option<Hook>>,
+}
+
+impl Hooked {
+    fn new(inner: &Arc<FakePlatform>) -> Self {
+        Self {
+            inner: Arc::clone(inner),
+            lose_part: AtomicBool::new(false),
+            before_delete: Mutex::new(None),
+        }
+    }
+}
+
+impl Platform for Hooked {
+    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Versioned>> {
+        self.inner.get(key)
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: Bytes,
+        expect: Expect,
+    ) -> PlatformFuture<'a, ObjectVersion> {
+        if key.starts_with("part/") && self.lose_part.swap(false, Ordering::Relaxed) {
+            return Box::pin(async { Err(PlatformError::Unknown("lost".into())) });
+        }
+        self.inner.put(key, value, expect)
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a str,
+        version: Option<ObjectVersion>,
+    ) -> PlatformFuture<'a, ()> {
+        Box::pin(async move {
+            let hook = self.before_delete.lock().unwrap().take();
+            if let Some(hook) = hook {
+                hook.await;
+            }
+            self.inner.delete(key, version).await
+        })
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+        limit: usize,
+    ) -> PlatformFuture<'a, ListPage> {
+        self.inner.list(prefix, after, limit)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: ObjectVersion,
+        wait: Duration,
+    ) -> PlatformFuture<'a, WatchAnswer> {
+        self.inner.watch(prefix, since, wait)
+    }
+
+    fn instances(&self) -> PlatformFuture<'_, InstanceList> {
+        self.inner.instances()
+    }
+}
