Tell calls of one service apart in fingerprints, and count roles in capacity

Cause: the fingerprint covered team, service and body only, so all calls of a team with an empty body shared one, and a quarantine of one call refused the others. After: the new test only_the_crashing_call_is_quarantined passes; without the operation in the fingerprint its second call is refused as well.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -69,9 +69,17 @@
 
 impl Attempts {
     /// Creates the attempts of a request; refuses one that has crashed servers before.
-    pub fn new(context: RequestContext, target: Target, body: &[u8]) -> Result<Self, Refusal> {
+    ///
+    /// `operation` tells calls of one service apart that have equal bodies.
+    pub fn new(
+        context: RequestContext,
+        target: Target,
+        operation: &str,
+        body: &[u8],
+    ) -> Result<Self, Refusal> {
         let team = context.team().name.as_bytes();
-        let fingerprint = fingerprint(&[team, target.service.as_bytes(), body]);
+        let fingerprint =
+            fingerprint(&[team, target.service.as_bytes(), operation.as_bytes(), body]);
         let attempts = Self {
             suspect: false,
             settled: false,
--- a/crates/wagtailarch-entry/src/capacity.rs
+++ b/crates/wagtailarch-entry/src/capacity.rs
@@ -9,13 +9,17 @@
 use indexmap::IndexMap;
 use wagtailarch_fleet::Fleet;
 use wagtailarch_traffic::{BackendView, GroupCapacity};
-use wagtailarch_types::GroupName;
+use wagtailarch_types::{GroupName, Role};
 
 /// Part of the highest rate that is kept at each update without a higher one.
 ///
 /// At one update a second the memory of a rate halves in about 12 minutes.
 const RATE_KEPT: f64 = 0.999;
 
+/// Part of its prefill rate that a decode engine gives to prompts, which it takes in small pieces
+/// between the steps of its running requests.
+const DECODE_PREFILL_PART: f64 = 0.25;
+
 /// Estimates the capacity of groups.
 #[derive(Debug, Default)]
 pub struct CapacityEstimate {
@@ -42,10 +46,10 @@
             capacities.push(GroupCapacity {
                 group: group.name.clone(),
                 backends: total.backends,
-                slots: total.backends.saturating_mul(group.max_running),
+                slots: total.generating.saturating_mul(group.max_running),
                 running: total.running,
                 queued_tokens: total.queued_tokens,
-                prefill_tokens_per_s: *rate * f64::from(total.backends),
+                prefill_tokens_per_s: *rate * total.prefill_engines,
                 token_interval: total.token_interval(),
             });
         }
@@ -57,6 +61,10 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Totals {
     backends: u32,
+    /// Backend servers that generate tokens or are plain services.
+    generating: u32,
+    /// Engines by the part of their prefill rate that they give to prompts.
+    prefill_engines: f64,
     running: u32,
     queued_tokens: u64,
     decode_tokens_per_s: f64,
@@ -67,6 +75,12 @@
 impl Totals {
     fn add(&mut self, view: &BackendView) {
         self.backends += 1;
+        let role = view.assignment.as_ref().map(|assignment| assignment.role);
+        self.generating += u32::from(role != Some(Role::Prefill));
+        self.prefill_engines += match role {
+            Some(Role::Decode) => DECODE_PREFILL_PART,
+            Some(Role::Prefill | Role::Mixed) | None => 1.0,
+        };
         let Some(report) = view.report else { return };
         self.running = self.running.saturating_add(report.running);
         self.queued_tokens = self.queued_tokens.saturating_add(report.queued_tokens);
--- a/crates/wagtailarch-entry/src/chat/handler.rs
+++ b/crates/wagtailarch-entry/src/chat/handler.rs
@@ -99,7 +99,7 @@
         resumable: true,
     };
     let group = group.clone();
-    let attempts = Attempts::new(context, target, &held.bytes)?;
+    let attempts = Attempts::new(context, target, "generation", &held.bytes)?;
     let admitted = attempts.admit(estimate_tokens(&call.prompt), call.max_tokens)?;
     Ok(Job {
         attempts,
--- a/crates/wagtailarch-entry/src/proxy.rs
+++ b/crates/wagtailarch-entry/src/proxy.rs
@@ -43,7 +43,10 @@
     };
     let key = idempotency_key(&parts.headers)?;
     let held = context.shared.bodies.read(body).await?;
-    let attempts = Attempts::new(context.clone(), target.clone(), &held.bytes)?;
+    // The scheme and host of HTTP/2 are left out, so that both protocols give one fingerprint.
+    let target_path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let operation = format!("{} {target_path}", parts.method);
+    let attempts = Attempts::new(context.clone(), target.clone(), &operation, &held.bytes)?;
     let admitted = attempts.admit(0, 0)?;
     let call = Call {
         attempts,
--- a/crates/wagtailarch-entry/tests/services.rs
+++ b/crates/wagtailarch-entry/tests/services.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 use wagtailarch_entry::Instance;
 use wagtailarch_platform::{FakeFaults, FakePlatform};
-use wagtailarch_types::{RefusalReason, RetryReason};
+use wagtailarch_types::{RefusalReason, RetryReason, fingerprint};
 
 /// What a fake service does with one call; without one it answers 201.
 #[derive(Debug, Clone, Copy)]
@@ -231,3 +231,17 @@
         assert_eq!(*count, 1, "{key}");
     }
 }
+
+/// Guards against calls that are refused because another call with an equal body crashed servers.
+#[tokio::test]
+async fn only_the_crashing_call_is_quarantined() {
+    let (_service, _platform, instance) = fixture().await;
+    let shared = instance.shared();
+    let fingerprint = fingerprint(&[b"counter-east", b"lids", b"POST /lids/quotes?id=1", b"same"]);
+    for server in ["one", "two"] {
+        let (now, server) = (shared.now(), server.into());
+        shared.quarantine.on_crash(now, &server, &[fingerprint]);
+    }
+    assert_eq!(call(&instance, "/lids/quotes?id=1", "same").await.0, 422);
+    assert_eq!(call(&instance, "/lids/quotes?id=2", "same").await.0, 201);
+}
