Count configuration chunks of peers that are dropped

Cause: an instance that asks peers for the configuration must be able to drop a wrong or oversized chunk and count it, and no counter exists for that.

Change: the counter dropped_config_total with the closed set of causes unexpected, malformed, oversized and wrong_hash. Nothing counts yet.

--- a/crates/wagtailarch-entry/src/metrics.rs
+++ b/crates/wagtailarch-entry/src/metrics.rs
@@ -31,6 +31,9 @@
 /// Kinds of hints that the control thread may miss.
 pub const HINTS: [&str; 2] = ["sign", "strikes"];
 
+/// Why a part of a configuration or list of a peer was dropped.
+pub const CONFIG_DROP_CAUSES: [&str; 4] = ["unexpected", "malformed", "oversized", "wrong_hash"];
+
 /// Metrics of an instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -40,6 +43,7 @@
     dropped_frames: Counters,
     connections: Counters,
     dropped_hints: Counters,
+    dropped_config: Counters,
     /// Requests received.
     pub requests: Counter,
     /// Requests answered completely.
@@ -111,12 +115,20 @@
             "kind",
             &HINTS,
         );
+        let dropped_config = closed(
+            &mut registry,
+            "dropped_config",
+            "Parts of a configuration or list of a peer that were dropped",
+            "cause",
+            &CONFIG_DROP_CAUSES,
+        );
         let metrics = Self {
             refusals,
             retries,
             dropped_frames,
             connections,
             dropped_hints,
+            dropped_config,
             requests: Counter::default(),
             completed: Counter::default(),
             client_gone: Counter::default(),
@@ -206,6 +218,16 @@
         self.dropped_hints.get_or_create(&[("kind", kind)]).inc();
     }
 
+    /// Counts a dropped part of a configuration; `cause` is one of [`CONFIG_DROP_CAUSES`].
+    pub fn dropped_config(&self, cause: &'static str) {
+        self.dropped_config.get_or_create(&[("cause", cause)]).inc();
+    }
+
+    /// Returns how many parts of a configuration were dropped for `cause`.
+    pub fn dropped_configs(&self, cause: &'static str) -> u64 {
+        self.dropped_config.get_or_create(&[("cause", cause)]).get()
+    }
+
     /// Returns how many requests were refused for `reason`.
     pub fn refusals(&self, reason: RefusalReason) -> u64 {
         self.refusals
