Name peers in the settings that are known without the platform

Cause: an instance learns of its peers from the platform's list, so that one which starts during an outage knows none.

Change: [[peers.seed]] with instance, zone and address. tests/peers.rs builds PeerKeys by hand and names the new field.

--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -42,7 +42,7 @@
     KeyError, PeerAddress, PeerError, PeerEvent, PeerIdentity, Peers, TlsError, create_authority,
     create_instance,
 };
-pub use settings::{AdminKey, ClientTls, Limits, PeerKeys, Settings, Timeouts};
+pub use settings::{AdminKey, ClientTls, Limits, PeerKeys, PeerSeed, Settings, Timeouts};
 pub use settings_check::{Finding, parse_settings};
 pub use shared::{Shared, Stage};
 pub use snapshot::Snapshot;
--- a/crates/wagtailarch-entry/src/peers/transport.rs
+++ b/crates/wagtailarch-entry/src/peers/transport.rs
@@ -24,7 +24,7 @@
     connection::{MESSAGE_TIMEOUT, MessageError, receive, receive_hello, send},
     identity::{PeerIdentity, Tls, TlsError},
 };
-use crate::settings::PeerKeys;
+use crate::settings::{PeerKeys, PeerSeed};
 
 /// Messages that may wait for one peer; further ones are dropped.
 const PEER_QUEUE: usize = 64;
@@ -71,6 +71,19 @@
     pub address: SocketAddr,
 }
 
+impl From<&PeerSeed> for PeerAddress {
+    fn from(seed: &PeerSeed) -> Self {
+        let identity = PeerIdentity {
+            instance: seed.instance.clone(),
+            zone: seed.zone.clone(),
+        };
+        Self {
+            identity,
+            address: seed.address,
+        }
+    }
+}
+
 /// What happened at the transport.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PeerEvent {
--- a/crates/wagtailarch-entry/src/settings.rs
+++ b/crates/wagtailarch-entry/src/settings.rs
@@ -170,6 +170,21 @@
     pub cert_file: PathBuf,
     /// Private key of this instance.
     pub key_file: PathBuf,
+    /// Instances to ask for the configuration while the platform has given no list.
+    #[serde(default, rename = "seed")]
+    pub seeds: Vec<PeerSeed>,
+}
+
+/// An instance that is known without the platform.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerSeed {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Availability zone of the instance.
+    pub zone: ZoneName,
+    /// Its address for other instances.
+    pub address: SocketAddr,
 }
 
 /// A key of the administration API.
--- a/crates/wagtailarch-entry/src/settings_check.rs
+++ b/crates/wagtailarch-entry/src/settings_check.rs
@@ -169,10 +169,17 @@
     required("key_file", Shape::Text),
 ];
 
-const PEERS: [Key; 3] = [
+const PEERS: [Key; 4] = [
     required("ca_file", Shape::Text),
     required("cert_file", Shape::Text),
     required("key_file", Shape::Text),
+    optional("seed", Shape::Tables(&SEED)),
+];
+
+const SEED: [Key; 3] = [
+    required("instance", Shape::Text),
+    required("zone", Shape::Text),
+    required("address", Shape::Address),
 ];
 
 const ADMIN_KEY: [Key; 2] = [
--- a/crates/wagtailarch-entry/tests/peers.rs
+++ b/crates/wagtailarch-entry/tests/peers.rs
@@ -30,6 +30,7 @@
             ca_file: keys.join("ca.pem"),
             cert_file: keys.join(format!("{files}.pem")),
             key_file: keys.join(format!("{files}.key")),
+            seeds: Vec::new(),
         };
         let hello = Hello {
             instance: name.into(),
@@ -137,6 +138,7 @@
         ca_file: keys.path().join("ca.pem"),
         cert_file: keys.path().join("e2.pem"),
         key_file: keys.path().join("e2.key"),
+        seeds: Vec::new(),
     };
     assert!(Peers::start(ANY.parse().unwrap(), &files, hello, discard()).is_err());
 }
