Take configuration and list from peers while the platform does not answer

Cause: a replaced instance has no disk and could not serve during an outage of the platform, although its peers have the configuration.

Ruled out: noting a peer's manifest in the store before its parts are there. A wrong manifest with a high generation would hide that of the platform. Parts are checked and staged first, then offered to the store. Ruled out: taking a peer's list as the platform's. The ledger would hold senders for gone that it lacks.

Change: Exchange answers FetchConfig from the store's cache and the last list; PeerConfig asks seeds and listed peers, takes the highest generation that is complete and publishes it on the path of the platform's configuration. Backends::on_peer_list uses a list with time and revision 0, so that it ends no sign of leaving and any list of the platform replaces it.

--- a/crates/wagtailarch-entry/src/control/backends.rs
+++ b/crates/wagtailarch-entry/src/control/backends.rs
@@ -27,6 +27,8 @@
     engines: IndexMap<InstanceId, Engine>,
     /// Whether the platform's list was read.
     listed: bool,
+    /// Whether a peer's list was taken.
+    peer_listed: bool,
 }
 
 /// A listed engine.
@@ -54,16 +56,28 @@
             entries: Vec::new(),
             engines: IndexMap::new(),
             listed: false,
+            peer_listed: false,
         }
     }
 
     /// Takes the platform's list that was asked for at a time; returns the servers that it shows
     /// as leaving for the first time.
-    pub(super) fn on_list(
-        &mut self,
-        asked_at: Duration,
-        mut list: InstanceList,
-    ) -> Vec<InstanceId> {
+    pub(super) fn on_list(&mut self, asked_at: Duration, list: InstanceList) -> Vec<InstanceId> {
+        self.listed = true;
+        self.take_list(asked_at, list)
+    }
+
+    /// Takes a peer's list; used only while the platform has given none.
+    ///
+    /// Its time is the start of the process, so that it outdates no sign, and its revision 0, so
+    /// that any list of the platform replaces it.
+    pub(super) fn on_peer_list(&mut self, mut list: InstanceList) {
+        self.peer_listed = true;
+        list.revision = 0;
+        self.take_list(Duration::ZERO, list);
+    }
+
+    fn take_list(&mut self, asked_at: Duration, mut list: InstanceList) -> Vec<InstanceId> {
         list.items.truncate(self.shared.settings.limits.backends);
         let leaving = self.membership.on_list(asked_at, &list);
         self.engines.clear();
@@ -85,7 +99,6 @@
         self.reports.retain(|id, _| engines.contains_key(id));
         let live = self.live_entries().count();
         self.shared.set_instances(live as u32);
-        self.listed = true;
         self.publish();
         leaving
     }
@@ -142,7 +155,7 @@
 
     /// Notes that every listed engine was asked for its report.
     pub(super) fn on_all_asked(&self) {
-        if self.listed {
+        if self.listed || self.peer_listed {
             self.shared.set_backends_known();
         }
     }
--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -8,11 +8,13 @@
     time::{MissedTickBehavior, interval},
 };
 use wagtailarch_types::InstanceId;
+use wagtailarch_wire::platform::InstanceList;
 
 use super::{
     backends::Backends,
     calls::{Calls, Done},
-    configuration::follow_configuration,
+    configuration::{Found, follow_configuration},
+    exchange::{Exchange, ListSource},
     gossip::PeerPort,
     thread::ControlInputs,
     zone::Zone,
@@ -37,6 +39,7 @@
     backends: Backends,
     zone: Zone,
     peers: Option<PeerPort>,
+    exchange: Arc<Exchange>,
     /// Whether a list is being read.
     listing: bool,
     /// Engines whose report is being read.
@@ -48,19 +51,23 @@
 pub(super) async fn run(shared: Arc<Shared>, inputs: ControlInputs) {
     let (calls, mut results) = Calls::new(Arc::clone(&shared), Arc::clone(&inputs.platform));
     let mut events = inputs.events;
+    let exchange = Exchange::new(Arc::clone(&inputs.platform), &shared.settings.instance);
+    let exchange = Arc::new(exchange);
+    let mut findings = follow_configuration(&shared, inputs.platform, &exchange);
     let (peers, mut peer_events) = match inputs.peers {
         Some((peers, events)) => {
-            let port = PeerPort::new(Arc::clone(&shared), peers);
+            let exchange = Arc::clone(&exchange);
+            let port = PeerPort::new(Arc::clone(&shared), peers, exchange, &findings);
             (Some(port), Some(events))
         }
         None => (None, None),
     };
-    let mut configurations = follow_configuration(&shared, inputs.platform);
     let mut driver = Driver {
         backends: Backends::new(Arc::clone(&shared)),
         zone: Zone::new(Arc::clone(&shared)),
         calls,
         peers,
+        exchange,
         listing: false,
         asking: IndexSet::new(),
         status_at: Duration::ZERO,
@@ -80,7 +87,7 @@
             _ = report.tick() => driver.ask_reports(),
             Some(done) = results.recv() => driver.on_done(done),
             Some(event) = events.recv() => driver.on_event(event),
-            Some(snapshot) = configurations.recv() => driver.on_configuration(snapshot),
+            Some(found) = findings.receiver.recv() => driver.on_found(found),
             Some(event) = next(&mut peer_events) => driver.on_peer_event(event),
         }
     }
@@ -186,6 +193,7 @@
                 self.listing = false;
                 let Some(list) = list else { return };
                 let first = !self.backends.is_listed();
+                self.exchange.set_list(ListSource::Platform, &list);
                 for server in self.backends.on_list(asked_at, list) {
                     self.flood_leaving(&server);
                 }
@@ -255,6 +263,28 @@
         }
     }
 
+    fn on_found(&mut self, found: Found) {
+        match found {
+            Found::Configuration(snapshot) => self.on_configuration(snapshot),
+            Found::List(list) => self.on_peer_list(list),
+        }
+    }
+
+    /// Takes a peer's list while the platform has given none.
+    ///
+    /// Orders, the lease and the zone's status never learn of it.
+    fn on_peer_list(&mut self, list: InstanceList) {
+        if self.backends.is_listed() {
+            return;
+        }
+        self.exchange.set_list(ListSource::Peer, &list);
+        self.backends.on_peer_list(list);
+        if let Some(peers) = &mut self.peers {
+            peers.contact(&self.backends);
+        }
+        self.ask_reports();
+    }
+
     fn on_configuration(&mut self, snapshot: Snapshot) {
         let generation = snapshot.generation;
         if self.shared.publish_configuration(snapshot)
--- a/crates/wagtailarch-entry/src/control/gossip.rs
+++ b/crates/wagtailarch-entry/src/control/gossip.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
+use tokio::sync::{mpsc, watch};
 use wagtailarch_control::{EngineNews, Gossip, GossipConfig, GossipEvent};
 use wagtailarch_traffic::{StrikeEvent, StrikeKind};
 use wagtailarch_types::{Generation, InstanceId, rendezvous_weight};
@@ -13,6 +14,9 @@
 
 use super::{
     backends::{Backends, Known},
+    configuration::Findings,
+    exchange::Exchange,
+    peer_config::{ANSWERS, PeerAnswer, PeerConfig, PeerConfigInputs},
     remote_usage::RemoteUsage,
     zone::Zone,
 };
@@ -44,6 +48,11 @@
     peers: Peers,
     gossip: Gossip,
     usage: RemoteUsage,
+    exchange: Arc<Exchange>,
+    /// Answers for the task that asks peers for the configuration.
+    answers: mpsc::Sender<PeerAnswer>,
+    /// Entry instances of the last list without this one.
+    listed: watch::Sender<Vec<PeerAddress>>,
     round_at: Duration,
     remote_at: Duration,
     /// Peers of the zone that a connection was opened to, so that a flood waits for no handshake.
@@ -53,7 +62,26 @@
 }
 
 impl PeerPort {
-    pub(super) fn new(shared: Arc<Shared>, peers: Peers) -> Self {
+    /// Creates the state and starts to ask peers whenever the platform does not answer.
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        peers: Peers,
+        exchange: Arc<Exchange>,
+        findings: &Findings,
+    ) -> Self {
+        let (answers, receiver) = mpsc::channel(ANSWERS);
+        let (listed, listed_receiver) = watch::channel(Vec::new());
+        if shared.settings.fleet_file.is_none() {
+            let inputs = PeerConfigInputs {
+                peers: peers.clone(),
+                answers: receiver,
+                listed: listed_receiver,
+                platform: findings.platform.clone(),
+                found: findings.sender.clone(),
+            };
+            let task = PeerConfig::new(Arc::clone(&shared), Arc::clone(&exchange), inputs);
+            tokio::spawn(task.run());
+        }
         let settings = &shared.settings;
         let gossip = Gossip::new(GossipConfig {
             instance: settings.instance.clone(),
@@ -69,6 +97,9 @@
             peers,
             gossip,
             usage: RemoteUsage::default(),
+            exchange,
+            answers,
+            listed,
             round_at: Duration::ZERO,
             remote_at: Duration::ZERO,
             contacted: IndexSet::new(),
@@ -119,6 +150,13 @@
     /// Opens connections to peers of the zone that are new in the list.
     pub(super) fn contact(&mut self, backends: &Backends) {
         let peers = self.own_zone(backends);
+        let mut all = self.other_zones(backends);
+        all.extend_from_slice(&peers);
+        self.listed.send_if_modified(|last| {
+            let is_new = *last != all;
+            *last = all;
+            is_new
+        });
         let listed = |id: &InstanceId| peers.iter().any(|peer| peer.identity.instance == *id);
         self.contacted.retain(listed);
         for peer in &peers {
@@ -240,6 +278,8 @@
             PeerEvent::Message(from, message) => self.on_message(backends, zone, &from, message),
             PeerEvent::Unreachable(peer) => {
                 self.contacted.swap_remove(&peer.instance);
+                // With a full queue the peer's silence has the same effect later.
+                let _ = self.answers.try_send(PeerAnswer::Gone(peer.instance));
             }
         }
     }
@@ -272,12 +312,20 @@
                     }
                 }
             }
+            PeerMessage::FetchConfig(fetch) => {
+                let chunk = self.exchange.answer(fetch);
+                self.peers.reply(from, PeerMessage::Config(chunk));
+            }
+            PeerMessage::Config(chunk) => {
+                let answer = PeerAnswer::Chunk(from.clone(), chunk);
+                if self.answers.try_send(answer).is_err() {
+                    self.shared.metrics.dropped_config("unexpected");
+                }
+            }
             PeerMessage::Hello(_)
             | PeerMessage::Digest(_)
             | PeerMessage::Delta(_)
-            | PeerMessage::Remote(_)
-            | PeerMessage::FetchConfig(_)
-            | PeerMessage::Config(_) => {}
+            | PeerMessage::Remote(_) => {}
         }
     }
 
@@ -343,8 +391,12 @@
                 };
                 quarantine.apply_remote(now, event);
             }
-            // The watch of the manifest brings the configuration.
-            UrgentBody::NewGeneration { .. } => {}
+            // The watch of the manifest brings the configuration; peers do without the platform.
+            UrgentBody::NewGeneration { generation } => {
+                if *generation > self.exchange.generation() {
+                    self.exchange.newer.notify_one();
+                }
+            }
         }
     }
 
--- a/crates/wagtailarch-entry/src/control/mod.rs
+++ b/crates/wagtailarch-entry/src/control/mod.rs
@@ -2,10 +2,13 @@
 
 mod backends;
 mod calls;
+mod chunk_fetch;
 mod configuration;
 mod driver;
+mod exchange;
 mod gossip;
 mod order_call;
+mod peer_config;
 mod remote_usage;
 mod thread;
 mod zone;
