--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -32,6 +32,10 @@
 /// Interval of writing the zone's status; readers take it for stale after 15 s.
 const STATUS_EVERY: Duration = Duration::from_secs(4);
 
+/// Interval of the steps that remove old claims and configuration parts without references. A
+/// step lists 16 parts, 960 an hour, and 4,900 changes a day leave 408 an hour.
+const COLLECT_EVERY: Duration = Duration::from_secs(60);
+
 /// State of the control thread.
 pub(super) struct Driver {
     shared: Arc<Shared>,
@@ -45,6 +49,7 @@
     /// Engines whose report is being read.
     asking: IndexSet<InstanceId>,
     status_at: Duration,
+    collected_at: Duration,
 }
 
 /// Runs the control thread until it is dropped.
@@ -71,6 +76,7 @@
         listing: false,
         asking: IndexSet::new(),
         status_at: Duration::ZERO,
+        collected_at: Duration::ZERO,
         shared,
     };
     let timeouts = driver.shared.settings.timeouts;
@@ -138,6 +144,10 @@
             self.status_at = now;
             self.calls.status(&record);
         }
+        if now >= self.collected_at + COLLECT_EVERY && self.zone.collects() {
+            self.collected_at = now;
+            self.calls.collect();
+        }
         self.backends.publish();
     }
 
