Keep claim log entries within the size of an object

Cause: a batch took up to 32 outcomes of 16 KB each, and JSON writes a byte as up to four characters. Such an entry was refused as too large, the same batch was tried again for ever, and its partition granted nothing until its view was 12 h old. Ruled out: base64 bodies alone, since 32 of 16 KB beside 1,024 claims would leave little room; that is for later. Change: a batch takes bodies of at most 192 KiB in sum.

--- a/crates/wagtailarch-traffic/src/claim_log.rs
+++ b/crates/wagtailarch-traffic/src/claim_log.rs
@@ -29,8 +29,13 @@
 const MAX_OUTCOMES: usize = 1_024;
 /// Greatest number of claims in a batch.
 const MAX_BATCH_CLAIMS: usize = 1_024;
-/// Greatest number of outcomes in a batch: 32 bodies of 16 KB stay below 1 MB.
+/// Greatest number of outcomes in a batch.
 const MAX_BATCH_OUTCOMES: usize = 32;
+/// Greatest size in bytes of all bodies in a batch.
+///
+/// JSON writes a byte of a body as up to four characters, and an object holds 1 MB. A batch that
+/// is larger could never be written and would block its partition.
+const MAX_BATCH_BODY_BYTES: usize = 192 * 1024;
 /// Greatest number of keys in memory; beyond it claims are refused.
 const MAX_KEYS: usize = 1 << 18;
 /// Greatest size in bytes of all outcome bodies in memory; beyond it outcomes are unknown.
@@ -429,8 +434,15 @@
                 instance: self.instance.clone(),
             });
         }
-        let count = self.outcomes.len().min(MAX_BATCH_OUTCOMES);
-        for (key, outcome) in self.outcomes.drain(..count) {
+        let mut body_bytes = 0;
+        for _ in 0..MAX_BATCH_OUTCOMES {
+            let fits = |(_, outcome): &mut (ClaimKey, ClaimOutcome)| {
+                body_bytes += outcome.body.len();
+                body_bytes <= MAX_BATCH_BODY_BYTES
+            };
+            let Some((key, outcome)) = self.outcomes.pop_front_if(fits) else {
+                break;
+            };
             records.push(ClaimRecord::Outcome { key, outcome });
         }
         ClaimBatch {
