Add a stand-in link that can be cut, and test fleets that use it

Nothing in the repository separates instances from the platform or from each other: the stand-in platform has an outage for everyone only. A link forwards TCP connections and UDP datagrams; a cut holds for all senders or for those named, so that instances of one zone still reach each other. A connection begun during a cut carries nothing and is closed when the link heals; data of older connections arrives then, as by retransmission.

--- a/crates/wagtailarch-e2e/src/fleet.rs
+++ b/crates/wagtailarch-e2e/src/fleet.rs
@@ -12,8 +12,8 @@
 
 use crate::config::{key_hash, write_keys};
 use crate::{
-    ConfigSource, ENGINE_GROUP, FleetOptions, HarnessError, KEY, MODEL, Ports, SERVICE_GROUP,
-    ServerProcess, call,
+    ConfigSource, ENGINE_GROUP, FleetOptions, HarnessError, KEY, Links, MODEL, Ports,
+    SERVICE_GROUP, ServerProcess, call,
 };
 
 /// Time for a condition that takes a few seconds at most on a free machine.
@@ -70,6 +70,8 @@
     pub platform: SocketAddr,
     /// Address of the balancer.
     pub balancer: SocketAddr,
+    /// Links of entry instances, if the options ask for them.
+    pub links: Option<Links>,
     pub(crate) options: FleetOptions,
     // Dropped after the processes above.
     _balancer: Option<ServerProcess>,
@@ -89,6 +91,7 @@
             services: Vec::new(),
             platform,
             balancer: platform,
+            links: None,
             options,
             _balancer: None,
             _platform: platform_process,
@@ -181,17 +184,31 @@
             .collect();
         write_keys(self.dir.path(), &names)?;
         let ports = Ports::new(self.options.ports.clone());
-        for (id, zone) in names {
-            let [client, admin, peer] = [ports.take()?, ports.take()?, ports.take()?];
+        let mut addresses = Vec::new();
+        for _ in &names {
+            addresses.push([ports.take()?, ports.take()?, ports.take()?]);
+        }
+        if self.options.links {
+            let peers = addresses.iter().map(|[_, _, peer]| *peer);
+            let peers: Vec<_> = peers.collect();
+            self.links = Some(Links::start(self.dir.path(), self.platform, &peers).await?);
+        }
+        for (number, (id, zone)) in names.into_iter().enumerate() {
+            let [client, admin, peer] = addresses[number];
+            let (platform, listed_peer) = match &self.links {
+                Some(links) => (links.platform(number), links.peer(number)),
+                None => (self.platform, peer),
+            };
             let settings = self.dir.path().join(format!("{id}.toml"));
-            std::fs::write(&settings, self.settings(&id, &zone, [client, admin, peer]))?;
+            let text = self.settings(&id, &zone, [client, admin, peer], platform);
+            std::fs::write(&settings, text)?;
             let item = ListedInstance {
                 id: id.as_str().into(),
                 kind: InstanceKind::Entry,
                 group: None,
                 zone: zone.as_str().into(),
                 address: client.to_string().into(),
-                peer_address: Some(peer.to_string().into()),
+                peer_address: Some(listed_peer.to_string().into()),
                 state: ListedState::Live,
             };
             self.control("instances", &item).await?;
@@ -214,7 +231,13 @@
     }
 
     /// Formats the settings of an entry instance with its client, admin and peer address.
-    fn settings(&self, id: &str, zone: &str, addresses: [SocketAddr; 3]) -> String {
+    fn settings(
+        &self,
+        id: &str,
+        zone: &str,
+        addresses: [SocketAddr; 3],
+        platform: SocketAddr,
+    ) -> String {
         let [client, admin, peer] = addresses;
         let dir = self.dir.path().display();
         let file = match self.options.source {
@@ -224,12 +247,11 @@
         format!(
             "instance = \"{id}\"\nzone = \"{zone}\"\nclient_address = \"{client}\"\n\
              admin_address = \"{admin}\"\npeer_address = \"{peer}\"\n\
-             platform_address = \"{}\"\ntraffic_threads = {}\n{file}\
+             platform_address = \"{platform}\"\ntraffic_threads = {}\n{file}\
              [timeouts]\ndrain_delay_ms = 1000\n\
              [peers]\nca_file = \"{dir}/ca.pem\"\ncert_file = \"{dir}/{id}.pem\"\n\
              key_file = \"{dir}/{id}.key\"\n\
              [[admin_key]]\nname = \"tests\"\nkey_hash = \"{}\"\n",
-            self.platform,
             self.options.traffic_threads,
             key_hash(KEY)
         )
@@ -412,7 +434,7 @@
     ServerProcess::start(dir, id, "wagtail-entry", &args)
 }
 
-async fn start_standin(
+pub(crate) async fn start_standin(
     dir: &Path,
     name: &str,
     program: &str,
--- a/crates/wagtailarch-e2e/src/options.rs
+++ b/crates/wagtailarch-e2e/src/options.rs
@@ -23,6 +23,8 @@
     pub traffic_threads: usize,
     /// Where entry instances take the configuration from.
     pub source: ConfigSource,
+    /// Whether entry instances reach the platform and each other through links that can be cut.
+    pub links: bool,
 }
 
 /// Where entry instances take the configuration from.
@@ -51,6 +53,7 @@
             ports: Ports::TESTS,
             traffic_threads: 2,
             source: ConfigSource::Platform,
+            links: false,
         }
     }
 }
--- /dev/null
+++ b/crates/wagtailarch-standin/src/bin/standin-link.rs
@@ -0,0 +1,28 @@
+//! Stand-in of a network link that can be cut; not for production.
+
+use std::process::ExitCode;
+
+use wagtailarch_standin::link::{LINK_HELP, LinkSettings, run_links};
+use wagtailarch_standin::log::start_logger;
+use wagtailarch_standin::serve::{ServeError, finish_args, handle_info};
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin-link: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> Result<(), ServeError> {
+    let mut args = pico_args::Arguments::from_env();
+    if handle_info(&mut args, "standin-link", LINK_HELP) {
+        return Ok(());
+    }
+    let settings = LinkSettings::from_args(&mut args)?;
+    finish_args(args)?;
+    run_links(settings, start_logger("standin-link")).await
+}
--- /dev/null
+++ b/crates/wagtailarch-standin/src/link/server.rs
@@ -0,0 +1,114 @@
+//! The links and their control API.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use slog::{Logger, info};
+use smol_str::SmolStr;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinSet;
+
+use super::settings::LinkSettings;
+use super::state::{Cut, Delay, Heal, Link, LinkCounters};
+use super::tcp::forward_tcp;
+use super::udp::forward_udp;
+use crate::serve::{
+    Body, ServeError, answer, json_answer, listen, read_json, serve_http, stop_signal,
+};
+
+/// Any port of loopback.
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Runs the links until SIGTERM.
+pub async fn run_links(settings: LinkSettings, logger: Logger) -> Result<(), ServeError> {
+    let mut tasks = JoinSet::new();
+    let links = start_links(&settings, &mut tasks).await;
+    let links = Arc::new(links.map_err(|error| ServeError::Listen(0, error))?);
+    let listener = listen(settings.port).await?;
+    let log = logger.clone();
+    let server = serve_http(listener, move |request| {
+        let (links, log) = (Arc::clone(&links), log.clone());
+        async move { Ok::<_, io::Error>(control(&links, &log, request).await) }
+    });
+    tokio::select! {
+        () = server => {}
+        () = stop_signal(&logger) => {}
+    }
+    Ok(())
+}
+
+async fn start_links(
+    settings: &LinkSettings,
+    tasks: &mut JoinSet<()>,
+) -> io::Result<Vec<Arc<Link>>> {
+    let mut links = Vec::new();
+    for route in &settings.tcp {
+        let listener = TcpListener::bind(ANY).await?;
+        let address = listener.local_addr()?;
+        let link = Arc::new(Link::new(route.name.clone(), address, route.target));
+        tasks.spawn(forward_tcp(listener, Arc::clone(&link)));
+        links.push(link);
+    }
+    for route in &settings.udp {
+        let socket = UdpSocket::bind(ANY).await?;
+        let address = socket.local_addr()?;
+        let link = Arc::new(Link::new(route.name.clone(), address, route.target));
+        tasks.spawn(forward_udp(socket, Arc::clone(&link)));
+        links.push(link);
+    }
+    Ok(links)
+}
+
+async fn control(links: &[Arc<Link>], log: &Logger, request: Request<Incoming>) -> Response<Body> {
+    let (method, path) = (request.method().clone(), request.uri().path().to_owned());
+    match (method, path.as_str()) {
+        (Method::POST, "/standin/v1/cut") => match read_json::<Cut>(request).await {
+            Ok(cut) => {
+                info!(log, "cut"; "links" => ?cut.links, "from" => ?cut.from);
+                for_each(links, &cut.links, |link| link.cut(&cut))
+            }
+            Err(refused) => refused,
+        },
+        (Method::POST, "/standin/v1/heal") => match read_json::<Heal>(request).await {
+            Ok(heal) => {
+                info!(log, "heal"; "links" => ?heal.links);
+                for_each(links, &heal.links, Link::heal)
+            }
+            Err(refused) => refused,
+        },
+        (Method::POST, "/standin/v1/delay") => match read_json::<Delay>(request).await {
+            Ok(delay) => {
+                info!(log, "delay"; "links" => ?delay.links, "ms" => delay.ms);
+                let time = Duration::from_millis(delay.ms);
+                for_each(links, &delay.links, |link| link.set_delay(time))
+            }
+            Err(refused) => refused,
+        },
+        (Method::GET, "/standin/v1/counters") => {
+            let counters: Vec<LinkCounters> = links.iter().map(|link| link.counters()).collect();
+            json_answer(StatusCode::OK, &counters)
+        }
+        _ => answer(StatusCode::NOT_FOUND, "no such call"),
+    }
+}
+
+/// Applies a change to the named links, or to all if there are no names; an unknown name changes
+/// none.
+fn for_each(links: &[Arc<Link>], names: &[SmolStr], change: impl Fn(&Link)) -> Response<Body> {
+    for name in names {
+        if !links.iter().any(|link| link.name == *name) {
+            let text = format!("link {name:?} does not exist");
+            return answer(StatusCode::NOT_FOUND, text);
+        }
+    }
+    for link in links {
+        if names.is_empty() || names.contains(&link.name) {
+            change(link);
+        }
+    }
+    answer(StatusCode::NO_CONTENT, "")
+}
--- /dev/null
+++ b/crates/wagtailarch-standin/src/link/settings.rs
@@ -0,0 +1,74 @@
+//! Settings of the links.
+
+use std::net::SocketAddr;
+
+use displaydoc::Display;
+use smol_str::SmolStr;
+
+use crate::engine::settings::option;
+use crate::serve::ServeError;
+
+/// Help text of the options.
+pub const LINK_HELP: &str = "\
+OPTIONS:
+  --port <N>               port of the control API on loopback; 0 picks one and prints it [0]
+  --tcp <NAME=TARGET>      link for TCP connections to TARGET (repeatable)
+  --udp <NAME=TARGET>      link for UDP datagrams to TARGET (repeatable)
+
+Each link listens on a loopback port of its own, which the counters name.
+
+CONTROL API:
+  POST /standin/v1/cut     {links, from, refuse}   no data passes; an empty list means all
+  POST /standin/v1/heal    {links}
+  POST /standin/v1/delay   {links, ms}             delays each direction
+  GET  /standin/v1/counters";
+
+/// the link {0:?} is not of the form name=address
+#[derive(Debug, Display)]
+pub struct RouteError(String);
+
+impl std::error::Error for RouteError {}
+
+/// Name and target of a link.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Name in the control API.
+    pub name: SmolStr,
+    /// Address that the link forwards to.
+    pub target: SocketAddr,
+}
+
+impl std::str::FromStr for Route {
+    type Err = RouteError;
+
+    fn from_str(text: &str) -> Result<Self, RouteError> {
+        let failed = || RouteError(text.to_owned());
+        let (name, target) = text.split_once('=').ok_or_else(failed)?;
+        Ok(Self {
+            name: name.into(),
+            target: target.parse().map_err(|_| failed())?,
+        })
+    }
+}
+
+/// Settings of the links.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LinkSettings {
+    /// Port of the control API on loopback; 0 for any.
+    pub port: u16,
+    /// Links for TCP connections.
+    pub tcp: Vec<Route>,
+    /// Links for UDP datagrams.
+    pub udp: Vec<Route>,
+}
+
+impl LinkSettings {
+    /// Reads the settings from options.
+    pub fn from_args(args: &mut pico_args::Arguments) -> Result<Self, ServeError> {
+        Ok(Self {
+            port: option(args, "--port", 0)?,
+            tcp: args.values_from_str("--tcp")?,
+            udp: args.values_from_str("--udp")?,
+        })
+    }
+}
