--- a/crates/wagtailarch-entry/src/control/calls.rs
+++ b/crates/wagtailarch-entry/src/control/calls.rs
@@ -4,9 +4,13 @@
 
 use bytes::Bytes;
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::{sync::mpsc, time::timeout};
+use tokio::{
+    sync::{Mutex, mpsc},
+    time::timeout,
+};
 use wagtailarch_control::{LeaseAction, OrderAction, ReadOutcome, SendOutcome, WriteOutcome};
-use wagtailarch_platform::{Expect, PartCollector, Platform, PlatformError};
+use wagtailarch_platform::{ClaimCollector, Expect, PartCollector, Platform, PlatformError};
+use wagtailarch_traffic::CLAIM_PARTITIONS;
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::{
     engine::{EngineReport, Order},
@@ -27,6 +31,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Result of a call.
+#[derive(Debug)]
 pub(super) enum Done {
     /// The list that was asked for at a time; `None` if the platform did not answer.
     List(Duration, Option<InstanceList>),
@@ -37,8 +42,12 @@
     OrderRead(InstanceId, ReadOutcome<OrderRecord>),
     OrderWritten(InstanceId, WriteOutcome),
     Sent(InstanceId, SendOutcome),
-    /// A step of the collector is over.
-    Collected(Box<PartCollector>),
+}
+
+/// Remove objects that are no longer needed.
+struct Collectors {
+    parts: PartCollector,
+    claims: ClaimCollector,
 }
 
 /// Starts calls on the runtime of the control thread.
@@ -47,6 +56,7 @@
     platform: Arc<dyn Platform>,
     engines: EngineClient,
     done: mpsc::Sender<Done>,
+    collectors: Arc<Mutex<Collectors>>,
 }
 
 impl Calls {
@@ -57,8 +67,13 @@
     ) -> (Self, mpsc::Receiver<Done>) {
         let (done, results) = mpsc::channel(RESULT_QUEUE);
         let engines = EngineClient::new(&shared.settings.timeouts, &shared.settings.limits);
+        let collectors = Collectors {
+            parts: PartCollector::new(Arc::clone(&platform)),
+            claims: ClaimCollector::new(Arc::clone(&platform), CLAIM_PARTITIONS),
+        };
         let calls = Self {
             shared,
+            collectors: Arc::new(Mutex::new(collectors)),
             platform,
             engines,
             done,
@@ -136,20 +151,31 @@
         });
     }
 
-    /// Removes configuration parts that no manifest refers to; a failed step is made up for later.
-    pub(super) fn collect(&self, mut collector: Box<PartCollector>) {
+    /// Lets the collectors make a step, unless one is under way.
+    pub(super) fn collect(&self) {
+        let Ok(mut collectors) = Arc::clone(&self.collectors).try_lock_owned() else {
+            return;
+        };
         let shared = Arc::clone(&self.shared);
-        self.start(async move {
-            match collector.step(shared.now()).await {
-                Ok(parts) if parts.removed > 0 => {
-                    slog::info!(shared.log, "parts_removed"; "count" => parts.removed);
+        tokio::spawn(async move {
+            match collectors.parts.step(shared.now()).await {
+                Ok(step) if step.removed > 0 => {
+                    slog::info!(shared.log, "parts_removed"; "count" => step.removed);
                 }
                 Ok(_) => {}
                 Err(error) => {
                     slog::debug!(shared.log, "parts_not_removed"; "error" => %error);
                 }
             }
-            Done::Collected(collector)
+            match collectors.claims.step(|| shared.now()).await {
+                Ok(step) if step.removed > 0 => {
+                    slog::info!(shared.log, "claims_removed"; "count" => step.removed);
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    slog::debug!(shared.log, "claims_not_removed"; "error" => %error);
+                }
+            }
         });
     }
 
--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -7,13 +7,14 @@
     sync::mpsc,
     time::{MissedTickBehavior, interval},
 };
-use wagtailarch_platform::PartCollector;
 use wagtailarch_types::InstanceId;
+use wagtailarch_wire::platform::InstanceList;
 
 use super::{
     backends::Backends,
     calls::{Calls, Done},
-    configuration::follow_configuration,
+    configuration::{Found, follow_configuration},
+    exchange::{Exchange, ListSource},
     gossip::PeerPort,
     thread::ControlInputs,
     zone::Zone,
@@ -34,9 +35,9 @@
 /// Interval of writing the zone's status; readers take it for stale after 15 s.
 const STATUS_EVERY: Duration = Duration::from_secs(4);
 
-/// Interval of removing a page of old configuration parts. A day leaves 9,800 of them, and a page
-/// of 16 each 5 s passes over 276,000.
-const COLLECT_EVERY: Duration = Duration::from_secs(5);
+/// Interval of the steps that remove old claims and configuration parts without references. A
+/// step lists 16 parts, 960 an hour, and 4,900 changes a day leave 408 an hour.
+const COLLECT_EVERY: Duration = Duration::from_secs(60);
 
 /// State of the control thread.
 pub(super) struct Driver {
@@ -45,14 +46,13 @@
     backends: Backends,
     zone: Zone,
     peers: Option<PeerPort>,
+    exchange: Arc<Exchange>,
     /// Whether a list is being read.
     listing: bool,
     /// Engines whose report is being read.
     asking: IndexSet<InstanceId>,
     status_at: Duration,
     published_at: Duration,
-    /// Collector of old configuration parts; `None` while a step of it runs.
-    collector: Option<Box<PartCollector>>,
     collected_at: Duration,
 }
 
@@ -60,25 +60,27 @@
 pub(super) async fn run(shared: Arc<Shared>, inputs: ControlInputs) {
     let (calls, mut results) = Calls::new(Arc::clone(&shared), Arc::clone(&inputs.platform));
     let mut events = inputs.events;
+    let exchange = Exchange::new(Arc::clone(&inputs.platform), &shared.settings.instance);
+    let exchange = Arc::new(exchange);
+    let mut findings = follow_configuration(&shared, inputs.platform, &exchange);
     let (peers, mut peer_events) = match inputs.peers {
         Some((peers, events)) => {
-            let port = PeerPort::new(Arc::clone(&shared), peers);
+            let exchange = Arc::clone(&exchange);
+            let port = PeerPort::new(Arc::clone(&shared), peers, exchange, &findings);
             (Some(port), Some(events))
         }
         None => (None, None),
     };
-    let collector = Some(Box::new(PartCollector::new(Arc::clone(&inputs.platform))));
-    let mut configurations = follow_configuration(&shared, inputs.platform);
     let mut driver = Driver {
         backends: Backends::new(Arc::clone(&shared)),
         zone: Zone::new(Arc::clone(&shared)),
         calls,
         peers,
+        exchange,
         listing: false,
         asking: IndexSet::new(),
         status_at: Duration::ZERO,
         published_at: Duration::ZERO,
-        collector,
         collected_at: Duration::ZERO,
         shared,
     };
@@ -96,7 +98,7 @@
             _ = report.tick() => driver.ask_reports(),
             Some(done) = results.recv() => driver.on_done(done),
             Some(event) = events.recv() => driver.on_event(event),
-            Some(snapshot) = configurations.recv() => driver.on_configuration(snapshot),
+            Some(found) = findings.receiver.recv() => driver.on_found(found),
             Some(event) = next(&mut peer_events) => driver.on_peer_event(event),
         }
     }
@@ -150,22 +152,9 @@
             self.status_at = now;
             self.calls.status(&record);
         }
-        self.collect(now);
-    }
-
-    /// Lets the lease holder of the fleet's first zone remove old configuration parts.
-    fn collect(&mut self, now: Duration) {
-        let snapshot = self.shared.snapshot.load();
-        let first = snapshot.as_ref().is_some_and(|snapshot| {
-            snapshot.fleet.fleet.zones.first() == Some(&self.shared.settings.zone)
-        });
-        let due = now >= self.collected_at + COLLECT_EVERY;
-        if !first || !due || self.zone.lease.authority(now).is_none() {
-            return;
-        }
-        if let Some(collector) = self.collector.take() {
+        if now >= self.collected_at + COLLECT_EVERY && self.zone.collects() {
             self.collected_at = now;
-            self.calls.collect(collector);
+            self.calls.collect();
         }
     }
 
@@ -221,6 +210,7 @@
                 self.listing = false;
                 let Some(list) = list else { return };
                 let first = !self.backends.is_listed();
+                self.exchange.set_list(ListSource::Platform, &list);
                 for server in self.backends.on_list(asked_at, list) {
                     self.flood_leaving(&server);
                 }
@@ -242,7 +232,6 @@
                     self.backends.on_all_asked();
                 }
             }
-            Done::Collected(collector) => self.collector = Some(collector),
             Done::LeaseRead(outcome) => self.zone.lease.on_read(now, outcome),
             Done::LeaseWritten(outcome) => self.zone.lease.on_write(now, outcome),
             Done::OrderRead(engine, outcome) => self.zone.ledger.on_record(now, &engine, outcome),
@@ -291,6 +280,28 @@
         }
     }
 
+    fn on_found(&mut self, found: Found) {
+        match found {
+            Found::Configuration(snapshot) => self.on_configuration(snapshot),
+            Found::List(list) => self.on_peer_list(list),
+        }
+    }
+
+    /// Takes a peer's list while the platform has given none.
+    ///
+    /// Orders, the lease and the zone's status never learn of it.
+    fn on_peer_list(&mut self, list: InstanceList) {
+        if self.backends.is_listed() {
+            return;
+        }
+        self.exchange.set_list(ListSource::Peer, &list);
+        self.backends.on_peer_list(list);
+        if let Some(peers) = &mut self.peers {
+            peers.contact(&self.backends);
+        }
+        self.ask_reports();
+    }
+
     fn on_configuration(&mut self, snapshot: Snapshot) {
         let generation = snapshot.generation;
         if self.shared.publish_configuration(snapshot)
