Make the test of a chunk at a wrong offset see a missing check

Cause: a trial without the offset check still passed, since the wrong peer's list was counted as malformed too. The peer now has no list, and the trial fails in the case for the offset.

--- a/crates/wagtailarch-entry/tests/bootstrap.rs
+++ b/crates/wagtailarch-entry/tests/bootstrap.rs
@@ -183,13 +183,15 @@
         MANIFEST_KEY => serde_json::to_vec(&manifest).unwrap(),
         _ => vec![7; MAX_CHUNK_BYTES],
     };
-    let total_bytes = match wrong {
-        Wrong::Size => u32::MAX,
-        Wrong::Part | Wrong::Offset => bytes.len() as u32,
+    let total_bytes = match (wrong, fetch.key.as_str()) {
+        // A wrong list would be counted as malformed whatever becomes of the other objects.
+        (_, "instances") => None,
+        (Wrong::Size, _) => Some(u32::MAX),
+        (Wrong::Part | Wrong::Offset, _) => Some(bytes.len() as u32),
     };
     ConfigChunk {
         key: fetch.key,
-        total_bytes: Some(total_bytes),
+        total_bytes,
         offset: match wrong {
             Wrong::Offset => 1,
             Wrong::Part | Wrong::Size => 0,
@@ -198,7 +200,7 @@
     }
 }
 
-/// Starts a peer that answers every question wrongly.
+/// Starts a peer that has no list and answers every other question wrongly.
 fn start_wrong_peer(keys: &Path, wrong: Wrong) -> SocketAddr {
     let hello = Hello {
         instance: "e3".into(),
