Test that an older manifest was read before the newer one is applied

Cause: a trial with falling generations still passed, since the newer configuration was applied before the older manifest had been read. The test now counts watches, which begin after the manifest was passed on, and the trial without both guards (Shared::publish_configuration and ConfigStore::observe) fails; with either one left it passes.

--- a/crates/wagtailarch-entry/tests/bootstrap.rs
+++ b/crates/wagtailarch-entry/tests/bootstrap.rs
@@ -2,8 +2,17 @@
 
 mod common;
 
-use std::{net::SocketAddr, path::Path, sync::Arc};
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
+use bytes::Bytes;
 use common::{FakeEngine, QUICK, chat, client, eventually, listed, platform, read, text};
 use http::StatusCode;
 use rstest::rstest;
@@ -14,12 +23,69 @@
     parse_settings,
 };
 use wagtailarch_fleet::{Fleet, MANIFEST_KEY, Manifest, split};
-use wagtailarch_platform::{ApplyOutcome, ConfigStore, FakePlatform};
-use wagtailarch_types::Generation;
-use wagtailarch_wire::peer::{ConfigChunk, FetchConfig, Hello, MAX_CHUNK_BYTES, PeerMessage};
+use wagtailarch_platform::{
+    ApplyOutcome, ConfigStore, Expect, FakePlatform, ListPage, Platform, PlatformFuture, Versioned,
+};
+use wagtailarch_types::{Generation, ObjectVersion};
+use wagtailarch_wire::{
+    peer::{ConfigChunk, FetchConfig, Hello, MAX_CHUNK_BYTES, PeerMessage},
+    platform::{InstanceList, WatchAnswer},
+};
 
 const ZONE: &str = "buda-a";
 
+/// A platform that counts watches; one begins once the manifest was read and passed on.
+struct Watched {
+    inner: Arc<FakePlatform>,
+    watches: AtomicU64,
+}
+
+impl Platform for Watched {
+    fn get<'a>(&'a self, key: &'a str) -> PlatformFuture<'a, Option<Versioned>> {
+        self.inner.get(key)
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: Bytes,
+        expect: Expect,
+    ) -> PlatformFuture<'a, ObjectVersion> {
+        self.inner.put(key, value, expect)
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a str,
+        version: Option<ObjectVersion>,
+    ) -> PlatformFuture<'a, ()> {
+        self.inner.delete(key, version)
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+        limit: usize,
+    ) -> PlatformFuture<'a, ListPage> {
+        self.inner.list(prefix, after, limit)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: ObjectVersion,
+        wait: Duration,
+    ) -> PlatformFuture<'a, WatchAnswer> {
+        self.watches.fetch_add(1, Ordering::SeqCst);
+        self.inner.watch(prefix, since, wait)
+    }
+
+    fn instances(&self) -> PlatformFuture<'_, InstanceList> {
+        self.inner.instances()
+    }
+}
+
 fn fleet() -> Fleet {
     toml::from_str(&common::fleet_file()).unwrap()
 }
@@ -55,7 +121,7 @@
 async fn start(
     keys: &Path,
     name: &str,
-    platform: &Arc<FakePlatform>,
+    platform: &Arc<impl Platform>,
     seeds: &[(&str, SocketAddr)],
 ) -> Instance {
     let file = |file: &str| keys.join(file);
@@ -74,7 +140,8 @@
         ));
     }
     let settings = parse_settings(&settings).unwrap();
-    let (control, traffic) = (platform.clone(), platform.clone());
+    let control: Arc<dyn Platform> = platform.clone();
+    let traffic = Arc::clone(&control);
     let started = Instance::start_with(settings, discard(), control, traffic).await;
     started.unwrap()
 }
@@ -116,18 +183,33 @@
     apply(&there, 0, 2).await;
     there.set_outage(true);
     let seeds = [("e1", peer.peer_address().unwrap())];
-    let replaced = start(keys.path(), "e2", &there, &seeds).await;
+    let watched = Arc::new(Watched {
+        inner: there.clone(),
+        watches: AtomicU64::new(0),
+    });
+    let replaced = start(keys.path(), "e2", &watched, &seeds).await;
     serves(&replaced).await;
     assert_eq!(generation(&replaced), 3);
     assert_eq!(engine.calls().len(), 1);
 
     there.set_outage(false);
+    eventually("a read of the older manifest", || {
+        watched.watches.load(Ordering::SeqCst) > 0
+    })
+    .await;
+    // A list that is asked for after this read is taken after its result.
+    let items = json!([
+        listed(&later),
+        common::listed_service("app-1", later.address)
+    ]);
+    there.set_instances(serde_json::from_value(items).unwrap());
     let knows = |id: &str| replaced.shared().backends.load().contains_key(id);
     eventually("the platform's list", || {
         assert!(generation(&replaced) >= 3);
-        knows("engine-2") && !knows("engine-1")
+        knows("app-1") && knows("engine-2") && !knows("engine-1")
     })
     .await;
+    assert_eq!(generation(&replaced), 3);
     apply(&there, 2, 4).await;
     eventually("the platform's newer configuration", || {
         assert!(generation(&replaced) >= 3);
