Let peers learn of a strike before a suspect is tried again

Cause: when two crashes follow each other within some milliseconds, a client that repeats its request elsewhere can arrive before the first strike, so that the wait of suspects does not apply. Ruled out: holding the final answer back, which the design forbids. Change: a request that a crash has hit pauses 50 ms before its next attempt, in which the strike reaches the peers.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -32,6 +32,11 @@
 /// By then a crashed server is known to be gone; before, each try would cost an attempt.
 const SUSPECT_REUSE: Duration = Duration::from_secs(4);
 const SUSPECT_POLL: Duration = Duration::from_millis(20);
+/// Pause between a crash and the next attempt of a request that it hit.
+///
+/// The other instances learn of the strike in this time. If the next server crashes too, they
+/// already hold a repeat of the request back for its verdict.
+const STRIKE_SPREAD: Duration = Duration::from_millis(50);
 /// Time that a request waits that arrives as a suspect.
 ///
 /// Another instance may be running the same request. Without the pause, a client that repeats a
@@ -258,6 +263,9 @@
             guard.broken(self.context.shared.now());
             crashed = self.probe(pick).await;
             self.check_quarantine()?;
+            if crashed {
+                tokio::time::sleep(STRIKE_SPREAD).await;
+            }
         }
         match RetryPolicy::next(&failure, &traits) {
             // The budget keeps retries from amplifying an overload. A crash is none, and a
