--- a/crates/wagtailarch-e2e/src/fleet.rs
+++ b/crates/wagtailarch-e2e/src/fleet.rs
@@ -193,14 +193,17 @@
             let peers: Vec<_> = peers.collect();
             self.links = Some(Links::start(self.dir.path(), self.platform, &peers).await?);
         }
-        for (number, (id, zone)) in names.into_iter().enumerate() {
+        for (number, (id, zone)) in names.iter().cloned().enumerate() {
             let [client, admin, peer] = addresses[number];
             let (platform, listed_peer) = match &self.links {
                 Some(links) => (links.platform(number), links.peer(number)),
                 None => (self.platform, peer),
             };
             let settings = self.dir.path().join(format!("{id}.toml"));
-            let text = self.settings(&id, &zone, [client, admin, peer], platform);
+            let mut text = self.settings(&id, &zone, [client, admin, peer], platform);
+            if let Some(links) = &self.links {
+                text.push_str(&links.seeds(number, &names));
+            }
             std::fs::write(&settings, text)?;
             let item = ListedInstance {
                 id: id.as_str().into(),
--- a/crates/wagtailarch-e2e/src/links.rs
+++ b/crates/wagtailarch-e2e/src/links.rs
@@ -59,6 +59,19 @@
         self.peer[number]
     }
 
+    /// Formats the settings that name the other instances, for a start without the platform.
+    pub(crate) fn seeds(&self, number: usize, names: &[(String, String)]) -> String {
+        let others = names.iter().zip(&self.peer).enumerate();
+        let others = others.filter(|(other, _)| *other != number);
+        let seed = |(_, ((id, zone), address)): (usize, (&(String, String), &SocketAddr))| {
+            format!(
+                "[[peers.seed]]\ninstance = \"{id}\"\nzone = \"{zone}\"\n\
+                 address = \"{address}\"\n"
+            )
+        };
+        others.map(seed).collect()
+    }
+
     /// Returns the counters of all links.
     pub async fn counters(&self) -> Result<Vec<LinkCounters>, HarnessError> {
         let path = "/standin/v1/counters";
