Write the status of a zone as soon as it has caught up

Ruled out: the spread of the change itself (an apply took 17 ms, and the acknowledgements come with the gossip rounds of 1 s). Change: the status is also written when all instances of the zone have a newer generation in force, which is one more write for each change.

--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -52,6 +52,8 @@
     /// Engines whose report is being read.
     asking: IndexSet<InstanceId>,
     status_at: Duration,
+    /// Generation of the last status.
+    status_generation: u64,
     published_at: Duration,
     collected_at: Duration,
 }
@@ -80,6 +82,7 @@
         listing: false,
         asking: IndexSet::new(),
         status_at: Duration::ZERO,
+        status_generation: 0,
         published_at: Duration::ZERO,
         collected_at: Duration::ZERO,
         shared,
@@ -146,18 +149,28 @@
         for engine in self.zone.watched() {
             self.ask_report(&engine);
         }
-        if now >= self.status_at + STATUS_EVERY
-            && let Some(record) = self.zone.status(generation)
-        {
-            self.status_at = now;
-            self.calls.status(&record);
-        }
+        self.write_status(now, generation);
         if now >= self.collected_at + COLLECT_EVERY && self.zone.collects() {
             self.collected_at = now;
             self.calls.collect();
         }
     }
 
+    /// Writes the zone's status at its interval, or at once when all instances have a newer
+    /// generation in force, so that operators need not wait for the interval.
+    fn write_status(&mut self, now: Duration, newest: u64) {
+        let Some(record) = self.zone.status(newest) else {
+            return;
+        };
+        let caught_up = record.generation > self.status_generation;
+        if !caught_up && now < self.status_at + STATUS_EVERY {
+            return;
+        }
+        self.status_at = now;
+        self.status_generation = record.generation;
+        self.calls.status(&record);
+    }
+
     fn generation(&self) -> u64 {
         let snapshot = self.shared.snapshot.load();
         snapshot.as_ref().map_or(0, |snapshot| snapshot.generation)
