Read the load reports of plain services

Cause: plain services report their load, but the instance routed to them by its own requests in flight alone, so the calls of the other instances did not count in its choice. Ruled out: gossip of the loads, since a few services can be polled by every instance. A report that says draining is a sign of leaving, and a new boot id counts as a crash. Before: the new test found no report at either service. After: all 20 calls go to the idle one.

--- a/crates/wagtailarch-entry/src/control/backends.rs
+++ b/crates/wagtailarch-entry/src/control/backends.rs
@@ -10,8 +10,11 @@
     engine::EngineReport,
     peer::EngineLoad,
     platform::{InstanceKind, InstanceList, ListedInstance, ListedState},
+    service::ServiceReport,
 };
 
+use super::service_loads::ServiceLoads;
+
 use crate::shared::Shared;
 
 /// Backend servers as the platform lists them and as they report themselves.
@@ -29,6 +32,7 @@
     listed: bool,
     /// Whether a peer's list was taken.
     peer_listed: bool,
+    services: ServiceLoads,
 }
 
 /// A listed engine.
@@ -57,6 +61,7 @@
             engines: IndexMap::new(),
             listed: false,
             peer_listed: false,
+            services: ServiceLoads::default(),
         }
     }
 
@@ -82,6 +87,7 @@
         let leaving = self.membership.on_list(asked_at, &list);
         self.engines.clear();
         self.entries.clear();
+        let mut services = Vec::new();
         for item in list.items {
             match item.kind {
                 InstanceKind::Entry => self.entries.push(item),
@@ -92,9 +98,10 @@
                     };
                     self.engines.insert(item.id, engine);
                 }
-                InstanceKind::Service => {}
+                InstanceKind::Service => services.push((item.id, item.address.to_string())),
             }
         }
+        self.services.set_listed(services);
         let engines = &self.engines;
         self.reports.retain(|id, _| engines.contains_key(id));
         let live = self.live_entries().count();
@@ -122,6 +129,25 @@
         first_sign
     }
 
+    /// Returns the plain services to ask for a report, with their addresses.
+    pub(super) fn services_due(&self) -> Vec<(InstanceId, String)> {
+        self.services.due(self.shared.now())
+    }
+
+    /// Takes the answer of a plain service; returns true if it is the first sign that it leaves.
+    pub(super) fn on_service_report(
+        &mut self,
+        service: &InstanceId,
+        report: Option<&ServiceReport>,
+    ) -> bool {
+        let now = self.shared.now();
+        if self.services.on_report(now, service, report) {
+            self.shared.on_crash(service);
+        }
+        let draining = report.is_some_and(|report| report.state != BackendState::Serving);
+        draining && self.membership.on_word(now, service, LeavingSign::Draining)
+    }
+
     /// Takes the gossiped load of an engine that another instance polls.
     pub(super) fn on_load(
         &mut self,
@@ -203,10 +229,15 @@
     }
 
     fn view(&self, now: Duration, status: BackendStatus) -> BackendView {
-        let report = match (self.reports.get(&status.id), status.load) {
-            (Some(known), _) => Some(LoadReport::from(&known.report)),
-            (None, Some(load)) => Some(load_report(now, &load)),
-            (None, None) => None,
+        let age = status.load_at;
+        let age = age.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let (report, report_age) = match (self.reports.get(&status.id), status.load) {
+            (Some(known), _) => (Some(LoadReport::from(&known.report)), age),
+            (None, Some(load)) => (Some(load_report(now, &load)), age),
+            (None, None) => match self.services.load(now, &status.id) {
+                Some((load, age)) => (Some(load), age),
+                None => (None, age),
+            },
         };
         BackendView {
             id: status.id,
@@ -220,9 +251,7 @@
             assignment: status.assignment,
             state: status.state.unwrap_or(BackendState::Serving),
             report,
-            report_age: status
-                .load_at
-                .map_or(Duration::ZERO, |at| now.saturating_sub(at)),
+            report_age,
             accepting: status.accepting,
             since: status.since,
         }
--- a/crates/wagtailarch-entry/src/control/calls.rs
+++ b/crates/wagtailarch-entry/src/control/calls.rs
@@ -19,6 +19,7 @@
         LeaseRecord, OrderRecord, ZoneStatusRecord, decode_record, encode_record, lease_key,
         order_key, status_key,
     },
+    service::ServiceReport,
 };
 
 use super::order_call::send_order;
@@ -37,6 +38,8 @@
     List(Duration, Option<InstanceList>),
     /// The report of an engine that was asked for at a time; `None` if it did not answer.
     Report(InstanceId, Duration, Option<Box<EngineReport>>),
+    /// The report of a plain service; `None` if it gave none.
+    ServiceReport(InstanceId, Option<ServiceReport>),
     LeaseRead(ReadOutcome<LeaseRecord>),
     LeaseWritten(WriteOutcome),
     OrderRead(InstanceId, ReadOutcome<OrderRecord>),
@@ -99,6 +102,14 @@
         });
     }
 
+    pub(super) fn service_report(&self, service: InstanceId, address: String) {
+        let engines = self.engines.clone();
+        self.start(async move {
+            let report = engines.service_report(&address).await.ok();
+            Done::ServiceReport(service, report)
+        });
+    }
+
     pub(super) fn lease(&self, action: LeaseAction) {
         let platform = Arc::clone(&self.platform);
         let key = lease_key(&self.shared.settings.zone);
--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -202,6 +202,11 @@
                 self.ask_report(engine);
             }
         }
+        for (service, address) in self.backends.services_due() {
+            if self.asking.insert(service.clone()) {
+                self.calls.service_report(service, address);
+            }
+        }
         if self.asking.is_empty() {
             self.backends.on_all_asked();
         }
@@ -235,15 +240,19 @@
                     self.ask_reports();
                 }
             }
+            Done::ServiceReport(service, report) => {
+                self.asking.swap_remove(&service);
+                if self.backends.on_service_report(&service, report.as_ref()) {
+                    self.flood_leaving(&service);
+                }
+                self.on_all_asked();
+            }
             Done::Report(engine, asked_at, report) => {
                 self.asking.swap_remove(&engine);
                 if let Some(report) = report {
                     self.on_report(&engine, asked_at, *report);
                 }
-                if self.asking.is_empty() {
-                    self.backends.publish();
-                    self.backends.on_all_asked();
-                }
+                self.on_all_asked();
             }
             Done::LeaseRead(outcome) => self.zone.lease.on_read(now, outcome),
             Done::LeaseWritten(outcome) => self.zone.lease.on_write(now, outcome),
@@ -258,6 +267,14 @@
         }
     }
 
+    /// Publishes the table once no report is outstanding.
+    fn on_all_asked(&mut self) {
+        if self.asking.is_empty() {
+            self.backends.publish();
+            self.backends.on_all_asked();
+        }
+    }
+
     fn on_report(
         &mut self,
         engine: &InstanceId,
--- a/crates/wagtailarch-entry/src/control/mod.rs
+++ b/crates/wagtailarch-entry/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod order_call;
 mod peer_config;
 mod remote_usage;
+mod service_loads;
 mod thread;
 mod zone;
 
--- a/crates/wagtailarch-entry/src/engine_client.rs
+++ b/crates/wagtailarch-entry/src/engine_client.rs
@@ -13,9 +13,12 @@
 };
 use serde::Serialize;
 use wagtailarch_types::{AttemptNo, Ran};
-use wagtailarch_wire::engine::{
-    CANCEL_PATH, CancelRequest, EngineRefusal, EngineRefusalCode, EngineReport, Frame,
-    GENERATE_PATH, GenerateRequest, RAN_HEADER, REPORT_PATH,
+use wagtailarch_wire::{
+    engine::{
+        CANCEL_PATH, CancelRequest, EngineRefusal, EngineRefusalCode, EngineReport, Frame,
+        GENERATE_PATH, GenerateRequest, RAN_HEADER, REPORT_PATH,
+    },
+    service::{self, ServiceReport},
 };
 
 use crate::proxy_response::says_close;
@@ -170,6 +173,12 @@
         serde_json::from_slice(&body).map_err(|_| CallError::BadAnswer)
     }
 
+    /// Reads the report of a plain service.
+    pub async fn service_report(&self, address: &str) -> Result<ServiceReport, CallError> {
+        let body = self.get_small(address, service::REPORT_PATH).await?;
+        serde_json::from_slice(&body).map_err(|_| CallError::BadAnswer)
+    }
+
     /// Reads a small body.
     pub async fn get_small(&self, address: &str, path: &str) -> Result<Bytes, CallError> {
         let request = Request::get(uri(address, path)?).body(Full::default());
--- a/crates/wagtailarch-entry/tests/services.rs
+++ b/crates/wagtailarch-entry/tests/services.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use common::{QUICK, client, listed_service, platform, post, read, start};
+use common::{QUICK, client, eventually, listed_service, platform, post, read, start};
 use http::{Request, Response};
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -34,6 +34,8 @@
     steps: Mutex<VecDeque<Step>>,
     /// Calls that ran, by body.
     ran: Mutex<HashMap<String, u32>>,
+    /// Load report; without one the service has none.
+    report: Mutex<Option<Value>>,
 }
 
 impl FakeService {
@@ -50,6 +52,13 @@
         self: Arc<Self>,
         request: Request<hyper::body::Incoming>,
     ) -> Response<common::FakeBody> {
+        if request.uri().path() == "/service/v1/report" {
+            let report = self.report.lock().unwrap().clone();
+            return match report {
+                Some(report) => common::whole(200, report.to_string()),
+                None => common::whole(404, "{}".into()),
+            };
+        }
         let body = http_body_util::BodyExt::collect(request.into_body())
             .await
             .unwrap()
@@ -245,3 +254,30 @@
     assert_eq!(call(&instance, "/lids/quotes?id=1", "same").await.0, 422);
     assert_eq!(call(&instance, "/lids/quotes?id=2", "same").await.0, 201);
 }
+
+/// Guards against load reports of plain services that are not used: calls of other instances would
+/// then not count.
+#[tokio::test]
+async fn a_busy_service_gets_no_calls_while_another_is_idle() {
+    let mut services = Vec::new();
+    let mut items = Vec::new();
+    for (id, running) in [("s1", 50), ("s2", 0)] {
+        let (service, address) = FakeService::start().await;
+        let report = json!({"service": id, "boot_id": 1, "seq": 1, "running": running,
+            "max_running": 64, "state": "serving"});
+        *service.report.lock().unwrap() = Some(report);
+        services.push(service);
+        items.push(listed_service(id, address));
+    }
+    let instance = start(&platform(json!(items)), QUICK).await;
+    eventually("both reports are known", || {
+        let views = instance.shared().backends.load();
+        views.values().filter(|view| view.report.is_some()).count() == 2
+    })
+    .await;
+    for number in 0..20 {
+        let status = call(&instance, "/lids/quotes", &number.to_string()).await.0;
+        assert_eq!(status, 201);
+    }
+    assert_eq!((services[0].ran(), services[1].ran()), (0, 20));
+}
--- a/crates/wagtailarch-standin/src/service.rs
+++ b/crates/wagtailarch-standin/src/service.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 use wagtailarch_types::{BackendState, BootId};
 use wagtailarch_wire::engine::RAN_HEADER;
+use wagtailarch_wire::service::{REPORT_PATH, ServiceReport};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::engine::settings::{millis, option};
@@ -44,8 +45,6 @@
 const MAX_RUNS: usize = 200_000;
 /// Longest text kept of a header or path.
 const MAX_TEXT_BYTES: usize = 256;
-/// Path of the load report.
-const REPORT_PATH: &str = "/service/v1/report";
 /// Path prefix of the control API.
 const CONTROL_PREFIX: &str = "/standin/v1/";
 
@@ -113,23 +112,6 @@
     pub count: u64,
 }
 
-/// Load report of the service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceReport {
-    /// Name of the service.
-    pub service: SmolStr,
-    /// Start of the process.
-    pub boot_id: BootId,
-    /// Sequence number; it rises within one boot.
-    pub seq: u64,
-    /// Calls that run now.
-    pub running: u64,
-    /// Capacity.
-    pub max_running: u32,
-    /// State; never changing.
-    pub state: BackendState,
-}
-
 /// State of the service.
 struct Inner {
     delay: Duration,
@@ -249,7 +231,7 @@
             service: self.name.clone(),
             boot_id: self.boot_id,
             seq: inner.report_seq,
-            running: inner.running,
+            running: u32::try_from(inner.running).unwrap_or(u32::MAX),
             max_running: self.max_running,
             state: if draining {
                 BackendState::Draining
--- a/crates/wagtailarch-wire/src/lib.rs
+++ b/crates/wagtailarch-wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages between processes.
 //!
+//! [`service`] holds the load report of plain services.
 //! [`engine`] holds the engine protocol, [`platform`] the platform protocol and [`records`] the
 //! system's own objects in the platform, all JSON; [`peer`] holds the postcard messages between
 //! instances.
@@ -8,3 +9,4 @@
 pub mod peer;
 pub mod platform;
 pub mod records;
+pub mod service;
