Publish the routing table once for a sign of leaving

Cause: the flood of a leaving server also published the table, while the list and the signs of traffic threads had published it just before; a list that shows ten servers as leaving built it eleven times. Change: the two callers that had not published do so themselves.

--- a/crates/wagtailarch-entry/src/control/driver.rs
+++ b/crates/wagtailarch-entry/src/control/driver.rs
@@ -243,6 +243,7 @@
             Done::ServiceReport(service, report) => {
                 self.asking.swap_remove(&service);
                 if self.backends.on_service_report(&service, report.as_ref()) {
+                    self.backends.publish();
                     self.flood_leaving(&service);
                 }
                 self.on_all_asked();
@@ -285,6 +286,7 @@
             return;
         }
         if self.backends.on_report(asked_at, report) {
+            self.backends.publish();
             self.flood_leaving(engine);
         }
         if let Some(known) = self.backends.report(engine) {
@@ -352,7 +354,6 @@
         if let Some(peers) = &mut self.peers {
             peers.flood_leaving(&self.backends, backend);
         }
-        self.backends.publish();
     }
 
     fn flood_drain(&mut self, engine: &InstanceId, drained: bool) {
