--- a/crates/wagtailarch-e2e/src/bin/wagtail-bench.rs
+++ b/crates/wagtailarch-e2e/src/bin/wagtail-bench.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
+use wagtailarch_e2e::weights::MIXED;
 use wagtailarch_e2e::{FleetOptions, HarnessError, LoadHandle, TestFleet, Usage, scenario};
 use wagtailarch_load::load::{Kind, LoadReport, Range, Scenario, Targets, Weights};
 
@@ -85,14 +86,7 @@
         ..FleetOptions::default()
     })
     .await?;
-    let weights = Weights {
-        stream: 5.0,
-        whole: 2.0,
-        get: 2.0,
-        post: 1.0,
-        direct: 0.0,
-    };
-    let scenario = scenario(31, options.rate_per_s.unwrap_or(400.0), weights);
+    let scenario = scenario(31, options.rate_per_s.unwrap_or(400.0), MIXED);
     let count = options.requests.unwrap_or(10_000);
     let report = LoadHandle::start(scenario, fleet.targets(), Some(count))
         .join()
--- a/crates/wagtailarch-e2e/src/bin/wagtail-demo.rs
+++ b/crates/wagtailarch-e2e/src/bin/wagtail-demo.rs
@@ -3,10 +3,11 @@
 use std::process::ExitCode;
 use std::time::Instant;
 
+use wagtailarch_e2e::weights::MIXED;
 use wagtailarch_e2e::{
     FleetOptions, HarnessError, KEY, LoadHandle, MODEL, Ports, TestFleet, scenario,
 };
-use wagtailarch_load::load::{LoadReport, Range, Scenario, Weights};
+use wagtailarch_load::load::{LoadReport, Range, Scenario};
 
 const HELP: &str = "\
 wagtail-demo: starts a fleet on loopback, applies a fleet file, and checks every answer of a load.
@@ -144,14 +145,7 @@
 
 /// Composes a mix that moves from long prompts to long answers and back.
 fn scenario_of(options: &Options) -> Scenario {
-    let weights = Weights {
-        stream: 5.0,
-        whole: 2.0,
-        get: 2.0,
-        post: 1.0,
-        direct: 0.0,
-    };
-    let mut scenario = scenario(2026, options.rate_per_s, weights);
+    let mut scenario = scenario(2026, options.rate_per_s, MIXED);
     let mut prompts = scenario.phases[0];
     prompts.duration_s = 5.0;
     prompts.ramp = true;
--- a/crates/wagtailarch-e2e/src/lib.rs
+++ b/crates/wagtailarch-e2e/src/lib.rs
@@ -14,6 +14,7 @@
 mod ports;
 mod process;
 mod usage;
+pub mod weights;
 
 pub use config::{ENGINE_GROUP, FleetFile, KEY, MODEL, SERVICE_GROUP, VERSIONS};
 pub use ctl::CtlOutput;
--- a/crates/wagtailarch-e2e/tests/control.rs
+++ b/crates/wagtailarch-e2e/tests/control.rs
@@ -3,20 +3,13 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
+use wagtailarch_e2e::weights::MODELS;
 use wagtailarch_e2e::{
     ConfigSource, FleetFile, FleetOptions, HarnessError, LoadHandle, TestFleet, VERSIONS,
     one_fleet, scenario,
 };
-use wagtailarch_load::load::Weights;
 use wagtailarch_types::{BackendState, Role};
 
-const MODELS: Weights = Weights {
-    stream: 3.0,
-    whole: 1.0,
-    get: 0.0,
-    post: 0.0,
-    direct: 0.0,
-};
 /// Exit code of `wagtailctl` for a conflict.
 const CONFLICT: i32 = 3;
 
--- a/crates/wagtailarch-e2e/tests/failures.rs
+++ b/crates/wagtailarch-e2e/tests/failures.rs
@@ -4,34 +4,13 @@
 
 use http::{Method, StatusCode};
 use rustix::process::Signal;
+use wagtailarch_e2e::weights::{ALL, MODELS, PLAIN};
 use wagtailarch_e2e::{
     FleetOptions, HarnessError, LoadHandle, MODEL, Reply, TestFleet, one_fleet, scenario,
 };
-use wagtailarch_load::load::{Kind, Weights};
+use wagtailarch_load::load::Kind;
 use wagtailarch_wire::platform::ListedState;
 
-const MODELS: Weights = Weights {
-    stream: 3.0,
-    whole: 1.0,
-    get: 0.0,
-    post: 0.0,
-    direct: 0.0,
-};
-const ALL: Weights = Weights {
-    stream: 3.0,
-    whole: 1.0,
-    get: 1.0,
-    post: 1.0,
-    direct: 0.0,
-};
-const PLAIN: Weights = Weights {
-    stream: 0.0,
-    whole: 0.0,
-    get: 1.0,
-    post: 1.0,
-    direct: 0.0,
-};
-
 /// Guards against a killed entry instance that costs requests of others, and against calls that
 /// run twice when the client repeats them with the same key (G6).
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/wagtailarch-e2e/tests/partition.rs
+++ b/crates/wagtailarch-e2e/tests/partition.rs
@@ -8,21 +8,15 @@
 use rustix::process::Signal;
 use serde::Deserialize;
 use tokio::task::JoinHandle;
+use wagtailarch_e2e::weights::ALL;
 use wagtailarch_e2e::{
     FleetFile, FleetOptions, HarnessError, KEY, LoadHandle, MODEL, Reply, TestFleet, VERSIONS,
     call, one_fleet, scenario,
 };
-use wagtailarch_load::load::{Kind, LoadReport, Targets, Weights};
+use wagtailarch_load::load::{Kind, LoadReport, Targets};
 use wagtailarch_standin::link::Cut;
 use wagtailarch_wire::platform::{InstanceKind, ListedInstance, ListedState};
 
-const ALL: Weights = Weights {
-    stream: 3.0,
-    whole: 1.0,
-    get: 1.0,
-    post: 1.0,
-    direct: 0.0,
-};
 /// Zone that the tests cut off; it has the entry instances 0 and 2 and the engines 0 and 2.
 const CUT_ZONE: &str = "buda-a";
 const CUT_ENTRIES: [usize; 2] = [0, 2];
--- a/crates/wagtailarch-e2e/tests/serving.rs
+++ b/crates/wagtailarch-e2e/tests/serving.rs
@@ -3,23 +3,8 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
+use wagtailarch_e2e::weights::{ALL, MODELS};
 use wagtailarch_e2e::{FleetOptions, HarnessError, LoadHandle, TestFleet, one_fleet, scenario};
-use wagtailarch_load::load::Weights;
-
-const MODELS: Weights = Weights {
-    stream: 3.0,
-    whole: 1.0,
-    get: 0.0,
-    post: 0.0,
-    direct: 0.0,
-};
-const ALL: Weights = Weights {
-    stream: 3.0,
-    whole: 1.0,
-    get: 1.0,
-    post: 1.0,
-    direct: 0.0,
-};
 
 /// Guards against a fleet that loses, doubles or mixes answers without any failure.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
