--- /dev/null
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -0,0 +1,308 @@
+//! The usable backend servers and where requests go.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use indexmap::IndexMap;
+use wagtailarch_types::{InstanceId, Role, ServiceName, ZoneName};
+use wagtailarch_wire::load_note::{LoadNote, ReadNote, server_key};
+
+use crate::{
+    BackendServer, EngineState, GenerationRequest, Placement, PrefixLink, Read, RoutingConfig,
+    Urgency, backend::Backend, placement,
+};
+
+/// Load that weighs as much as one failure in every request, when a plain server is chosen.
+const FAILURE_LOAD: f64 = 3.0;
+/// Load that weighs as much as another availability zone, when a plain server is chosen.
+const OTHER_ZONE_LOAD: f64 = 0.3;
+/// Cost in milliseconds of an engine that fails every request.
+const FAILURE_MS: f64 = 1_500.0;
+
+/// The usable backend servers with their load and health, as this instance believes them.
+#[derive(Debug, Default)]
+pub struct Board {
+    backends: IndexMap<InstanceId, Backend>,
+    /// Identifiers by the key that peers use for them.
+    by_key: HashMap<u32, InstanceId>,
+}
+
+/// A plain server for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlainChoice {
+    /// Identifier.
+    pub id: InstanceId,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+impl Backend {
+    /// Cost of the failures that the server showed, in milliseconds.
+    pub(crate) fn failure_cost(&self, now: Duration) -> f64 {
+        self.evidence.failure_share(now) * FAILURE_MS
+    }
+}
+
+impl Board {
+    /// Takes over the usable servers; what is known of those that stay is kept.
+    ///
+    /// A new start of a server begins without load, memory or failures.
+    pub fn apply(&mut self, servers: &[BackendServer], config: &RoutingConfig) {
+        let mut old = std::mem::take(&mut self.backends);
+        self.by_key.clear();
+        for server in servers {
+            let kept = old.swap_remove(&server.id);
+            let kept = kept.filter(|backend| backend.server.same_start(server));
+            let backend = renewed(kept, server.clone(), config);
+            self.by_key
+                .insert(server_key(&server.id), server.id.clone());
+            self.backends.insert(server.id.clone(), backend);
+        }
+    }
+
+    /// Chooses a plain server of a service, leaving out those that were tried.
+    pub fn place_plain(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        zone: &ZoneName,
+        tried: &[InstanceId],
+    ) -> Option<PlainChoice> {
+        let usable = self.usable(now, service, tried);
+        let best = usable.min_by(|a, b| {
+            let cost = |backend: &Backend| plain_cost(now, backend, zone);
+            cost(a).total_cmp(&cost(b))
+        })?;
+        Some(PlainChoice {
+            id: best.server.id.clone(),
+            address: best.server.address,
+        })
+    }
+
+    /// Chooses engines of a service for a generation, leaving out those that were tried.
+    pub fn place_generation(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        request: &GenerationRequest<'_>,
+        tried: &[InstanceId],
+    ) -> Placement {
+        placement::place(now, request, self.usable(now, service, tried))
+    }
+
+    /// Tells whether any server of a service may be used.
+    pub fn has_server(&self, now: Duration, service: &ServiceName) -> bool {
+        self.usable(now, service, &[]).next().is_some()
+    }
+
+    /// Notes that a request was sent to a server.
+    pub fn on_sent(&mut self, id: &InstanceId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.in_flight += 1;
+        }
+    }
+
+    /// Notes that a request to a server has ended in any way.
+    pub fn on_ended(&mut self, id: &InstanceId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.in_flight = backend.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes the load per slot that a server told.
+    pub fn on_told_load(&mut self, id: &InstanceId, running: u32, waiting: u32, slots: u32) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.told_load = f64::from(running + waiting) / f64::from(slots.max(1));
+        }
+    }
+
+    /// Notes an answer that shows that a server works.
+    pub fn on_success(&mut self, now: Duration, id: &InstanceId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.evidence.on_success(now);
+        }
+    }
+
+    /// Notes a request that a server failed.
+    pub fn on_failure(&mut self, now: Duration, id: &InstanceId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.evidence.on_failure(now);
+        }
+    }
+
+    /// Notes that a server could not be reached; an engine may have lost its memory.
+    pub fn on_unreachable(&mut self, now: Duration, id: &InstanceId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.evidence.on_unreachable(now);
+        }
+    }
+
+    /// Notes that a prompt is sent to an engine, and returns what peers are told.
+    pub fn start_read(
+        &mut self,
+        now: Duration,
+        id: &InstanceId,
+        urgency: Urgency,
+        prefixes: &[PrefixLink],
+        prompt_tokens: u32,
+    ) -> Option<(Read, ReadNote)> {
+        let engine = self.backends.get_mut(id)?.engine.as_mut()?;
+        let read = engine.start_read(now, urgency, prefixes, prompt_tokens);
+        let note = ReadNote {
+            engine: server_key(id),
+            work_ms: clamp_ms(read.ticket.work.as_secs_f64() * 1_000.0),
+            urgent: urgency == Urgency::OnTime,
+            prefixes: prefixes.iter().map(|p| (p.hash, p.end_tokens)).collect(),
+        };
+        Some((read, note))
+    }
+
+    /// Notes that an engine has read a prompt, and returns the correction that peers are told.
+    pub fn finish_read(
+        &mut self,
+        now: Duration,
+        id: &InstanceId,
+        urgency: Urgency,
+        read: &Read,
+    ) -> Option<ReadNote> {
+        let engine = self.backends.get_mut(id)?.engine.as_mut()?;
+        let corrected_ms = engine.finish_read(now, read);
+        Some(ReadNote {
+            engine: server_key(id),
+            work_ms: clamp_ms(corrected_ms),
+            urgent: urgency == Urgency::OnTime,
+            prefixes: Vec::new(),
+        })
+    }
+
+    /// Changes the number of requests of this instance that generate on an engine.
+    pub fn add_running(&mut self, id: &InstanceId, by: i32) {
+        let engine = self.backends.get_mut(id).and_then(|b| b.engine.as_mut());
+        if let Some(engine) = engine {
+            engine.add_running(by);
+        }
+    }
+
+    /// Returns the requests of this instance that generate, by the key of their engine.
+    pub fn own_running(&self) -> Vec<(u32, u32)> {
+        let engines = self.backends.iter().filter_map(|(id, backend)| {
+            let running = backend.engine.as_ref()?.own_running();
+            (running > 0).then(|| (server_key(id), running))
+        });
+        engines.collect()
+    }
+
+    /// Takes over what a peer tells of its requests.
+    pub fn on_load_note(&mut self, now: Duration, note: &LoadNote) {
+        for read in &note.reads {
+            self.on_peer_read(now, read);
+        }
+        for (id, backend) in &mut self.backends {
+            let Some(engine) = &mut backend.engine else {
+                continue;
+            };
+            let key = server_key(id);
+            let told = note.running.iter().find(|(engine, _)| *engine == key);
+            let running = told.map_or(0, |(_, running)| *running);
+            engine.set_peer_running(now, &note.sender, running);
+        }
+    }
+
+    /// Returns the server with an identifier.
+    pub fn server(&self, id: &InstanceId) -> Option<&BackendServer> {
+        self.backends.get(id).map(|backend| &backend.server)
+    }
+
+    /// Returns the state of an engine.
+    pub fn engine(&self, id: &InstanceId) -> Option<&EngineState> {
+        self.backends.get(id)?.engine.as_ref()
+    }
+
+    /// Returns unanswered requests of this instance by server.
+    pub fn in_flight(&self) -> impl Iterator<Item = (&InstanceId, u32)> {
+        let backends = self.backends.iter();
+        backends.map(|(id, backend)| (id, backend.in_flight))
+    }
+
+    fn on_peer_read(&mut self, now: Duration, read: &ReadNote) {
+        let Some(id) = self.by_key.get(&read.engine) else {
+            return;
+        };
+        let backend = self.backends.get_mut(id);
+        let Some(engine) = backend.and_then(|backend| backend.engine.as_mut()) else {
+            return;
+        };
+        let urgency = if read.urgent {
+            Urgency::OnTime
+        } else {
+            Urgency::Late
+        };
+        if read.prefixes.is_empty() {
+            engine.queue.correct(now, urgency, f64::from(read.work_ms));
+            return;
+        }
+        let links: Vec<_> = read
+            .prefixes
+            .iter()
+            .map(|&(hash, end_tokens)| PrefixLink { hash, end_tokens })
+            .collect();
+        engine.cache.insert(&links);
+        let work = Duration::from_millis(u64::try_from(read.work_ms).unwrap_or(0));
+        engine.queue.add(now, urgency, work);
+    }
+
+    fn usable(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        tried: &[InstanceId],
+    ) -> impl Iterator<Item = &Backend> {
+        let of_service = self.backends.values().filter(move |backend| {
+            backend.server.service == *service && !tried.contains(&backend.server.id)
+        });
+        of_service.filter(move |backend| backend.evidence.usable(now))
+    }
+}
+
+/// Returns the state of a server with its present registration.
+fn renewed(kept: Option<Backend>, server: BackendServer, config: &RoutingConfig) -> Backend {
+    let traits = config
+        .service(&server.service)
+        .and_then(|s| s.engine.clone());
+    let role = server.role.unwrap_or(Role::Mixed);
+    let mut backend = kept.unwrap_or_else(|| Backend {
+        server: server.clone(),
+        evidence: Default::default(),
+        in_flight: 0,
+        told_load: 0.0,
+        engine: None,
+    });
+    backend.engine = match (backend.engine.take(), traits) {
+        (Some(mut engine), Some(traits)) => {
+            engine.role = role;
+            engine.traits = traits;
+            Some(engine)
+        }
+        (None, Some(traits)) => Some(EngineState::new(role, traits)),
+        (_, None) => None,
+    };
+    backend.server = server;
+    backend
+}
+
+fn plain_cost(now: Duration, backend: &Backend, zone: &ZoneName) -> f64 {
+    let slots = f64::from(backend.server.slots.max(1));
+    let own_load = f64::from(backend.in_flight) / slots;
+    let away = if backend.server.zone == *zone {
+        0.0
+    } else {
+        OTHER_ZONE_LOAD
+    };
+    own_load.max(backend.told_load.min(1.0) * 0.5)
+        + backend.evidence.failure_share(now) * FAILURE_LOAD
+        + away
+}
+
+/// Rounds a time for a note; a note never carries 0 for work that was done.
+fn clamp_ms(ms: f64) -> i16 {
+    ms.round().clamp(-30_000.0, 30_000.0) as i16
+}
--- /dev/null
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -0,0 +1,33 @@
+//! Decisions on requests that are passed to backend servers: routes, membership, health, placing and
+//! retry budgets.
+//!
+//! Nothing here has a socket, a clock or randomness of its own: `now` is a monotonic time since the
+//! start of the process and an input like every other. The traffic thread owns the [`Board`]; the
+//! control thread owns the [`Membership`].
+
+mod backend;
+mod board;
+mod engine_state;
+mod evidence;
+mod membership;
+mod placement;
+mod prefix_cache;
+mod read_queue;
+mod request;
+mod retry_window;
+mod routing;
+mod server;
+mod shutdown;
+
+pub use board::{Board, PlainChoice};
+pub use engine_state::{EngineState, Read};
+pub use evidence::Evidence;
+pub use membership::{Change, Membership};
+pub use placement::{EngineChoice, GenerationRequest, Placement, Plan, ReadPlan, Urgency};
+pub use prefix_cache::PrefixCache;
+pub use read_queue::{ReadQueue, ReadTicket};
+pub use request::{PrefixLink, Prompt, PromptPart, RequestKind};
+pub use retry_window::{RetryShare, RetryWindow};
+pub use routing::{ClientLimits, EngineTraits, Route, RouteTarget, RoutingConfig, ServiceConfig};
+pub use server::BackendServer;
+pub use shutdown::{ShutdownPhase, ShutdownPlan};
--- /dev/null
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -0,0 +1,281 @@
+//! Which engines read the prompt of a generation and generate its output.
+
+use std::{net::SocketAddr, time::Duration};
+
+use wagtailarch_types::{InstanceId, Role, ZoneName, rendezvous_weight};
+
+use crate::{PrefixLink, backend::Backend};
+
+/// Time from sending a request to an engine until it begins, and from its first token back.
+const DIRECT_OVERHEAD_MS: f64 = 15.0;
+/// Time that handing a prompt from one engine to another takes besides the transfer.
+const HANDOFF_OVERHEAD_MS: f64 = 15.0;
+/// Cost of using an engine in another availability zone, for its latency and the price of bytes.
+const OTHER_ZONE_MS: f64 = 12.0;
+/// Share of the time an engine spends on reading that counts beside the time to the first token.
+///
+/// It keeps prompts on engines that hold their parts while others are idle.
+const WORK_WEIGHT: f64 = 0.6;
+/// Tokens that a decode engine may have to read while it generates.
+///
+/// It reads pieces of about 1024 tokens between tokens, about 40 ms each; four of them in one event
+/// of six tokens exceed the usual objective of 200 ms between events.
+const MAX_DIRECT_TOKENS: u32 = 3_072;
+/// Cost of disturbing the streams of a decode engine by more than `MAX_DIRECT_TOKENS`.
+const DISTURBANCE_MS: f64 = 150.0;
+/// Cost of a decode engine for each running request, since each slows the others.
+const RUNNING_MS: f64 = 1.0;
+/// Cost for each rank below the first in the order of engines that a prefix prefers.
+const RANK_MS: f64 = 4.0;
+/// Share of the objective that a prediction may take; predictions are often too short.
+const ON_TIME_SHARE: f64 = 0.9;
+/// Share of the client's patience after which a first token is useless.
+const USEFUL_SHARE: f64 = 0.85;
+/// Shortest time after which a refused client is asked to return.
+const MIN_RETURN: Duration = Duration::from_millis(300);
+/// Longest time after which a refused client is asked to return.
+const MAX_RETURN: Duration = Duration::from_secs(3);
+
+/// Whether a generation can still be on time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Urgency {
+    /// Its first event is expected within the objective.
+    OnTime,
+    /// It runs after those that can be on time.
+    Late,
+}
+
+/// A generation to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct GenerationRequest<'a> {
+    /// Prefixes of its prompt, the shortest first.
+    pub prefixes: &'a [PrefixLink],
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Time until the first event is late.
+    pub objective_left: Duration,
+    /// Time until the client leaves if no event arrives.
+    pub patience_left: Duration,
+    /// Availability zone of this instance.
+    pub zone: &'a ZoneName,
+}
+
+/// One engine to be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineChoice {
+    /// Identifier.
+    pub id: InstanceId,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// Where the prompt is read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadPlan {
+    /// The engine that generates reads it too.
+    Direct,
+    /// Another engine reads it and hands it over.
+    Split(EngineChoice),
+}
+
+/// Engines for a generation.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// Where the prompt is read.
+    pub read: ReadPlan,
+    /// Engine that generates.
+    pub generate: EngineChoice,
+    /// Whether the first event is expected in time.
+    pub urgency: Urgency,
+    /// Predicted time to the first event.
+    pub first_event: Duration,
+}
+
+/// What becomes of a generation.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Placement {
+    /// It is sent to engines.
+    Use(Plan),
+    /// No engine can produce its first event while the client waits.
+    Refuse {
+        /// Predicted time to the first event.
+        first_event: Duration,
+        /// Time after which the client may return.
+        retry_after: Duration,
+    },
+    /// No engine may be used.
+    NoEngine,
+}
+
+/// A possibility with its predicted time and its cost, both in milliseconds.
+struct Candidate<'a> {
+    reader: Option<&'a Backend>,
+    generator: &'a Backend,
+    first_ms: f64,
+    cost_ms: f64,
+}
+
+/// Places a generation on engines of `engines`; those that may not be used are left out before.
+pub(crate) fn place<'a>(
+    now: Duration,
+    request: &GenerationRequest<'_>,
+    engines: impl Iterator<Item = &'a Backend>,
+) -> Placement {
+    let engines: Vec<_> = engines.collect();
+    for urgency in [Urgency::OnTime, Urgency::Late] {
+        let options = options(now, request, &engines, urgency);
+        if options.is_empty() {
+            return Placement::NoEngine;
+        }
+        let limit_ms = match urgency {
+            Urgency::OnTime => ms(request.objective_left) * ON_TIME_SHARE,
+            Urgency::Late => ms(request.patience_left) * USEFUL_SHARE,
+        };
+        let fitting = options.iter().filter(|option| option.first_ms <= limit_ms);
+        if let Some(best) = fitting.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms)) {
+            return Placement::Use(best.plan(urgency));
+        }
+        if urgency == Urgency::Late {
+            let first_ms = options.iter().map(|option| option.first_ms);
+            let first_ms = first_ms.fold(f64::INFINITY, f64::min);
+            return Placement::Refuse {
+                first_event: from_ms(first_ms),
+                retry_after: from_ms(first_ms - limit_ms).clamp(MIN_RETURN, MAX_RETURN),
+            };
+        }
+    }
+    Placement::NoEngine
+}
+
+impl Candidate<'_> {
+    fn plan(&self, urgency: Urgency) -> Plan {
+        let read = match self.reader {
+            Some(reader) => ReadPlan::Split(choice(reader)),
+            None => ReadPlan::Direct,
+        };
+        Plan {
+            read,
+            generate: choice(self.generator),
+            urgency,
+            first_event: from_ms(self.first_ms),
+        }
+    }
+}
+
+/// Lists all ways to serve a generation.
+fn options<'a>(
+    now: Duration,
+    request: &GenerationRequest<'_>,
+    engines: &[&'a Backend],
+    urgency: Urgency,
+) -> Vec<Candidate<'a>> {
+    let key = affinity_key(request.prefixes);
+    let generators = ranked(engines, key, |role| role != Role::Prefill);
+    let readers = ranked(engines, key, |role| role == Role::Prefill);
+    let mut options = Vec::new();
+    for (generator, rank) in &generators {
+        let Some(state) = &generator.engine else {
+            continue;
+        };
+        let running = state.running(now);
+        if running >= state.traits.slots {
+            continue;
+        }
+        let wait_ms = ms(state.queue.wait(now, urgency));
+        let generate_ms = f64::from(running) * RUNNING_MS
+            + *rank as f64 * RANK_MS
+            + zone_cost(&generator.server.zone, request.zone)
+            + generator.failure_cost(now);
+
+        let read_ms = ms(state.read_time(request.prefixes, request.prompt_tokens));
+        let first_ms = wait_ms + read_ms + DIRECT_OVERHEAD_MS;
+        let new_tokens = state.new_tokens(request.prefixes, request.prompt_tokens);
+        let disturbed = running > 0 && new_tokens > MAX_DIRECT_TOKENS;
+        options.push(Candidate {
+            reader: None,
+            generator,
+            first_ms,
+            cost_ms: first_ms
+                + read_ms * WORK_WEIGHT
+                + generate_ms
+                + if disturbed { DISTURBANCE_MS } else { 0.0 },
+        });
+
+        for (reader, reader_rank) in &readers {
+            let Some(reading) = &reader.engine else {
+                continue;
+            };
+            let read_ms = ms(reading.read_time(request.prefixes, request.prompt_tokens));
+            let same_zone = reader.server.zone == generator.server.zone;
+            let transfer_ms = transfer_ms(reading, request.prompt_tokens, same_zone);
+            let first_ms = ms(reading.queue.wait(now, urgency))
+                + read_ms
+                + transfer_ms
+                + HANDOFF_OVERHEAD_MS
+                + DIRECT_OVERHEAD_MS;
+            options.push(Candidate {
+                reader: Some(reader),
+                generator,
+                first_ms,
+                cost_ms: first_ms
+                    + read_ms * WORK_WEIGHT
+                    + wait_ms * WORK_WEIGHT
+                    + *reader_rank as f64 * RANK_MS
+                    + zone_cost(&reader.server.zone, request.zone)
+                    + zone_cost(&reader.server.zone, &generator.server.zone)
+                    + reader.failure_cost(now)
+                    + generate_ms,
+            });
+        }
+    }
+    options
+}
+
+/// Returns the key by which engines are preferred: the longest prefix that others may share.
+fn affinity_key(prefixes: &[PrefixLink]) -> u64 {
+    let shared = prefixes.len().saturating_sub(2);
+    prefixes.get(shared).map_or(0, |link| link.hash)
+}
+
+/// Orders the engines of some roles by the preference that all instances agree on.
+fn ranked<'a>(
+    engines: &[&'a Backend],
+    key: u64,
+    wanted: impl Fn(Role) -> bool,
+) -> Vec<(&'a Backend, usize)> {
+    let mut found: Vec<_> = engines
+        .iter()
+        .filter(|backend| backend.engine.as_ref().is_some_and(|e| wanted(e.role)))
+        .map(|&backend| (rendezvous_weight(key, &backend.server.id), backend))
+        .collect();
+    found.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    let ranked = found.into_iter().enumerate();
+    ranked.map(|(rank, (_, backend))| (backend, rank)).collect()
+}
+
+/// Returns the time that the memory of a prompt takes from one engine to another.
+fn transfer_ms(from: &crate::EngineState, tokens: u32, same_zone: bool) -> f64 {
+    let bits = f64::from(tokens) * from.traits.kv_token_bytes as f64 * 8.0;
+    let bits_per_ms = (from.traits.link_mbps * 1_000.0).max(1.0);
+    let factor = if same_zone { 1.0 } else { 2.0 };
+    bits / bits_per_ms * factor
+}
+
+fn zone_cost(zone: &ZoneName, own: &ZoneName) -> f64 {
+    if zone == own { 0.0 } else { OTHER_ZONE_MS }
+}
+
+fn choice(backend: &Backend) -> EngineChoice {
+    EngineChoice {
+        id: backend.server.id.clone(),
+        address: backend.server.address,
+    }
+}
+
+fn ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
+fn from_ms(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(MAX_RETURN)
+}
--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -16,6 +16,11 @@
     engine_client::CallError, in_flight::InFlightGuard, refusal::Refusal, request::RequestContext,
 };
 
+/// Greatest number of attempts of a request to a plain service.
+const MAX_ATTEMPTS: u32 = 3;
+/// Greatest number of attempts of a generation, whose stream can be resumed.
+const MAX_STREAM_ATTEMPTS: u32 = 4;
+
 /// Time for the connection attempt that tells a crashed server from a broken connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -243,6 +248,11 @@
             resumable: self.target.resumable,
             delivered,
             attempts: self.failures,
+            attempt_limit: if self.target.resumable {
+                MAX_STREAM_ATTEMPTS
+            } else {
+                MAX_ATTEMPTS
+            },
             ran_before: self.ran,
         };
         self.ran = RetryPolicy::combine(self.ran, failure.ran());
--- a/crates/wagtailarch-entry/src/bin/wagtail-entry.rs
+++ b/crates/wagtailarch-entry/src/bin/wagtail-entry.rs
@@ -5,7 +5,8 @@
 use displaydoc::Display;
 use pico_args::Arguments;
 use tokio::signal::unix::{SignalKind, signal};
-use wagtailarch_entry::{Instance, Settings, logger, parse_settings};
+use wagtailarch_entry::{Instance, Settings, parse_settings};
+use wagtailarch_telemetry::{LogOutput, logger};
 
 const HELP: &str = "\
 wagtail-entry: entry instance of wagtailarch
@@ -90,7 +91,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let (log, _guard) = logger(&settings.instance, &settings.zone);
+    let (log, _guard) = logger(LogOutput::Stderr, &settings.instance, &settings.zone);
     let finished = runtime.block_on(async {
         let instance = match Instance::start(settings, log).await {
             Ok(instance) => instance,
--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -19,7 +19,6 @@
 mod events;
 mod in_flight;
 mod instance;
-mod logging;
 mod metrics;
 mod peers;
 mod proxy;
@@ -36,7 +35,6 @@
 pub use control::ControlError;
 pub use events::ControlEvent;
 pub use instance::{Instance, StartError};
-pub use logging::{discard, logger};
 pub use metrics::Metrics;
 pub use peers::{
     KeyError, PeerAddress, PeerError, PeerEvent, PeerIdentity, Peers, TlsError, create_authority,
--- a/crates/wagtailarch-entry/src/metrics.rs
+++ b/crates/wagtailarch-entry/src/metrics.rs
@@ -4,17 +4,12 @@
 
 use prometheus_client::{
     encoding::text::encode,
-    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    metrics::{counter::Counter, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use wagtailarch_telemetry::{Counters, closed_counters};
 use wagtailarch_types::{RefusalReason, RetryReason};
 
-/// One label with a value of a closed set.
-type Label = [(&'static str, &'static str); 1];
-
-/// Counters by the values of a closed set; every value is present from the start.
-type Counters = Family<Label, Counter>;
-
 /// Why a frame of an engine was not delivered.
 pub const DROP_CAUSES: [&str; 6] = [
     "other_request",
@@ -76,7 +71,7 @@
     /// Creates and registers all metrics.
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("wagtail");
-        let refusals = closed(
+        let refusals = closed_counters(
             &mut registry,
             "refusals",
             "Refused requests",
@@ -87,35 +82,35 @@
             .iter()
             .map(|reason| reason.as_str())
             .collect();
-        let retries = closed(
+        let retries = closed_counters(
             &mut registry,
             "retries",
             "Repeated attempts",
             "reason",
             &retry,
         );
-        let dropped_frames = closed(
+        let dropped_frames = closed_counters(
             &mut registry,
             "dropped_frames",
             "Engine frames that were not delivered",
             "cause",
             &DROP_CAUSES,
         );
-        let connections = closed(
+        let connections = closed_counters(
             &mut registry,
             "connections",
             "Client connection events",
             "event",
             &CONNECTION_EVENTS,
         );
-        let dropped_hints = closed(
+        let dropped_hints = closed_counters(
             &mut registry,
             "dropped_hints",
             "Hints that the control thread had no room for",
             "kind",
             &HINTS,
         );
-        let dropped_config = closed(
+        let dropped_config = closed_counters(
             &mut registry,
             "dropped_config",
             "Parts of a configuration or list of a peer that were dropped",
@@ -280,19 +275,3 @@
         .map(|reason| reason.as_str())
         .collect()
 }
-
-/// Registers a family and creates a counter for each value.
-fn closed(
-    registry: &mut Registry,
-    name: &str,
-    help: &str,
-    label: &'static str,
-    values: &[&'static str],
-) -> Counters {
-    let family = Counters::default();
-    for &value in values {
-        drop(family.get_or_create(&[(label, value)]));
-    }
-    registry.register(name, help, family.clone());
-    family
-}
--- a/crates/wagtailarch-entry/tests/bootstrap.rs
+++ b/crates/wagtailarch-entry/tests/bootstrap.rs
@@ -19,13 +19,14 @@
 use serde_json::json;
 use tempfile::TempDir;
 use wagtailarch_entry::{
-    Instance, PeerEvent, PeerIdentity, PeerKeys, Peers, create_authority, create_instance, discard,
+    Instance, PeerEvent, PeerIdentity, PeerKeys, Peers, create_authority, create_instance,
     parse_settings,
 };
 use wagtailarch_fleet::{Fleet, MANIFEST_KEY, Manifest, split};
 use wagtailarch_platform::{
     ApplyOutcome, ConfigStore, Expect, FakePlatform, ListPage, Platform, PlatformFuture, Versioned,
 };
+use wagtailarch_telemetry::discard;
 use wagtailarch_types::{Generation, ObjectVersion};
 use wagtailarch_wire::{
     peer::{ConfigChunk, FetchConfig, Hello, MAX_CHUNK_BYTES, PeerMessage},
--- a/crates/wagtailarch-entry/tests/common/mod.rs
+++ b/crates/wagtailarch-entry/tests/common/mod.rs
@@ -28,8 +28,9 @@
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_util::sync::CancellationToken;
-use wagtailarch_entry::{Instance, discard, parse_settings};
+use wagtailarch_entry::{Instance, parse_settings};
 use wagtailarch_platform::{FakeFaults, FakePlatform, Platform};
+use wagtailarch_telemetry::discard;
 use wagtailarch_wire::engine::GenerateRequest;
 
 /// Error with which a fake breaks a response.
--- a/crates/wagtailarch-entry/tests/peers.rs
+++ b/crates/wagtailarch-entry/tests/peers.rs
@@ -6,8 +6,8 @@
 use tokio::sync::mpsc;
 use wagtailarch_entry::{
     PeerAddress, PeerEvent, PeerIdentity, PeerKeys, Peers, create_authority, create_instance,
-    discard,
 };
+use wagtailarch_telemetry::discard;
 use wagtailarch_wire::peer::{ConfigChunk, Digest, Hello, MAX_CHUNK_BYTES, PeerMessage};
 
 const UNTIL: (i32, u8, u8) = (2036, 1, 1);
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -0,0 +1,57 @@
+//! The control thread: configuration, servers and peers from the store.
+
+mod instances;
+mod routing;
+mod servers;
+mod watcher;
+
+use std::{io, net::SocketAddr, sync::Arc, thread, time::Instant};
+
+use slog::Logger;
+use tokio::{sync::watch, task::LocalSet};
+use wagtailarch_types::InstanceId;
+
+use crate::{metrics::Metrics, snapshot::Snapshot};
+
+/// What the control thread works with.
+#[derive(Debug, Clone)]
+pub struct ControlContext {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Address at which peers reach this instance.
+    pub peer_address: SocketAddr,
+    /// Address of the store.
+    pub store_address: SocketAddr,
+    /// Start of the process.
+    pub epoch: Instant,
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+/// Starts the control thread, which ends with the process, and returns what it publishes.
+pub fn start(context: ControlContext) -> io::Result<watch::Receiver<Arc<Snapshot>>> {
+    let (publisher, published) = watch::channel(Arc::new(Snapshot::default()));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let publisher = Arc::new(publisher);
+            LocalSet::new().block_on(&runtime, async {
+                tokio::join!(
+                    routing::watch_routing(context.clone(), Arc::clone(&publisher)),
+                    servers::watch_servers(context.clone(), Arc::clone(&publisher)),
+                    instances::keep_listed(context.clone(), Arc::clone(&publisher)),
+                );
+            });
+        })?;
+    Ok(published)
+}
+
+/// Changes the published snapshot.
+fn publish(publisher: &watch::Sender<Arc<Snapshot>>, change: impl FnOnce(&mut Snapshot)) {
+    publisher.send_modify(|snapshot| change(Arc::make_mut(snapshot)));
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -0,0 +1,60 @@
+//! The operator's configuration.
+
+use std::sync::Arc;
+
+use slog::{info, warn};
+use tokio::sync::watch;
+use wagtailarch_adapter::{Kind, StoreObject, decode_routing};
+
+use crate::{
+    control::{
+        ControlContext, publish,
+        watcher::{Seen, Watcher},
+    },
+    snapshot::Snapshot,
+};
+
+/// Follows the configuration and publishes each newer one.
+pub async fn watch_routing(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
+    let mut watcher = Watcher::new(Kind::Config, context.clone());
+    loop {
+        let objects = match watcher.next(None).await {
+            Seen::Listed(objects) => objects,
+            Seen::Changed(changes) => {
+                let written = changes.into_iter().filter(|(_, deleted)| !deleted);
+                written.map(|(object, _)| object).collect()
+            }
+            Seen::Lost => continue,
+        };
+        for object in &objects {
+            take_over(&context, &publisher, object);
+        }
+    }
+}
+
+/// Publishes a configuration if it is newer than the one in force.
+fn take_over(
+    context: &ControlContext,
+    publisher: &watch::Sender<Arc<Snapshot>>,
+    object: &StoreObject,
+) {
+    let config = match decode_routing(&object.content) {
+        Ok(config) => config,
+        Err(error) => {
+            warn!(context.log, "configuration ignored"; "name" => %object.name,
+                "version" => object.version, "cause" => %error);
+            return;
+        }
+    };
+    let generation = config.generation();
+    let in_force = publisher.borrow().config.as_ref().map(|c| c.generation());
+    if in_force.is_some_and(|in_force| in_force >= generation) {
+        return;
+    }
+    info!(context.log, "configuration taken over"; "generation" => generation,
+        "before" => in_force, "version" => object.version, "routes" => config.routes().len());
+    context.metrics.set_generation(generation);
+    publish(publisher, |snapshot| {
+        snapshot.config = Some(Arc::new(config))
+    });
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -0,0 +1,179 @@
+//! State that all requests of the traffic thread share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use slog::{Logger, info};
+use tokio::sync::{Notify, watch};
+use wagtailarch_dispatch::{Board, RetryShare, RetryWindow};
+use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
+use wagtailarch_types::{InstanceId, ServiceName};
+use wagtailarch_wire::load_note::{ReadNote, StrikeNote};
+
+use crate::{metrics::Metrics, settings::Settings, snapshot::Snapshot};
+
+/// State of the traffic thread.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings.
+    pub settings: Settings,
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Backend servers and their load.
+    pub board: RefCell<Board>,
+    /// Requests that were in flight on crashing servers.
+    pub quarantine: Quarantine,
+    /// What peers have not been told yet.
+    pub untold: RefCell<Untold>,
+    /// Wakes the task that tells peers.
+    pub tell: Notify,
+    /// Requests without a complete answer.
+    pub open_requests: Cell<usize>,
+    /// Whether the process was told to stop.
+    pub stopping: watch::Sender<Stopping>,
+    snapshot: RefCell<Arc<Snapshot>>,
+    retries: RefCell<IndexMap<ServiceName, RetryWindow>>,
+    epoch: Instant,
+}
+
+/// What peers have not been told yet.
+#[derive(Debug, Default)]
+pub struct Untold {
+    /// Prompts sent and read.
+    pub reads: Vec<ReadNote>,
+    /// Strikes of requests.
+    pub strikes: Vec<StrikeNote>,
+}
+
+/// How far a shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stopping {
+    /// The process serves.
+    No,
+    /// The balancer is told; clients are asked to close their connections.
+    Announced,
+    /// Idle connections are closed.
+    Finishing,
+}
+
+impl Gateway {
+    /// Creates the state of a process that knows nothing yet.
+    pub fn new(settings: Settings, log: Logger, metrics: Arc<Metrics>, epoch: Instant) -> Self {
+        Self {
+            settings,
+            log,
+            metrics,
+            board: RefCell::default(),
+            quarantine: Quarantine::new(),
+            untold: RefCell::default(),
+            tell: Notify::new(),
+            open_requests: Cell::new(0),
+            stopping: watch::Sender::new(Stopping::No),
+            snapshot: RefCell::default(),
+            retries: RefCell::default(),
+            epoch,
+        }
+    }
+
+    /// Returns the time since the start of the process.
+    pub fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    /// Returns the newest snapshot.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.snapshot.borrow())
+    }
+
+    /// Tells whether clients may be sent here.
+    pub fn ready(&self) -> bool {
+        *self.stopping.borrow() == Stopping::No && self.snapshot.borrow().complete()
+    }
+
+    /// Takes over snapshots of the control thread until it ends.
+    pub async fn follow(self: Rc<Self>, mut published: watch::Receiver<Arc<Snapshot>>) {
+        while published.changed().await.is_ok() {
+            let snapshot = Arc::clone(&published.borrow_and_update());
+            let was_ready = self.ready();
+            if let Some(config) = &snapshot.config {
+                self.board.borrow_mut().apply(&snapshot.servers, config);
+            }
+            self.metrics
+                .set_members(snapshot.servers.len(), snapshot.peers.len());
+            *self.snapshot.borrow_mut() = snapshot;
+            if !was_ready && self.ready() {
+                info!(self.log, "ready");
+            }
+        }
+    }
+
+    /// Counts a request of a client in the retry budget of its service.
+    pub fn count_request(&self, service: &ServiceName) {
+        let share = self.retry_share();
+        let mut retries = self.retries.borrow_mut();
+        let window = retries.entry(service.clone()).or_default();
+        window.on_request(self.now(), &share);
+    }
+
+    /// Takes one retry from the budget of a service.
+    pub fn try_retry(&self, service: &ServiceName) -> bool {
+        let share = self.retry_share();
+        let mut retries = self.retries.borrow_mut();
+        let window = retries.entry(service.clone()).or_default();
+        window.try_retry(self.now(), &share)
+    }
+
+    /// Queues what peers should know of a prompt.
+    pub fn tell_read(&self, note: Option<ReadNote>) {
+        if let Some(note) = note {
+            self.untold.borrow_mut().reads.push(note);
+            self.tell.notify_one();
+        }
+    }
+
+    /// Notes that a server crashed while it ran the given request, and queues this for peers.
+    pub fn strike(&self, server: &InstanceId, fingerprint: u128) {
+        let events = self.quarantine.on_crash(self.now(), server, &[fingerprint]);
+        for event in events {
+            info!(self.log, "request suspected"; "fingerprint" => format!("{fingerprint:032x}"),
+                "server" => %server, "verdict" => ?event.kind);
+            let StrikeEvent {
+                fingerprint,
+                server,
+                ..
+            } = event;
+            let note = StrikeNote {
+                fingerprint,
+                server,
+            };
+            self.untold.borrow_mut().strikes.push(note);
+            self.tell.notify_one();
+        }
+    }
+
+    /// Takes over a strike that a peer has told.
+    pub fn on_peer_strike(&self, strike: StrikeNote) {
+        let event = StrikeEvent {
+            fingerprint: strike.fingerprint,
+            server: strike.server,
+            kind: StrikeKind::Suspected,
+        };
+        self.quarantine.apply_remote(self.now(), event);
+    }
+
+    fn retry_share(&self) -> RetryShare {
+        RetryShare {
+            ratio: self.settings.retry_ratio,
+            slack: self.settings.retry_slack,
+            window: self.settings.retry_window(),
+            instances: self.snapshot.borrow().peers.len() + 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -0,0 +1,374 @@
+//! Generations: which engines read the prompt and generate, and what follows a failure.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use slog::{debug, info};
+use wagtailarch_adapter::{CallStep, KvSource, PriorityClass, decode_read_answer};
+use wagtailarch_dispatch::{EngineChoice, GenerationRequest, Placement, Plan, ReadPlan, Urgency};
+use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
+use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
+
+use crate::{
+    answer_body::AnswerBody,
+    backend_client::{Answer, Call, CallFailure, read_whole, send},
+    guards::{Generating, Reading},
+    job::Job,
+    refusal::{Refusal, SOON},
+    relay,
+};
+
+/// Calls that one request makes at most, those that did not run included.
+const MAX_CALLS: u32 = 6;
+/// Rank of a stream that is resumed; its client already waits.
+const RESUMED_CLASS: PriorityClass = 0;
+/// Rank of the most urgent route; each lower priority adds one.
+const FIRST_CLASS: PriorityClass = 1;
+/// Rank of generations that are late anyway.
+const LATE_CLASS: PriorityClass = 8;
+/// Factor between the predicted time and the time after which an engine is given up.
+const PATIENCE_FACTOR: u32 = 3;
+/// Shortest time after which an engine is given up.
+const MIN_PATIENCE: Duration = Duration::from_millis(700);
+
+/// A generation whose answer has begun.
+#[derive(Debug)]
+pub struct Started {
+    /// Answer of the engine that generates.
+    pub answer: Answer,
+    /// The call that it answers.
+    pub call: Call,
+    /// Counts the generation.
+    pub _generating: Generating,
+    /// The prompt, while the engine that generates reads it.
+    pub reading: Option<Reading>,
+}
+
+/// Why a generation has not begun.
+#[derive(Debug)]
+pub enum StartFailure {
+    /// The instance gives up.
+    Refused(Refusal),
+    /// An engine failed it with an answer of its own.
+    Answered(Box<Response<AnswerBody>>),
+}
+
+/// Calls made so far for one generation.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    /// Engines that failed.
+    failed: Vec<InstanceId>,
+    /// Calls after which the request can have run.
+    runs: u32,
+    /// All calls.
+    calls: u32,
+    /// Calls that only read the prompt.
+    reads: u32,
+    /// Whether the request can have run.
+    ran: Option<Ran>,
+}
+
+impl Attempts {
+    fn ran(&self) -> Ran {
+        self.ran.unwrap_or(Ran::No)
+    }
+
+    /// Notes a failed call and decides whether another one follows.
+    pub fn on_failure(
+        &mut self,
+        job: &Job,
+        engine: &InstanceId,
+        failure: CallFailure,
+        delivered: bool,
+    ) -> Result<(), Refusal> {
+        self.failed.push(engine.clone());
+        if failure.ran != Ran::No {
+            self.runs += 1;
+        }
+        let traits = RequestTraits {
+            idempotent: job.route.kind.repeatable(),
+            resumable: job.route.kind.repeatable(),
+            delivered,
+            attempts: self.runs,
+            attempt_limit: job.route.max_attempts,
+            ran_before: self.ran(),
+        };
+        self.ran = Some(RetryPolicy::combine(self.ran(), failure.ran));
+        let attempt_failure = AttemptFailure {
+            reason: failure.reason,
+        };
+        let decision = RetryPolicy::next(&attempt_failure, &traits);
+        let reason = match decision {
+            _ if job.time_left().is_zero() => RefusalReason::DeadlineUnreachable,
+            RetryDecision::GiveUp(reason, _) => reason,
+            RetryDecision::Retry(_) if self.calls >= MAX_CALLS => RefusalReason::AttemptsExhausted,
+            RetryDecision::Retry(reason) => return self.take_retry(job, reason),
+        };
+        Err(self.refusal(reason))
+    }
+
+    /// Notes that an engine has not read the prompt, which may be repeated in any case.
+    fn on_read_failure(&mut self, job: &Job, engine: &InstanceId) {
+        self.failed.push(engine.clone());
+        job.gateway.metrics.retried(RetryReason::KvImportFailed);
+    }
+
+    fn take_retry(&self, job: &Job, reason: RetryReason) -> Result<(), Refusal> {
+        if !job.gateway.try_retry(&job.service) {
+            return Err(self.refusal(RefusalReason::RetryBudgetExhausted));
+        }
+        job.gateway.metrics.retried(reason);
+        Ok(())
+    }
+
+    fn refusal(&self, reason: RefusalReason) -> Refusal {
+        Refusal {
+            reason,
+            ran: self.ran(),
+            retry_after: SOON,
+        }
+    }
+}
+
+/// Serves a generation.
+pub async fn serve(job: Rc<Job>) -> Response<AnswerBody> {
+    let mut attempts = Attempts::default();
+    match start(&job, &mut attempts, job.client.resume_after).await {
+        Ok(started) => relay::respond(job, attempts, started),
+        Err(StartFailure::Refused(refusal)) => refusal.respond(&job),
+        Err(StartFailure::Answered(response)) => *response,
+    }
+}
+
+/// Begins a generation, or goes on with one after the event `resume_after`.
+pub async fn start(
+    job: &Rc<Job>,
+    attempts: &mut Attempts,
+    resume_after: Option<u64>,
+) -> Result<Started, StartFailure> {
+    let resumed = resume_after != job.client.resume_after;
+    loop {
+        let plan = plan(job, attempts).map_err(StartFailure::Refused)?;
+        let (step, reader) = match read_prompt(job, attempts, &plan).await {
+            Ok(read) => read,
+            Err(ReadFailure::Again) => continue,
+            Err(ReadFailure::GiveUp(refusal)) => return Err(StartFailure::Refused(refusal)),
+        };
+        let call = Call {
+            server: plan.generate.clone(),
+            step,
+            priority: Some(class(job, plan.urgency, resumed)),
+            resume_after,
+            head_limit: head_limit(job, &plan),
+        };
+        attempts.calls += 1;
+        let gateway = &job.gateway;
+        let generating = Generating::new(gateway, &plan.generate.id);
+        let reading = reader
+            .is_none()
+            .then(|| reading(job, &plan.generate, plan.urgency));
+        gateway.tell.notify_one();
+        let failure = match send(job, &call).await {
+            Ok(answer) if answer.parts.status == StatusCode::OK => {
+                return Ok(Started {
+                    answer,
+                    call,
+                    _generating: generating,
+                    reading,
+                });
+            }
+            Ok(answer) => match own_failure(job, &call, answer).await {
+                Ok(response) if !job.route.kind.repeatable() || resumed => {
+                    return Err(StartFailure::Answered(Box::new(response)));
+                }
+                Ok(response) => {
+                    let failure = CallFailure {
+                        reason: RetryReason::ServerError,
+                        ran: Ran::Yes,
+                    };
+                    if attempts
+                        .on_failure(job, &call.server.id, failure, false)
+                        .is_err()
+                    {
+                        return Err(StartFailure::Answered(Box::new(response)));
+                    }
+                    continue;
+                }
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        if let (Some(reader), CallFailure::NOT_RUN) = (&reader, failure) {
+            // The prompt could not be taken over: its reader may have dropped it.
+            gateway.board.borrow_mut().on_failure(gateway.now(), reader);
+            attempts.failed.push(reader.clone());
+        }
+        attempts
+            .on_failure(job, &call.server.id, failure, resumed)
+            .map_err(StartFailure::Refused)?;
+    }
+}
+
+/// Chooses engines.
+fn plan(job: &Job, attempts: &Attempts) -> Result<Plan, Refusal> {
+    let gateway = &job.gateway;
+    let prompt = job.client.prompt.as_ref();
+    let request = GenerationRequest {
+        prefixes: &job.prefixes,
+        prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
+        objective_left: job.objective_left(),
+        patience_left: job.patience_left(),
+        zone: &gateway.settings.zone,
+    };
+    let placement = gateway.board.borrow().place_generation(
+        gateway.now(),
+        &job.service,
+        &request,
+        &attempts.failed,
+    );
+    match placement {
+        Placement::Use(plan) => {
+            debug!(gateway.log, "placed"; "request" => %job.client.id, "route" => %job.route.name,
+                "tokens" => request.prompt_tokens, "engine" => %plan.generate.id,
+                "reader" => match &plan.read {
+                    ReadPlan::Direct => "same",
+                    ReadPlan::Split(reader) => reader.id.as_str(),
+                },
+                "first_event_ms" => plan.first_event.as_millis() as u64,
+                "urgency" => ?plan.urgency, "age_ms" => job.age().as_millis() as u64);
+            Ok(plan)
+        }
+        Placement::Refuse {
+            first_event,
+            retry_after,
+        } => {
+            info!(gateway.log, "no engine in time"; "request" => %job.client.id,
+                "first_event_ms" => first_event.as_millis() as u64,
+                "patience_left_ms" => request.patience_left.as_millis() as u64);
+            Err(Refusal {
+                reason: RefusalReason::Overloaded,
+                ran: attempts.ran(),
+                retry_after,
+            })
+        }
+        Placement::NoEngine => Err(attempts.refusal(RefusalReason::NoBackend)),
+    }
+}
+
+/// Why a prompt has not been read by another engine.
+enum ReadFailure {
+    /// Other engines are chosen.
+    Again,
+    /// The instance gives up.
+    GiveUp(Refusal),
+}
+
+/// Has the prompt read by another engine if the plan says so.
+///
+/// Returns the step of the call that generates, and the engine that has read the prompt.
+async fn read_prompt(
+    job: &Rc<Job>,
+    attempts: &mut Attempts,
+    plan: &Plan,
+) -> Result<(CallStep, Option<InstanceId>), ReadFailure> {
+    let ReadPlan::Split(reader) = &plan.read else {
+        return Ok((CallStep::Whole, None));
+    };
+    // The first such call of a request is no repetition.
+    if attempts.reads > 0 {
+        let retry = attempts.take_retry(job, RetryReason::KvImportFailed);
+        retry.map_err(ReadFailure::GiveUp)?;
+    }
+    attempts.reads += 1;
+    attempts.calls += 1;
+    let reading = reading(job, reader, plan.urgency);
+    let call = Call {
+        server: reader.clone(),
+        step: CallStep::Read,
+        priority: Some(class(job, plan.urgency, false)),
+        resume_after: None,
+        head_limit: head_limit(job, plan),
+    };
+    let handle = read_handle(job, &call).await;
+    drop(reading);
+    match handle {
+        Some(source) => Ok((CallStep::Generate(source), Some(reader.id.clone()))),
+        None if attempts.calls >= MAX_CALLS || job.patience_left().is_zero() => Err(
+            ReadFailure::GiveUp(attempts.refusal(RefusalReason::AttemptsExhausted)),
+        ),
+        None => {
+            attempts.on_read_failure(job, &reader.id);
+            Err(ReadFailure::Again)
+        }
+    }
+}
+
+/// Has an engine read the prompt and returns where it is held.
+async fn read_handle(job: &Job, call: &Call) -> Option<KvSource> {
+    let answer = send(job, call).await.ok()?;
+    let status = answer.parts.status;
+    let body = read_whole(job, call, answer).await.ok()?;
+    let gateway = &job.gateway;
+    let now = gateway.now();
+    let id = &call.server.id;
+    match decode_read_answer(&body) {
+        Ok(read) if status == StatusCode::OK => {
+            gateway.board.borrow_mut().on_success(now, id);
+            Some(KvSource {
+                address: call.server.address,
+                handle: read.handle,
+            })
+        }
+        _ => {
+            gateway.board.borrow_mut().on_failure(now, id);
+            info!(gateway.log, "prompt not read"; "request" => %job.client.id,
+                "server" => %id, "status" => status.as_u16());
+            None
+        }
+    }
+}
+
+/// Reads an engine's own answer other than success, to be passed on as it is.
+async fn own_failure(
+    job: &Job,
+    call: &Call,
+    mut answer: Answer,
+) -> Result<Response<AnswerBody>, CallFailure> {
+    let gateway = &job.gateway;
+    let mut head = Response::new(());
+    *head.status_mut() = answer.parts.status;
+    *head.headers_mut() = std::mem::take(&mut answer.parts.headers);
+    let body: Bytes = read_whole(job, call, answer).await?;
+    gateway
+        .board
+        .borrow_mut()
+        .on_failure(gateway.now(), &call.server.id);
+    info!(gateway.log, "engine failed the request"; "request" => %job.client.id,
+        "server" => %call.server.id, "status" => head.status().as_u16());
+    head.headers_mut().remove(header::CONTENT_LENGTH);
+    Ok(head.map(|()| AnswerBody::whole(body)))
+}
+
+fn reading(job: &Job, engine: &EngineChoice, urgency: Urgency) -> Reading {
+    let tokens = job.client.prompt.as_ref().map_or(0, |p| p.prompt_tokens);
+    Reading::new(&job.gateway, &engine.id, urgency, &job.prefixes, tokens)
+}
+
+/// Returns the rank of a generation at its engines.
+fn class(job: &Job, urgency: Urgency, resumed: bool) -> PriorityClass {
+    match urgency {
+        _ if resumed => RESUMED_CLASS,
+        Urgency::OnTime => (FIRST_CLASS + job.route.priority).min(LATE_CLASS - 1),
+        Urgency::Late => LATE_CLASS,
+    }
+}
+
+/// Returns how long the head of an answer may take.
+fn head_limit(job: &Job, plan: &Plan) -> Duration {
+    if !job.route.kind.repeatable() {
+        return job.time_left();
+    }
+    let expected = plan.first_event * PATIENCE_FACTOR;
+    expected.max(MIN_PATIENCE).min(job.patience_left())
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -0,0 +1,134 @@
+//! Counts that are taken back however a request ends.
+
+use std::rc::Rc;
+
+use wagtailarch_dispatch::{PrefixLink, Read, Urgency};
+use wagtailarch_types::InstanceId;
+
+use crate::gateway::Gateway;
+
+/// A request that was sent to a server and is not answered.
+#[derive(Debug)]
+pub struct InFlight {
+    gateway: Rc<Gateway>,
+    server: InstanceId,
+}
+
+impl InFlight {
+    /// Counts a request.
+    pub fn new(gateway: &Rc<Gateway>, server: &InstanceId) -> Self {
+        gateway.board.borrow_mut().on_sent(server);
+        Self {
+            gateway: Rc::clone(gateway),
+            server: server.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.gateway.board.borrow_mut().on_ended(&self.server);
+    }
+}
+
+/// A prompt that an engine is reading; peers are told of its start and of its end.
+#[derive(Debug)]
+pub struct Reading {
+    gateway: Rc<Gateway>,
+    engine: InstanceId,
+    urgency: Urgency,
+    read: Option<Read>,
+}
+
+impl Reading {
+    /// Notes that a prompt is sent to an engine.
+    pub fn new(
+        gateway: &Rc<Gateway>,
+        engine: &InstanceId,
+        urgency: Urgency,
+        prefixes: &[PrefixLink],
+        prompt_tokens: u32,
+    ) -> Self {
+        let now = gateway.now();
+        let started =
+            gateway
+                .board
+                .borrow_mut()
+                .start_read(now, engine, urgency, prefixes, prompt_tokens);
+        let (read, note) = started.unzip();
+        gateway.tell_read(note);
+        Self {
+            gateway: Rc::clone(gateway),
+            engine: engine.clone(),
+            urgency,
+            read,
+        }
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        let Some(read) = &self.read else {
+            return;
+        };
+        let now = self.gateway.now();
+        let note =
+            self.gateway
+                .board
+                .borrow_mut()
+                .finish_read(now, &self.engine, self.urgency, read);
+        self.gateway.tell_read(note);
+    }
+}
+
+/// A request that generates on an engine.
+#[derive(Debug)]
+pub struct Generating {
+    gateway: Rc<Gateway>,
+    engine: InstanceId,
+}
+
+impl Generating {
+    /// Counts a request.
+    pub fn new(gateway: &Rc<Gateway>, engine: &InstanceId) -> Self {
+        gateway.board.borrow_mut().add_running(engine, 1);
+        Self {
+            gateway: Rc::clone(gateway),
+            engine: engine.clone(),
+        }
+    }
+}
+
+impl Drop for Generating {
+    fn drop(&mut self) {
+        self.gateway
+            .board
+            .borrow_mut()
+            .add_running(&self.engine, -1);
+        self.gateway.tell.notify_one();
+    }
+}
+
+/// A request of a client that has no complete answer yet.
+#[derive(Debug)]
+pub struct OpenRequest {
+    gateway: Rc<Gateway>,
+}
+
+impl OpenRequest {
+    /// Counts a request.
+    pub fn new(gateway: &Rc<Gateway>) -> Self {
+        gateway.open_requests.set(gateway.open_requests.get() + 1);
+        Self {
+            gateway: Rc::clone(gateway),
+        }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let open = self.gateway.open_requests.get();
+        self.gateway.open_requests.set(open.saturating_sub(1));
+        self.gateway.metrics.request_ended();
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/job.rs
@@ -0,0 +1,84 @@
+//! A client's request while it is served.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use wagtailarch_adapter::ClientRequest;
+use wagtailarch_dispatch::{PrefixLink, Route, RoutingConfig};
+use wagtailarch_types::{Fingerprint, ServiceName, fingerprint};
+
+use crate::gateway::Gateway;
+
+/// A client's request while it is served.
+#[derive(Debug)]
+pub struct Job {
+    /// State of the traffic thread.
+    pub gateway: Rc<Gateway>,
+    /// Head of the request.
+    pub client: ClientRequest,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Route.
+    pub route: Route,
+    /// Service.
+    pub service: ServiceName,
+    /// Configuration that was in force when the request arrived.
+    pub config: Arc<RoutingConfig>,
+    /// Time of its arrival.
+    pub arrived: Duration,
+    /// Prefixes of its prompt.
+    pub prefixes: Vec<PrefixLink>,
+    /// Hash of method, path and body, by which a repeated request is recognised.
+    pub fingerprint: Fingerprint,
+}
+
+impl Job {
+    /// Creates a job.
+    pub fn new(
+        gateway: &Rc<Gateway>,
+        client: ClientRequest,
+        body: Bytes,
+        route: Route,
+        config: Arc<RoutingConfig>,
+        arrived: Duration,
+    ) -> Self {
+        let service = route.target(&client.id).clone();
+        let prefixes = client.prompt.as_ref().map(|prompt| prompt.prefixes());
+        let target = client.uri.path_and_query().map_or("", |path| path.as_str());
+        let fields = [client.method.as_str().as_bytes(), target.as_bytes(), &body];
+        let fingerprint = fingerprint(&fields);
+        Self {
+            gateway: Rc::clone(gateway),
+            prefixes: prefixes.unwrap_or_default(),
+            client,
+            body,
+            route,
+            service,
+            config,
+            arrived,
+            fingerprint,
+        }
+    }
+
+    /// Returns the time since the arrival.
+    pub fn age(&self) -> Duration {
+        self.gateway.now().saturating_sub(self.arrived)
+    }
+
+    /// Returns the time that is left before the client's deadline and the route's timeout.
+    pub fn time_left(&self) -> Duration {
+        let limit = self.client.deadline.unwrap_or(self.route.timeout);
+        limit.min(self.route.timeout).saturating_sub(self.age())
+    }
+
+    /// Returns the time that is left before the first answer is late.
+    pub fn objective_left(&self) -> Duration {
+        self.route.objective.saturating_sub(self.age())
+    }
+
+    /// Returns the time that is left before the client leaves a silent stream.
+    pub fn patience_left(&self) -> Duration {
+        let patience = self.route.patience().saturating_sub(self.age());
+        patience.min(self.time_left())
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! The entry instance on the users' platform: sockets, clocks and the flow of requests.
+//!
+//! The control thread ([`control`]) watches the store and publishes a [`snapshot::Snapshot`]; the
+//! traffic thread serves clients with it. What happens to a request is decided by
+//! `wagtailarch-dispatch`; names and formats of the platform are in `wagtailarch-adapter`.
+
+mod answer_body;
+mod backend_client;
+mod connection;
+mod control;
+mod event_splitter;
+mod gateway;
+mod generation;
+mod guards;
+mod job;
+mod metrics;
+mod peers;
+mod plain;
+mod process;
+mod ready;
+mod refusal;
+mod relay;
+mod server;
+mod settings;
+mod snapshot;
+mod store_client;
+
+pub use event_splitter::{EventSplitter, StreamEvent};
+pub use process::{StartError, run};
+pub use settings::{Settings, SettingsError, parse_settings};
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -0,0 +1,144 @@
+//! The process: threads, signals and shutdown.
+
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use displaydoc::Display;
+use slog::{Logger, info, warn};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::{Signal, SignalKind, signal},
+    task::{LocalSet, spawn_local},
+    time::sleep,
+};
+use wagtailarch_dispatch::{ShutdownPhase, ShutdownPlan};
+use wagtailarch_types::BootId;
+
+use crate::{
+    control::{self, ControlContext},
+    gateway::{Gateway, Stopping},
+    metrics::Metrics,
+    peers::{hear_peers, tell_peers},
+    ready::serve_status,
+    server::serve_clients,
+    settings::Settings,
+};
+
+/// Interval at which the progress of a shutdown is looked at.
+const SHUTDOWN_STEP: Duration = Duration::from_millis(50);
+
+/// Why the process could not start.
+#[derive(Debug, Display)]
+pub enum StartError {
+    /// cannot listen on {0}: {1}
+    Listen(SocketAddr, io::Error),
+    /// cannot start the runtime: {0}
+    Runtime(io::Error),
+    /// cannot receive signals: {0}
+    Signals(io::Error),
+}
+
+impl std::error::Error for StartError {}
+
+/// Runs the process until it was told to stop and has finished.
+pub fn run(settings: Settings, log: Logger) -> Result<(), StartError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(StartError::Runtime)?;
+    LocalSet::new().block_on(&runtime, serve(settings, log))
+}
+
+async fn serve(settings: Settings, log: Logger) -> Result<(), StartError> {
+    let epoch = Instant::now();
+    let metrics = Arc::new(Metrics::new());
+    let clients = listen(settings.client_address).await?;
+    let ready = listen(settings.ready_address).await?;
+    let scrapes = listen(settings.metrics_address).await?;
+    let socket = UdpSocket::bind(settings.peer_address).await;
+    let socket = socket.map_err(|error| StartError::Listen(settings.peer_address, error))?;
+    let socket = Rc::new(socket);
+    let context = ControlContext {
+        instance: settings.instance.clone(),
+        peer_address: settings.peer_address,
+        store_address: settings.store_address,
+        epoch,
+        log: log.clone(),
+        metrics: Arc::clone(&metrics),
+    };
+    let published = control::start(context).map_err(StartError::Runtime)?;
+    let mut term = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
+    let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
+    info!(log, "started"; "clients" => %settings.client_address,
+        "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
+    let gateway = Rc::new(Gateway::new(settings, log, metrics, epoch));
+    spawn_local(Rc::clone(&gateway).follow(published));
+    spawn_local(serve_clients(Rc::clone(&gateway), clients));
+    spawn_local(serve_status(Rc::clone(&gateway), ready));
+    spawn_local(serve_status(Rc::clone(&gateway), scrapes));
+    spawn_local(tell_peers(
+        Rc::clone(&gateway),
+        Rc::clone(&socket),
+        boot_id(),
+    ));
+    spawn_local(hear_peers(Rc::clone(&gateway), socket));
+    spawn_local(report_hangups(Rc::clone(&gateway), hangup));
+    term.recv().await;
+    shut_down(&gateway).await;
+    Ok(())
+}
+
+/// Finishes what was read and asks clients to go elsewhere.
+async fn shut_down(gateway: &Gateway) {
+    let plan = ShutdownPlan {
+        grace: gateway.settings.grace(),
+    };
+    let begun = gateway.now();
+    info!(gateway.log, "stopping"; "open_requests" => gateway.open_requests.get());
+    gateway.stopping.send_replace(Stopping::Announced);
+    loop {
+        let since = gateway.now().saturating_sub(begun);
+        let open = gateway.open_requests.get();
+        match plan.phase(since, open) {
+            ShutdownPhase::Announcing => {}
+            ShutdownPhase::Finishing => {
+                if *gateway.stopping.borrow() == Stopping::Announced {
+                    gateway.stopping.send_replace(Stopping::Finishing);
+                }
+            }
+            ShutdownPhase::Ended => {
+                if open > 0 {
+                    warn!(gateway.log, "stopped with open requests"; "open_requests" => open);
+                } else {
+                    info!(gateway.log, "stopped"; "after_ms" => since.as_millis() as u64);
+                }
+                return;
+            }
+        }
+        sleep(SHUTDOWN_STEP).await;
+    }
+}
+
+/// Logs each SIGHUP; the settings hold nothing that can change while the process runs.
+async fn report_hangups(gateway: Rc<Gateway>, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        info!(gateway.log, "settings unchanged"; "cause" => "SIGHUP");
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| StartError::Listen(address, error))
+}
+
+/// Returns a number that tells this start from others; only equality matters.
+fn boot_id() -> BootId {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let nanos = since_epoch.unwrap_or_default().as_nanos() as u64;
+    nanos ^ u64::from(std::process::id()).rotate_left(32)
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/ready.rs
@@ -0,0 +1,59 @@
+//! What the balancer asks, and the metrics.
+
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::debug;
+use tokio::{net::TcpListener, time::sleep};
+use wagtailarch_adapter::READY_PATH;
+
+use crate::gateway::Gateway;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Time for which a connection may stay idle.
+const IDLE: Duration = Duration::from_secs(15);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves readiness and metrics at one address until the process ends.
+pub async fn serve_status(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let gateway = Rc::clone(&gateway);
+        tokio::task::spawn_local(async move {
+            let shared = Rc::clone(&gateway);
+            let service = service_fn(move |request| {
+                let response = answer(&shared, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                debug!(gateway.log, "status connection ended"; "cause" => %error);
+            }
+        });
+    }
+}
+
+fn answer(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match request.uri().path() {
+        READY_PATH if gateway.ready() => (StatusCode::OK, "ready\n".to_owned()),
+        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        METRICS_PATH => (StatusCode::OK, gateway.metrics.encode()),
+        _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
+    };
+    let mut response = Response::new(Full::from(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -0,0 +1,237 @@
+//! Passing on the events of a stream, and going on at another engine when one fails.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http::{Response, header};
+use http_body_util::BodyExt;
+use slog::{debug, info};
+use tokio::time::timeout;
+
+use crate::{
+    answer_body::{AnswerBody, BodyError},
+    backend_client::CallFailure,
+    event_splitter::EventSplitter,
+    generation::{Attempts, StartFailure, Started, start},
+    job::Job,
+};
+
+/// Silence after which a stream that may be resumed is taken to another engine.
+///
+/// Clients leave a silent stream after two seconds or more.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// A stream on its way to the client.
+struct Relay {
+    job: Rc<Job>,
+    attempts: Attempts,
+    /// The engine's answer; absent after its end.
+    live: Option<Started>,
+    splitter: EventSplitter,
+    /// Number of the last event that was passed on.
+    last_event: Option<u64>,
+    events: u64,
+    first_event_ms: Option<u64>,
+    finished: bool,
+}
+
+/// What the engine's answer holds next.
+enum Next {
+    Bytes(Bytes),
+    End,
+    Broken(&'static str),
+    TimedOut,
+}
+
+/// Builds the answer to the client: the head of the first engine and the events of all.
+pub fn respond(job: Rc<Job>, attempts: Attempts, mut started: Started) -> Response<AnswerBody> {
+    let mut head = Response::new(());
+    *head.status_mut() = started.answer.parts.status;
+    *head.headers_mut() = std::mem::take(&mut started.answer.parts.headers);
+    head.headers_mut().remove(header::CONTENT_LENGTH);
+    let last_event = job.client.resume_after;
+    let relay = Relay {
+        job,
+        attempts,
+        live: Some(started),
+        splitter: EventSplitter::default(),
+        last_event,
+        events: 0,
+        first_event_ms: None,
+        finished: false,
+    };
+    let pieces = stream::unfold(relay, |mut relay| async move {
+        let piece = relay.next_piece().await?;
+        Some((piece, relay))
+    });
+    head.map(|()| AnswerBody::pieces(pieces.boxed_local()))
+}
+
+impl Relay {
+    /// Returns the next bytes for the client; `None` after the end of the stream.
+    async fn next_piece(&mut self) -> Option<Result<Bytes, BodyError>> {
+        loop {
+            if let Some(piece) = self.take_events() {
+                return Some(Ok(piece));
+            }
+            match self.read().await {
+                Next::Bytes(bytes) => self.splitter.push(&bytes),
+                Next::End => {
+                    if self.live.take().is_none() {
+                        return None;
+                    }
+                    let rest = self.splitter.take_rest();
+                    self.on_end("complete");
+                    if !rest.is_empty() {
+                        return Some(Ok(rest));
+                    }
+                    return None;
+                }
+                Next::Broken(cause) => {
+                    if let Err(error) = self.resume(cause).await {
+                        self.on_end("broken off");
+                        return Some(Err(error));
+                    }
+                }
+                Next::TimedOut => {
+                    self.live = None;
+                    self.on_end("timed out");
+                    return Some(Err(BodyError::TimedOut));
+                }
+            }
+        }
+    }
+
+    /// Takes all whole events that follow the last one passed on.
+    fn take_events(&mut self) -> Option<Bytes> {
+        let mut pieces: Vec<Bytes> = Vec::new();
+        while let Some(event) = self.splitter.next_event() {
+            // After a resumption an engine may send events again.
+            if event.id.is_some() && event.id <= self.last_event {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            self.events += 1;
+            pieces.push(event.bytes);
+        }
+        if pieces.is_empty() {
+            return None;
+        }
+        self.on_events();
+        match pieces.len() {
+            1 => pieces.pop(),
+            _ => Some(pieces.concat().into()),
+        }
+    }
+
+    fn on_events(&mut self) {
+        if let Some(live) = &mut self.live {
+            // The first event shows that the prompt has been read.
+            live.reading = None;
+        }
+        if self.first_event_ms.is_some() {
+            return;
+        }
+        let job = &self.job;
+        let gateway = &job.gateway;
+        self.first_event_ms = Some(job.age().as_millis() as u64);
+        gateway
+            .metrics
+            .latency(job.route.kind, "first_event", job.age());
+        if let Some(live) = &self.live {
+            let now = gateway.now();
+            gateway
+                .board
+                .borrow_mut()
+                .on_success(now, &live.call.server.id);
+        }
+    }
+
+    /// Reads from the engine's answer.
+    async fn read(&mut self) -> Next {
+        let Some(live) = &mut self.live else {
+            return Next::End;
+        };
+        let left = self.job.time_left();
+        if left.is_zero() {
+            return Next::TimedOut;
+        }
+        let resumable = self.job.route.kind.repeatable();
+        let limit = if resumable { left.min(SILENCE) } else { left };
+        match timeout(limit, live.answer.body.frame()).await {
+            Err(_) if limit == left => Next::TimedOut,
+            Err(_) => Next::Broken("silent"),
+            Ok(None) => Next::End,
+            Ok(Some(Err(_))) => Next::Broken("connection failed"),
+            Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(bytes) => Next::Bytes(bytes),
+                Err(_) => Next::Bytes(Bytes::new()),
+            },
+        }
+    }
+
+    /// Goes on at another engine after the last event, if the stream may be resumed.
+    async fn resume(&mut self, cause: &'static str) -> Result<(), BodyError> {
+        // The first engine has to stop before another one goes on.
+        let Some(live) = self.live.take() else {
+            return Err(BodyError::BrokenOff);
+        };
+        let engine = live.call.server.id.clone();
+        drop(live);
+        let _ = self.splitter.take_rest();
+        let job = Rc::clone(&self.job);
+        let gateway = &job.gateway;
+        gateway
+            .board
+            .borrow_mut()
+            .on_failure(gateway.now(), &engine);
+        info!(gateway.log, "stream broken"; "request" => %job.client.id, "server" => %engine,
+            "cause" => cause, "last_event" => self.last_event, "events" => self.events,
+            "age_ms" => job.age().as_millis() as u64);
+        let failure = CallFailure::CLOSED;
+        let delivered = self.events > 0;
+        let decision = self.attempts.on_failure(&job, &engine, failure, delivered);
+        if let Err(refusal) = decision {
+            info!(gateway.log, "stream not resumed"; "request" => %job.client.id,
+                "reason" => %refusal.reason);
+            return Err(BodyError::BrokenOff);
+        }
+        match start(&job, &mut self.attempts, self.last_event).await {
+            Ok(started) => {
+                info!(gateway.log, "stream resumed"; "request" => %job.client.id,
+                    "server" => %started.call.server.id, "last_event" => self.last_event);
+                self.live = Some(started);
+                Ok(())
+            }
+            Err(StartFailure::Refused(refusal)) => {
+                info!(gateway.log, "stream not resumed"; "request" => %job.client.id,
+                    "reason" => %refusal.reason);
+                Err(BodyError::BrokenOff)
+            }
+            Err(StartFailure::Answered(_)) => Err(BodyError::BrokenOff),
+        }
+    }
+
+    fn on_end(&mut self, outcome: &'static str) {
+        self.finished = true;
+        let job = &self.job;
+        debug!(job.gateway.log, "stream ended"; "request" => %job.client.id,
+            "route" => %job.route.name, "outcome" => outcome, "events" => self.events,
+            "first_event_ms" => self.first_event_ms,
+            "age_ms" => job.age().as_millis() as u64);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        let job = &self.job;
+        job.gateway.metrics.client_left();
+        info!(job.gateway.log, "client left"; "request" => %job.client.id,
+            "route" => %job.route.name, "events" => self.events,
+            "age_ms" => job.age().as_millis() as u64);
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -0,0 +1,192 @@
+//! The server for clients.
+
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{debug, info, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+use wagtailarch_adapter::{ClientRequest, decode_client_request, encode_refusal};
+use wagtailarch_dispatch::ClientLimits;
+use wagtailarch_traffic::Verdict;
+use wagtailarch_types::{Ran, RefusalReason};
+
+use crate::{
+    answer_body::AnswerBody,
+    gateway::{Gateway, Stopping},
+    generation,
+    guards::OpenRequest,
+    job::Job,
+    plain,
+    refusal::{Refusal, SOON},
+};
+
+/// Pause after a failed accept, for instance when no file descriptors are left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Factor between the configured idle time and the time after which a connection is closed.
+///
+/// Clients may reuse a connection shortly before the idle time is over, and a longer idle time may be
+/// configured while the connection is open.
+const IDLE_FACTOR: u32 = 4;
+/// Time after which a client may return whose request has crashed servers.
+const AFTER_CRASHES: Duration = Duration::from_secs(10);
+
+/// Accepts clients until the process ends.
+pub async fn serve_clients(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_client(Rc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                warn!(gateway.log, "accept failed"; "cause" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_client(gateway: Rc<Gateway>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(gateway.log, "socket option not set"; "cause" => %error);
+    }
+    let limits = limits(&gateway);
+    let mut stopping = gateway.stopping.subscribe();
+    let shared = Rc::clone(&gateway);
+    let service = service_fn(move |request| {
+        let gateway = Rc::clone(&shared);
+        async move { Ok::<_, Infallible>(answer(gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The timer also runs between two requests.
+        .header_read_timeout(limits.idle_timeout * IDLE_FACTOR)
+        .max_buf_size(limits.head_bytes.max(8 * 1024) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = stopping.wait_for(|stopping| *stopping == Stopping::Finishing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        debug!(gateway.log, "client connection ended"; "cause" => %error);
+    }
+}
+
+/// Answers one request.
+async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let mut response = route(&gateway, request).await;
+    if *gateway.stopping.borrow() != Stopping::No {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Reads a request, finds its route and serves it.
+async fn route(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = gateway.now();
+    let (parts, body) = request.into_parts();
+    let client = match decode_client_request(parts) {
+        Ok(client) => client,
+        Err(fault) => {
+            info!(gateway.log, "refused"; "reason" => %RefusalReason::BadRequest,
+                "cause" => %fault);
+            gateway.metrics.refused(RefusalReason::BadRequest);
+            return status(StatusCode::BAD_REQUEST);
+        }
+    };
+    let Some(config) = gateway.snapshot().config.clone() else {
+        return refuse(gateway, &client, RefusalReason::NotConfigured);
+    };
+    let Some(route) = config.find(&client.host, client.path()).cloned() else {
+        info!(gateway.log, "refused"; "request" => %client.id, "host" => %client.host,
+            "reason" => %RefusalReason::UnknownRoute, "generation" => config.generation());
+        gateway.metrics.refused(RefusalReason::UnknownRoute);
+        return status(StatusCode::NOT_FOUND);
+    };
+    gateway.metrics.request(route.kind);
+    let open = OpenRequest::new(gateway);
+    let body = match read_body(gateway, &client, body, route.timeout).await {
+        Ok(body) => body,
+        Err(response) => return response,
+    };
+    let job = Job::new(gateway, client, body, route, config, arrived);
+    gateway.count_request(&job.service);
+    let job = Rc::new(job);
+    let response = if crashed_servers(&job) {
+        Refusal::not_run(RefusalReason::Quarantined, AFTER_CRASHES).respond(&job)
+    } else if job.route.kind.is_stream() {
+        generation::serve(job).await
+    } else {
+        plain::serve(job).await
+    };
+    response.map(|body| body.with_open(open))
+}
+
+/// Tells whether the request has crashed servers before and is not to be run again.
+fn crashed_servers(job: &Job) -> bool {
+    let gateway = &job.gateway;
+    gateway.quarantine.check(gateway.now(), job.fingerprint) == Verdict::Quarantined
+}
+
+/// Reads the whole body of a request.
+async fn read_body(
+    gateway: &Gateway,
+    client: &ClientRequest,
+    body: Incoming,
+    limit: Duration,
+) -> Result<Bytes, Response<AnswerBody>> {
+    let body = Limited::new(body, limits(gateway).body_bytes).collect();
+    match tokio::time::timeout(limit, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            gateway.metrics.refused(RefusalReason::BodyTooLarge);
+            Err(status(StatusCode::PAYLOAD_TOO_LARGE))
+        }
+        Ok(Err(error)) => {
+            info!(gateway.log, "body not read"; "request" => %client.id, "cause" => %error);
+            Err(status(StatusCode::BAD_REQUEST))
+        }
+        Err(_) => {
+            gateway.metrics.refused(RefusalReason::HeadersTooSlow);
+            Err(status(StatusCode::REQUEST_TIMEOUT))
+        }
+    }
+}
+
+fn refuse(
+    gateway: &Gateway,
+    client: &ClientRequest,
+    reason: RefusalReason,
+) -> Response<AnswerBody> {
+    info!(gateway.log, "refused"; "request" => %client.id, "reason" => %reason);
+    gateway.metrics.refused(reason);
+    let refusal = Refusal {
+        reason,
+        ran: Ran::No,
+        retry_after: SOON,
+    };
+    refusal.bare()
+}
+
+fn status(status: StatusCode) -> Response<AnswerBody> {
+    encode_refusal(status, None, None).map(|()| AnswerBody::whole(Bytes::new()))
+}
+
+fn limits(gateway: &Gateway) -> ClientLimits {
+    let snapshot = gateway.snapshot();
+    snapshot
+        .config
+        .as_ref()
+        .map_or_else(ClientLimits::default, |config| config.limits())
+}
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/snapshot.rs
@@ -0,0 +1,26 @@
+//! What the control thread tells the traffic thread.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use wagtailarch_dispatch::{BackendServer, RoutingConfig};
+use wagtailarch_types::InstanceId;
+
+/// The newest state that the control thread knows; it never goes back.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot {
+    /// Configuration in force; absent until one was read.
+    pub config: Option<Arc<RoutingConfig>>,
+    /// Servers that may be given requests.
+    pub servers: Arc<Vec<BackendServer>>,
+    /// Whether the servers were listed once.
+    pub servers_known: bool,
+    /// Other entry instances and their addresses for datagrams.
+    pub peers: Arc<Vec<(InstanceId, SocketAddr)>>,
+}
+
+impl Snapshot {
+    /// Tells whether requests can be served.
+    pub fn complete(&self) -> bool {
+        self.config.is_some() && self.servers_known
+    }
+}
--- /dev/null
+++ b/crates/wagtailarch-telemetry/src/lib.rs
@@ -0,0 +1,9 @@
+//! Logs and counters of the programs.
+
+mod counters;
+mod line_limit;
+mod logging;
+
+pub use counters::{Counters, closed_counters};
+pub use line_limit::{LineLimit, Verdict};
+pub use logging::{LogOutput, discard, logger};
--- a/crates/wagtailarch-entry/src/logging.rs
+++ b/crates/wagtailarch-telemetry/src/logging.rs
@@ -3,19 +3,36 @@
 use std::{
     fmt::{self, Write as _},
     io::{self, Write as _},
-    time::{SystemTime, UNIX_EPOCH},
+    sync::{Mutex, PoisonError},
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
-use slog::{Drain, KV, Key, Logger, OwnedKVList, Record, Serializer, o};
+use slog::{Drain, KV, Key, Level, Logger, OwnedKVList, Record, Serializer, o};
+
+use crate::{LineLimit, Verdict};
 
 /// Log records that may wait for output; further ones are dropped and counted by the drain.
-const QUEUE_RECORDS: usize = 4_096;
+const QUEUE_RECORDS: usize = 1_024;
+
+/// Lines that a process writes in a second; about 60 KB a second at 200 bytes a line.
+const LINES_PER_S: u32 = 300;
+
+/// Where lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
 
-/// Creates the logger of a process; it writes to standard error from a thread of its own.
+/// Creates the logger of a process; a thread of its own writes, so that no caller waits.
 ///
-/// The returned guard writes out waiting records when it is dropped.
-pub fn logger(instance: &str, zone: &str) -> (Logger, slog_async::AsyncGuard) {
-    let (drain, guard) = slog_async::Async::new(LineDrain.ignore_res())
+/// At most `LINES_PER_S` lines are written in a second, failures before routine lines (level debug);
+/// a line with the field `left_out` says how many were not. The returned guard writes out waiting
+/// records when it is dropped.
+pub fn logger(output: LogOutput, instance: &str, zone: &str) -> (Logger, slog_async::AsyncGuard) {
+    let (drain, guard) = slog_async::Async::new(LineDrain::new(output).ignore_res())
         .chan_size(QUEUE_RECORDS)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
@@ -28,15 +45,45 @@
     Logger::root(slog::Discard, o!())
 }
 
-/// Writes one line per record to standard error.
+/// Writes one line per record.
 #[derive(Debug)]
-struct LineDrain;
+struct LineDrain {
+    output: LogOutput,
+    limit: Mutex<LineLimit>,
+    started: Instant,
+}
+
+impl LineDrain {
+    fn new(output: LogOutput) -> Self {
+        Self {
+            output,
+            limit: Mutex::new(LineLimit::new(LINES_PER_S)),
+            started: Instant::now(),
+        }
+    }
+
+    fn write(&self, line: &str) -> io::Result<()> {
+        match self.output {
+            LogOutput::Stdout => io::stdout().write_all(line.as_bytes()),
+            LogOutput::Stderr => io::stderr().write_all(line.as_bytes()),
+        }
+    }
+}
 
 impl Drain for LineDrain {
     type Ok = ();
     type Err = io::Error;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> io::Result<()> {
+        let routine = record.level() == Level::Debug || record.level() == Level::Trace;
+        let verdict = self
+            .limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .on_line(self.started.elapsed(), routine);
+        let Verdict::Write { left_out } = verdict else {
+            return Ok(());
+        };
         let now = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
@@ -53,8 +100,11 @@
             .serialize(record, &mut line)
             .and_then(|()| record.kv().serialize(record, &mut line));
         written.map_err(io::Error::other)?;
+        if left_out > 0 {
+            line.pair("left_out", left_out);
+        }
         line.0.push('\n');
-        io::stderr().write_all(line.0.as_bytes())
+        self.write(&line.0)
     }
 }
 
--- a/crates/wagtailarch-traffic/src/retry_policy.rs
+++ b/crates/wagtailarch-traffic/src/retry_policy.rs
@@ -2,11 +2,6 @@
 
 use wagtailarch_types::{Ran, RefusalReason, RetryReason};
 
-/// Greatest number of attempts of a request to a plain service.
-const MAX_ATTEMPTS: u32 = 3;
-/// Greatest number of attempts of a generation, whose stream can be resumed.
-const MAX_STREAM_ATTEMPTS: u32 = 4;
-
 /// Decides which failed attempts are followed by another one.
 #[derive(Debug, Clone, Copy)]
 pub struct RetryPolicy;
@@ -29,6 +24,8 @@
     pub delivered: bool,
     /// Attempts made so far, the failed one included.
     pub attempts: u32,
+    /// Greatest number of attempts.
+    pub attempt_limit: u32,
     /// Whether attempts before the failed one ran; `No` for the first.
     pub ran_before: Ran,
 }
@@ -47,7 +44,9 @@
     pub const fn ran(&self) -> Ran {
         match self.reason {
             RetryReason::ConnectFailed | RetryReason::RefusedNotRun => Ran::No,
-            RetryReason::StreamBroken | RetryReason::WrongFrame => Ran::Yes,
+            RetryReason::StreamBroken | RetryReason::WrongFrame | RetryReason::ServerError => {
+                Ran::Yes
+            }
             RetryReason::ClosedBeforeAnswer
             | RetryReason::FirstTokenTimeout
             | RetryReason::KvImportFailed => Ran::Unknown,
@@ -71,12 +70,7 @@
             };
             return RetryDecision::GiveUp(reason, ran);
         }
-        let limit = if traits.resumable {
-            MAX_STREAM_ATTEMPTS
-        } else {
-            MAX_ATTEMPTS
-        };
-        if traits.attempts >= limit {
+        if traits.attempts >= traits.attempt_limit {
             return RetryDecision::GiveUp(RefusalReason::AttemptsExhausted, ran);
         }
         RetryDecision::Retry(failure.reason)
--- a/crates/wagtailarch-traffic/tests/retry.rs
+++ b/crates/wagtailarch-traffic/tests/retry.rs
@@ -73,6 +73,7 @@
         resumable,
         delivered: false,
         attempts,
+        attempt_limit: if resumable { 4 } else { 3 },
         ran_before,
     }
 }
@@ -85,6 +86,7 @@
 #[case(RetryReason::FirstTokenTimeout, Ran::Unknown, None)]
 #[case(RetryReason::StreamBroken, Ran::Yes, None)]
 #[case(RetryReason::WrongFrame, Ran::Yes, None)]
+#[case(RetryReason::ServerError, Ran::Yes, None)]
 #[case(RetryReason::KvImportFailed, Ran::Unknown, None)]
 fn non_idempotent_calls_repeat_only_when_not_run(
     #[case] reason: RetryReason,
--- a/crates/wagtailarch-types/src/outcome.rs
+++ b/crates/wagtailarch-types/src/outcome.rs
@@ -138,6 +138,8 @@
         WrongFrame = "wrong_frame",
         /// No token arrived in time.
         FirstTokenTimeout = "first_token_timeout",
+        /// The backend server answered with a failure of its own.
+        ServerError = "server_error",
         /// The KV cache could not be imported.
         KvImportFailed = "kv_import_failed",
     }
--- a/crates/wagtailarch-wire/src/lib.rs
+++ b/crates/wagtailarch-wire/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! [`service`] holds the load report of plain services.
 //! [`engine`] holds the engine protocol, [`platform`] the platform protocol and [`records`] the
-//! system's own objects in the platform, all JSON; [`peer`] holds the postcard messages between
-//! instances.
+//! system's own objects in the platform, all JSON; [`peer`] and [`load_note`] hold the postcard
+//! messages between instances.
 
 pub mod engine;
+pub mod load_note;
 pub mod peer;
 pub mod platform;
 pub mod records;
