--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -7,8 +7,8 @@
 use wagtailarch_wire::load_note::{LoadNote, ReadNote, server_key};
 
 use crate::{
-    BackendServer, EngineState, GenerationRequest, Placement, PrefixLink, Read, RoutingConfig,
-    Urgency, backend::Backend, placement,
+    BackendServer, EngineChoice, EngineState, GenerationRequest, Placement, PrefixLink, Read,
+    RoutingConfig, Urgency, backend::Backend, placement,
 };
 
 /// Load that weighs as much as one failure in every request, when a plain server is chosen.
@@ -89,9 +89,20 @@
         placement::place(now, request, self.usable(now, service, tried))
     }
 
-    /// Tells whether any server of a service may be used.
-    pub fn has_server(&self, now: Duration, service: &ServiceName) -> bool {
-        self.usable(now, service, &[]).next().is_some()
+    /// Chooses the engine that generates from a prompt that `reader` has read.
+    ///
+    /// Reading takes up to seconds, in which the engine that was planned may have begun to leave.
+    pub fn place_read(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        request: &GenerationRequest<'_>,
+        reader: &InstanceId,
+        tried: &[InstanceId],
+    ) -> Option<EngineChoice> {
+        let reader = self.backends.get(reader);
+        let zone = reader.map_or(request.zone, |reader| &reader.server.zone);
+        placement::place_read(now, request, zone, self.usable(now, service, tried))
     }
 
     /// Notes that a request was sent to a server.
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -107,6 +107,48 @@
     NoEngine,
 }
 
+/// Chooses the engine that generates from a prompt that an engine in `reader_zone` has read.
+pub(crate) fn place_read<'a>(
+    now: Duration,
+    request: &GenerationRequest<'_>,
+    reader_zone: &ZoneName,
+    engines: impl Iterator<Item = &'a Backend>,
+) -> Option<EngineChoice> {
+    let engines: Vec<_> = engines.collect();
+    let key = affinity_key(request.prefixes);
+    let generators = ranked(&engines, key, |role| role != Role::Prefill);
+    let costs = generators.iter().filter_map(|(generator, rank)| {
+        let state = generator.engine.as_ref()?;
+        let wait_ms = ms(state.queue.wait(now, Urgency::OnTime));
+        let cost_ms = wait_ms * WORK_WEIGHT
+            + zone_cost(reader_zone, &generator.server.zone)
+            + generate_cost(now, request, generator, *rank)?;
+        Some((cost_ms, generator))
+    });
+    let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, generator)| choice(generator))
+}
+
+/// Returns the cost of generating on an engine in milliseconds; `None` if it has no free slot.
+fn generate_cost(
+    now: Duration,
+    request: &GenerationRequest<'_>,
+    generator: &Backend,
+    rank: usize,
+) -> Option<f64> {
+    let state = generator.engine.as_ref()?;
+    let running = state.running(now);
+    if running >= state.traits.slots {
+        return None;
+    }
+    Some(
+        f64::from(running) * RUNNING_MS
+            + rank as f64 * RANK_MS
+            + zone_cost(&generator.server.zone, request.zone)
+            + generator.failure_cost(now),
+    )
+}
+
 /// A possibility with its predicted time and its cost, both in milliseconds.
 struct Candidate<'a> {
     reader: Option<&'a Backend>,
@@ -177,15 +219,11 @@
         let Some(state) = &generator.engine else {
             continue;
         };
-        let running = state.running(now);
-        if running >= state.traits.slots {
+        let Some(generate_ms) = generate_cost(now, request, generator, *rank) else {
             continue;
-        }
+        };
+        let running = state.running(now);
         let wait_ms = ms(state.queue.wait(now, urgency));
-        let generate_ms = f64::from(running) * RUNNING_MS
-            + *rank as f64 * RANK_MS
-            + zone_cost(&generator.server.zone, request.zone)
-            + generator.failure_cost(now);
 
         let read_ms = ms(state.read_time(request.prefixes, request.prompt_tokens));
         let first_ms = wait_ms + read_ms + DIRECT_OVERHEAD_MS;
--- a/crates/wagtailarch-dispatch/src/shutdown.rs
+++ b/crates/wagtailarch-dispatch/src/shutdown.rs
@@ -20,6 +20,13 @@
     Ended,
 }
 
+impl ShutdownPhase {
+    /// Tells whether new connections are accepted.
+    pub fn accepts(self) -> bool {
+        self < Self::Finishing
+    }
+}
+
 /// When each phase of a shutdown begins.
 #[derive(Debug, Clone, Copy)]
 pub struct ShutdownPlan {
--- /dev/null
+++ b/crates/wagtailarch-dispatch/tests/common/mod.rs
@@ -0,0 +1,89 @@
+//! Servers, configurations and prompts for tests.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use wagtailarch_dispatch::{
+    BackendServer, ClientLimits, EngineTraits, GenerationRequest, PrefixLink, Prompt, PromptPart,
+    RoutingConfig, ServiceConfig,
+};
+use wagtailarch_types::{Role, ZoneName};
+
+/// Service of the engines.
+pub const ENGINES: &str = "lm";
+/// Service of the plain servers.
+pub const PLAIN: &str = "app";
+
+/// Returns a configuration with one service of engines and one plain service.
+pub fn config() -> RoutingConfig {
+    let traits = EngineTraits {
+        slots: 64,
+        kv_capacity_tokens: 473_698,
+        kv_token_bytes: 327_680,
+        link_mbps: 3_200_000.0,
+    };
+    let engines = ServiceConfig {
+        max_connections: 370,
+        engine: Some(traits),
+    };
+    let plain = ServiceConfig {
+        max_connections: 110,
+        engine: None,
+    };
+    let services = IndexMap::from([(ENGINES.into(), engines), (PLAIN.into(), plain)]);
+    RoutingConfig::new(1, Vec::new(), services, ClientLimits::default())
+}
+
+/// Returns an engine in a zone.
+pub fn engine(id: &str, zone: &str, role: Role) -> BackendServer {
+    BackendServer {
+        service: ENGINES.into(),
+        slots: 64,
+        role: Some(role),
+        ..plain(id, zone)
+    }
+}
+
+/// Returns a plain server in a zone.
+pub fn plain(id: &str, zone: &str) -> BackendServer {
+    let last = id.bytes().fold(0u8, u8::wrapping_add);
+    BackendServer {
+        id: id.into(),
+        started_unix_ms: 1_000,
+        beat: 1,
+        service: PLAIN.into(),
+        address: ([10, 0, 0, last], 8_000).into(),
+        zone: zone.into(),
+        slots: 6,
+        leaving: false,
+        role: None,
+    }
+}
+
+/// Returns the prefixes of a prompt whose first part is shared.
+pub fn prompt(shared: &str, shared_tokens: u32, own: &str, own_tokens: u32) -> Vec<PrefixLink> {
+    let part = |id: &str, tokens| PromptPart {
+        id: id.into(),
+        tokens,
+    };
+    let prompt = Prompt {
+        model: "m".into(),
+        parts: vec![part(shared, shared_tokens), part(own, own_tokens)],
+        prompt_tokens: shared_tokens + own_tokens,
+        output_tokens: 20,
+    };
+    prompt.prefixes()
+}
+
+/// Returns a request for a prompt with the given prefixes.
+pub fn request<'a>(prefixes: &'a [PrefixLink], zone: &'a ZoneName) -> GenerationRequest<'a> {
+    GenerationRequest {
+        prefixes,
+        prompt_tokens: prefixes.last().map_or(0, |link| link.end_tokens),
+        objective_left: Duration::from_millis(600),
+        patience_left: Duration::from_millis(2_400),
+        zone,
+    }
+}
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -155,8 +155,12 @@
             Err(ReadFailure::Again) => continue,
             Err(ReadFailure::GiveUp(refusal)) => return Err(StartFailure::Refused(refusal)),
         };
+        let generator = match &reader {
+            None => plan.generate.clone(),
+            Some(reader) => generator(job, attempts, reader).map_err(StartFailure::Refused)?,
+        };
         let call = Call {
-            server: plan.generate.clone(),
+            server: generator.clone(),
             step,
             priority: Some(class(job, plan.urgency, resumed)),
             resume_after,
@@ -210,17 +214,31 @@
     }
 }
 
-/// Chooses engines.
-fn plan(job: &Job, attempts: &Attempts) -> Result<Plan, Refusal> {
-    let gateway = &job.gateway;
+/// Describes the generation to the board.
+fn request(job: &Job) -> GenerationRequest<'_> {
     let prompt = job.client.prompt.as_ref();
-    let request = GenerationRequest {
+    GenerationRequest {
         prefixes: &job.prefixes,
         prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
         objective_left: job.objective_left(),
         patience_left: job.patience_left(),
-        zone: &gateway.settings.zone,
-    };
+        zone: &job.gateway.settings.zone,
+    }
+}
+
+/// Chooses the engine that generates from a prompt that has been read.
+fn generator(job: &Job, attempts: &Attempts, reader: &InstanceId) -> Result<EngineChoice, Refusal> {
+    let gateway = &job.gateway;
+    let now = gateway.now();
+    let board = gateway.board.borrow();
+    let choice = board.place_read(now, &job.service, &request(job), reader, &attempts.failed);
+    choice.ok_or_else(|| attempts.refusal(RefusalReason::NoBackend))
+}
+
+/// Chooses engines.
+fn plan(job: &Job, attempts: &Attempts) -> Result<Plan, Refusal> {
+    let gateway = &job.gateway;
+    let request = request(job);
     let placement = gateway.board.borrow().place_generation(
         gateway.now(),
         &job.service,
@@ -290,8 +308,15 @@
         resume_after: None,
         head_limit: head_limit(job, plan),
     };
+    let sent = job.gateway.now();
     let handle = read_handle(job, &call).await;
+    let (wait, work) = reading.expected().unwrap_or_default();
     drop(reading);
+    debug!(job.gateway.log, "prompt read"; "request" => %job.client.id,
+        "server" => %reader.id, "read" => handle.is_some(),
+        "took_ms" => job.gateway.now().saturating_sub(sent).as_millis() as u64,
+        "expected_wait_ms" => wait.as_millis() as u64,
+        "expected_work_ms" => work.as_millis() as u64);
     match handle {
         Some(source) => Ok((CallStep::Generate(source), Some(reader.id.clone()))),
         None if attempts.calls >= MAX_CALLS || job.patience_left().is_zero() => Err(
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -1,6 +1,6 @@
 //! Counts that are taken back however a request ends.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use wagtailarch_dispatch::{PrefixLink, Read, Urgency};
 use wagtailarch_types::InstanceId;
@@ -66,6 +66,14 @@
     }
 }
 
+impl Reading {
+    /// Returns the expected waiting and reading time.
+    pub fn expected(&self) -> Option<(Duration, Duration)> {
+        let ticket = &self.read.as_ref()?.ticket;
+        Some((ticket.wait, ticket.work))
+    }
+}
+
 impl Drop for Reading {
     fn drop(&mut self) {
         let Some(read) = &self.read else {
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -105,9 +105,8 @@
         let since = gateway.now().saturating_sub(begun);
         let open = gateway.open_requests.get();
         match plan.phase(since, open) {
-            ShutdownPhase::Announcing => {}
-            ShutdownPhase::Finishing => {
-                if *gateway.stopping.borrow() == Stopping::Announced {
+            phase @ (ShutdownPhase::Announcing | ShutdownPhase::Finishing) => {
+                if !phase.accepts() && *gateway.stopping.borrow() == Stopping::Announced {
                     gateway.stopping.send_replace(Stopping::Finishing);
                 }
             }
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -37,10 +37,18 @@
 /// Time after which a client may return whose request has crashed servers.
 const AFTER_CRASHES: Duration = Duration::from_secs(10);
 
-/// Accepts clients until the process ends.
+/// Accepts clients until the process finishes.
+///
+/// A request that is taken late in a shutdown would be cut at its end, while the client of a refused
+/// connection knows that nothing was read.
 pub async fn serve_clients(gateway: Rc<Gateway>, listener: TcpListener) {
+    let mut stopping = gateway.stopping.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|stopping| *stopping == Stopping::Finishing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(serve_client(Rc::clone(&gateway), stream));
             }
