--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -202,6 +202,18 @@
         engines.collect()
     }
 
+    /// Returns the requests of all instances that generate, by service.
+    pub fn running_by_service(&self, now: Duration) -> IndexMap<ServiceName, u32> {
+        let mut running = IndexMap::new();
+        for backend in self.backends.values() {
+            let Some(engine) = &backend.engine else {
+                continue;
+            };
+            *running.entry(backend.server.service.clone()).or_insert(0) += engine.running(now);
+        }
+        running
+    }
+
     /// Takes over what a peer tells of its requests.
     pub fn on_load_note(&mut self, now: Duration, note: &LoadNote) {
         for read in &note.reads {
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -1,8 +1,10 @@
 //! The control thread: configuration, servers and peers from the store.
 
 mod instances;
+mod roles;
 mod routing;
 mod servers;
+mod store_error;
 mod watcher;
 
 use std::{io, net::SocketAddr, sync::Arc, thread, time::Instant};
@@ -11,7 +13,7 @@
 use tokio::{sync::watch, task::LocalSet};
 use wagtailarch_types::InstanceId;
 
-use crate::{metrics::Metrics, snapshot::Snapshot};
+use crate::{metrics::Metrics, snapshot::Snapshot, traffic_view::TrafficView};
 
 /// What the control thread works with.
 #[derive(Debug, Clone)]
@@ -28,6 +30,8 @@
     pub log: Logger,
     /// Metrics.
     pub metrics: Arc<Metrics>,
+    /// What the traffic thread tells.
+    pub traffic: Arc<TrafficView>,
 }
 
 /// Starts the control thread, which ends with the process, and returns what it publishes.
@@ -45,6 +49,7 @@
                     routing::watch_routing(context.clone(), Arc::clone(&publisher)),
                     servers::watch_servers(context.clone(), Arc::clone(&publisher)),
                     instances::keep_listed(context.clone(), Arc::clone(&publisher)),
+                    roles::keep_roles(context.clone(), publisher.subscribe()),
                 );
             });
         })?;
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -14,10 +14,10 @@
 use wagtailarch_types::InstanceId;
 
 use crate::{
-    control::{ControlContext, publish},
+    control::{ControlContext, publish, store_error::StoreError},
+    http_client::HttpClient,
     metrics::StoreCall,
     snapshot::Snapshot,
-    store_client::{StoreClient, StoreError},
 };
 
 /// Limit on a call.
@@ -40,7 +40,7 @@
 
 /// Keeps this instance listed and publishes the others.
 pub async fn keep_listed(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
-    let mut client = StoreClient::new(context.store_address);
+    let mut client = HttpClient::new(context.store_address);
     while let Err(error) = write(&context, &mut client).await {
         warn!(context.log, "instance not listed"; "cause" => %error);
         sleep(SHORT_PAUSE).await;
@@ -67,7 +67,7 @@
 }
 
 /// Creates or replaces the object of this instance.
-async fn write(context: &ControlContext, client: &mut StoreClient) -> Result<(), ListingError> {
+async fn write(context: &ControlContext, client: &mut HttpClient) -> Result<(), ListingError> {
     let content = json!({"peer_address": context.peer_address.to_string()});
     let create = create_request(Kind::Instances, &context.instance, &content);
     match put(context, client, create).await? {
@@ -75,7 +75,7 @@
         PutOutcome::Conflict(object) if object.content == content => return Ok(()),
         PutOutcome::Conflict(_) | PutOutcome::Missing => {}
     }
-    let replace = replace_request(Kind::Instances, &context.instance, &content);
+    let replace = replace_request(Kind::Instances, &context.instance, &content, None);
     match put(context, client, replace).await? {
         PutOutcome::Done(_) => Ok(()),
         PutOutcome::Conflict(_) | PutOutcome::Missing => Err(ListingError::NotWritten),
@@ -84,19 +84,19 @@
 
 async fn put(
     context: &ControlContext,
-    client: &mut StoreClient,
+    client: &mut HttpClient,
     request: http::Request<bytes::Bytes>,
 ) -> Result<PutOutcome, ListingError> {
     context.metrics.store_call(StoreCall::Write);
     let answer = client.call(request, CALL_LIMIT).await;
-    let (status, body) = answer.map_err(ListingError::Store)?;
-    decode_put(status, &body).map_err(|fault| ListingError::Store(StoreError::Fault(fault)))
+    let (status, body) = answer.map_err(|error| ListingError::Store(error.into()))?;
+    decode_put(status, &body).map_err(|fault| ListingError::Store(fault.into()))
 }
 
 /// Lists the other instances in the order of their names.
 async fn list(
     context: &ControlContext,
-    client: &mut StoreClient,
+    client: &mut HttpClient,
 ) -> Result<Vec<(InstanceId, SocketAddr)>, StoreError> {
     let mut peers = Vec::new();
     let mut after: Option<SmolStr> = None;
@@ -104,7 +104,7 @@
         context.metrics.store_call(StoreCall::StaleList);
         let request = list_request(Kind::Instances, after.as_deref(), true);
         let (status, body) = client.call(request, CALL_LIMIT).await?;
-        let page = decode_list(status, &body).map_err(StoreError::Fault)?;
+        let page = decode_list(status, &body)?;
         let others = page.objects.iter().filter_map(peer);
         peers.extend(others.filter(|(name, _)| *name != context.instance));
         after = page.next_after;
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -0,0 +1,245 @@
+//! Orders that change the roles of engines.
+
+use std::{sync::Arc, time::Duration};
+
+use displaydoc::Display;
+use http::StatusCode;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use slog::{info, warn};
+use tokio::{
+    sync::watch,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+use wagtailarch_adapter::{
+    Kind, OrderAnswer, PutOutcome, RoleOrder, create_request, decode_get, decode_order_answer,
+    decode_put, decode_report, get_request, order_request, replace_request, report_request,
+};
+use wagtailarch_dispatch::{
+    BackendServer, ClaimContent, ClaimStep, OrderClaim, PlannedEngine, RoleChange, RolePlan,
+    is_steward,
+};
+use wagtailarch_types::{ObjectVersion, Role, ServiceName};
+
+use crate::{
+    control::{ControlContext, store_error::StoreError},
+    http_client::{CallError, HttpClient},
+    metrics::StoreCall,
+    snapshot::Snapshot,
+};
+
+/// Interval between two looks at the roles.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Time after the start in which no orders are given, so that peers are heard first.
+const FIRST_LOOK: Duration = Duration::from_millis(3_000);
+/// Time without a request after which the fleet counts as idle.
+const IDLE_AFTER: Duration = Duration::from_secs(5);
+/// Limit on a call to the store or to an engine.
+const CALL_LIMIT: Duration = Duration::from_millis(700);
+/// Time in which an order has to be given; a claim of another instance is waited out meanwhile.
+const ORDER_LIMIT: Duration = Duration::from_secs(7);
+
+/// Why an order was not given.
+#[derive(Debug, Display)]
+enum OrderError {
+    /// the engine cannot be asked: {0}
+    Engine(CallError),
+    /// the engine answered with status {0}
+    Status(StatusCode),
+    /// the engine's report cannot be decoded: {0}
+    Report(serde_json::Error),
+    /// the store cannot be used: {0}
+    Store(StoreError),
+    /// the claim cannot be decoded: {0}
+    Claim(serde_json::Error),
+    /// another instance claimed the engine
+    Taken,
+    /// the claim was written too long ago
+    Late,
+    /// engines cannot be ordered to take the role {0}
+    Role(Role),
+}
+
+impl<E: Into<StoreError>> From<E> for OrderError {
+    fn from(error: E) -> Self {
+        Self::Store(error.into())
+    }
+}
+
+/// Gives orders while this instance is the steward of a service.
+pub async fn keep_roles(context: ControlContext, published: watch::Receiver<Arc<Snapshot>>) {
+    let mut plans: IndexMap<ServiceName, RolePlan> = IndexMap::new();
+    sleep(FIRST_LOOK).await;
+    loop {
+        let snapshot = Arc::clone(&published.borrow());
+        for (service, servers) in engines_by_service(&snapshot) {
+            let plan = plans.entry(service.clone()).or_default();
+            for (engine, change) in due_changes(&context, plan, &service, &servers) {
+                spawn_local(give_order(context.clone(), engine, change.role));
+            }
+        }
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Returns the engines of each service.
+fn engines_by_service(snapshot: &Snapshot) -> IndexMap<ServiceName, Vec<BackendServer>> {
+    let mut services: IndexMap<ServiceName, Vec<BackendServer>> = IndexMap::new();
+    for server in snapshot
+        .servers
+        .iter()
+        .filter(|server| server.role.is_some())
+    {
+        let members = services.entry(server.service.clone()).or_default();
+        members.push(server.clone());
+    }
+    services
+}
+
+/// Returns the orders that are due from this instance.
+fn due_changes(
+    context: &ControlContext,
+    plan: &mut RolePlan,
+    service: &ServiceName,
+    servers: &[BackendServer],
+) -> Vec<(BackendServer, RoleChange)> {
+    let now = context.epoch.elapsed();
+    let peers = context.traffic.live_peers(now);
+    if !is_steward(service, &context.instance, peers.iter()) {
+        return Vec::new();
+    }
+    let engines: Vec<_> = servers
+        .iter()
+        .filter_map(|server| {
+            Some(PlannedEngine {
+                id: server.id.clone(),
+                zone: server.zone.clone(),
+                role: server.role?,
+            })
+        })
+        .collect();
+    let last_request = context.traffic.last_request();
+    let serving = last_request.is_some_and(|at| now.saturating_sub(at) < IDLE_AFTER);
+    let running = context.traffic.running(service);
+    let changes = plan.changes(now, &engines, running, serving);
+    let named = changes.into_iter().filter_map(|change| {
+        let server = servers.iter().find(|server| server.id == change.engine)?;
+        info!(context.log, "role change due"; "service" => %service, "server" => %server.id,
+            "role" => %change.role, "running" => running, "serving" => serving,
+            "peers" => peers.len());
+        Some((server.clone(), change))
+    });
+    named.collect()
+}
+
+/// Gives one order and logs what became of it.
+async fn give_order(context: ControlContext, engine: BackendServer, role: Role) {
+    let given = timeout(ORDER_LIMIT, order(&context, &engine, role)).await;
+    match given {
+        Ok(Ok(answer)) => {
+            info!(context.log, "order given"; "server" => %engine.id, "role" => %role,
+                "answer" => %answer);
+        }
+        Ok(Err(error)) => {
+            warn!(context.log, "order not given"; "server" => %engine.id, "role" => %role,
+                "cause" => %error);
+        }
+        Err(_) => {
+            warn!(context.log, "order not given"; "server" => %engine.id, "role" => %role,
+                "cause" => "no claim in time");
+        }
+    }
+}
+
+/// Claims the engine and gives it an order.
+async fn order(
+    context: &ControlContext,
+    engine: &BackendServer,
+    role: Role,
+) -> Result<OrderAnswer, OrderError> {
+    let mut client = HttpClient::new(engine.address);
+    let report = report_request(&engine.id);
+    let (status, body) = client
+        .call(report, CALL_LIMIT)
+        .await
+        .map_err(OrderError::Engine)?;
+    if status != StatusCode::OK {
+        return Err(OrderError::Status(status));
+    }
+    let report = decode_report(&body).map_err(OrderError::Report)?;
+    if report.role == Some(role) {
+        return Ok(OrderAnswer::Holds);
+    }
+    let (fence, written) = claim(context, engine).await?;
+    let order = RoleOrder {
+        engine: engine.id.clone(),
+        role,
+        holder: context.instance.clone(),
+        fence,
+        accepted_before: report.accepted_orders,
+    };
+    let request = order_request(&order).ok_or(OrderError::Role(role))?;
+    if !OrderClaim::may_send(context.epoch.elapsed(), written) {
+        return Err(OrderError::Late);
+    }
+    let answer = client.call(request, CALL_LIMIT).await;
+    let (status, _) = answer.map_err(OrderError::Engine)?;
+    Ok(decode_order_answer(status))
+}
+
+/// Claims an engine; returns the fencing number and when the write began.
+async fn claim(
+    context: &ControlContext,
+    engine: &BackendServer,
+) -> Result<(u64, Duration), OrderError> {
+    let mut store = HttpClient::new(context.store_address);
+    let mut claim = OrderClaim::new(context.instance.clone());
+    loop {
+        let found = read_claim(context, &mut store, engine).await?;
+        let (content, expect) = match claim.on_read(context.epoch.elapsed(), found) {
+            ClaimStep::Write { content, expect } => (content, expect),
+            ClaimStep::Wait(time) => {
+                sleep(time).await;
+                continue;
+            }
+        };
+        let written = context.epoch.elapsed();
+        return match write_claim(context, &mut store, engine, &content, expect).await? {
+            PutOutcome::Done(_) => Ok((content.fence, written)),
+            PutOutcome::Conflict(_) | PutOutcome::Missing => Err(OrderError::Taken),
+        };
+    }
+}
+
+async fn read_claim(
+    context: &ControlContext,
+    store: &mut HttpClient,
+    engine: &BackendServer,
+) -> Result<Option<(ClaimContent, ObjectVersion)>, OrderError> {
+    context.metrics.store_call(StoreCall::Get);
+    let request = get_request(Kind::OrderClaims, &engine.id);
+    let (status, body) = store.call(request, CALL_LIMIT).await?;
+    let Some(object) = decode_get(status, &body)? else {
+        return Ok(None);
+    };
+    let content = ClaimContent::deserialize(&object.content).map_err(OrderError::Claim)?;
+    Ok(Some((content, object.version)))
+}
+
+async fn write_claim(
+    context: &ControlContext,
+    store: &mut HttpClient,
+    engine: &BackendServer,
+    content: &ClaimContent,
+    expect: Option<ObjectVersion>,
+) -> Result<PutOutcome, OrderError> {
+    context.metrics.store_call(StoreCall::Write);
+    let value = serde_json::to_value(content).map_err(OrderError::Claim)?;
+    let request = match expect {
+        None => create_request(Kind::OrderClaims, &engine.id, &value),
+        Some(version) => replace_request(Kind::OrderClaims, &engine.id, &value, Some(version)),
+    };
+    let (status, body) = store.call(request, CALL_LIMIT).await?;
+    Ok(decode_put(status, &body)?)
+}
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -9,9 +9,9 @@
 use wagtailarch_types::ObjectVersion;
 
 use crate::{
-    control::ControlContext,
+    control::{ControlContext, store_error::StoreError},
+    http_client::HttpClient,
     metrics::StoreCall,
-    store_client::{StoreClient, StoreError},
 };
 
 /// Limit on a call that does not wait.
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub struct Watcher {
     kind: Kind,
-    client: StoreClient,
+    client: HttpClient,
     context: ControlContext,
     /// Version from which the next watch continues; absent before a list.
     position: Option<ObjectVersion>,
@@ -56,7 +56,7 @@
     pub fn new(kind: Kind, context: ControlContext) -> Self {
         Self {
             kind,
-            client: StoreClient::new(context.store_address),
+            client: HttpClient::new(context.store_address),
             context,
             position: None,
             pause: FIRST_PAUSE,
@@ -106,7 +106,7 @@
             let request = list_request(self.kind, after.as_deref(), false);
             self.context.metrics.store_call(StoreCall::List);
             let (status, body) = self.client.call(request, CALL_LIMIT).await?;
-            let page = decode_list(status, &body).map_err(StoreError::Fault)?;
+            let page = decode_list(status, &body)?;
             objects.extend(page.objects);
             // The oldest version is where no change can have been missed between two pages.
             self.position = Some(self.position.unwrap_or(page.store_version));
@@ -126,7 +126,7 @@
         let request = watch_request(self.kind, position, wait);
         self.context.metrics.store_call(StoreCall::Watch);
         let (status, body) = self.client.call(request, wait + WATCH_MARGIN).await?;
-        let page = decode_watch(status, &body).map_err(StoreError::Fault)?;
+        let page = decode_watch(status, &body)?;
         self.position = Some(page.store_version);
         Ok(Seen::Changed(page.changes))
     }
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use wagtailarch_types::{InstanceId, ServiceName};
 use wagtailarch_wire::load_note::{ReadNote, StrikeNote};
 
-use crate::{metrics::Metrics, settings::Settings, snapshot::Snapshot};
+use crate::{metrics::Metrics, settings::Settings, snapshot::Snapshot, traffic_view::TrafficView};
 
 /// State of the traffic thread.
 #[derive(Debug)]
@@ -26,6 +26,8 @@
     pub log: Logger,
     /// Metrics.
     pub metrics: Arc<Metrics>,
+    /// What the control thread is told.
+    pub traffic: Arc<TrafficView>,
     /// Backend servers and their load.
     pub board: RefCell<Board>,
     /// Requests that were in flight on crashing servers.
@@ -65,11 +67,18 @@
 
 impl Gateway {
     /// Creates the state of a process that knows nothing yet.
-    pub fn new(settings: Settings, log: Logger, metrics: Arc<Metrics>, epoch: Instant) -> Self {
+    pub fn new(
+        settings: Settings,
+        log: Logger,
+        metrics: Arc<Metrics>,
+        traffic: Arc<TrafficView>,
+        epoch: Instant,
+    ) -> Self {
         Self {
             settings,
             log,
             metrics,
+            traffic,
             board: RefCell::default(),
             quarantine: Quarantine::new(),
             untold: RefCell::default(),
@@ -117,9 +126,11 @@
     /// Counts a request of a client in the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
         let share = self.retry_share();
+        let now = self.now();
+        self.traffic.on_request(now);
         let mut retries = self.retries.borrow_mut();
         let window = retries.entry(service.clone()).or_default();
-        window.on_request(self.now(), &share);
+        window.on_request(now, &share);
     }
 
     /// Takes one retry from the budget of a service.
--- a/crates/wagtailarch-gateway/src/store_client.rs
+++ b/crates/wagtailarch-gateway/src/http_client.rs
@@ -1,4 +1,4 @@
-//! Calls to the store over one connection.
+//! Calls over one connection that is kept.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -7,7 +7,6 @@
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
-use wagtailarch_adapter::StoreFault;
 
 use crate::connection::{ConnectError, Connection, connect};
 
@@ -16,27 +15,25 @@
 /// Greatest size of an answer; a page holds about 1 MB.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
-/// Calls the store over one connection, which is opened again after a failure.
+/// Calls one address over one connection, which is opened again after a failure.
 #[derive(Debug)]
-pub struct StoreClient {
+pub struct HttpClient {
     address: SocketAddr,
     connection: Option<Connection>,
 }
 
-/// Why a call to the store has no result.
+/// Why a call has no result.
 #[derive(Debug, Display)]
-pub enum StoreError {
+pub enum CallError {
     /// cannot connect: {0}
     Connect(ConnectError),
     /// no answer within {0:?}
     TimedOut(Duration),
     /// the connection failed: {0}
     Broken(String),
-    /// {0}
-    Fault(StoreFault),
 }
 
-impl StoreClient {
+impl HttpClient {
     /// Creates a client; no connection is opened before the first call.
     pub fn new(address: SocketAddr) -> Self {
         Self {
@@ -53,27 +50,27 @@
         &mut self,
         mut request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<(StatusCode, Bytes), CallError> {
         let mut connection = match self.connection.take() {
             Some(connection) if !connection.sender.is_closed() => connection,
             _ => connect(self.address, CONNECT_LIMIT)
                 .await
-                .map_err(StoreError::Connect)?,
+                .map_err(CallError::Connect)?,
         };
         if let Ok(host) = HeaderValue::try_from(self.address.to_string()) {
             request.headers_mut().insert(header::HOST, host);
         }
         let exchange = async {
-            let broken = |error: hyper::Error| StoreError::Broken(error.to_string());
+            let broken = |error: hyper::Error| CallError::Broken(error.to_string());
             connection.sender.ready().await.map_err(broken)?;
             let sent = connection.sender.send_request(request.map(Full::new));
             let (parts, body) = sent.await.map_err(broken)?.into_parts();
             let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-            let body = body.map_err(|error| StoreError::Broken(error.to_string()))?;
+            let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
             Ok((parts.status, body.to_bytes()))
         };
         let answer = timeout(limit, exchange).await;
-        let answer = answer.map_err(|_| StoreError::TimedOut(limit))??;
+        let answer = answer.map_err(|_| CallError::TimedOut(limit))??;
         self.connection = Some(connection);
         Ok(answer)
     }
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod gateway;
 mod generation;
 mod guards;
+mod http_client;
 mod job;
 mod metrics;
 mod peers;
@@ -23,7 +24,7 @@
 mod server;
 mod settings;
 mod snapshot;
-mod store_client;
+mod traffic_view;
 
 pub use event_splitter::{EventSplitter, StreamEvent};
 pub use process::{StartError, run};
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -21,6 +21,8 @@
     List,
     /// A list that may be seconds old.
     StaleList,
+    /// One object.
+    Get,
     /// A watch.
     Watch,
     /// A write.
@@ -28,12 +30,19 @@
 }
 
 impl StoreCall {
-    const ALL: [Self; 4] = [Self::List, Self::StaleList, Self::Watch, Self::Write];
+    const ALL: [Self; 5] = [
+        Self::List,
+        Self::StaleList,
+        Self::Get,
+        Self::Watch,
+        Self::Write,
+    ];
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::List => "list",
             Self::StaleList => "stale_list",
+            Self::Get => "get",
             Self::Watch => "watch",
             Self::Write => "write",
         }
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -11,8 +11,9 @@
 
 /// Time for which a note is held back so that it carries what follows at once.
 const GATHER: Duration = Duration::from_millis(3);
-/// Time after which running requests are told again; peers forget them after two seconds.
-const REPEAT: Duration = Duration::from_millis(800);
+/// Time after which a note is sent though nothing has changed; peers forget running requests after two
+/// seconds and a silent instance after three and a half.
+const REPEAT: Duration = Duration::from_millis(1_000);
 /// Greatest size of a datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// Prompts in one note; more are told in the next one, so that a note fits into few packets.
@@ -21,17 +22,14 @@
 /// Tells peers of prompts, running requests and strikes until the process ends.
 pub async fn tell_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, boot: BootId) {
     let mut sequence = 0;
-    let mut told_running = false;
     loop {
         let woken = timeout(REPEAT, gateway.tell.notified()).await.is_ok();
         if woken {
             tokio::time::sleep(GATHER).await;
         }
         let running = gateway.board.borrow().own_running();
-        if !woken && running.is_empty() && !told_running {
-            continue;
-        }
-        told_running = !running.is_empty();
+        let all_running = gateway.board.borrow().running_by_service(gateway.now());
+        gateway.traffic.set_running(all_running);
         sequence += 1;
         let snapshot = gateway.snapshot();
         let note = {
@@ -97,10 +95,9 @@
             "generation" => note.generation),
     }
     last.insert(note.sender.clone(), (note.boot, note.sequence));
-    gateway
-        .board
-        .borrow_mut()
-        .on_load_note(gateway.now(), &note);
+    let now = gateway.now();
+    gateway.traffic.on_heard(now, &note.sender);
+    gateway.board.borrow_mut().on_load_note(now, &note);
     for strike in note.strikes {
         gateway.on_peer_strike(strike);
     }
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -27,6 +27,7 @@
     ready::serve_status,
     server::serve_clients,
     settings::Settings,
+    traffic_view::TrafficView,
 };
 
 /// Interval at which the progress of a shutdown is looked at.
@@ -57,6 +58,7 @@
 async fn serve(settings: Settings, log: Logger) -> Result<(), StartError> {
     let epoch = Instant::now();
     let metrics = Arc::new(Metrics::new());
+    let traffic = Arc::new(TrafficView::default());
     let clients = listen(settings.client_address).await?;
     let ready = listen(settings.ready_address).await?;
     let scrapes = listen(settings.metrics_address).await?;
@@ -70,13 +72,14 @@
         epoch,
         log: log.clone(),
         metrics: Arc::clone(&metrics),
+        traffic: Arc::clone(&traffic),
     };
     let published = control::start(context).map_err(StartError::Runtime)?;
     let mut term = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
-    let gateway = Rc::new(Gateway::new(settings, log, metrics, epoch));
+    let gateway = Rc::new(Gateway::new(settings, log, metrics, traffic, epoch));
     spawn_local(Rc::clone(&gateway).follow(published));
     spawn_local(serve_clients(Rc::clone(&gateway), clients));
     spawn_local(serve_status(Rc::clone(&gateway), ready));
