--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -4,10 +4,10 @@
 
 use indexmap::IndexMap;
 use wagtailarch_types::{InstanceId, Role, ServiceName, ZoneName};
-use wagtailarch_wire::load_note::{LoadNote, ReadNote, server_key};
+use wagtailarch_wire::load_note::{LoadNote, OpenRead, SentPrefixes, server_key};
 
 use crate::{
-    BackendServer, EngineChoice, EngineState, GenerationRequest, Placement, PrefixLink, Read,
+    BackendServer, EngineChoice, EngineState, GenerationRequest, Placement, PrefixLink, ReadNumber,
     RoutingConfig, Urgency, backend::Backend, placement,
 };
 
@@ -24,8 +24,14 @@
     backends: IndexMap<InstanceId, Backend>,
     /// Identifiers by the key that peers use for them.
     by_key: HashMap<u32, InstanceId>,
+    /// Prompts of this instance that engines have not read yet, by their number.
+    open_reads: IndexMap<ReadNumber, (InstanceId, OpenRead)>,
+    next_read: ReadNumber,
 }
 
+/// Sender of this instance's own prompts in the queues of its engines.
+const OWN: InstanceId = InstanceId::new_inline("");
+
 /// A plain server for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlainChoice {
@@ -147,7 +153,7 @@
         }
     }
 
-    /// Notes that a prompt is sent to an engine, and returns what peers are told.
+    /// Notes that a prompt is sent to an engine; returns its number and what peers are told once.
     pub fn start_read(
         &mut self,
         now: Duration,
@@ -155,34 +161,39 @@
         urgency: Urgency,
         prefixes: &[PrefixLink],
         prompt_tokens: u32,
-    ) -> Option<(Read, ReadNote)> {
+    ) -> Option<(ReadNumber, SentPrefixes)> {
         let engine = self.backends.get_mut(id)?.engine.as_mut()?;
-        let read = engine.start_read(now, urgency, prefixes, prompt_tokens);
-        let note = ReadNote {
+        let number = self.next_read;
+        self.next_read = self.next_read.wrapping_add(1);
+        let work = engine.start_read(now, &OWN, number, urgency, prefixes, prompt_tokens);
+        let open = OpenRead {
             engine: server_key(id),
-            work_ms: clamp_ms(read.ticket.work.as_secs_f64() * 1_000.0),
+            number,
+            work_ms: u16::try_from(work.as_millis()).unwrap_or(u16::MAX),
             urgent: urgency == Urgency::OnTime,
+        };
+        self.open_reads.insert(number, (id.clone(), open));
+        let told = SentPrefixes {
+            engine: open.engine,
             prefixes: prefixes.iter().map(|p| (p.hash, p.end_tokens)).collect(),
         };
-        Some((read, note))
+        Some((number, told))
     }
 
-    /// Notes that an engine has read a prompt, and returns the correction that peers are told.
-    pub fn finish_read(
-        &mut self,
-        now: Duration,
-        id: &InstanceId,
-        urgency: Urgency,
-        read: &Read,
-    ) -> Option<ReadNote> {
-        let engine = self.backends.get_mut(id)?.engine.as_mut()?;
-        let corrected_ms = engine.finish_read(now, read);
-        Some(ReadNote {
-            engine: server_key(id),
-            work_ms: clamp_ms(corrected_ms),
-            urgent: urgency == Urgency::OnTime,
-            prefixes: Vec::new(),
-        })
+    /// Notes that a prompt has been read, or was given up on if not `done`.
+    pub fn finish_read(&mut self, now: Duration, number: ReadNumber, done: bool) {
+        let Some((id, _)) = self.open_reads.shift_remove(&number) else {
+            return;
+        };
+        let engine = self.backends.get_mut(&id).and_then(|b| b.engine.as_mut());
+        if let Some(engine) = engine {
+            engine.finish_read(now, &OWN, number, done);
+        }
+    }
+
+    /// Returns the prompts of this instance that engines have not read yet.
+    pub fn open_reads(&self) -> Vec<OpenRead> {
+        self.open_reads.values().map(|(_, open)| *open).collect()
     }
 
     /// Changes the number of requests of this instance that generate on an engine.
@@ -216,8 +227,15 @@
 
     /// Takes over what a peer tells of its requests.
     pub fn on_load_note(&mut self, now: Duration, note: &LoadNote) {
-        for read in &note.reads {
-            self.on_peer_read(now, read);
+        for sent in &note.sent_prefixes {
+            let Some(engine) = self.engine_by_key(sent.engine) else {
+                continue;
+            };
+            let links = sent.prefixes.iter();
+            let links: Vec<_> = links
+                .map(|&(hash, end_tokens)| PrefixLink { hash, end_tokens })
+                .collect();
+            engine.cache.insert(&links);
         }
         for (id, backend) in &mut self.backends {
             let Some(engine) = &mut backend.engine else {
@@ -227,6 +245,12 @@
             let told = note.running.iter().find(|(engine, _)| *engine == key);
             let running = told.map_or(0, |(_, running)| *running);
             engine.set_peer_running(now, &note.sender, running);
+            let reads = note.open_reads.iter().filter(|read| read.engine == key);
+            let numbers: Vec<_> = reads.clone().map(|read| read.number).collect();
+            engine.queue.keep_only(now, &note.sender, &numbers);
+            for read in reads {
+                on_peer_read(now, engine, &note.sender, read);
+            }
         }
     }
 
@@ -246,31 +270,9 @@
         backends.map(|(id, backend)| (id, backend.in_flight))
     }
 
-    fn on_peer_read(&mut self, now: Duration, read: &ReadNote) {
-        let Some(id) = self.by_key.get(&read.engine) else {
-            return;
-        };
-        let backend = self.backends.get_mut(id);
-        let Some(engine) = backend.and_then(|backend| backend.engine.as_mut()) else {
-            return;
-        };
-        let urgency = if read.urgent {
-            Urgency::OnTime
-        } else {
-            Urgency::Late
-        };
-        if read.prefixes.is_empty() {
-            engine.queue.correct(now, urgency, f64::from(read.work_ms));
-            return;
-        }
-        let links: Vec<_> = read
-            .prefixes
-            .iter()
-            .map(|&(hash, end_tokens)| PrefixLink { hash, end_tokens })
-            .collect();
-        engine.cache.insert(&links);
-        let work = Duration::from_millis(u64::try_from(read.work_ms).unwrap_or(0));
-        engine.queue.add(now, urgency, work);
+    fn engine_by_key(&mut self, key: u32) -> Option<&mut EngineState> {
+        let id = self.by_key.get(&key)?;
+        self.backends.get_mut(id)?.engine.as_mut()
     }
 
     fn usable(
@@ -325,7 +327,16 @@
         + away
 }
 
-/// Rounds a time for a note; a note never carries 0 for work that was done.
-fn clamp_ms(ms: f64) -> i16 {
-    ms.round().clamp(-30_000.0, 30_000.0) as i16
+/// Adds a prompt of a peer to the queue of its engine.
+fn on_peer_read(now: Duration, engine: &mut EngineState, sender: &InstanceId, read: &OpenRead) {
+    if engine.queue.contains(sender, read.number) {
+        return;
+    }
+    let urgency = if read.urgent {
+        Urgency::OnTime
+    } else {
+        Urgency::Late
+    };
+    let work = Duration::from_millis(read.work_ms.into());
+    engine.queue.add(now, sender, read.number, urgency, work);
 }
--- a/crates/wagtailarch-dispatch/src/engine_state.rs
+++ b/crates/wagtailarch-dispatch/src/engine_state.rs
@@ -4,7 +4,7 @@
 
 use wagtailarch_types::{InstanceId, Role};
 
-use crate::{EngineTraits, PrefixCache, PrefixLink, ReadQueue, ReadTicket, Urgency};
+use crate::{EngineTraits, PrefixCache, PrefixLink, ReadNumber, ReadQueue, Urgency};
 
 /// Tokens of a prompt that a prefill engine reads in a millisecond until answers show otherwise.
 const READ_TOKENS_PER_MS: f64 = 50.0;
@@ -12,12 +12,18 @@
 const READ_MS_PER_MILLION_PAIRS: f64 = 0.37;
 /// Factor by which a decode engine reads prompts more slowly than a prefill engine.
 const DECODE_READ_SLOWDOWN: f64 = 2.0;
+/// Time that the steps of an engine add to each prompt.
+const STEP_MS: f64 = 6.0;
+/// Slowness of an engine of which nothing is known; prompts share steps with others.
+const FIRST_SLOWNESS: f64 = 1.2;
 /// Weight of one answer in the learned speed of an engine.
-const SPEED_WEIGHT: f64 = 0.15;
-/// Bounds of the learned slowness; one odd answer must not exclude an engine.
-const SLOWNESS_RANGE: (f64, f64) = (0.5, 6.0);
-/// Shortest predicted reading time from which the speed is learned; shorter ones are mostly network.
-const LEARN_FROM: Duration = Duration::from_millis(15);
+const SPEED_WEIGHT: f64 = 0.08;
+/// Bounds of one sample, which may hold the time of prompts that were not told.
+const SAMPLE_RANGE: (f64, f64) = (0.5, 3.0);
+/// Bounds of the learned slowness; odd answers must not exclude an engine.
+const SLOWNESS_RANGE: (f64, f64) = (0.7, 4.0);
+/// Shortest expected time from which the speed is learned; shorter ones are mostly network.
+const LEARN_FROM: Duration = Duration::from_millis(25);
 /// Time after which the running requests told by a silent peer are forgotten.
 const PEER_RUNNING_TTL: Duration = Duration::from_secs(2);
 
@@ -40,13 +46,6 @@
     peers_running: HashMap<InstanceId, (u32, Duration)>,
 }
 
-/// A prompt that this instance has sent to an engine.
-#[derive(Debug, Clone, Copy)]
-pub struct Read {
-    /// Place in the queue.
-    pub ticket: ReadTicket,
-}
-
 impl EngineState {
     /// Creates the state of an engine of which nothing is known.
     pub fn new(role: Role, traits: EngineTraits) -> Self {
@@ -55,7 +54,7 @@
             queue: ReadQueue::default(),
             cache: PrefixCache::new(traits.kv_capacity_tokens),
             traits,
-            slowness: 1.0,
+            slowness: FIRST_SLOWNESS,
             own_running: 0,
             peers_running: HashMap::new(),
         }
@@ -70,6 +69,7 @@
         if self.role != Role::Prefill {
             ms *= DECODE_READ_SLOWDOWN;
         }
+        ms += STEP_MS;
         Duration::from_secs_f64(ms * self.slowness / 1_000.0)
     }
 
@@ -78,31 +78,41 @@
         prompt_tokens.saturating_sub(self.cache.held_tokens(prefixes))
     }
 
-    /// Adds a prompt of this instance.
+    /// Adds a prompt of `sender` and returns the time that reading it takes.
     pub fn start_read(
         &mut self,
         now: Duration,
+        sender: &InstanceId,
+        number: ReadNumber,
         urgency: Urgency,
         prefixes: &[PrefixLink],
         prompt_tokens: u32,
-    ) -> Read {
+    ) -> Duration {
         let work = self.read_time(prefixes, prompt_tokens);
         self.cache.insert(prefixes);
-        let ticket = self.queue.add(now, urgency, work);
-        Read { ticket }
+        self.queue.add(now, sender, number, urgency, work);
+        work
     }
 
-    /// Notes that the engine has read a prompt; returns the correction for peers in milliseconds.
-    pub fn finish_read(&mut self, now: Duration, read: &Read) -> f64 {
-        let ticket = &read.ticket;
-        if ticket.wait.is_zero() && ticket.work >= LEARN_FROM {
-            let started = ticket.expected.saturating_sub(ticket.work);
-            let took = now.saturating_sub(started).as_secs_f64();
-            let ratio = self.slowness * took / ticket.work.as_secs_f64();
-            let mixed = self.slowness * (1.0 - SPEED_WEIGHT) + ratio * SPEED_WEIGHT;
-            self.slowness = mixed.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+    /// Notes that the engine has read a prompt of `sender`; `learn` tells whether its time counts.
+    pub fn finish_read(
+        &mut self,
+        now: Duration,
+        sender: &InstanceId,
+        number: ReadNumber,
+        learn: bool,
+    ) {
+        let Some((prompt, spent)) = self.queue.remove(now, sender, number) else {
+            return;
+        };
+        // Late prompts are interrupted by urgent ones, so that their time says little.
+        if !learn || prompt.urgency == Urgency::Late || prompt.work < LEARN_FROM {
+            return;
         }
-        self.queue.finish(now, ticket)
+        let sample = spent.as_secs_f64() / prompt.work.as_secs_f64();
+        let sample = self.slowness * sample.clamp(SAMPLE_RANGE.0, SAMPLE_RANGE.1);
+        let mixed = self.slowness * (1.0 - SPEED_WEIGHT) + sample * SPEED_WEIGHT;
+        self.slowness = mixed.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
     }
 
     /// Returns how much slower than expected the engine reads.
--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -22,13 +22,13 @@
 mod shutdown;
 
 pub use board::{Board, PlainChoice};
-pub use engine_state::{EngineState, Read};
+pub use engine_state::EngineState;
 pub use evidence::Evidence;
 pub use membership::{Change, Membership};
 pub use order_claim::{ClaimContent, ClaimStep, OrderClaim};
 pub use placement::{EngineChoice, GenerationRequest, Placement, Plan, ReadPlan, Urgency};
 pub use prefix_cache::PrefixCache;
-pub use read_queue::{ReadQueue, ReadTicket};
+pub use read_queue::{QueuedPrompt, ReadNumber, ReadQueue};
 pub use request::{PrefixLink, Prompt, PromptPart, RequestKind};
 pub use retry_window::{RetryShare, RetryWindow};
 pub use role_plan::{PlannedEngine, RoleChange, RolePlan, is_steward};
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -89,6 +89,10 @@
     pub urgency: Urgency,
     /// Predicted time to the first event.
     pub first_event: Duration,
+    /// Predicted time for which the prompt waits before it is read.
+    pub read_wait: Duration,
+    /// Predicted time for which it is read.
+    pub read_time: Duration,
 }
 
 /// What becomes of a generation.
@@ -153,6 +157,8 @@
 struct Candidate<'a> {
     reader: Option<&'a Backend>,
     generator: &'a Backend,
+    read_wait_ms: f64,
+    read_ms: f64,
     first_ms: f64,
     cost_ms: f64,
 }
@@ -200,6 +206,8 @@
             generate: choice(self.generator),
             urgency,
             first_event: from_ms(self.first_ms),
+            read_wait: from_ms(self.read_wait_ms),
+            read_time: from_ms(self.read_ms),
         }
     }
 }
@@ -232,6 +240,8 @@
         options.push(Candidate {
             reader: None,
             generator,
+            read_wait_ms: wait_ms,
+            read_ms,
             first_ms,
             cost_ms: first_ms
                 + read_ms * WORK_WEIGHT
@@ -246,14 +256,14 @@
             let read_ms = ms(reading.read_time(request.prefixes, request.prompt_tokens));
             let same_zone = reader.server.zone == generator.server.zone;
             let transfer_ms = transfer_ms(reading, request.prompt_tokens, same_zone);
-            let first_ms = ms(reading.queue.wait(now, urgency))
-                + read_ms
-                + transfer_ms
-                + HANDOFF_OVERHEAD_MS
-                + DIRECT_OVERHEAD_MS;
+            let read_wait_ms = ms(reading.queue.wait(now, urgency));
+            let first_ms =
+                read_wait_ms + read_ms + transfer_ms + HANDOFF_OVERHEAD_MS + DIRECT_OVERHEAD_MS;
             options.push(Candidate {
                 reader: Some(reader),
                 generator,
+                read_wait_ms,
+                read_ms,
                 first_ms,
                 cost_ms: first_ms
                     + read_ms * WORK_WEIGHT
--- a/crates/wagtailarch-dispatch/src/read_queue.rs
+++ b/crates/wagtailarch-dispatch/src/read_queue.rs
@@ -2,94 +2,126 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use wagtailarch_types::InstanceId;
+
 use crate::Urgency;
 
-/// Greatest correction that one finished prompt makes, in milliseconds.
-const MAX_CORRECTION_MS: f64 = 1_000.0;
+/// Time after which a prompt that was not reported as read is forgotten, beyond three times what it
+/// was expected to take; its sender may have ended.
+const FORGET_AFTER: Duration = Duration::from_secs(2);
+/// Greatest part of its expected time that a prompt counts as read before it is reported.
+///
+/// A prompt that takes longer than expected still keeps its engine busy.
+const GREATEST_PROGRESS: f64 = 0.9;
+
+/// Number of a prompt among those of one sender.
+pub type ReadNumber = u32;
 
-/// Prompts that wait at one engine, as the time at which the engine will have read them.
+/// Prompts that one engine has been sent and that were not reported as read.
 ///
-/// Every instance keeps such a queue for every engine and adds what it and its peers send.
+/// Every instance keeps such a queue for every engine, with its own prompts and those of its peers.
 #[derive(Debug, Default)]
 pub struct ReadQueue {
-    /// When the engine has read all urgent prompts.
-    urgent_until: Duration,
-    /// When the engine has read all prompts; never before `urgent_until`.
-    all_until: Duration,
-    /// Sum of all corrections so far, in milliseconds.
-    corrected_ms: f64,
+    /// Prompts by sender and number, oldest first; an engine reads those of equal urgency in order.
+    prompts: IndexMap<(InstanceId, ReadNumber), QueuedPrompt>,
+    /// When a prompt was last reported as read.
+    last_read: Duration,
 }
 
-/// A prompt in a [`ReadQueue`].
-#[derive(Debug, Clone, Copy)]
-pub struct ReadTicket {
-    /// When the prompt is expected to have been read.
-    pub expected: Duration,
-    /// Time for which the prompt was expected to wait.
-    pub wait: Duration,
-    /// Time for which the prompt was expected to be read.
+/// One prompt in a [`ReadQueue`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueuedPrompt {
+    /// Time that reading it takes.
     pub work: Duration,
-    urgency: Urgency,
-    corrected_before_ms: f64,
+    /// Whether it is read before those that are late anyway.
+    pub urgency: Urgency,
+    /// When it was added.
+    pub added: Duration,
+    /// When it is forgotten.
+    forget_at: Duration,
 }
 
 impl ReadQueue {
     /// Returns how long a new prompt waits before it is read.
     pub fn wait(&self, now: Duration, urgency: Urgency) -> Duration {
-        match urgency {
-            Urgency::OnTime => self.urgent_until.saturating_sub(now),
-            Urgency::Late => self.all_until.saturating_sub(now),
+        let ahead = self.prompts.values().filter(|prompt| {
+            prompt.forget_at > now
+                && (urgency == Urgency::Late || prompt.urgency == Urgency::OnTime)
+        });
+        let mut wait = Duration::ZERO;
+        let mut first = None;
+        for prompt in ahead {
+            first.get_or_insert(prompt);
+            wait += prompt.work;
         }
+        wait.saturating_sub(first.map_or(Duration::ZERO, |prompt| self.progress(now, prompt)))
     }
 
     /// Adds a prompt that takes `work` to be read.
-    pub fn add(&mut self, now: Duration, urgency: Urgency, work: Duration) -> ReadTicket {
-        let wait = self.wait(now, urgency);
-        self.all_until = self.all_until.max(now) + work;
-        if urgency == Urgency::OnTime {
-            self.urgent_until = self.urgent_until.max(now) + work;
-        }
-        ReadTicket {
-            expected: now + wait + work,
-            wait,
+    pub fn add(
+        &mut self,
+        now: Duration,
+        sender: &InstanceId,
+        number: ReadNumber,
+        urgency: Urgency,
+        work: Duration,
+    ) {
+        self.prompts.retain(|_, prompt| prompt.forget_at > now);
+        let expected = self.wait(now, urgency) + work;
+        let prompt = QueuedPrompt {
             work,
             urgency,
-            corrected_before_ms: self.corrected_ms,
-        }
+            added: now,
+            forget_at: now + expected * 3 + FORGET_AFTER,
+        };
+        self.prompts.insert((sender.clone(), number), prompt);
     }
 
-    /// Notes that a prompt has been read, or was given up on, and returns the correction in
-    /// milliseconds that this makes, for peers.
+    /// Removes a prompt that has been read or was given up on.
     ///
-    /// Corrections made since the prompt was added are not made again.
-    pub fn finish(&mut self, now: Duration, ticket: &ReadTicket) -> f64 {
-        let since_ms = self.corrected_ms - ticket.corrected_before_ms;
-        let late_ms = (now.as_secs_f64() - ticket.expected.as_secs_f64()) * 1_000.0 - since_ms;
-        let late_ms = late_ms.clamp(-MAX_CORRECTION_MS, MAX_CORRECTION_MS);
-        self.correct(now, ticket.urgency, late_ms);
-        late_ms
+    /// Returns it with the time that the engine spent on it as far as can be told.
+    pub fn remove(
+        &mut self,
+        now: Duration,
+        sender: &InstanceId,
+        number: ReadNumber,
+    ) -> Option<(QueuedPrompt, Duration)> {
+        let prompt = self.prompts.shift_remove(&(sender.clone(), number))?;
+        let spent = now.saturating_sub(self.last_read.max(prompt.added));
+        self.last_read = now;
+        Some((prompt, spent))
     }
 
-    /// Moves the end of the queue by `by_ms`.
-    pub fn correct(&mut self, now: Duration, urgency: Urgency, by_ms: f64) {
-        self.corrected_ms += by_ms;
-        self.all_until = shifted(now, self.all_until, by_ms);
-        if urgency == Urgency::OnTime {
-            self.urgent_until = shifted(now, self.urgent_until, by_ms);
+    /// Removes the prompts of a sender that are not among those that it still tells.
+    pub fn keep_only(&mut self, now: Duration, sender: &InstanceId, told: &[ReadNumber]) {
+        let before = self.prompts.len();
+        self.prompts
+            .retain(|(from, number), _| from != sender || told.contains(number));
+        if self.prompts.len() < before {
+            self.last_read = now;
         }
-        self.all_until = self.all_until.max(self.urgent_until);
     }
-}
 
-/// Moves a time that is not yet over; an idle engine stays idle.
-fn shifted(now: Duration, until: Duration, by_ms: f64) -> Duration {
-    if until <= now {
-        return until;
+    /// Tells whether a prompt is in the queue.
+    pub fn contains(&self, sender: &InstanceId, number: ReadNumber) -> bool {
+        self.prompts.contains_key(&(sender.clone(), number))
     }
-    let by = Duration::from_secs_f64(by_ms.abs() / 1_000.0);
-    if by_ms >= 0.0 {
-        until + by
-    } else {
-        until.saturating_sub(by).max(now)
+
+    /// Returns the number of prompts.
+    pub fn len(&self) -> usize {
+        self.prompts.len()
+    }
+
+    /// Tells whether no prompt waits or is being read.
+    pub fn is_empty(&self) -> bool {
+        self.prompts.is_empty()
+    }
+
+    /// Returns the part of a prompt that has been read if it is the one that is being read.
+    fn progress(&self, now: Duration, prompt: &QueuedPrompt) -> Duration {
+        let begun = self.last_read.max(prompt.added);
+        let greatest = prompt.work.mul_f64(GREATEST_PROGRESS);
+        now.saturating_sub(begun).min(greatest)
     }
 }
--- a/crates/wagtailarch-dispatch/src/role_plan.rs
+++ b/crates/wagtailarch-dispatch/src/role_plan.rs
@@ -10,9 +10,9 @@
 /// Generating takes an engine about 8 ms a token for all its requests together, while a prompt token
 /// takes it 0.03 ms alone: with the mixes of both sites, one engine in five generates with less than
 /// a sixth of its slots.
-const MIN_GENERATING_SHARE: f64 = 0.2;
+const MIN_GENERATING_SHARE: f64 = 0.33;
 /// Requests that one generating engine is meant to run at most; more slow each other noticeably.
-const RUNNING_PER_ENGINE: f64 = 24.0;
+const RUNNING_PER_ENGINE: f64 = 40.0;
 /// Time for which engines must lack a role before an engine is changed while requests are served.
 ///
 /// A crashed engine is back within a few seconds, and a change takes an engine away for three.
@@ -68,10 +68,11 @@
         let by_share = engines.len() as f64 * MIN_GENERATING_SHARE;
         let by_demand = f64::from(running) / RUNNING_PER_ENGINE;
         let wanted = by_share.max(by_demand).ceil();
+        zones.sort_keys();
+        let sizes: Vec<_> = zones.values().map(Vec::len).collect();
+        let wanted = divide(wanted as usize, &sizes);
         let mut changes = Vec::new();
-        for (zone, members) in zones {
-            let share = wanted * members.len() as f64 / engines.len() as f64;
-            let wanted = wanted_in_zone(share, members.len());
+        for ((zone, members), wanted) in zones.into_iter().zip(wanted) {
             let mut due = zone_changes(&members, wanted);
             if due.is_empty() {
                 self.lacking.remove(zone);
@@ -112,15 +113,32 @@
     !members.any(|member| rendezvous_weight(key, member) > own)
 }
 
-/// Returns how many of `members` engines of a zone generate.
+/// Divides `wanted` generating engines among zones with the given numbers of engines.
 ///
-/// A zone serves alone while it is cut off, so that it needs both roles.
-fn wanted_in_zone(share: f64, members: usize) -> usize {
-    match members {
-        0 => 0,
-        1 => 1,
-        _ => (share.round() as usize).clamp(1, members - 1),
+/// A zone serves alone while it is cut off, so that it keeps both roles if it has two engines.
+fn divide(wanted: usize, sizes: &[usize]) -> Vec<usize> {
+    let total: usize = sizes.iter().sum();
+    let bounds = |size: usize| match size {
+        0 | 1 => (size, size),
+        _ => (1, size - 1),
+    };
+    let mut parts: Vec<_> = sizes
+        .iter()
+        .map(|&size| {
+            let (least, most) = bounds(size);
+            (wanted * size / total.max(1)).clamp(least, most)
+        })
+        .collect();
+    // The rest goes to the zones with the most engines for each one that generates.
+    while parts.iter().sum::<usize>() < wanted {
+        let open = (0..sizes.len()).filter(|&zone| parts[zone] < bounds(sizes[zone]).1);
+        let load = |zone: usize| sizes[zone] * 1_000 / parts[zone].max(1);
+        let Some(zone) = open.rev().max_by_key(|&zone| load(zone)) else {
+            break;
+        };
+        parts[zone] += 1;
     }
+    parts
 }
 
 /// Returns the changes that leave `wanted` engines of a zone generating.
--- a/crates/wagtailarch-dispatch/tests/placement.rs
+++ b/crates/wagtailarch-dispatch/tests/placement.rs
@@ -61,8 +61,8 @@
         };
         let tokens = request.prompt_tokens;
         let started = board.start_read(NOW, &reader.id, Urgency::OnTime, &prefixes, tokens);
-        let (read, _) = started.expect("the engine is known");
-        board.finish_read(NOW, &reader.id, Urgency::OnTime, &read);
+        let (number, _) = started.expect("the engine is known");
+        board.finish_read(NOW, number, true);
         used.push(reader.id);
     }
     assert!(used.iter().all(|id| *id == used[0]), "{used:?}");
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use wagtailarch_dispatch::{Board, RetryShare, RetryWindow};
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{InstanceId, ServiceName};
-use wagtailarch_wire::load_note::{ReadNote, StrikeNote};
+use wagtailarch_wire::load_note::{SentPrefixes, StrikeNote};
 
 use crate::{metrics::Metrics, settings::Settings, snapshot::Snapshot, traffic_view::TrafficView};
 
@@ -48,8 +48,8 @@
 /// What peers have not been told yet.
 #[derive(Debug, Default)]
 pub struct Untold {
-    /// Prompts sent and read.
-    pub reads: Vec<ReadNote>,
+    /// Prefixes of prompts that were sent.
+    pub sent_prefixes: Vec<SentPrefixes>,
     /// Strikes of requests.
     pub strikes: Vec<StrikeNote>,
 }
@@ -141,10 +141,10 @@
         window.try_retry(self.now(), &share)
     }
 
-    /// Queues what peers should know of a prompt.
-    pub fn tell_read(&self, note: Option<ReadNote>) {
-        if let Some(note) = note {
-            self.untold.borrow_mut().reads.push(note);
+    /// Queues the prefixes of a prompt that was sent, for peers.
+    pub fn tell_prefixes(&self, sent: Option<SentPrefixes>) {
+        if let Some(sent) = sent {
+            self.untold.borrow_mut().sent_prefixes.push(sent);
             self.tell.notify_one();
         }
     }
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -310,13 +310,16 @@
     };
     let sent = job.gateway.now();
     let handle = read_handle(job, &call).await;
-    let (wait, work) = reading.expected().unwrap_or_default();
-    drop(reading);
+    if handle.is_some() {
+        reading.finish();
+    } else {
+        drop(reading);
+    }
     debug!(job.gateway.log, "prompt read"; "request" => %job.client.id,
         "server" => %reader.id, "read" => handle.is_some(),
         "took_ms" => job.gateway.now().saturating_sub(sent).as_millis() as u64,
-        "expected_wait_ms" => wait.as_millis() as u64,
-        "expected_work_ms" => work.as_millis() as u64);
+        "expected_ms" => plan.read_time.as_millis() as u64,
+        "expected_wait_ms" => plan.read_wait.as_millis() as u64);
     match handle {
         Some(source) => Ok((CallStep::Generate(source), Some(reader.id.clone()))),
         None if attempts.calls >= MAX_CALLS || job.patience_left().is_zero() => Err(
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -1,8 +1,8 @@
 //! Counts that are taken back however a request ends.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
-use wagtailarch_dispatch::{PrefixLink, Read, Urgency};
+use wagtailarch_dispatch::{PrefixLink, ReadNumber, Urgency};
 use wagtailarch_types::InstanceId;
 
 use crate::gateway::Gateway;
@@ -35,9 +35,8 @@
 #[derive(Debug)]
 pub struct Reading {
     gateway: Rc<Gateway>,
-    engine: InstanceId,
-    urgency: Urgency,
-    read: Option<Read>,
+    number: Option<ReadNumber>,
+    done: bool,
 }
 
 impl Reading {
@@ -50,42 +49,32 @@
         prompt_tokens: u32,
     ) -> Self {
         let now = gateway.now();
-        let started =
-            gateway
-                .board
-                .borrow_mut()
-                .start_read(now, engine, urgency, prefixes, prompt_tokens);
-        let (read, note) = started.unzip();
-        gateway.tell_read(note);
+        let mut board = gateway.board.borrow_mut();
+        let started = board.start_read(now, engine, urgency, prefixes, prompt_tokens);
+        let (number, told) = started.unzip();
+        gateway.tell_prefixes(told);
         Self {
             gateway: Rc::clone(gateway),
-            engine: engine.clone(),
-            urgency,
-            read,
+            number,
+            done: false,
         }
     }
-}
 
-impl Reading {
-    /// Returns the expected waiting and reading time.
-    pub fn expected(&self) -> Option<(Duration, Duration)> {
-        let ticket = &self.read.as_ref()?.ticket;
-        Some((ticket.wait, ticket.work))
+    /// Notes that the engine has read the prompt.
+    pub fn finish(mut self) {
+        self.done = true;
     }
 }
 
 impl Drop for Reading {
     fn drop(&mut self) {
-        let Some(read) = &self.read else {
+        let Some(number) = self.number else {
             return;
         };
         let now = self.gateway.now();
-        let note =
-            self.gateway
-                .board
-                .borrow_mut()
-                .finish_read(now, &self.engine, self.urgency, read);
-        self.gateway.tell_read(note);
+        let mut board = self.gateway.board.borrow_mut();
+        board.finish_read(now, number, self.done);
+        self.gateway.tell.notify_one();
     }
 }
 
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -16,8 +16,9 @@
 const REPEAT: Duration = Duration::from_millis(1_000);
 /// Greatest size of a datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
-/// Prompts in one note; more are told in the next one, so that a note fits into few packets.
-const MAX_READS: usize = 24;
+/// Prompts whose prefixes are in one note; more are told in the next one, so that a note fits into few
+/// packets.
+const MAX_SENT_PREFIXES: usize = 24;
 
 /// Tells peers of prompts, running requests and strikes until the process ends.
 pub async fn tell_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, boot: BootId) {
@@ -34,19 +35,20 @@
         let snapshot = gateway.snapshot();
         let note = {
             let mut untold = gateway.untold.borrow_mut();
-            let count = untold.reads.len().min(MAX_READS);
+            let count = untold.sent_prefixes.len().min(MAX_SENT_PREFIXES);
             LoadNote {
                 version: LOAD_NOTE_VERSION,
                 sender: gateway.settings.instance.clone(),
                 boot,
                 sequence,
                 generation: snapshot.config.as_ref().map_or(0, |c| c.generation()),
-                reads: untold.reads.drain(..count).collect(),
+                open_reads: gateway.board.borrow().open_reads(),
+                sent_prefixes: untold.sent_prefixes.drain(..count).collect(),
                 running,
                 strikes: std::mem::take(&mut untold.strikes),
             }
         };
-        if !gateway.untold.borrow().reads.is_empty() {
+        if !gateway.untold.borrow().sent_prefixes.is_empty() {
             gateway.tell.notify_one();
         }
         let bytes = match note.encode() {
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -126,9 +126,10 @@
     }
 
     fn on_events(&mut self) {
-        if let Some(live) = &mut self.live {
-            // The first event shows that the prompt has been read.
-            live.reading = None;
+        // The first event shows that the prompt has been read.
+        let reading = self.live.as_mut().and_then(|live| live.reading.take());
+        if let Some(reading) = reading {
+            reading.finish();
         }
         if self.first_event_ms.is_some() {
             return;
--- a/crates/wagtailarch-wire/src/load_note.rs
+++ b/crates/wagtailarch-wire/src/load_note.rs
@@ -1,13 +1,14 @@
 //! What entry instances tell each other of the engines they use, in one datagram.
 //!
-//! Datagrams may be lost, so that every note stands alone: the running requests are told in full, and
-//! a lost read only makes an engine look less busy for the time of one prompt.
+//! Datagrams may be lost, so that every note stands alone: prompts being read and requests that
+//! generate are told in full. Only the prefixes of a prompt are told once; if they are lost, an engine
+//! is believed to hold less than it does.
 
 use serde::{Deserialize, Serialize};
 use wagtailarch_types::{BootId, Fingerprint, Generation, InstanceId};
 
 /// Version of the encoding; notes of other versions are ignored.
-pub const LOAD_NOTE_VERSION: u8 = 1;
+pub const LOAD_NOTE_VERSION: u8 = 2;
 
 /// What one entry instance tells all others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,24 +23,35 @@
     pub sequence: u32,
     /// Generation of the configuration that the sender has in force; 0 for none.
     pub generation: Generation,
-    /// Prompts sent and read since the last note.
-    pub reads: Vec<ReadNote>,
+    /// Prompts of the sender that engines have not read yet.
+    pub open_reads: Vec<OpenRead>,
+    /// Prefixes of the prompts sent since the last note.
+    pub sent_prefixes: Vec<SentPrefixes>,
     /// Requests of the sender that generate, by `server_key` of the engine; others have none.
     pub running: Vec<(u32, u32)>,
     /// Requests that were in flight on a server that crashed.
     pub strikes: Vec<StrikeNote>,
 }
 
-/// A prompt that was sent to an engine, or a correction once it has been read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReadNote {
+/// A prompt that an engine has not read yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenRead {
     /// `server_key` of the engine.
     pub engine: u32,
-    /// Time that reading takes in milliseconds; for a correction, the change.
-    pub work_ms: i16,
+    /// Number of the prompt among those of the sender.
+    pub number: u32,
+    /// Time that reading takes in milliseconds.
+    pub work_ms: u16,
     /// Whether it is read before prompts that are late anyway.
     pub urgent: bool,
-    /// Hash and end in tokens of each prefix, the shortest first; empty for a correction.
+}
+
+/// The prefixes of a prompt that was sent to an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SentPrefixes {
+    /// `server_key` of the engine.
+    pub engine: u32,
+    /// Hash and end in tokens of each prefix, the shortest first.
     pub prefixes: Vec<(u64, u32)>,
 }
 
