--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Notes that a server refused a request without running it.
+    pub fn on_busy(&mut self, now: Duration, id: &InstanceId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.evidence.on_busy(now);
+        }
+    }
+
     /// Notes that a server could not be reached; an engine may have lost its memory.
     pub fn on_unreachable(&mut self, now: Duration, id: &InstanceId) {
         if let Some(backend) = self.backends.get_mut(id) {
--- a/crates/wagtailarch-dispatch/src/evidence.rs
+++ b/crates/wagtailarch-dispatch/src/evidence.rs
@@ -8,6 +8,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause after a server could not be reached repeatedly.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// Pause after a server said that it does not run requests at present.
+///
+/// An engine that changes its role refuses all for three seconds or more.
+const BUSY_PAUSE: Duration = Duration::from_millis(400);
 /// Share of failures that a server with few answers is assumed to have, weighted as one answer.
 const PRIOR_FAILURE: f64 = 0.05;
 
@@ -53,6 +57,11 @@
         self.paused_until = now + pause.min(LONGEST_PAUSE);
     }
 
+    /// Notes that the server refused a request without running it; it is paused for a moment.
+    pub fn on_busy(&mut self, now: Duration) {
+        self.paused_until = self.paused_until.max(now + BUSY_PAUSE);
+    }
+
     /// Tells whether requests may be sent to the server.
     pub fn usable(&self, now: Duration) -> bool {
         self.paused_until <= now
--- a/crates/wagtailarch-dispatch/src/role_plan.rs
+++ b/crates/wagtailarch-dispatch/src/role_plan.rs
@@ -17,14 +17,17 @@
 ///
 /// A crashed engine is back within a few seconds, and a change takes an engine away for three.
 const LACKING_FOR: Duration = Duration::from_secs(6);
+/// Generating engines beyond those wanted that are left as they are while requests are served; a
+/// change costs three seconds of an engine.
+const SERVING_SLACK: usize = 1;
 /// Time after an order in which the same engine gets no other one.
 const REST: Duration = Duration::from_secs(8);
 
 /// Decides which engines of a service change their role.
 #[derive(Debug, Default)]
 pub struct RolePlan {
-    /// Since when each zone has lacked changes.
-    lacking: HashMap<ZoneName, Duration>,
+    /// Since when changes have been needed.
+    lacking_since: Option<Duration>,
     /// When each engine was last given an order.
     ordered: HashMap<InstanceId, Duration>,
 }
@@ -53,7 +56,7 @@
     /// Returns the changes that are due and notes them as ordered.
     ///
     /// `running` is the number of requests that generate; `serving` tells whether requests arrive, in
-    /// which case a lack has to last and one engine of a zone changes at a time.
+    /// which case a lack has to last and one engine changes at a time.
     pub fn changes(
         &mut self,
         now: Duration,
@@ -61,37 +64,36 @@
         running: u32,
         serving: bool,
     ) -> Vec<RoleChange> {
-        let mut zones: IndexMap<&ZoneName, Vec<&PlannedEngine>> = IndexMap::new();
-        for engine in engines {
-            zones.entry(&engine.zone).or_default().push(engine);
-        }
         let by_share = engines.len() as f64 * MIN_GENERATING_SHARE;
         let by_demand = f64::from(running) / RUNNING_PER_ENGINE;
-        let wanted = by_share.max(by_demand).ceil();
-        zones.sort_keys();
-        let sizes: Vec<_> = zones.values().map(Vec::len).collect();
-        let wanted = divide(wanted as usize, &sizes);
-        let mut changes = Vec::new();
-        for ((zone, members), wanted) in zones.into_iter().zip(wanted) {
-            let mut due = zone_changes(&members, wanted);
-            if due.is_empty() {
-                self.lacking.remove(zone);
-                continue;
+        let wanted = by_share.max(by_demand).ceil() as usize;
+        let slack = if serving { SERVING_SLACK } else { 0 };
+        let mut planned = engines.to_vec();
+        let mut due = Vec::new();
+        while let Some(change) = next_change(&planned, wanted, slack) {
+            let engine = planned.iter_mut().find(|engine| engine.id == change.engine);
+            if let Some(engine) = engine {
+                engine.role = change.role;
             }
-            let since = *self.lacking.entry(zone.clone()).or_insert(now);
-            if serving {
-                if now.saturating_sub(since) < LACKING_FOR {
-                    continue;
-                }
-                due.truncate(1);
+            due.push(change);
+        }
+        if due.is_empty() {
+            self.lacking_since = None;
+            return due;
+        }
+        let since = *self.lacking_since.get_or_insert(now);
+        if serving {
+            if now.saturating_sub(since) < LACKING_FOR {
+                return Vec::new();
             }
-            due.retain(|change| self.rested(now, &change.engine));
-            changes.append(&mut due);
+            due.truncate(1);
+            self.lacking_since = None;
         }
-        for change in &changes {
+        due.retain(|change| self.rested(now, &change.engine));
+        for change in &due {
             self.ordered.insert(change.engine.clone(), now);
         }
-        changes
+        due
     }
 
     fn rested(&self, now: Duration, engine: &InstanceId) -> bool {
@@ -100,6 +102,61 @@
     }
 }
 
+/// Returns the next change towards `wanted` generating engines, if one is needed.
+///
+/// A zone serves alone while it is cut off, so that one with two engines keeps both roles. Otherwise
+/// only the number in all zones counts, so that a server that joins or leaves moves no others.
+fn next_change(engines: &[PlannedEngine], wanted: usize, slack: usize) -> Option<RoleChange> {
+    let mut zones: IndexMap<&ZoneName, Vec<&PlannedEngine>> = IndexMap::new();
+    for engine in engines {
+        zones.entry(&engine.zone).or_default().push(engine);
+    }
+    zones.sort_keys();
+    for members in zones.values() {
+        let generating = generating(members);
+        if members.len() >= 2 && generating == 0 {
+            return change(members, Role::Decode);
+        }
+        if members.len() >= 2 && generating == members.len() {
+            return change(members, Role::Prefill);
+        }
+    }
+    let total = engines.iter().filter(|engine| generates(engine)).count();
+    // Both roles remain in each zone that gives an engine up.
+    let zones = zones.values().filter(|members| members.len() >= 2);
+    if total < wanted {
+        let open = zones.filter(|members| generating(members) + 1 < members.len());
+        let zone = open.max_by_key(|members| members.len() * 1_000 / generating(members))?;
+        return change(zone, Role::Decode);
+    }
+    if total > wanted + slack {
+        let open = zones.filter(|members| generating(members) > 1);
+        let zone = open.min_by_key(|members| members.len() * 1_000 / generating(members))?;
+        return change(zone, Role::Prefill);
+    }
+    None
+}
+
+/// Gives one of the engines of a zone another role: the first that does not have it.
+fn change(members: &[&PlannedEngine], role: Role) -> Option<RoleChange> {
+    let others = members
+        .iter()
+        .filter(|engine| generates(engine) != (role == Role::Decode));
+    let engine = others.min_by(|a, b| a.id.cmp(&b.id))?;
+    Some(RoleChange {
+        engine: engine.id.clone(),
+        role,
+    })
+}
+
+fn generating(members: &[&PlannedEngine]) -> usize {
+    members.iter().filter(|engine| generates(engine)).count()
+}
+
+fn generates(engine: &PlannedEngine) -> bool {
+    engine.role != Role::Prefill
+}
+
 /// Returns the member that gives orders to the engines of a service.
 ///
 /// Instances that hear the same members agree; the claim of each engine covers the others.
@@ -112,54 +169,3 @@
     let own = rendezvous_weight(key, instance);
     !members.any(|member| rendezvous_weight(key, member) > own)
 }
-
-/// Divides `wanted` generating engines among zones with the given numbers of engines.
-///
-/// A zone serves alone while it is cut off, so that it keeps both roles if it has two engines.
-fn divide(wanted: usize, sizes: &[usize]) -> Vec<usize> {
-    let total: usize = sizes.iter().sum();
-    let bounds = |size: usize| match size {
-        0 | 1 => (size, size),
-        _ => (1, size - 1),
-    };
-    let mut parts: Vec<_> = sizes
-        .iter()
-        .map(|&size| {
-            let (least, most) = bounds(size);
-            (wanted * size / total.max(1)).clamp(least, most)
-        })
-        .collect();
-    // The rest goes to the zones with the most engines for each one that generates.
-    while parts.iter().sum::<usize>() < wanted {
-        let open = (0..sizes.len()).filter(|&zone| parts[zone] < bounds(sizes[zone]).1);
-        let load = |zone: usize| sizes[zone] * 1_000 / parts[zone].max(1);
-        let Some(zone) = open.rev().max_by_key(|&zone| load(zone)) else {
-            break;
-        };
-        parts[zone] += 1;
-    }
-    parts
-}
-
-/// Returns the changes that leave `wanted` engines of a zone generating.
-fn zone_changes(members: &[&PlannedEngine], wanted: usize) -> Vec<RoleChange> {
-    let (mut reading, mut generating): (Vec<&PlannedEngine>, Vec<&PlannedEngine>) = members
-        .iter()
-        .partition(|engine| engine.role == Role::Prefill);
-    reading.sort_by(|a, b| a.id.cmp(&b.id));
-    generating.sort_by(|a, b| a.id.cmp(&b.id));
-    let change = |engines: &[&PlannedEngine], role| {
-        let engines = engines.iter();
-        engines
-            .map(|engine| RoleChange {
-                engine: engine.id.clone(),
-                role,
-            })
-            .collect()
-    };
-    if generating.len() > wanted {
-        return change(&generating[wanted..], Role::Prefill);
-    }
-    let missing = (wanted - generating.len()).min(reading.len());
-    change(&reading[..missing], Role::Decode)
-}
--- a/crates/wagtailarch-dispatch/tests/role_plan.rs
+++ b/crates/wagtailarch-dispatch/tests/role_plan.rs
@@ -60,6 +60,23 @@
     assert!(again.is_empty(), "an engine rests after an order");
 }
 
+/// Guards against engines that change because another one left: on a measured day the roles were
+/// divided anew among the zones, and requests were refused for five seconds.
+#[test]
+fn a_leaving_engine_moves_no_others() {
+    for gone in ["a3", "b3", "c2", "a0"] {
+        let mut plan = RolePlan::default();
+        let mut fleet = engines([2, 1, 1]);
+        fleet.retain(|engine| engine.id != gone);
+        for second in 0..30 {
+            let now = START + Duration::from_secs(second);
+            let changes = plan.changes(now, &fleet, 60, true);
+            let lost_generator = gone == "a0" && second >= 6;
+            assert!(changes.is_empty() || lost_generator, "{gone}: {changes:?}");
+        }
+    }
+}
+
 /// Guards against engines that are overloaded with output because the share is fixed.
 #[rstest]
 #[case(10, 4)]
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -147,8 +147,12 @@
     }
     if let Some(failure) = refused(&parts, &facts, &call.step) {
         let cause = format!("status {} {facts:?}", parts.status.as_u16());
-        if failure != CallFailure::NOT_RUN {
-            gateway.board.borrow_mut().on_failure(gateway.now(), id);
+        let now = gateway.now();
+        match (failure, &call.step) {
+            // The memory of the prompt was gone, which says nothing about this engine.
+            (CallFailure::NOT_RUN, CallStep::Generate(_)) => {}
+            (CallFailure::NOT_RUN, _) => gateway.board.borrow_mut().on_busy(now, id),
+            _ => gateway.board.borrow_mut().on_failure(now, id),
         }
         log_failure(job, call, failure, &cause);
         return Err(failure);
