--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod routing;
 mod server;
 mod shutdown;
+mod watch_plan;
 
 pub use board::{Board, PlainChoice};
 pub use engine_state::EngineState;
@@ -31,7 +32,8 @@
 pub use read_queue::{QueuedPrompt, ReadNumber, ReadQueue};
 pub use request::{PrefixLink, Prompt, PromptPart, RequestKind};
 pub use retry_window::{RetryShare, RetryWindow};
-pub use role_plan::{PlannedEngine, RoleChange, RolePlan, is_steward};
+pub use role_plan::{PlannedEngine, RoleChange, RolePlan};
 pub use routing::{ClientLimits, EngineTraits, Route, RouteTarget, RoutingConfig, ServiceConfig};
 pub use server::BackendServer;
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
+pub use watch_plan::{is_designated, watch_wait};
--- a/crates/wagtailarch-dispatch/src/role_plan.rs
+++ b/crates/wagtailarch-dispatch/src/role_plan.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use indexmap::IndexMap;
-use wagtailarch_types::{InstanceId, Role, ZoneName, rendezvous_weight};
+use wagtailarch_types::{InstanceId, Role, ZoneName};
 
 /// Smallest share of engines that generate.
 ///
@@ -156,16 +156,3 @@
 fn generates(engine: &PlannedEngine) -> bool {
     engine.role != Role::Prefill
 }
-
-/// Returns the member that gives orders to the engines of a service.
-///
-/// Instances that hear the same members agree; the claim of each engine covers the others.
-pub fn is_steward<'a>(
-    service: &str,
-    instance: &InstanceId,
-    mut members: impl Iterator<Item = &'a InstanceId>,
-) -> bool {
-    let key = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
-    let own = rendezvous_weight(key, instance);
-    !members.any(|member| rendezvous_weight(key, member) > own)
-}
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -11,7 +11,7 @@
 
 use slog::Logger;
 use tokio::{sync::watch, task::LocalSet};
-use wagtailarch_types::InstanceId;
+use wagtailarch_types::{InstanceId, ZoneName};
 
 use crate::{metrics::Metrics, snapshot::Snapshot, traffic_view::TrafficView};
 
@@ -20,6 +20,8 @@
 pub struct ControlContext {
     /// Name of this instance.
     pub instance: InstanceId,
+    /// Availability zone of this instance.
+    pub zone: ZoneName,
     /// Address at which peers reach this instance.
     pub peer_address: SocketAddr,
     /// Address of the store.
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -1,6 +1,6 @@
 //! The entry instances, which find each other through objects of their own in the store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use displaydoc::Display;
 use serde_json::json;
@@ -11,13 +11,12 @@
     Kind, PutOutcome, StoreObject, create_request, decode_list, decode_put, list_request,
     replace_request,
 };
-use wagtailarch_types::InstanceId;
 
 use crate::{
     control::{ControlContext, publish, store_error::StoreError},
     http_client::HttpClient,
     metrics::StoreCall,
-    snapshot::Snapshot,
+    snapshot::{Peer, Snapshot},
 };
 
 /// Limit on a call.
@@ -68,7 +67,10 @@
 
 /// Creates or replaces the object of this instance.
 async fn write(context: &ControlContext, client: &mut HttpClient) -> Result<(), ListingError> {
-    let content = json!({"peer_address": context.peer_address.to_string()});
+    let content = json!({
+        "peer_address": context.peer_address.to_string(),
+        "zone": context.zone,
+    });
     let create = create_request(Kind::Instances, &context.instance, &content);
     match put(context, client, create).await? {
         PutOutcome::Done(_) => return Ok(()),
@@ -94,10 +96,7 @@
 }
 
 /// Lists the other instances in the order of their names.
-async fn list(
-    context: &ControlContext,
-    client: &mut HttpClient,
-) -> Result<Vec<(InstanceId, SocketAddr)>, StoreError> {
+async fn list(context: &ControlContext, client: &mut HttpClient) -> Result<Vec<Peer>, StoreError> {
     let mut peers = Vec::new();
     let mut after: Option<SmolStr> = None;
     loop {
@@ -106,7 +105,7 @@
         let (status, body) = client.call(request, CALL_LIMIT).await?;
         let page = decode_list(status, &body)?;
         let others = page.objects.iter().filter_map(peer);
-        peers.extend(others.filter(|(name, _)| *name != context.instance));
+        peers.extend(others.filter(|peer| peer.name != context.instance));
         after = page.next_after;
         if after.is_none() {
             break;
@@ -116,7 +115,11 @@
     Ok(peers)
 }
 
-fn peer(object: &StoreObject) -> Option<(InstanceId, SocketAddr)> {
-    let address = object.content.get("peer_address")?.as_str()?.parse().ok()?;
-    Some((object.name.clone(), address))
+fn peer(object: &StoreObject) -> Option<Peer> {
+    let content = &object.content;
+    Some(Peer {
+        name: object.name.clone(),
+        zone: content.get("zone")?.as_str()?.into(),
+        address: content.get("peer_address")?.as_str()?.parse().ok()?,
+    })
 }
--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -18,7 +18,7 @@
 };
 use wagtailarch_dispatch::{
     BackendServer, ClaimContent, ClaimStep, OrderClaim, PlannedEngine, RoleChange, RolePlan,
-    is_steward,
+    is_designated,
 };
 use wagtailarch_types::{ObjectVersion, Role, ServiceName};
 
@@ -67,7 +67,7 @@
     }
 }
 
-/// Gives orders while this instance is the steward of a service.
+/// Gives orders while this instance is designated to arrange a service.
 pub async fn keep_roles(context: ControlContext, published: watch::Receiver<Arc<Snapshot>>) {
     let mut plans: IndexMap<ServiceName, RolePlan> = IndexMap::new();
     sleep(FIRST_LOOK).await;
@@ -106,7 +106,8 @@
 ) -> Vec<(BackendServer, RoleChange)> {
     let now = context.epoch.elapsed();
     let peers = context.traffic.live_peers(now);
-    if !is_steward(service, &context.instance, peers.iter()) {
+    let names = peers.iter().map(|(name, _)| name);
+    if !is_designated(service, &context.instance, names) {
         return Vec::new();
     }
     let engines: Vec<_> = servers
--- a/crates/wagtailarch-gateway/src/control/routing.rs
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -29,6 +29,10 @@
         for object in &objects {
             take_over(&context, &publisher, object);
         }
+        let news = watcher.news();
+        if publisher.borrow().news.routing != news {
+            publish(&publisher, |snapshot| snapshot.news.routing = news);
+        }
     }
 }
 
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -60,6 +60,7 @@
             publish(&publisher, |snapshot| {
                 snapshot.servers = Arc::new(servers);
                 snapshot.servers_known = true;
+                snapshot.news.servers = watcher.news();
             });
         }
     }
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -3,10 +3,16 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, sleep_until},
+};
 use wagtailarch_adapter::{
     Kind, StoreFault, StoreObject, decode_list, decode_watch, list_request, watch_request,
 };
+use wagtailarch_dispatch::{is_designated, watch_wait};
 use wagtailarch_types::ObjectVersion;
+use wagtailarch_wire::load_note::StoreNews;
 
 use crate::{
     control::{ControlContext, store_error::StoreError},
@@ -16,13 +22,13 @@
 
 /// Limit on a call that does not wait.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
-/// Time for which a watch waits.
-///
-/// A store that falls silent does not end a watch. Bounds hold again 3 seconds after it has returned,
-/// and a watch that began before has to be over by then.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// Time after `WATCH_WAIT` in which the answer has to arrive.
+/// Time after the end of a watch's wait in which the answer has to arrive.
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
+/// Pause after news, so that changes in quick succession are read in one call; the shortest bound on
+/// taking them over is two seconds.
+const NEWS_PAUSE: Duration = Duration::from_millis(600);
+/// Time for which peers may have news that this watch has not, before it counts as deaf.
+const DEAF_AFTER: Duration = Duration::from_millis(1_000);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls; each call is priced, also while the store is down.
@@ -38,6 +44,12 @@
     position: Option<ObjectVersion>,
     pause: Duration,
     lost: bool,
+    /// The next watch does not begin before this time.
+    not_before: Option<Instant>,
+    /// Version of the newest change seen.
+    news: ObjectVersion,
+    /// What peers have seen.
+    peer_news: watch::Receiver<StoreNews>,
 }
 
 /// What a [`Watcher`] has seen.
@@ -54,6 +66,7 @@
 impl Watcher {
     /// Creates a watcher that begins with a list.
     pub fn new(kind: Kind, context: ControlContext) -> Self {
+        let peer_news = context.traffic.news();
         Self {
             kind,
             client: HttpClient::new(context.store_address),
@@ -61,9 +74,17 @@
             position: None,
             pause: FIRST_PAUSE,
             lost: false,
+            not_before: None,
+            news: 0,
+            peer_news,
         }
     }
 
+    /// Returns the version of the newest change seen.
+    pub fn news(&self) -> ObjectVersion {
+        self.news
+    }
+
     /// Waits for the next news, for `limit` at most if it is given.
     ///
     /// A watch that is given up at the limit is continued at the same version.
@@ -88,7 +109,7 @@
                     if self.on_failure(&error) {
                         return Seen::Lost;
                     }
-                    tokio::time::sleep(self.pause).await;
+                    sleep(self.pause).await;
                     self.pause = (self.pause * 2).min(LONGEST_PAUSE);
                 }
             }
@@ -122,15 +143,44 @@
         position: ObjectVersion,
         limit: Option<Duration>,
     ) -> Result<Seen, StoreError> {
-        let wait = limit.map_or(WATCH_WAIT, |limit| limit.min(WATCH_WAIT));
+        if let Some(time) = self.not_before.take() {
+            sleep_until(time).await;
+        }
+        let own_wait = self.wait();
+        let wait = limit.map_or(own_wait, |limit| limit.min(own_wait));
         let request = watch_request(self.kind, position, wait);
         self.context.metrics.store_call(StoreCall::Watch);
-        let (status, body) = self.client.call(request, wait + WATCH_MARGIN).await?;
+        let kind = self.kind;
+        let answer = tokio::select! {
+            answer = self.client.call(request, wait + WATCH_MARGIN) => answer,
+            () = outdated(&mut self.peer_news, kind, position) => {
+                // A call that is given up closes its connection.
+                info!(self.log(), "watch renewed"; "kind" => kind.as_str(), "version" => position,
+                    "cause" => "peers have news");
+                return Ok(Seen::Changed(Vec::new()));
+            }
+        };
+        let (status, body) = answer?;
         let page = decode_watch(status, &body)?;
         self.position = Some(page.store_version);
+        if !page.changes.is_empty() {
+            self.not_before = Some(Instant::now() + NEWS_PAUSE);
+        }
+        let versions = page.changes.iter().map(|(object, _)| object.version);
+        self.news = versions.fold(self.news, ObjectVersion::max);
         Ok(Seen::Changed(page.changes))
     }
 
+    /// Returns the time for which the next watch waits.
+    fn wait(&self) -> Duration {
+        let context = &self.context;
+        let peers = context.traffic.live_peers(context.epoch.elapsed());
+        let same_zone = peers.iter().filter(|(_, zone)| *zone == context.zone);
+        let names = same_zone.map(|(name, _)| name);
+        let designated = is_designated(self.kind.as_str(), &context.instance, names);
+        watch_wait(designated, !peers.is_empty())
+    }
+
     fn on_answer(&mut self) {
         self.pause = FIRST_PAUSE;
         if std::mem::take(&mut self.lost) {
@@ -149,3 +199,20 @@
         first
     }
 }
+
+/// Waits until peers have had news beyond `position` for some time.
+async fn outdated(peer_news: &mut watch::Receiver<StoreNews>, kind: Kind, position: ObjectVersion) {
+    let version = |news: &StoreNews| match kind {
+        Kind::Config => news.routing,
+        Kind::Servers => news.servers,
+        Kind::Instances | Kind::OrderClaims => 0,
+    };
+    if peer_news
+        .wait_for(|news| version(news) > position)
+        .await
+        .is_err()
+    {
+        std::future::pending::<()>().await;
+    }
+    sleep(DEAF_AFTER).await;
+}
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -9,13 +9,16 @@
 
 use indexmap::IndexMap;
 use slog::{Logger, info};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use wagtailarch_dispatch::{Board, RetryShare, RetryWindow};
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{InstanceId, ServiceName};
 use wagtailarch_wire::load_note::{SentPrefixes, StrikeNote};
 
-use crate::{metrics::Metrics, settings::Settings, snapshot::Snapshot, traffic_view::TrafficView};
+use crate::{
+    metrics::Metrics, outbox::Outbox, settings::Settings, snapshot::Snapshot,
+    traffic_view::TrafficView,
+};
 
 /// State of the traffic thread.
 #[derive(Debug)]
@@ -32,10 +35,10 @@
     pub board: RefCell<Board>,
     /// Requests that were in flight on crashing servers.
     pub quarantine: Quarantine,
-    /// What peers have not been told yet.
-    pub untold: RefCell<Untold>,
-    /// Wakes the task that tells peers.
-    pub tell: Notify,
+    /// What peers of the own zone have not been told yet.
+    pub zone_outbox: Outbox,
+    /// What peers of other zones have not been told yet.
+    pub others_outbox: Outbox,
     /// Requests without a complete answer.
     pub open_requests: Cell<usize>,
     /// Whether the process was told to stop.
@@ -45,15 +48,6 @@
     epoch: Instant,
 }
 
-/// What peers have not been told yet.
-#[derive(Debug, Default)]
-pub struct Untold {
-    /// Prefixes of prompts that were sent.
-    pub sent_prefixes: Vec<SentPrefixes>,
-    /// Strikes of requests.
-    pub strikes: Vec<StrikeNote>,
-}
-
 /// How far a shutdown has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stopping {
@@ -81,8 +75,8 @@
             traffic,
             board: RefCell::default(),
             quarantine: Quarantine::new(),
-            untold: RefCell::default(),
-            tell: Notify::new(),
+            zone_outbox: Outbox::default(),
+            others_outbox: Outbox::default(),
             open_requests: Cell::new(0),
             stopping: watch::Sender::new(Stopping::No),
             snapshot: RefCell::default(),
@@ -111,6 +105,7 @@
         while published.changed().await.is_ok() {
             let snapshot = Arc::clone(&published.borrow_and_update());
             let was_ready = self.ready();
+            let news = snapshot.news != self.snapshot.borrow().news;
             if let Some(config) = &snapshot.config {
                 self.board.borrow_mut().apply(&snapshot.servers, config);
             }
@@ -120,6 +115,9 @@
             if !was_ready && self.ready() {
                 info!(self.log, "ready");
             }
+            if news {
+                self.tell_peers();
+            }
         }
     }
 
@@ -144,11 +142,17 @@
     /// Queues the prefixes of a prompt that was sent, for peers.
     pub fn tell_prefixes(&self, sent: Option<SentPrefixes>) {
         if let Some(sent) = sent {
-            self.untold.borrow_mut().sent_prefixes.push(sent);
-            self.tell.notify_one();
+            self.zone_outbox.add_prefixes(sent.clone());
+            self.others_outbox.add_prefixes(sent);
         }
     }
 
+    /// Wakes the tasks that tell peers of prompts and running requests.
+    pub fn tell_peers(&self) {
+        self.zone_outbox.wake();
+        self.others_outbox.wake();
+    }
+
     /// Notes that a server crashed while it ran the given request, and queues this for peers.
     pub fn strike(&self, server: &InstanceId, fingerprint: u128) {
         let events = self.quarantine.on_crash(self.now(), server, &[fingerprint]);
@@ -164,8 +168,8 @@
                 fingerprint,
                 server,
             };
-            self.untold.borrow_mut().strikes.push(note);
-            self.tell.notify_one();
+            self.zone_outbox.add_strike(note.clone());
+            self.others_outbox.add_strike(note);
         }
     }
 
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -172,7 +172,7 @@
         let reading = reader
             .is_none()
             .then(|| reading(job, &plan.generate, plan.urgency));
-        gateway.tell.notify_one();
+        gateway.tell_peers();
         let failure = match send(job, &call).await {
             Ok(answer) if answer.parts.status == StatusCode::OK => {
                 return Ok(Started {
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -74,7 +74,7 @@
         let now = self.gateway.now();
         let mut board = self.gateway.board.borrow_mut();
         board.finish_read(now, number, self.done);
-        self.gateway.tell.notify_one();
+        self.gateway.tell_peers();
     }
 }
 
@@ -102,7 +102,7 @@
             .board
             .borrow_mut()
             .add_running(&self.engine, -1);
-        self.gateway.tell.notify_one();
+        self.gateway.tell_peers();
     }
 }
 
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod http_client;
 mod job;
 mod metrics;
+mod outbox;
 mod peers;
 mod plain;
 mod process;
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -3,54 +3,49 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use slog::{debug, info};
-use tokio::{net::UdpSocket, time::timeout};
+use tokio::{
+    net::UdpSocket,
+    time::{sleep, timeout},
+};
 use wagtailarch_types::{BootId, InstanceId};
 use wagtailarch_wire::load_note::{LOAD_NOTE_VERSION, LoadNote};
 
-use crate::gateway::Gateway;
+use crate::{
+    gateway::Gateway,
+    outbox::{Reach, Untold},
+};
 
-/// Time for which a note is held back so that it carries what follows at once.
-const GATHER: Duration = Duration::from_millis(3);
 /// Time after which a note is sent though nothing has changed; peers forget running requests after two
 /// seconds and a silent instance after three and a half.
 const REPEAT: Duration = Duration::from_millis(1_000);
 /// Greatest size of a datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
-/// Prompts whose prefixes are in one note; more are told in the next one, so that a note fits into few
-/// packets.
-const MAX_SENT_PREFIXES: usize = 24;
 
-/// Tells peers of prompts, running requests and strikes until the process ends.
-pub async fn tell_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, boot: BootId) {
+/// Tells the peers of one reach of prompts, running requests, news and strikes until the process ends.
+pub async fn tell_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, reach: Reach, boot: BootId) {
     let mut sequence = 0;
     loop {
-        let woken = timeout(REPEAT, gateway.tell.notified()).await.is_ok();
+        let outbox = match reach {
+            Reach::Zone => &gateway.zone_outbox,
+            Reach::Others => &gateway.others_outbox,
+        };
+        let woken = timeout(REPEAT, outbox.woken()).await.is_ok();
+        let snapshot = gateway.snapshot();
+        let zone = &gateway.settings.zone;
+        let peers = snapshot
+            .peers
+            .iter()
+            .filter(|peer| reach.covers(zone, peer));
+        let peers: Vec<_> = peers.collect();
         if woken {
-            tokio::time::sleep(GATHER).await;
+            sleep(reach.gather(peers.len())).await;
         }
-        let running = gateway.board.borrow().own_running();
-        let all_running = gateway.board.borrow().running_by_service(gateway.now());
-        gateway.traffic.set_running(all_running);
-        sequence += 1;
-        let snapshot = gateway.snapshot();
-        let note = {
-            let mut untold = gateway.untold.borrow_mut();
-            let count = untold.sent_prefixes.len().min(MAX_SENT_PREFIXES);
-            LoadNote {
-                version: LOAD_NOTE_VERSION,
-                sender: gateway.settings.instance.clone(),
-                boot,
-                sequence,
-                generation: snapshot.config.as_ref().map_or(0, |c| c.generation()),
-                open_reads: gateway.board.borrow().open_reads(),
-                sent_prefixes: untold.sent_prefixes.drain(..count).collect(),
-                running,
-                strikes: std::mem::take(&mut untold.strikes),
-            }
-        };
-        if !gateway.untold.borrow().sent_prefixes.is_empty() {
-            gateway.tell.notify_one();
+        if reach == Reach::Zone {
+            let running = gateway.board.borrow().running_by_service(gateway.now());
+            gateway.traffic.set_running(running);
         }
+        sequence += 1;
+        let note = note(&gateway, outbox.take(), boot, sequence);
         let bytes = match note.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -58,22 +53,45 @@
                 continue;
             }
         };
-        for (name, address) in snapshot.peers.iter() {
-            if let Err(error) = socket.send_to(&bytes, *address).await {
-                debug!(gateway.log, "note not sent"; "peer" => %name, "cause" => %error);
+        for peer in peers {
+            if let Err(error) = socket.send_to(&bytes, peer.address).await {
+                debug!(gateway.log, "note not sent"; "peer" => %peer.name, "cause" => %error);
             }
         }
     }
 }
 
+/// Builds a note with the present state.
+fn note(gateway: &Gateway, untold: Untold, boot: BootId, sequence: u32) -> LoadNote {
+    let snapshot = gateway.snapshot();
+    let board = gateway.board.borrow();
+    LoadNote {
+        version: LOAD_NOTE_VERSION,
+        sender: gateway.settings.instance.clone(),
+        zone: gateway.settings.zone.clone(),
+        boot,
+        sequence,
+        generation: snapshot.config.as_ref().map_or(0, |c| c.generation()),
+        news: snapshot.news,
+        open_reads: board.open_reads(),
+        sent_prefixes: untold.sent_prefixes,
+        running: board.own_running(),
+        strikes: untold.strikes,
+    }
+}
+
 /// Takes over what peers tell until the process ends.
 pub async fn hear_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut last: HashMap<InstanceId, (BootId, u32)> = HashMap::new();
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
-            // An unreachable peer shows as an error of the socket.
-            continue;
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // An unreachable peer shows as an error of the socket.
+                debug!(gateway.log, "datagram not received"; "cause" => %error);
+                continue;
+            }
         };
         let Some(note) = LoadNote::decode(&buffer[..length]) else {
             debug!(gateway.log, "note ignored"; "from" => %from);
@@ -98,7 +116,7 @@
     }
     last.insert(note.sender.clone(), (note.boot, note.sequence));
     let now = gateway.now();
-    gateway.traffic.on_heard(now, &note.sender);
+    gateway.traffic.on_note(now, &note);
     gateway.board.borrow_mut().on_load_note(now, &note);
     for strike in note.strikes {
         gateway.on_peer_strike(strike);
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -23,6 +23,7 @@
     control::{self, ControlContext},
     gateway::{Gateway, Stopping},
     metrics::Metrics,
+    outbox::Reach,
     peers::{hear_peers, tell_peers},
     ready::serve_status,
     server::serve_clients,
@@ -67,6 +68,7 @@
     let socket = Rc::new(socket);
     let context = ControlContext {
         instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
         peer_address: settings.peer_address,
         store_address: settings.store_address,
         epoch,
@@ -79,16 +81,20 @@
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
+    let boot = boot_id();
     let gateway = Rc::new(Gateway::new(settings, log, metrics, traffic, epoch));
     spawn_local(Rc::clone(&gateway).follow(published));
     spawn_local(serve_clients(Rc::clone(&gateway), clients));
     spawn_local(serve_status(Rc::clone(&gateway), ready));
     spawn_local(serve_status(Rc::clone(&gateway), scrapes));
-    spawn_local(tell_peers(
-        Rc::clone(&gateway),
-        Rc::clone(&socket),
-        boot_id(),
-    ));
+    for reach in [Reach::Zone, Reach::Others] {
+        spawn_local(tell_peers(
+            Rc::clone(&gateway),
+            Rc::clone(&socket),
+            reach,
+            boot,
+        ));
+    }
     spawn_local(hear_peers(Rc::clone(&gateway), socket));
     spawn_local(report_hangups(Rc::clone(&gateway), hangup));
     term.recv().await;
--- a/crates/wagtailarch-gateway/src/snapshot.rs
+++ b/crates/wagtailarch-gateway/src/snapshot.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use wagtailarch_dispatch::{BackendServer, RoutingConfig};
-use wagtailarch_types::InstanceId;
+use wagtailarch_types::{InstanceId, ZoneName};
+use wagtailarch_wire::load_note::StoreNews;
 
 /// The newest state that the control thread knows; it never goes back.
 #[derive(Debug, Clone, Default)]
@@ -14,8 +15,21 @@
     pub servers: Arc<Vec<BackendServer>>,
     /// Whether the servers were listed once.
     pub servers_known: bool,
-    /// Other entry instances and their addresses for datagrams.
-    pub peers: Arc<Vec<(InstanceId, SocketAddr)>>,
+    /// Newest news from the store, for peers.
+    pub news: StoreNews,
+    /// Other entry instances.
+    pub peers: Arc<Vec<Peer>>,
+}
+
+/// Another entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Peer {
+    /// Name.
+    pub name: InstanceId,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Address for datagrams.
+    pub address: SocketAddr,
 }
 
 impl Snapshot {
--- a/crates/wagtailarch-gateway/src/traffic_view.rs
+++ b/crates/wagtailarch-gateway/src/traffic_view.rs
@@ -6,7 +6,9 @@
 };
 
 use indexmap::IndexMap;
-use wagtailarch_types::{InstanceId, ServiceName};
+use tokio::sync::watch;
+use wagtailarch_types::{InstanceId, ServiceName, ZoneName};
+use wagtailarch_wire::load_note::{LoadNote, StoreNews};
 
 /// Time after which a silent peer counts as gone; peers tell something every second.
 const SILENT_AFTER: Duration = Duration::from_millis(3_500);
@@ -15,12 +17,14 @@
 #[derive(Debug, Default)]
 pub struct TrafficView {
     state: Mutex<State>,
+    /// Newest news from the store that any peer has told.
+    news: watch::Sender<StoreNews>,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    /// When each peer was last heard.
-    heard: IndexMap<InstanceId, Duration>,
+    /// Zone of each peer and when it was last heard.
+    heard: IndexMap<InstanceId, (ZoneName, Duration)>,
     /// Requests of all instances that generate, by service.
     running: IndexMap<ServiceName, u32>,
     /// When a request last arrived.
@@ -28,18 +32,33 @@
 }
 
 impl TrafficView {
-    /// Notes that a peer was heard.
-    pub fn on_heard(&self, now: Duration, peer: &InstanceId) {
-        self.lock().heard.insert(peer.clone(), now);
+    /// Takes over what a peer tells of itself.
+    pub fn on_note(&self, now: Duration, note: &LoadNote) {
+        let heard = (note.zone.clone(), now);
+        self.lock().heard.insert(note.sender.clone(), heard);
+        self.news.send_if_modified(|news| {
+            let before = *news;
+            news.routing = news.routing.max(note.news.routing);
+            news.servers = news.servers.max(note.news.servers);
+            *news != before
+        });
     }
 
-    /// Returns the peers that are heard at present.
-    pub fn live_peers(&self, now: Duration) -> Vec<InstanceId> {
+    /// Returns the peers that are heard at present, with their zones.
+    pub fn live_peers(&self, now: Duration) -> Vec<(InstanceId, ZoneName)> {
         let mut state = self.lock();
         state
             .heard
-            .retain(|_, at| now.saturating_sub(*at) < SILENT_AFTER);
-        state.heard.keys().cloned().collect()
+            .retain(|_, (_, at)| now.saturating_sub(*at) < SILENT_AFTER);
+        let heard = state.heard.iter();
+        heard
+            .map(|(name, (zone, _))| (name.clone(), zone.clone()))
+            .collect()
+    }
+
+    /// Returns the newest news from the store that peers have told.
+    pub fn news(&self) -> watch::Receiver<StoreNews> {
+        self.news.subscribe()
     }
 
     /// Notes the requests that generate.
--- a/crates/wagtailarch-wire/src/load_note.rs
+++ b/crates/wagtailarch-wire/src/load_note.rs
@@ -5,10 +5,10 @@
 //! is believed to hold less than it does.
 
 use serde::{Deserialize, Serialize};
-use wagtailarch_types::{BootId, Fingerprint, Generation, InstanceId};
+use wagtailarch_types::{BootId, Fingerprint, Generation, InstanceId, ObjectVersion, ZoneName};
 
 /// Version of the encoding; notes of other versions are ignored.
-pub const LOAD_NOTE_VERSION: u8 = 2;
+pub const LOAD_NOTE_VERSION: u8 = 3;
 
 /// What one entry instance tells all others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,12 +17,16 @@
     pub version: u8,
     /// Sender.
     pub sender: InstanceId,
+    /// Availability zone of the sender.
+    pub zone: ZoneName,
     /// Start of the sender.
     pub boot: BootId,
     /// Number of the note; a note that is older than the last one is ignored.
     pub sequence: u32,
     /// Generation of the configuration that the sender has in force; 0 for none.
     pub generation: Generation,
+    /// Newest news from the store that the sender has.
+    pub news: StoreNews,
     /// Prompts of the sender that engines have not read yet.
     pub open_reads: Vec<OpenRead>,
     /// Prefixes of the prompts sent since the last note.
@@ -33,6 +37,17 @@
     pub strikes: Vec<StrikeNote>,
 }
 
+/// Versions of the newest changes that an instance has heard from the store; 0 for none.
+///
+/// An instance whose own watch has not reached such a version is deaf or about to hear it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreNews {
+    /// Newest change of the configuration.
+    pub routing: ObjectVersion,
+    /// Newest change of a registration of a backend server.
+    pub servers: ObjectVersion,
+}
+
 /// A prompt that an engine has not read yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenRead {
