--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -16,12 +16,12 @@
 ///
 /// It keeps prompts on engines that hold their parts while others are idle.
 const WORK_WEIGHT: f64 = 0.6;
-/// Tokens that a decode engine may have to read while it generates.
+/// Reading that may wait at a decode engine while it generates.
 ///
 /// It reads pieces of about 1024 tokens between tokens, about 40 ms each; four of them in one event
 /// of six tokens exceed the usual objective of 200 ms between events.
-const MAX_DIRECT_TOKENS: u32 = 3_072;
-/// Cost of disturbing the streams of a decode engine by more than `MAX_DIRECT_TOKENS`.
+const MAX_DISTURBANCE_MS: f64 = 160.0;
+/// Cost of disturbing the streams of a decode engine by more than `MAX_DISTURBANCE_MS`.
 const DISTURBANCE_MS: f64 = 150.0;
 /// Cost of a millisecond of reading on a decode engine for each stream that it delays there.
 ///
@@ -97,6 +97,8 @@
     pub read_wait: Duration,
     /// Predicted time for which it is read.
     pub read_time: Duration,
+    /// Tokens that are expected to be read; the engine holds the others.
+    pub new_tokens: u32,
 }
 
 /// What becomes of a generation.
@@ -163,6 +165,7 @@
     generator: &'a Backend,
     read_wait_ms: f64,
     read_ms: f64,
+    new_tokens: u32,
     first_ms: f64,
     cost_ms: f64,
 }
@@ -212,6 +215,7 @@
             first_event: from_ms(self.first_ms),
             read_wait: from_ms(self.read_wait_ms),
             read_time: from_ms(self.read_ms),
+            new_tokens: self.new_tokens,
         }
     }
 }
@@ -240,12 +244,13 @@
         let read_ms = ms(state.read_time(request.prefixes, request.prompt_tokens));
         let first_ms = wait_ms + read_ms + DIRECT_OVERHEAD_MS;
         let new_tokens = state.new_tokens(request.prefixes, request.prompt_tokens);
-        let disturbed = running > 0 && new_tokens > MAX_DIRECT_TOKENS;
+        let disturbed = running > 0 && wait_ms + read_ms > MAX_DISTURBANCE_MS;
         options.push(Candidate {
             reader: None,
             generator,
             read_wait_ms: wait_ms,
             read_ms,
+            new_tokens,
             first_ms,
             cost_ms: first_ms
                 + read_ms * WORK_WEIGHT
@@ -269,6 +274,7 @@
                 generator,
                 read_wait_ms,
                 read_ms,
+                new_tokens: reading.new_tokens(request.prefixes, request.prompt_tokens),
                 first_ms,
                 cost_ms: first_ms
                     + read_ms * WORK_WEIGHT
--- a/crates/wagtailarch-dispatch/tests/placement.rs
+++ b/crates/wagtailarch-dispatch/tests/placement.rs
@@ -127,3 +127,32 @@
     board.add_running(&"d".into(), 30);
     assert!(matches!(read_plan(&board), ReadPlan::Split(_)));
 }
+
+/// Guards against pauses in streams because several prompts are read on their engine at once: each
+/// alone was short enough, together they took longer than the objective between two events.
+#[test]
+fn reading_that_waits_at_a_generating_engine_counts_as_disturbance() {
+    let zone: ZoneName = "a".into();
+    let servers = [
+        engine("d1", "a", Role::Decode),
+        engine("d2", "a", Role::Decode),
+    ];
+    let mut board = Board::default();
+    board.apply(&servers, &config());
+    for id in ["d1", "d2"] {
+        board.add_running(&id.into(), 2);
+    }
+    let service = ENGINES.into();
+    let mut used = Vec::new();
+    for own in ["o1", "o2"] {
+        let prefixes = prompt("s", 350, own, 1_900);
+        let request = request(&prefixes, &zone);
+        let Placement::Use(plan) = board.place_generation(NOW, &service, &request, &[]) else {
+            panic!("engines are free");
+        };
+        let id = &plan.generate.id;
+        board.start_read(NOW, id, Urgency::OnTime, &prefixes, request.prompt_tokens);
+        used.push(plan.generate.id);
+    }
+    assert_ne!(used[0], used[1]);
+}
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -248,7 +248,7 @@
     match placement {
         Placement::Use(plan) => {
             debug!(gateway.log, "placed"; "request" => %job.client.id, "route" => %job.route.name,
-                "tokens" => request.prompt_tokens, "engine" => %plan.generate.id,
+                "tokens" => request.prompt_tokens, "new_tokens" => plan.new_tokens, "engine" => %plan.generate.id,
                 "reader" => match &plan.read {
                     ReadPlan::Direct => "same",
                     ReadPlan::Split(reader) => reader.id.as_str(),
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -33,6 +33,10 @@
     last_event: Option<u64>,
     events: u64,
     first_event_ms: Option<u64>,
+    /// When the last event was passed on.
+    last_at: Option<Duration>,
+    /// Longest pause between two events.
+    longest_pause: Duration,
     finished: bool,
 }
 
@@ -59,6 +63,8 @@
         last_event,
         events: 0,
         first_event_ms: None,
+        last_at: None,
+        longest_pause: Duration::ZERO,
         finished: false,
     };
     let pieces = stream::unfold(relay, |mut relay| async move {
@@ -131,17 +137,20 @@
         if let Some(reading) = reading {
             reading.finish();
         }
+        let job = &self.job;
+        let gateway = &job.gateway;
+        let now = gateway.now();
+        if let Some(last_at) = self.last_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.saturating_sub(last_at));
+        }
         if self.first_event_ms.is_some() {
             return;
         }
-        let job = &self.job;
-        let gateway = &job.gateway;
         self.first_event_ms = Some(job.age().as_millis() as u64);
         gateway
             .metrics
             .latency(job.route.kind, "first_event", job.age());
         if let Some(live) = &self.live {
-            let now = gateway.now();
             gateway
                 .board
                 .borrow_mut()
@@ -220,6 +229,7 @@
         debug!(job.gateway.log, "stream ended"; "request" => %job.client.id,
             "route" => %job.route.name, "outcome" => outcome, "events" => self.events,
             "first_event_ms" => self.first_event_ms,
+            "longest_pause_ms" => self.longest_pause.as_millis() as u64,
             "age_ms" => job.age().as_millis() as u64);
     }
 }
