--- a/crates/wagtailarch-dispatch/src/membership.rs
+++ b/crates/wagtailarch-dispatch/src/membership.rs
@@ -111,9 +111,10 @@
             Change::Added
         } else if server.leaving && !known.leaving {
             Change::Leaving
-        } else if server.role != known.role || server.slots != known.slots {
-            Change::Updated
-        } else if member.gone_at.is_some() {
+        } else if server.role != known.role
+            || server.slots != known.slots
+            || member.gone_at.is_some()
+        {
             Change::Updated
         } else {
             Change::Unchanged
--- a/crates/wagtailarch-dispatch/src/retry_window.rs
+++ b/crates/wagtailarch-dispatch/src/retry_window.rs
@@ -48,16 +48,21 @@
 
     /// Takes one retry from the budget, or returns false when none is left.
     pub fn try_retry(&mut self, now: Duration, share: &RetryShare) -> bool {
+        if !self.may_retry(now, share) {
+            return false;
+        }
+        self.slice(now, share).retries += 1;
+        true
+    }
+
+    /// Tells whether a retry is left in the budget.
+    pub fn may_retry(&mut self, now: Duration, share: &RetryShare) -> bool {
         self.slice(now, share);
         let requests: u32 = self.slices.iter().map(|slice| slice.requests).sum();
         let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
         let slack = share.slack * SLACK_SHARE / share.instances.max(1) as f64;
         let allowed = f64::from(requests) * share.ratio * RATIO_SHARE + slack;
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.slice(now, share).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= allowed
     }
 
     /// Returns the slice of `now` after removing those that have left the window.
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -131,6 +131,14 @@
         window.on_request(now, &share);
     }
 
+    /// Tells whether a retry is left in the budget of a service.
+    pub fn may_retry(&self, service: &ServiceName) -> bool {
+        let share = self.retry_share();
+        let mut retries = self.retries.borrow_mut();
+        let window = retries.entry(service.clone()).or_default();
+        window.may_retry(self.now(), &share)
+    }
+
     /// Takes one retry from the budget of a service.
     pub fn try_retry(&self, service: &ServiceName) -> bool {
         let share = self.retry_share();
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -108,6 +108,26 @@
         Err(self.refusal(reason))
     }
 
+    /// Tells whether the generation could go on at another engine than `engine`.
+    ///
+    /// Silence alone ends nothing: without another engine the answer is awaited to the end.
+    pub fn may_move(&self, job: &Job, engine: &InstanceId) -> bool {
+        let gateway = &job.gateway;
+        if !job.route.kind.repeatable()
+            || self.runs + 1 >= job.route.max_attempts
+            || self.calls + 1 >= MAX_CALLS
+            || !gateway.may_retry(&job.service)
+        {
+            return false;
+        }
+        let mut left_out = self.failed.clone();
+        left_out.push(engine.clone());
+        let board = gateway.board.borrow();
+        let now = gateway.now();
+        let placement = board.place_generation(now, &job.service, &request(job), &left_out);
+        matches!(placement, Placement::Use(_))
+    }
+
     /// Notes that an engine has not read the prompt, which may be repeated in any case.
     fn on_read_failure(&mut self, job: &Job, engine: &InstanceId) {
         self.failed.push(engine.clone());
@@ -164,7 +184,10 @@
             step,
             priority: Some(class(job, plan.urgency, resumed)),
             resume_after,
-            head_limit: head_limit(job, &plan),
+            head_limit: match attempts.may_move(job, &generator.id) {
+                true => head_limit(job, &plan),
+                false => job.time_left(),
+            },
         };
         attempts.calls += 1;
         let gateway = &job.gateway;
@@ -392,11 +415,8 @@
     }
 }
 
-/// Returns how long the head of an answer may take.
+/// Returns how long the head of an answer may take while another engine could be used.
 fn head_limit(job: &Job, plan: &Plan) -> Duration {
-    if !job.route.kind.repeatable() {
-        return job.time_left();
-    }
     let expected = plan.first_event * PATIENCE_FACTOR;
     expected.max(MIN_PATIENCE).min(job.patience_left())
 }
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -28,5 +28,5 @@
 mod traffic_view;
 
 pub use event_splitter::{EventSplitter, StreamEvent};
-pub use process::{StartError, run};
+pub use process::{StartError, run, run_until};
 pub use settings::{Settings, SettingsError, parse_settings};
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -52,9 +52,13 @@
             step: CallStep::Whole,
             priority: None,
             resume_after: job.client.resume_after,
-            head_limit: head_limit(&job, runs),
+            head_limit: Duration::ZERO,
         };
         tried.push(choice.id);
+        let call = Call {
+            head_limit: head_limit(&job, runs, &tried),
+            ..call
+        };
         let failure = match attempt(&job, &call).await {
             Ok(response) if !response.status().is_server_error() => return response,
             Ok(response) => {
@@ -108,10 +112,18 @@
 /// Returns how long the head of an answer may take.
 ///
 /// A request that may be repeated leaves a silent server while another one can still be on time.
-fn head_limit(job: &Job, runs: u32) -> Duration {
+/// Silence alone ends nothing: without another server the answer is awaited to the end.
+fn head_limit(job: &Job, runs: u32, tried: &[InstanceId]) -> Duration {
     let left = job.time_left();
-    let last = runs + 1 >= job.route.max_attempts;
-    if last || !job.route.kind.repeatable() {
+    let gateway = &job.gateway;
+    let may_move = job.route.kind.repeatable()
+        && runs + 1 < job.route.max_attempts
+        && tried.len() < MAX_SENDS
+        && gateway.may_retry(&job.service);
+    let zone = &gateway.settings.zone;
+    let board = gateway.board.borrow();
+    let other = board.place_plain(gateway.now(), &job.service, zone, tried);
+    if !may_move || other.is_none() {
         return left;
     }
     left.min(job.route.objective.mul_f64(FIRST_WAIT_SHARE))
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -47,16 +47,39 @@
 
 impl std::error::Error for StartError {}
 
-/// Runs the process until it was told to stop and has finished.
+/// Runs until the process gets SIGTERM and has finished what it read.
 pub fn run(settings: Settings, log: Logger) -> Result<(), StartError> {
+    run_until(settings, log, || {
+        let mut term = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
+        Ok(async move {
+            term.recv().await;
+        })
+    })
+}
+
+/// Runs until the future that `stop` returns is ready and what was read is finished.
+///
+/// `stop` is called on the runtime.
+pub fn run_until<F: Future<Output = ()>>(
+    settings: Settings,
+    log: Logger,
+    stop: impl FnOnce() -> Result<F, StartError>,
+) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(StartError::Runtime)?;
-    LocalSet::new().block_on(&runtime, serve(settings, log))
+    LocalSet::new().block_on(&runtime, async {
+        let stop = stop()?;
+        let gateway = serve(settings, log).await?;
+        stop.await;
+        shut_down(&gateway).await;
+        Ok(())
+    })
 }
 
-async fn serve(settings: Settings, log: Logger) -> Result<(), StartError> {
+/// Starts serving.
+async fn serve(settings: Settings, log: Logger) -> Result<Rc<Gateway>, StartError> {
     let epoch = Instant::now();
     let metrics = Arc::new(Metrics::new());
     let traffic = Arc::new(TrafficView::default());
@@ -77,7 +100,6 @@
         traffic: Arc::clone(&traffic),
     };
     let published = control::start(context).map_err(StartError::Runtime)?;
-    let mut term = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
@@ -97,9 +119,7 @@
     }
     spawn_local(hear_peers(Rc::clone(&gateway), socket));
     spawn_local(report_hangups(Rc::clone(&gateway), hangup));
-    term.recv().await;
-    shut_down(&gateway).await;
-    Ok(())
+    Ok(gateway)
 }
 
 /// Finishes what was read and asks clients to go elsewhere.
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -84,9 +84,7 @@
             match self.read().await {
                 Next::Bytes(bytes) => self.splitter.push(&bytes),
                 Next::End => {
-                    if self.live.take().is_none() {
-                        return None;
-                    }
+                    self.live.take()?;
                     let rest = self.splitter.take_rest();
                     self.on_end("complete");
                     if !rest.is_empty() {
@@ -167,17 +165,20 @@
         if left.is_zero() {
             return Next::TimedOut;
         }
-        let resumable = self.job.route.kind.repeatable();
-        let limit = if resumable { left.min(SILENCE) } else { left };
-        match timeout(limit, live.answer.body.frame()).await {
-            Err(_) if limit == left => Next::TimedOut,
-            Err(_) => Next::Broken("silent"),
+        let frame = live.answer.body.frame();
+        let mut frame = std::pin::pin!(frame);
+        let read = match timeout(left.min(SILENCE), frame.as_mut()).await {
+            Ok(read) => Ok(read),
+            Err(_) if self.attempts.may_move(&self.job, &live.call.server.id) => {
+                return Next::Broken("silent");
+            }
+            Err(_) => timeout(self.job.time_left(), frame).await,
+        };
+        match read {
+            Err(_) => Next::TimedOut,
             Ok(None) => Next::End,
             Ok(Some(Err(_))) => Next::Broken("connection failed"),
-            Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(bytes) => Next::Bytes(bytes),
-                Err(_) => Next::Bytes(Bytes::new()),
-            },
+            Ok(Some(Ok(frame))) => Next::Bytes(frame.into_data().unwrap_or_default()),
         }
     }
 
