--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -134,7 +134,7 @@
         Ok(Err(error)) => {
             gateway.board.borrow_mut().on_failure(gateway.now(), id);
             log_failure(job, call, CallFailure::CLOSED, &error.to_string());
-            suspect_crash(job, call);
+            suspect_crash(job, &call.server);
             return Err(CallFailure::CLOSED);
         }
         Ok(Ok(response)) => response,
@@ -202,9 +202,9 @@
 }
 
 /// Strikes the request if its server refuses connections, as it does after a crash.
-fn suspect_crash(job: &Job, call: &Call) {
+pub fn suspect_crash(job: &Job, server: &EngineChoice) {
     let gateway = std::rc::Rc::clone(&job.gateway);
-    let server = call.server.clone();
+    let server = server.clone();
     let fingerprint = job.fingerprint;
     tokio::task::spawn_local(async move {
         let Err(error) = connect(server.address, CRASH_PROBE_LIMIT).await else {
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -142,6 +142,7 @@
         gateway.board.borrow_mut().on_failure(now, &call.server.id);
     } else {
         gateway.board.borrow_mut().on_success(now, &call.server.id);
+        gateway.quarantine.on_completed(job.fingerprint);
     }
     gateway
         .metrics
--- a/crates/wagtailarch-gateway/src/refusal.rs
+++ b/crates/wagtailarch-gateway/src/refusal.rs
@@ -37,11 +37,7 @@
     /// Returns the status; 503 promises that nothing ran and nothing will.
     fn status(&self) -> StatusCode {
         if self.ran == Ran::No {
-            let status = StatusCode::from_u16(self.reason.status());
-            return match status {
-                Ok(status) if status.is_client_error() => status,
-                _ => StatusCode::SERVICE_UNAVAILABLE,
-            };
+            return StatusCode::SERVICE_UNAVAILABLE;
         }
         match self.reason {
             RefusalReason::DeadlineUnreachable => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     answer_body::{AnswerBody, BodyError},
-    backend_client::CallFailure,
+    backend_client::{CallFailure, suspect_crash},
     event_splitter::EventSplitter,
     generation::{Attempts, StartFailure, Started, start},
     job::Job,
@@ -86,6 +86,8 @@
                 Next::End => {
                     self.live.take()?;
                     let rest = self.splitter.take_rest();
+                    let job = &self.job;
+                    job.gateway.quarantine.on_completed(job.fingerprint);
                     self.on_end("complete");
                     if !rest.is_empty() {
                         return Some(Ok(rest));
@@ -188,6 +190,7 @@
         let Some(live) = self.live.take() else {
             return Err(BodyError::BrokenOff);
         };
+        suspect_crash(&self.job, &live.call.server);
         let engine = live.call.server.id.clone();
         drop(live);
         let _ = self.splitter.take_rest();
