--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -20,8 +20,11 @@
     job::Job,
 };
 
-/// Limit on opening a connection; a server in another zone answers within a few milliseconds.
-const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// Limit on opening a connection.
+///
+/// A server in another zone answers within a few milliseconds, and a lost packet is sent again after a
+/// second only, so that a longer wait gains nothing.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Greatest body of an answer that is kept whole, so that a broken one can be replaced.
 pub const MAX_WHOLE_BYTES: usize = 4 * 1024 * 1024;
 /// Time in which a crashed server refuses a new connection.
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -63,7 +63,7 @@
     runs: u32,
     /// All calls.
     calls: u32,
-    /// Calls that only read the prompt.
+    /// Calls that only read the prompt and reached an engine.
     reads: u32,
     /// Whether the request can have run.
     ran: Option<Ran>,
@@ -103,6 +103,10 @@
             _ if job.time_left().is_zero() => RefusalReason::DeadlineUnreachable,
             RetryDecision::GiveUp(reason, _) => reason,
             RetryDecision::Retry(_) if self.calls >= MAX_CALLS => RefusalReason::AttemptsExhausted,
+            RetryDecision::Retry(reason) if !attempt_failure.reached() => {
+                job.gateway.metrics.retried(reason);
+                return Ok(());
+            }
             RetryDecision::Retry(reason) => return self.take_retry(job, reason),
         };
         Err(self.refusal(reason))
@@ -129,9 +133,13 @@
     }
 
     /// Notes that an engine has not read the prompt, which may be repeated in any case.
-    fn on_read_failure(&mut self, job: &Job, engine: &InstanceId) {
+    fn on_read_failure(&mut self, job: &Job, engine: &InstanceId, failure: CallFailure) {
+        let reason = failure.reason;
+        if (AttemptFailure { reason }).reached() {
+            self.reads += 1;
+        }
         self.failed.push(engine.clone());
-        job.gateway.metrics.retried(RetryReason::KvImportFailed);
+        job.gateway.metrics.retried(reason);
     }
 
     fn take_retry(&self, job: &Job, reason: RetryReason) -> Result<(), Refusal> {
@@ -321,7 +329,6 @@
         let retry = attempts.take_retry(job, RetryReason::KvImportFailed);
         retry.map_err(ReadFailure::GiveUp)?;
     }
-    attempts.reads += 1;
     attempts.calls += 1;
     let reading = reading(job, reader, plan.urgency);
     let call = Call {
@@ -333,40 +340,42 @@
     };
     let sent = job.gateway.now();
     let handle = read_handle(job, &call).await;
-    if handle.is_some() {
-        reading.finish();
-    } else {
-        drop(reading);
+    match &handle {
+        Ok(_) => reading.finish(),
+        Err(_) => drop(reading),
     }
     debug!(job.gateway.log, "prompt read"; "request" => %job.client.id,
-        "server" => %reader.id, "read" => handle.is_some(),
+        "server" => %reader.id, "read" => handle.is_ok(),
         "took_ms" => job.gateway.now().saturating_sub(sent).as_millis() as u64,
         "expected_ms" => plan.read_time.as_millis() as u64,
         "expected_wait_ms" => plan.read_wait.as_millis() as u64);
-    match handle {
-        Some(source) => Ok((CallStep::Generate(source), Some(reader.id.clone()))),
-        None if attempts.calls >= MAX_CALLS || job.patience_left().is_zero() => Err(
-            ReadFailure::GiveUp(attempts.refusal(RefusalReason::AttemptsExhausted)),
-        ),
-        None => {
-            attempts.on_read_failure(job, &reader.id);
-            Err(ReadFailure::Again)
+    let failure = match handle {
+        Ok(source) => {
+            attempts.reads += 1;
+            return Ok((CallStep::Generate(source), Some(reader.id.clone())));
         }
+        Err(failure) => failure,
+    };
+    if attempts.calls >= MAX_CALLS || job.patience_left().is_zero() {
+        let refusal = attempts.refusal(RefusalReason::AttemptsExhausted);
+        return Err(ReadFailure::GiveUp(refusal));
     }
+    attempts.on_read_failure(job, &reader.id, failure);
+    Err(ReadFailure::Again)
 }
 
 /// Has an engine read the prompt and returns where it is held.
-async fn read_handle(job: &Job, call: &Call) -> Option<KvSource> {
-    let answer = send(job, call).await.ok()?;
+async fn read_handle(job: &Job, call: &Call) -> Result<KvSource, CallFailure> {
+    let answer = send(job, call).await?;
     let status = answer.parts.status;
-    let body = read_whole(job, call, answer).await.ok()?;
+    let body = read_whole(job, call, answer).await?;
     let gateway = &job.gateway;
     let now = gateway.now();
     let id = &call.server.id;
     match decode_read_answer(&body) {
         Ok(read) if status == StatusCode::OK => {
             gateway.board.borrow_mut().on_success(now, id);
-            Some(KvSource {
+            Ok(KvSource {
                 address: call.server.address,
                 handle: read.handle,
             })
@@ -375,7 +384,7 @@
             gateway.board.borrow_mut().on_failure(now, id);
             info!(gateway.log, "prompt not read"; "request" => %job.client.id,
                 "server" => %id, "status" => status.as_u16());
-            None
+            Err(CallFailure::WRONG_ANSWER)
         }
     }
 }
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -90,7 +90,9 @@
                 RefusalReason::DeadlineUnreachable
             }
             RetryDecision::Retry(_) if tried.len() >= MAX_SENDS => RefusalReason::AttemptsExhausted,
-            RetryDecision::Retry(reason) if gateway.try_retry(&job.service) => {
+            RetryDecision::Retry(reason)
+                if !attempt_failure.reached() || gateway.try_retry(&job.service) =>
+            {
                 gateway.metrics.retried(reason);
                 continue;
             }
--- a/crates/wagtailarch-traffic/src/retry_policy.rs
+++ b/crates/wagtailarch-traffic/src/retry_policy.rs
@@ -52,6 +52,12 @@
             | RetryReason::KvImportFailed => Ran::Unknown,
         }
     }
+
+    /// Tells whether the attempt can have reached a server, so that another one adds to the load that
+    /// a retry budget bounds.
+    pub const fn reached(&self) -> bool {
+        !matches!(self.reason, RetryReason::ConnectFailed)
+    }
 }
 
 impl RetryPolicy {
--- a/crates/wagtailarch-traffic/tests/retry.rs
+++ b/crates/wagtailarch-traffic/tests/retry.rs
@@ -134,3 +134,13 @@
     let expected = RetryDecision::GiveUp(RefusalReason::BackendFailedMidway, Ran::Yes);
     assert_eq!(next(delivered), expected);
 }
+
+/// Guards against a retry budget that is spent on servers that were never reached: in a cut zone it
+/// was used up by failed connections, and requests that a reachable server could serve were refused.
+#[test]
+fn only_failed_connections_reach_no_server() {
+    for &reason in RetryReason::ALL {
+        let reached = AttemptFailure { reason }.reached();
+        assert_eq!(reached, reason != RetryReason::ConnectFailed, "{reason}");
+    }
+}
