--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -2,9 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use indexmap::IndexMap;
 use wagtailarch_types::{InstanceId, Role, ZoneName, rendezvous_weight};
 
-use crate::{PrefixLink, backend::Backend};
+use crate::{EngineState, PrefixLink, backend::Backend};
 
 /// Time from sending a request to an engine until it begins, and from its first token back.
 const DIRECT_OVERHEAD_MS: f64 = 15.0;
@@ -15,7 +16,7 @@
 /// Share of the time an engine spends on reading that counts beside the time to the first token.
 ///
 /// It keeps prompts on engines that hold their parts while others are idle.
-const WORK_WEIGHT: f64 = 0.6;
+const WORK_WEIGHT: f64 = 1.5;
 /// Reading that may wait at a decode engine while it generates.
 ///
 /// It reads pieces of about 1024 tokens between tokens, about 40 ms each; four of them in one event
@@ -26,7 +27,7 @@
 /// Cost of a millisecond of reading on a decode engine for each stream that it delays there.
 ///
 /// Without it the short prompts alone took half of the decode engines' time on a measured day.
-const DELAYED_STREAM_WEIGHT: f64 = 0.08;
+const DELAYED_STREAM_WEIGHT: f64 = 0.15;
 /// Cost of a decode engine for each running request, since each slows the others.
 const RUNNING_MS: f64 = 1.0;
 /// Cost for each rank below the first in the order of engines that a prefix prefers.
@@ -220,7 +221,10 @@
     }
 }
 
-/// Lists all ways to serve a generation.
+/// Lists the ways to serve a generation that can be the best.
+///
+/// The cost of a split is a sum over its reader, its generator and their zones, so that only the best
+/// generator of each zone needs to be tried with each reader.
 fn options<'a>(
     now: Duration,
     request: &GenerationRequest<'_>,
@@ -228,68 +232,85 @@
     urgency: Urgency,
 ) -> Vec<Candidate<'a>> {
     let key = affinity_key(request.prefixes);
-    let generators = ranked(engines, key, |role| role != Role::Prefill);
-    let readers = ranked(engines, key, |role| role == Role::Prefill);
     let mut options = Vec::new();
-    for (generator, rank) in &generators {
+    let mut best: IndexMap<&ZoneName, (&Backend, f64)> = IndexMap::new();
+    for (generator, rank) in ranked(engines, key, |role| role != Role::Prefill) {
         let Some(state) = &generator.engine else {
             continue;
         };
-        let Some(generate_ms) = generate_cost(now, request, generator, *rank) else {
+        let Some(generate_ms) = generate_cost(now, request, generator, rank) else {
             continue;
         };
-        let running = state.running(now);
+        options.push(direct(now, request, generator, state, urgency, generate_ms));
         let wait_ms = ms(state.queue.wait(now, urgency));
-
+        let cost_ms = generate_ms + wait_ms * WORK_WEIGHT;
+        let zone = &generator.server.zone;
+        if best.get(zone).is_none_or(|(_, known)| cost_ms < *known) {
+            best.insert(zone, (generator, cost_ms));
+        }
+    }
+    for (reader, rank) in ranked(engines, key, |role| role == Role::Prefill) {
+        let Some(state) = &reader.engine else {
+            continue;
+        };
+        let read_wait_ms = ms(state.queue.wait(now, urgency));
         let read_ms = ms(state.read_time(request.prefixes, request.prompt_tokens));
-        let first_ms = wait_ms + read_ms + DIRECT_OVERHEAD_MS;
         let new_tokens = state.new_tokens(request.prefixes, request.prompt_tokens);
-        let disturbed = running > 0 && wait_ms + read_ms > MAX_DISTURBANCE_MS;
-        options.push(Candidate {
-            reader: None,
-            generator,
-            read_wait_ms: wait_ms,
-            read_ms,
-            new_tokens,
-            first_ms,
-            cost_ms: first_ms
-                + read_ms * WORK_WEIGHT
-                + generate_ms
-                + read_ms * f64::from(running) * DELAYED_STREAM_WEIGHT
-                + if disturbed { DISTURBANCE_MS } else { 0.0 },
-        });
-
-        for (reader, reader_rank) in &readers {
-            let Some(reading) = &reader.engine else {
-                continue;
-            };
-            let read_ms = ms(reading.read_time(request.prefixes, request.prompt_tokens));
-            let same_zone = reader.server.zone == generator.server.zone;
-            let transfer_ms = transfer_ms(reading, request.prompt_tokens, same_zone);
-            let read_wait_ms = ms(reading.queue.wait(now, urgency));
-            let first_ms =
-                read_wait_ms + read_ms + transfer_ms + HANDOFF_OVERHEAD_MS + DIRECT_OVERHEAD_MS;
+        let reader_ms = read_ms * WORK_WEIGHT
+            + rank as f64 * RANK_MS
+            + zone_cost(&reader.server.zone, request.zone)
+            + reader.failure_cost(now);
+        for (zone, (generator, generator_ms)) in &best {
+            let same_zone = reader.server.zone == **zone;
+            let first_ms = read_wait_ms
+                + read_ms
+                + transfer_ms(state, request.prompt_tokens, same_zone)
+                + HANDOFF_OVERHEAD_MS
+                + DIRECT_OVERHEAD_MS;
             options.push(Candidate {
                 reader: Some(reader),
                 generator,
                 read_wait_ms,
                 read_ms,
-                new_tokens: reading.new_tokens(request.prefixes, request.prompt_tokens),
+                new_tokens,
                 first_ms,
-                cost_ms: first_ms
-                    + read_ms * WORK_WEIGHT
-                    + wait_ms * WORK_WEIGHT
-                    + *reader_rank as f64 * RANK_MS
-                    + zone_cost(&reader.server.zone, request.zone)
-                    + zone_cost(&reader.server.zone, &generator.server.zone)
-                    + reader.failure_cost(now)
-                    + generate_ms,
+                cost_ms: first_ms + reader_ms + generator_ms + zone_cost(&reader.server.zone, zone),
             });
         }
     }
     options
 }
 
+/// Returns the way in which the generating engine reads the prompt itself.
+fn direct<'a>(
+    now: Duration,
+    request: &GenerationRequest<'_>,
+    generator: &'a Backend,
+    state: &EngineState,
+    urgency: Urgency,
+    generate_ms: f64,
+) -> Candidate<'a> {
+    let running = state.running(now);
+    let read_wait_ms = ms(state.queue.wait(now, urgency));
+    let read_ms = ms(state.read_time(request.prefixes, request.prompt_tokens));
+    let first_ms = read_wait_ms + read_ms + DIRECT_OVERHEAD_MS;
+    let disturbed = running > 0 && read_wait_ms + read_ms > MAX_DISTURBANCE_MS;
+    let disturbance_ms = if disturbed { DISTURBANCE_MS } else { 0.0 };
+    Candidate {
+        reader: None,
+        generator,
+        read_wait_ms,
+        read_ms,
+        new_tokens: state.new_tokens(request.prefixes, request.prompt_tokens),
+        first_ms,
+        cost_ms: first_ms
+            + read_ms * WORK_WEIGHT
+            + generate_ms
+            + read_ms * f64::from(running) * DELAYED_STREAM_WEIGHT
+            + disturbance_ms,
+    }
+}
+
 /// Returns the key by which engines are preferred: the longest prefix that others may share.
 fn affinity_key(prefixes: &[PrefixLink]) -> u64 {
     let shared = prefixes.len().saturating_sub(2);
@@ -313,7 +334,7 @@
 }
 
 /// Returns the time that the memory of a prompt takes from one engine to another.
-fn transfer_ms(from: &crate::EngineState, tokens: u32, same_zone: bool) -> f64 {
+fn transfer_ms(from: &EngineState, tokens: u32, same_zone: bool) -> f64 {
     let bits = f64::from(tokens) * from.traits.kv_token_bytes as f64 * 8.0;
     let bits_per_ms = (from.traits.link_mbps * 1_000.0).max(1.0);
     let factor = if same_zone { 1.0 } else { 2.0 };
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -26,7 +26,7 @@
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
 /// Pause after news, so that changes in quick succession are read in one call; the shortest bound on
 /// taking them over is two seconds.
-const NEWS_PAUSE: Duration = Duration::from_millis(600);
+const NEWS_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time for which peers may have news that this watch has not, before it counts as deaf.
 const DEAF_AFTER: Duration = Duration::from_millis(1_000);
 /// First pause after a failed call.
--- a/crates/wagtailarch-gateway/src/outbox.rs
+++ b/crates/wagtailarch-gateway/src/outbox.rs
@@ -11,7 +11,7 @@
 /// Datagrams a second to peers of the own zone, which mostly use the same engines.
 const ZONE_DATAGRAMS_PER_S: u32 = 1_000;
 /// Datagrams a second to peers of other zones, whose bytes are priced.
-const OTHER_DATAGRAMS_PER_S: u32 = 300;
+const OTHER_DATAGRAMS_PER_S: u32 = 900;
 /// Prompts whose prefixes are in one note; more are told in the next one, so that a note fits into few
 /// packets.
 const MAX_SENT_PREFIXES: usize = 24;
