--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -1,14 +1,14 @@
 //! The usable backend servers and where requests go.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use indexmap::IndexMap;
 use wagtailarch_types::{InstanceId, Role, ServiceName, ZoneName};
 use wagtailarch_wire::load_note::{LoadNote, OpenRead, SentPrefixes, server_key};
 
 use crate::{
-    BackendServer, EngineChoice, EngineState, GenerationRequest, Placement, PrefixLink, ReadNumber,
-    RoutingConfig, Urgency, backend::Backend, placement,
+    BackendServer, EngineState, GenerationRequest, Placement, PrefixLink, ReadNumber,
+    RoutingConfig, ServerChoice, Urgency, backend::Backend, placement,
 };
 
 /// Load that weighs as much as one failure in every request, when a plain server is chosen.
@@ -32,15 +32,6 @@
 /// Sender of this instance's own prompts in the queues of its engines.
 const OWN: InstanceId = InstanceId::new_inline("");
 
-/// A plain server for a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PlainChoice {
-    /// Identifier.
-    pub id: InstanceId,
-    /// Address.
-    pub address: SocketAddr,
-}
-
 impl Backend {
     /// Cost of the failures that the server showed, in milliseconds.
     pub(crate) fn failure_cost(&self, now: Duration) -> f64 {
@@ -72,16 +63,13 @@
         service: &ServiceName,
         zone: &ZoneName,
         tried: &[InstanceId],
-    ) -> Option<PlainChoice> {
+    ) -> Option<ServerChoice> {
         let usable = self.usable(now, service, tried);
         let best = usable.min_by(|a, b| {
             let cost = |backend: &Backend| plain_cost(now, backend, zone);
             cost(a).total_cmp(&cost(b))
         })?;
-        Some(PlainChoice {
-            id: best.server.id.clone(),
-            address: best.server.address,
-        })
+        Some(best.server.choice())
     }
 
     /// Chooses engines of a service for a generation, leaving out those that were tried.
@@ -105,7 +93,7 @@
         request: &GenerationRequest<'_>,
         reader: &InstanceId,
         tried: &[InstanceId],
-    ) -> Option<EngineChoice> {
+    ) -> Option<ServerChoice> {
         let reader = self.backends.get(reader);
         let zone = reader.map_or(request.zone, |reader| &reader.server.zone);
         placement::place_read(now, request, zone, self.usable(now, service, tried))
@@ -261,22 +249,6 @@
         }
     }
 
-    /// Returns the server with an identifier.
-    pub fn server(&self, id: &InstanceId) -> Option<&BackendServer> {
-        self.backends.get(id).map(|backend| &backend.server)
-    }
-
-    /// Returns the state of an engine.
-    pub fn engine(&self, id: &InstanceId) -> Option<&EngineState> {
-        self.backends.get(id)?.engine.as_ref()
-    }
-
-    /// Returns unanswered requests of this instance by server.
-    pub fn in_flight(&self) -> impl Iterator<Item = (&InstanceId, u32)> {
-        let backends = self.backends.iter();
-        backends.map(|(id, backend)| (id, backend.in_flight))
-    }
-
     fn engine_by_key(&mut self, key: u32) -> Option<&mut EngineState> {
         let id = self.by_key.get(&key)?;
         self.backends.get_mut(id)?.engine.as_mut()
--- a/crates/wagtailarch-dispatch/src/engine_state.rs
+++ b/crates/wagtailarch-dispatch/src/engine_state.rs
@@ -115,11 +115,6 @@
         self.slowness = mixed.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
     }
 
-    /// Returns how much slower than expected the engine reads.
-    pub fn slowness(&self) -> f64 {
-        self.slowness
-    }
-
     /// Changes the number of requests of this instance that generate on the engine.
     pub fn add_running(&mut self, by: i32) {
         self.own_running = self.own_running.saturating_add_signed(by);
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -1,11 +1,11 @@
 //! Which engines read the prompt of a generation and generate its output.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use indexmap::IndexMap;
-use wagtailarch_types::{InstanceId, Role, ZoneName, rendezvous_weight};
+use wagtailarch_types::{Role, ZoneName, rendezvous_weight};
 
-use crate::{EngineState, PrefixLink, backend::Backend};
+use crate::{EngineState, PrefixLink, ServerChoice, backend::Backend};
 
 /// Time from sending a request to an engine until it begins, and from its first token back.
 const DIRECT_OVERHEAD_MS: f64 = 15.0;
@@ -65,22 +65,13 @@
     pub zone: &'a ZoneName,
 }
 
-/// One engine to be used.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EngineChoice {
-    /// Identifier.
-    pub id: InstanceId,
-    /// Address.
-    pub address: SocketAddr,
-}
-
 /// Where the prompt is read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReadPlan {
     /// The engine that generates reads it too.
     Direct,
     /// Another engine reads it and hands it over.
-    Split(EngineChoice),
+    Split(ServerChoice),
 }
 
 /// Engines for a generation.
@@ -89,7 +80,7 @@
     /// Where the prompt is read.
     pub read: ReadPlan,
     /// Engine that generates.
-    pub generate: EngineChoice,
+    pub generate: ServerChoice,
     /// Whether the first event is expected in time.
     pub urgency: Urgency,
     /// Predicted time to the first event.
@@ -124,7 +115,7 @@
     request: &GenerationRequest<'_>,
     reader_zone: &ZoneName,
     engines: impl Iterator<Item = &'a Backend>,
-) -> Option<EngineChoice> {
+) -> Option<ServerChoice> {
     let engines: Vec<_> = engines.collect();
     let key = affinity_key(request.prefixes);
     let generators = ranked(&engines, key, |role| role != Role::Prefill);
@@ -137,7 +128,7 @@
         Some((cost_ms, generator))
     });
     let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
-    best.map(|(_, generator)| choice(generator))
+    best.map(|(_, generator)| generator.server.choice())
 }
 
 /// Returns the cost of generating on an engine in milliseconds; `None` if it has no free slot.
@@ -206,12 +197,12 @@
 impl Candidate<'_> {
     fn plan(&self, urgency: Urgency) -> Plan {
         let read = match self.reader {
-            Some(reader) => ReadPlan::Split(choice(reader)),
+            Some(reader) => ReadPlan::Split(reader.server.choice()),
             None => ReadPlan::Direct,
         };
         Plan {
             read,
-            generate: choice(self.generator),
+            generate: self.generator.server.choice(),
             urgency,
             first_event: from_ms(self.first_ms),
             read_wait: from_ms(self.read_wait_ms),
@@ -345,13 +336,6 @@
     if zone == own { 0.0 } else { OTHER_ZONE_MS }
 }
 
-fn choice(backend: &Backend) -> EngineChoice {
-    EngineChoice {
-        id: backend.server.id.clone(),
-        address: backend.server.address,
-    }
-}
-
 fn ms(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
--- a/crates/wagtailarch-dispatch/src/server.rs
+++ b/crates/wagtailarch-dispatch/src/server.rs
@@ -29,7 +29,24 @@
     pub role: Option<Role>,
 }
 
+/// A server that was chosen for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerChoice {
+    /// Identifier.
+    pub id: InstanceId,
+    /// Address.
+    pub address: SocketAddr,
+}
+
 impl BackendServer {
+    /// Returns what a call to the server needs.
+    pub fn choice(&self) -> ServerChoice {
+        ServerChoice {
+            id: self.id.clone(),
+            address: self.address,
+        }
+    }
+
     /// Tells whether `other` is the same start of the same server at the same address.
     pub fn same_start(&self, other: &Self) -> bool {
         self.id == other.id
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -11,7 +11,7 @@
 use wagtailarch_adapter::{
     AnswerFacts, BackendCall, CallStep, Echo, PriorityClass, decode_answer, encode_call,
 };
-use wagtailarch_dispatch::EngineChoice;
+use wagtailarch_dispatch::ServerChoice;
 use wagtailarch_types::{Ran, RetryReason};
 
 use crate::{
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub struct Call {
     /// Server.
-    pub server: EngineChoice,
+    pub server: ServerChoice,
     /// Part of the work.
     pub step: CallStep,
     /// Rank at an engine.
@@ -205,7 +205,7 @@
 }
 
 /// Strikes the request if its server refuses connections, as it does after a crash.
-pub fn suspect_crash(job: &Job, server: &EngineChoice) {
+pub fn suspect_crash(job: &Job, server: &ServerChoice) {
     let gateway = std::rc::Rc::clone(&job.gateway);
     let server = server.clone();
     let fingerprint = job.fingerprint;
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -6,7 +6,7 @@
 use http::{Response, StatusCode, header};
 use slog::{debug, info};
 use wagtailarch_adapter::{CallStep, KvSource, PriorityClass, decode_read_answer};
-use wagtailarch_dispatch::{EngineChoice, GenerationRequest, Placement, Plan, ReadPlan, Urgency};
+use wagtailarch_dispatch::{GenerationRequest, Placement, Plan, ReadPlan, ServerChoice, Urgency};
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
 
@@ -258,7 +258,7 @@
 }
 
 /// Chooses the engine that generates from a prompt that has been read.
-fn generator(job: &Job, attempts: &Attempts, reader: &InstanceId) -> Result<EngineChoice, Refusal> {
+fn generator(job: &Job, attempts: &Attempts, reader: &InstanceId) -> Result<ServerChoice, Refusal> {
     let gateway = &job.gateway;
     let now = gateway.now();
     let board = gateway.board.borrow();
@@ -410,7 +410,7 @@
     Ok(head.map(|()| AnswerBody::whole(body)))
 }
 
-fn reading(job: &Job, engine: &EngineChoice, urgency: Urgency) -> Reading {
+fn reading(job: &Job, engine: &ServerChoice, urgency: Urgency) -> Reading {
     let tokens = job.client.prompt.as_ref().map_or(0, |p| p.prompt_tokens);
     Reading::new(&job.gateway, &engine.id, urgency, &job.prefixes, tokens)
 }
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -5,7 +5,6 @@
 use http::{Response, header};
 use slog::debug;
 use wagtailarch_adapter::CallStep;
-use wagtailarch_dispatch::EngineChoice;
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
 
@@ -44,20 +43,13 @@
             };
             return own_failure.unwrap_or_else(|| refusal.respond(&job));
         };
+        tried.push(choice.id.clone());
         let call = Call {
-            server: EngineChoice {
-                id: choice.id.clone(),
-                address: choice.address,
-            },
+            head_limit: head_limit(&job, runs, &tried),
+            server: choice,
             step: CallStep::Whole,
             priority: None,
             resume_after: job.client.resume_after,
-            head_limit: Duration::ZERO,
-        };
-        tried.push(choice.id);
-        let call = Call {
-            head_limit: head_limit(&job, runs, &tried),
-            ..call
         };
         let failure = match attempt(&job, &call).await {
             Ok(response) if !response.status().is_server_error() => return response,
--- a/crates/wagtailarch-gateway/src/refusal.rs
+++ b/crates/wagtailarch-gateway/src/refusal.rs
@@ -65,7 +65,7 @@
     pub fn bare(&self) -> Response<AnswerBody> {
         let status = self.status();
         let promise = status == StatusCode::SERVICE_UNAVAILABLE;
-        let response = encode_refusal(status, None, promise.then_some(self.retry_after));
+        let response = encode_refusal(status, promise.then_some(self.retry_after));
         response.map(|()| AnswerBody::whole(Bytes::new()))
     }
 }
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -188,7 +188,7 @@
 }
 
 fn status(status: StatusCode) -> Response<AnswerBody> {
-    encode_refusal(status, None, None).map(|()| AnswerBody::whole(Bytes::new()))
+    encode_refusal(status, None).map(|()| AnswerBody::whole(Bytes::new()))
 }
 
 fn limits(gateway: &Gateway) -> ClientLimits {
