--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -6,21 +6,19 @@
 use http::{Response, StatusCode, header};
 use slog::{debug, info};
 use wagtailarch_adapter::{CallStep, KvSource, PriorityClass, decode_read_answer};
-use wagtailarch_dispatch::{GenerationRequest, Placement, Plan, ReadPlan, ServerChoice, Urgency};
-use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
+use wagtailarch_dispatch::{Placement, Plan, ReadPlan, ServerChoice, Urgency};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
 
 use crate::{
     answer_body::AnswerBody,
+    attempts::{Attempts, MAX_CALLS},
     backend_client::{Answer, Call, CallFailure, read_whole, send},
     guards::{Generating, Reading},
     job::Job,
-    refusal::{Refusal, SOON},
+    refusal::Refusal,
     relay,
 };
 
-/// Calls that one request makes at most, those that did not run included.
-const MAX_CALLS: u32 = 6;
 /// Rank of a stream that is resumed; its client already waits.
 const RESUMED_CLASS: PriorityClass = 0;
 /// Rank of the most urgent route; each lower priority adds one.
@@ -54,111 +52,6 @@
     Answered(Box<Response<AnswerBody>>),
 }
 
-/// Calls made so far for one generation.
-#[derive(Debug, Default)]
-pub struct Attempts {
-    /// Engines that failed.
-    failed: Vec<InstanceId>,
-    /// Calls after which the request can have run.
-    runs: u32,
-    /// All calls.
-    calls: u32,
-    /// Calls that only read the prompt and reached an engine.
-    reads: u32,
-    /// Whether the request can have run.
-    ran: Option<Ran>,
-}
-
-impl Attempts {
-    fn ran(&self) -> Ran {
-        self.ran.unwrap_or(Ran::No)
-    }
-
-    /// Notes a failed call and decides whether another one follows.
-    pub fn on_failure(
-        &mut self,
-        job: &Job,
-        engine: &InstanceId,
-        failure: CallFailure,
-        delivered: bool,
-    ) -> Result<(), Refusal> {
-        self.failed.push(engine.clone());
-        if failure.ran != Ran::No {
-            self.runs += 1;
-        }
-        let traits = RequestTraits {
-            idempotent: job.route.kind.repeatable(),
-            resumable: job.route.kind.repeatable(),
-            delivered,
-            attempts: self.runs,
-            attempt_limit: job.route.max_attempts,
-            ran_before: self.ran(),
-        };
-        self.ran = Some(RetryPolicy::combine(self.ran(), failure.ran));
-        let attempt_failure = AttemptFailure {
-            reason: failure.reason,
-        };
-        let decision = RetryPolicy::next(&attempt_failure, &traits);
-        let reason = match decision {
-            _ if job.time_left().is_zero() => RefusalReason::DeadlineUnreachable,
-            RetryDecision::GiveUp(reason, _) => reason,
-            RetryDecision::Retry(_) if self.calls >= MAX_CALLS => RefusalReason::AttemptsExhausted,
-            RetryDecision::Retry(reason) if !attempt_failure.reached() => {
-                job.gateway.metrics.retried(reason);
-                return Ok(());
-            }
-            RetryDecision::Retry(reason) => return self.take_retry(job, reason),
-        };
-        Err(self.refusal(reason))
-    }
-
-    /// Tells whether the generation could go on at another engine than `engine`.
-    ///
-    /// Silence alone ends nothing: without another engine the answer is awaited to the end.
-    pub fn may_move(&self, job: &Job, engine: &InstanceId) -> bool {
-        let gateway = &job.gateway;
-        if !job.route.kind.repeatable()
-            || self.runs + 1 >= job.route.max_attempts
-            || self.calls + 1 >= MAX_CALLS
-            || !gateway.may_retry(&job.service)
-        {
-            return false;
-        }
-        let mut left_out = self.failed.clone();
-        left_out.push(engine.clone());
-        let board = gateway.board.borrow();
-        let now = gateway.now();
-        let placement = board.place_generation(now, &job.service, &request(job), &left_out);
-        matches!(placement, Placement::Use(_))
-    }
-
-    /// Notes that an engine has not read the prompt, which may be repeated in any case.
-    fn on_read_failure(&mut self, job: &Job, engine: &InstanceId, failure: CallFailure) {
-        let reason = failure.reason;
-        if (AttemptFailure { reason }).reached() {
-            self.reads += 1;
-        }
-        self.failed.push(engine.clone());
-        job.gateway.metrics.retried(reason);
-    }
-
-    fn take_retry(&self, job: &Job, reason: RetryReason) -> Result<(), Refusal> {
-        if !job.gateway.try_retry(&job.service) {
-            return Err(self.refusal(RefusalReason::RetryBudgetExhausted));
-        }
-        job.gateway.metrics.retried(reason);
-        Ok(())
-    }
-
-    fn refusal(&self, reason: RefusalReason) -> Refusal {
-        Refusal {
-            reason,
-            ran: self.ran(),
-            retry_after: SOON,
-        }
-    }
-}
-
 /// Serves a generation.
 pub async fn serve(job: Rc<Job>) -> Response<AnswerBody> {
     let mut attempts = Attempts::default();
@@ -245,31 +138,25 @@
     }
 }
 
-/// Describes the generation to the board.
-fn request(job: &Job) -> GenerationRequest<'_> {
-    let prompt = job.client.prompt.as_ref();
-    GenerationRequest {
-        prefixes: &job.prefixes,
-        prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
-        objective_left: job.objective_left(),
-        patience_left: job.patience_left(),
-        zone: &job.gateway.settings.zone,
-    }
-}
-
 /// Chooses the engine that generates from a prompt that has been read.
 fn generator(job: &Job, attempts: &Attempts, reader: &InstanceId) -> Result<ServerChoice, Refusal> {
     let gateway = &job.gateway;
     let now = gateway.now();
     let board = gateway.board.borrow();
-    let choice = board.place_read(now, &job.service, &request(job), reader, &attempts.failed);
+    let choice = board.place_read(
+        now,
+        &job.service,
+        &job.generation_request(),
+        reader,
+        &attempts.failed,
+    );
     choice.ok_or_else(|| attempts.refusal(RefusalReason::NoBackend))
 }
 
 /// Chooses engines.
 fn plan(job: &Job, attempts: &Attempts) -> Result<Plan, Refusal> {
     let gateway = &job.gateway;
-    let request = request(job);
+    let request = job.generation_request();
     let placement = gateway.board.borrow().place_generation(
         gateway.now(),
         &job.service,
--- a/crates/wagtailarch-gateway/src/job.rs
+++ b/crates/wagtailarch-gateway/src/job.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use wagtailarch_adapter::ClientRequest;
-use wagtailarch_dispatch::{PrefixLink, Route, RoutingConfig};
+use wagtailarch_dispatch::{GenerationRequest, PrefixLink, Route, RoutingConfig};
 use wagtailarch_types::{Fingerprint, ServiceName, fingerprint};
 
 use crate::gateway::Gateway;
@@ -71,6 +71,18 @@
         limit.min(self.route.timeout).saturating_sub(self.age())
     }
 
+    /// Describes the generation to the board.
+    pub fn generation_request(&self) -> GenerationRequest<'_> {
+        let prompt = self.client.prompt.as_ref();
+        GenerationRequest {
+            prefixes: &self.prefixes,
+            prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens),
+            objective_left: self.objective_left(),
+            patience_left: self.patience_left(),
+            zone: &self.gateway.settings.zone,
+        }
+    }
+
     /// Returns the time that is left before the first answer is late.
     pub fn objective_left(&self) -> Duration {
         self.route.objective.saturating_sub(self.age())
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `wagtailarch-dispatch`; names and formats of the platform are in `wagtailarch-adapter`.
 
 mod answer_body;
+mod attempts;
 mod backend_client;
 mod connection;
 mod control;
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -11,9 +11,10 @@
 
 use crate::{
     answer_body::{AnswerBody, BodyError},
+    attempts::Attempts,
     backend_client::{CallFailure, suspect_crash},
     event_splitter::EventSplitter,
-    generation::{Attempts, StartFailure, Started, start},
+    generation::{StartFailure, Started, start},
     job::Job,
 };
 
