--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -92,10 +92,10 @@
         };
         attempts.calls += 1;
         let gateway = &job.gateway;
-        let generating = Generating::new(gateway, &plan.generate.id);
+        let generating = Generating::new(gateway, &generator.id);
         let reading = reader
             .is_none()
-            .then(|| reading(job, &plan.generate, plan.urgency));
+            .then(|| reading(job, &generator, plan.urgency));
         gateway.tell_peers();
         let failure = match send(job, &call).await {
             Ok(answer) if answer.parts.status == StatusCode::OK => {
