--- a/crates/wagtailarch-dispatch/src/membership.rs
+++ b/crates/wagtailarch-dispatch/src/membership.rs
@@ -9,9 +9,10 @@
 
 /// Time for which a missing server is kept after the store has returned.
 ///
-/// Registrations that expired during an outage are written again within this time if their server
-/// is alive.
-const REJOIN: Duration = Duration::from_secs(2);
+/// Registrations that expired during an outage are written again within about two seconds if their
+/// server is alive. A server that has left may get requests for two seconds after the store says so, and
+/// the removal has to reach the traffic thread within the rest.
+const REJOIN: Duration = Duration::from_millis(1_800);
 
 /// The backend servers that the store lists, with what outages and late registrations require.
 #[derive(Debug, Default)]
--- a/crates/wagtailarch-gateway/src/control/routing.rs
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -18,7 +18,7 @@
 pub async fn watch_routing(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
     let mut watcher = Watcher::new(Kind::Config, context.clone());
     loop {
-        let objects = match watcher.next(None).await {
+        let objects = match watcher.next().await {
             Seen::Listed(objects) => objects,
             Seen::Changed(changes) => {
                 let written = changes.into_iter().filter(|(_, deleted)| !deleted);
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use slog::{debug, info, warn};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep};
 use wagtailarch_adapter::{Kind, StoreObject, decode_server};
 use wagtailarch_dispatch::{BackendServer, Change, Membership};
-use wagtailarch_types::InstanceId;
+use wagtailarch_types::{InstanceId, ObjectVersion};
 
 use crate::{
     control::{
@@ -21,51 +21,87 @@
     let mut watcher = Watcher::new(Kind::Servers, context.clone());
     let mut membership = Membership::default();
     loop {
-        let now = context.epoch.elapsed();
-        let due = membership.next_removal().map(|at| at.saturating_sub(now));
-        let seen = watcher.next(due).await;
-        let now = context.epoch.elapsed();
-        let mut changed = false;
-        match seen {
-            Seen::Lost => membership.on_store_lost(),
-            Seen::Listed(objects) => {
-                let servers = objects.iter().filter_map(|object| decode(&context, object));
-                let changes = membership.on_list(now, servers.collect());
-                changed = true;
-                for (id, change) in changes {
-                    report(&context, &id, change);
-                }
-            }
-            Seen::Changed(changes) => {
-                for (object, deleted) in changes {
-                    let server = match deleted {
-                        true => None,
-                        false => decode(&context, &object),
-                    };
-                    let change = match server {
-                        Some(server) => membership.on_registered(server),
-                        None => membership.on_removed(now, &object.name),
-                    };
-                    changed |= change != Change::Unchanged;
-                    report(&context, &object.name, change);
+        let news = watcher.news();
+        let seen = {
+            let mut next = std::pin::pin!(watcher.next());
+            // Missing servers are removed when they are due, however long the watch waits or pauses.
+            loop {
+                tokio::select! {
+                    seen = next.as_mut() => break seen,
+                    () = removal_due(&context, &membership) => {
+                        remove_missing(&context, &mut membership);
+                        publish_servers(&publisher, &membership, news);
+                    }
                 }
             }
+        };
+        if take_over(&context, &mut membership, seen) {
+            publish_servers(&publisher, &membership, watcher.news());
+        }
+    }
+}
+
+/// Takes over what the watch has seen; returns whether anything has changed.
+fn take_over(context: &ControlContext, membership: &mut Membership, seen: Seen) -> bool {
+    let now = context.epoch.elapsed();
+    match seen {
+        Seen::Lost => {
+            membership.on_store_lost();
+            false
         }
-        for id in membership.remove_missing(now) {
-            changed = true;
-            report(&context, &id, Change::Removed);
+        Seen::Listed(objects) => {
+            let servers = objects.iter().filter_map(|object| decode(context, object));
+            for (id, change) in membership.on_list(now, servers.collect()) {
+                report(context, &id, change);
+            }
+            true
         }
-        if changed {
-            let servers: Vec<_> = membership.usable().cloned().collect();
-            publish(&publisher, |snapshot| {
-                snapshot.servers = Arc::new(servers);
-                snapshot.servers_known = true;
-                snapshot.news.servers = watcher.news();
-            });
+        Seen::Changed(changes) => {
+            let mut changed = false;
+            for (object, deleted) in changes {
+                let server = match deleted {
+                    true => None,
+                    false => decode(context, &object),
+                };
+                let change = match server {
+                    Some(server) => membership.on_registered(server),
+                    None => membership.on_removed(now, &object.name),
+                };
+                changed |= change != Change::Unchanged;
+                report(context, &object.name, change);
+            }
+            changed
         }
     }
 }
 
+/// Waits until a missing server is to be removed.
+async fn removal_due(context: &ControlContext, membership: &Membership) {
+    match membership.next_removal() {
+        Some(at) => sleep(at.saturating_sub(context.epoch.elapsed())).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn remove_missing(context: &ControlContext, membership: &mut Membership) {
+    for id in membership.remove_missing(context.epoch.elapsed()) {
+        report(context, &id, Change::Removed);
+    }
+}
+
+fn publish_servers(
+    publisher: &watch::Sender<Arc<Snapshot>>,
+    membership: &Membership,
+    news: ObjectVersion,
+) {
+    let servers: Vec<_> = membership.usable().cloned().collect();
+    publish(publisher, |snapshot| {
+        snapshot.servers = Arc::new(servers);
+        snapshot.servers_known = true;
+        snapshot.news.servers = news;
+    });
+}
+
 /// Decodes a registration; one that cannot be decoded names no server.
 fn decode(context: &ControlContext, object: &StoreObject) -> Option<BackendServer> {
     match decode_server(&object.name, &object.content) {
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -85,14 +85,12 @@
         self.news
     }
 
-    /// Waits for the next news, for `limit` at most if it is given.
-    ///
-    /// A watch that is given up at the limit is continued at the same version.
-    pub async fn next(&mut self, limit: Option<Duration>) -> Seen {
+    /// Waits for the next news; the list of changes may be empty.
+    pub async fn next(&mut self) -> Seen {
         loop {
             let step = match self.position {
                 None => self.list().await,
-                Some(position) => self.watch(position, limit).await,
+                Some(position) => self.watch(position).await,
             };
             match step {
                 Ok(seen) => {
@@ -138,16 +136,11 @@
         }
     }
 
-    async fn watch(
-        &mut self,
-        position: ObjectVersion,
-        limit: Option<Duration>,
-    ) -> Result<Seen, StoreError> {
+    async fn watch(&mut self, position: ObjectVersion) -> Result<Seen, StoreError> {
         if let Some(time) = self.not_before.take() {
             sleep_until(time).await;
         }
-        let own_wait = self.wait();
-        let wait = limit.map_or(own_wait, |limit| limit.min(own_wait));
+        let wait = self.wait();
         let request = watch_request(self.kind, position, wait);
         self.context.metrics.store_call(StoreCall::Watch);
         let kind = self.kind;
