Share connections to servers and merge what two programs repeated

Cause: the last read of the change found that the limit on connections of a backend server was decoded and used by nothing. A server resets connections beyond its limit, and an at-most-once call whose connection was reset can neither be repeated nor be called "not run". The same read found repeated code in the two entry programs.

Change: - Each instance sends at most its equal part of a server's connections, and at least two. Without a server left it refuses at once as overloaded; the reason stays "no backend" when servers are down. - The test of the limit fails without it (more than 110 connections of 8 instances at one server). - Refusal and retry counters moved to telemetry, connection headers to wire; the head of an answer is taken over in one place, and the judgement of an engine's own failure is in `Attempts`. - Fields that were decoded for nothing are gone: `tokens` and `version` of an engine's answer; the assertion on `tokens` in the test went with its field.

--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use indexmap::IndexMap;
-use wagtailarch_types::{InstanceId, Role, ServiceName, ZoneName};
+use wagtailarch_types::{InstanceId, RefusalReason, Role, ServiceName, ZoneName};
 use wagtailarch_wire::load_note::{LoadNote, OpenRead, SentPrefixes, server_key};
 
 use crate::{
@@ -27,6 +27,8 @@
     /// Prompts of this instance that engines have not read yet, by their number.
     open_reads: IndexMap<ReadNumber, (InstanceId, OpenRead)>,
     next_read: ReadNumber,
+    /// Entry instances, which share the connections that a server accepts.
+    instances: u32,
 }
 
 /// Sender of this instance's own prompts in the queues of its engines.
@@ -56,6 +58,11 @@
         }
     }
 
+    /// Takes over the number of entry instances, this one included.
+    pub fn set_instances(&mut self, instances: u32) {
+        self.instances = instances;
+    }
+
     /// Chooses a plain server of a service, leaving out those that were tried.
     pub fn place_plain(
         &self,
@@ -99,6 +106,20 @@
         placement::place_read(now, request, zone, self.usable(now, service, tried))
     }
 
+    /// Returns why no server of a service could be chosen.
+    pub fn lack(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        tried: &[InstanceId],
+    ) -> RefusalReason {
+        let full = self.healthy(now, service, tried).next().is_some();
+        match full {
+            true => RefusalReason::Overloaded,
+            false => RefusalReason::NoBackend,
+        }
+    }
+
     /// Notes that a request was sent to a server.
     pub fn on_sent(&mut self, id: &InstanceId) {
         if let Some(backend) = self.backends.get_mut(id) {
@@ -254,11 +275,23 @@
         self.backends.get_mut(id)?.engine.as_mut()
     }
 
+    /// Returns the servers that may be given another request.
     fn usable(
         &self,
         now: Duration,
         service: &ServiceName,
         tried: &[InstanceId],
+    ) -> impl Iterator<Item = &Backend> {
+        let healthy = self.healthy(now, service, tried);
+        healthy.filter(|backend| !backend.full(self.instances))
+    }
+
+    /// Returns the servers that work, those with as many requests as they may have included.
+    fn healthy(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        tried: &[InstanceId],
     ) -> impl Iterator<Item = &Backend> {
         let of_service = self.backends.values().filter(move |backend| {
             backend.server.service == *service && !tried.contains(&backend.server.id)
@@ -269,14 +302,14 @@
 
 /// Returns the state of a server with its present registration.
 fn renewed(kept: Option<Backend>, server: BackendServer, config: &RoutingConfig) -> Backend {
-    let traits = config
-        .service(&server.service)
-        .and_then(|s| s.engine.clone());
+    let service = config.service(&server.service);
+    let traits = service.and_then(|service| service.engine.clone());
     let role = server.role.unwrap_or(Role::Mixed);
     let mut backend = kept.unwrap_or_else(|| Backend {
         server: server.clone(),
         evidence: Default::default(),
         in_flight: 0,
+        max_connections: 0,
         told_load: 0.0,
         engine: None,
     });
@@ -289,6 +322,7 @@
         (None, Some(traits)) => Some(EngineState::new(role, traits)),
         (_, None) => None,
     };
+    backend.max_connections = service.map_or(0, |service| service.max_connections);
     backend.server = server;
     backend
 }
--- a/crates/wagtailarch-dispatch/src/read_queue.rs
+++ b/crates/wagtailarch-dispatch/src/read_queue.rs
@@ -108,16 +108,6 @@
         self.prompts.contains_key(&(sender.clone(), number))
     }
 
-    /// Returns the number of prompts.
-    pub fn len(&self) -> usize {
-        self.prompts.len()
-    }
-
-    /// Tells whether no prompt waits or is being read.
-    pub fn is_empty(&self) -> bool {
-        self.prompts.is_empty()
-    }
-
     /// Returns the part of a prompt that has been read if it is the one that is being read.
     fn progress(&self, now: Duration, prompt: &QueuedPrompt) -> Duration {
         let begun = self.last_read.max(prompt.added);
--- a/crates/wagtailarch-dispatch/tests/plain.rs
+++ b/crates/wagtailarch-dispatch/tests/plain.rs
@@ -6,6 +6,7 @@
 
 use common::{PLAIN, config, plain};
 use wagtailarch_dispatch::{BackendServer, Board, Evidence};
+use wagtailarch_types::RefusalReason;
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -74,3 +75,46 @@
     board.apply(&[restarted, plain("s2", "b")], &config());
     assert_eq!(choose(&board, at(10)).as_deref(), Some("s1"));
 }
+
+/// Guards against more connections than a server accepts from all instances: it resets those beyond,
+/// and an at-most-once call whose connection was reset cannot be repeated.
+#[test]
+fn instances_together_stay_within_the_connections_of_a_server() {
+    const INSTANCES: u32 = 8;
+    let mut sent = 0;
+    for _ in 0..INSTANCES {
+        let mut board = Board::default();
+        board.set_instances(INSTANCES);
+        board.apply(&[plain("s1", "a")], &config());
+        while choose(&board, at(0)).is_some() && sent < 1_000 {
+            board.on_sent(&"s1".into());
+            sent += 1;
+        }
+        let lack = board.lack(at(0), &PLAIN.into(), &[]);
+        assert_eq!(lack, RefusalReason::Overloaded);
+        board.on_ended(&"s1".into());
+        assert_eq!(choose(&board, at(0)).as_deref(), Some("s1"));
+    }
+    // The service's servers accept 110 connections each.
+    assert!((100..=110).contains(&sent), "{sent}");
+}
+
+/// Guards against an instance that is denied every connection because there are more instances than
+/// connections.
+#[test]
+fn every_instance_may_open_a_connection() {
+    let mut board = Board::default();
+    board.set_instances(10_000);
+    board.apply(&[plain("s1", "a")], &config());
+    assert_eq!(choose(&board, at(0)).as_deref(), Some("s1"));
+}
+
+/// Guards against a wrong cause in the log when the only server of a service cannot be reached.
+#[test]
+fn an_unreachable_server_is_no_overload() {
+    let mut board = Board::default();
+    board.apply(&[plain("s1", "a")], &config());
+    board.on_unreachable(at(0), &"s1".into());
+    let lack = board.lack(at(10), &PLAIN.into(), &[]);
+    assert_eq!(lack, RefusalReason::NoBackend);
+}
--- a/crates/wagtailarch-entry/src/metrics.rs
+++ b/crates/wagtailarch-entry/src/metrics.rs
@@ -7,8 +7,7 @@
     metrics::{counter::Counter, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
-use wagtailarch_telemetry::{Counters, closed_counters};
-use wagtailarch_types::{RefusalReason, RetryReason};
+use wagtailarch_telemetry::{Counters, OutcomeCounters, closed_counters};
 
 /// Why a frame of an engine was not delivered.
 pub const DROP_CAUSES: [&str; 6] = [
@@ -33,8 +32,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    refusals: Counters,
-    retries: Counters,
+    /// Refusals and retries by reason.
+    pub outcomes: OutcomeCounters,
     dropped_frames: Counters,
     connections: Counters,
     dropped_hints: Counters,
@@ -71,24 +70,7 @@
     /// Creates and registers all metrics.
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("wagtail");
-        let refusals = closed_counters(
-            &mut registry,
-            "refusals",
-            "Refused requests",
-            "reason",
-            &reasons(),
-        );
-        let retry: Vec<_> = RetryReason::ALL
-            .iter()
-            .map(|reason| reason.as_str())
-            .collect();
-        let retries = closed_counters(
-            &mut registry,
-            "retries",
-            "Repeated attempts",
-            "reason",
-            &retry,
-        );
+        let outcomes = OutcomeCounters::new(&mut registry);
         let dropped_frames = closed_counters(
             &mut registry,
             "dropped_frames",
@@ -118,8 +100,7 @@
             &CONFIG_DROP_CAUSES,
         );
         let metrics = Self {
-            refusals,
-            retries,
+            outcomes,
             dropped_frames,
             connections,
             dropped_hints,
@@ -184,20 +165,6 @@
         self
     }
 
-    /// Counts a refusal.
-    pub fn refused(&self, reason: RefusalReason) {
-        self.refusals
-            .get_or_create(&[("reason", reason.as_str())])
-            .inc();
-    }
-
-    /// Counts a retry.
-    pub fn retried(&self, reason: RetryReason) {
-        self.retries
-            .get_or_create(&[("reason", reason.as_str())])
-            .inc();
-    }
-
     /// Counts a frame that was not delivered; `cause` is one of [`DROP_CAUSES`].
     pub fn dropped_frame(&self, cause: &'static str) {
         self.dropped_frames.get_or_create(&[("cause", cause)]).inc();
@@ -223,20 +190,6 @@
         self.dropped_config.get_or_create(&[("cause", cause)]).get()
     }
 
-    /// Returns how many requests were refused for `reason`.
-    pub fn refusals(&self, reason: RefusalReason) -> u64 {
-        self.refusals
-            .get_or_create(&[("reason", reason.as_str())])
-            .get()
-    }
-
-    /// Returns how many attempts were repeated for `reason`.
-    pub fn retries(&self, reason: RetryReason) -> u64 {
-        self.retries
-            .get_or_create(&[("reason", reason.as_str())])
-            .get()
-    }
-
     /// Returns how many frames were dropped for `cause`.
     pub fn dropped_frames(&self, cause: &'static str) -> u64 {
         self.dropped_frames.get_or_create(&[("cause", cause)]).get()
@@ -268,10 +221,3 @@
 
 /// Upper bounds of the buckets for the first token, in seconds.
 const FIRST_TOKEN_S: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.34, 0.5, 1.0, 2.5, 5.0, 10.0];
-
-fn reasons() -> Vec<&'static str> {
-    RefusalReason::ALL
-        .iter()
-        .map(|reason| reason.as_str())
-        .collect()
-}
--- a/crates/wagtailarch-entry/src/proxy_message.rs
+++ b/crates/wagtailarch-entry/src/proxy_message.rs
@@ -1,11 +1,10 @@
 //! Requests to plain services, and responses that were recorded.
 
 use bytes::Bytes;
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts,
-};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::Full;
 use wagtailarch_traffic::ClaimOutcome;
+use wagtailarch_wire::connection_headers::remove_connection_headers;
 
 use crate::{
     body::{ClientBody, full},
@@ -13,20 +12,6 @@
     request::RequestContext,
 };
 
-/// Headers that concern one connection only, and those that are the instance's own.
-const NOT_FORWARDED: [HeaderName; 10] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::HOST,
-    header::AUTHORIZATION,
-    header::EXPECT,
-];
-
 /// Builds the request to a backend server.
 pub fn outgoing(
     context: &RequestContext,
@@ -47,20 +32,13 @@
     Ok(request)
 }
 
-/// Removes the headers that are not forwarded, in both directions, and those that `Connection` names.
+/// Removes the headers that are not forwarded, in both directions.
 pub fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&NOT_FORWARDED) {
+    remove_connection_headers(headers, &[]);
+    // They are the instance's own.
+    for name in [header::HOST, header::AUTHORIZATION, header::EXPECT] {
         headers.remove(name);
     }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
 }
 
 /// Builds the response to a call whose outcome was recorded; headers are not recorded.
--- a/crates/wagtailarch-entry/src/server.rs
+++ b/crates/wagtailarch-entry/src/server.rs
@@ -184,10 +184,13 @@
     fn finish(&self, shared: &Shared, socket: &ClientSocket) {
         match self {
             Self::HeadersTooSlow if socket.is_unanswered() => {
-                shared.metrics.refused(RefusalReason::HeadersTooSlow);
+                shared
+                    .metrics
+                    .outcomes
+                    .refused(RefusalReason::HeadersTooSlow);
                 socket.write_last(&slow_response());
             }
-            Self::Malformed => shared.metrics.refused(RefusalReason::BadRequest),
+            Self::Malformed => shared.metrics.outcomes.refused(RefusalReason::BadRequest),
             Self::HeadersTooSlow | Self::Reset => shared.metrics.connection("reset"),
         }
         slog::debug!(shared.log, "connection_ended"; "cause" => ?self);
@@ -233,7 +236,7 @@
     let mut response = match answer(shared, id, request).await {
         Ok(response) => response,
         Err(refusal) => {
-            shared.metrics.refused(refusal.reason);
+            shared.metrics.outcomes.refused(refusal.reason);
             slog::debug!(shared.log, "refused"; "request" => format_request_id(id),
                 "reason" => refusal.reason.as_str(), "ran" => refusal.ran.as_str());
             refusal.to_response()
--- a/crates/wagtailarch-entry/tests/bad_input.rs
+++ b/crates/wagtailarch-entry/tests/bad_input.rs
@@ -89,7 +89,7 @@
     assert_eq!(status.as_u16(), reason.status(), "{body}");
     assert_eq!(body["error"]["code"], reason.as_str());
     assert_eq!(body["error"]["ran"], "no");
-    assert_eq!(instance.shared().metrics.refusals(reason), 1);
+    assert_eq!(instance.shared().metrics.outcomes.refusals(reason), 1);
     assert!(engine.calls().is_empty());
     assert_serves(&instance).await;
 }
@@ -116,6 +116,7 @@
         instance
             .shared()
             .metrics
+            .outcomes
             .refusals(RefusalReason::Unauthorized),
         1
     );
@@ -141,6 +142,7 @@
         instance
             .shared()
             .metrics
+            .outcomes
             .refusals(RefusalReason::BodyTooLarge),
         2
     );
@@ -160,6 +162,7 @@
     let counted = instance
         .shared()
         .metrics
+        .outcomes
         .refusals(RefusalReason::HeadersTooSlow);
     assert_eq!(counted, u64::from(answered));
     assert_serves(&instance).await;
--- a/crates/wagtailarch-entry/tests/services.rs
+++ b/crates/wagtailarch-entry/tests/services.rs
@@ -128,7 +128,7 @@
     assert_eq!(call(&instance, "/lids/quotes", "a").await.0, 201);
     assert_eq!(service.ran(), 2);
     let metrics = &instance.shared().metrics;
-    assert_eq!(metrics.retries(RetryReason::RefusedNotRun), 1);
+    assert_eq!(metrics.outcomes.retries(RetryReason::RefusedNotRun), 1);
     service.steps.lock().unwrap().extend([Step::Break; 5]);
     assert_eq!(call(&instance, "/lids/quotes", "b").await.0, 502);
     assert_eq!(service.ran(), 5);
@@ -211,6 +211,7 @@
         instance
             .shared()
             .metrics
+            .outcomes
             .refusals(RefusalReason::ClaimsUnavailable),
         1
     );
--- a/crates/wagtailarch-entry/tests/streams.rs
+++ b/crates/wagtailarch-entry/tests/streams.rs
@@ -138,7 +138,11 @@
     engines[0].script(Script::Lines(lines));
     assert_eq!(answer(&instance, true).await, (200, text(8)));
     assert_eq!(
-        instance.shared().metrics.retries(RetryReason::WrongFrame),
+        instance
+            .shared()
+            .metrics
+            .outcomes
+            .retries(RetryReason::WrongFrame),
         1
     );
 }
@@ -299,6 +303,7 @@
         instance
             .shared()
             .metrics
+            .outcomes
             .refusals(RefusalReason::Quarantined),
         2
     );
@@ -366,7 +371,12 @@
     let instance = start_with_fleet(&platform(json!(items)), QUICK, &fleet).await;
     crash_with_streams(&engines, &instance).await;
     let metrics = &instance.shared().metrics;
-    assert_eq!(metrics.refusals(RefusalReason::RetryBudgetExhausted), 0);
+    assert_eq!(
+        metrics
+            .outcomes
+            .refusals(RefusalReason::RetryBudgetExhausted),
+        0
+    );
 }
 
 /// Guards against endless attempts: the last one ends the request with what is known of it.
--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -64,7 +64,7 @@
             RetryDecision::GiveUp(reason, _) => reason,
             RetryDecision::Retry(_) if self.calls >= MAX_CALLS => RefusalReason::AttemptsExhausted,
             RetryDecision::Retry(reason) if !attempt_failure.reached() => {
-                job.gateway.metrics.retried(reason);
+                job.gateway.metrics.outcomes.retried(reason);
                 return Ok(());
             }
             RetryDecision::Retry(reason) => return self.take_retry(job, reason),
@@ -72,6 +72,15 @@
         Err(self.refusal(reason))
     }
 
+    /// Notes that an engine failed the generation with an answer of its own; returns whether another
+    /// engine is tried instead of passing that answer on.
+    pub fn on_own_failure(&mut self, job: &Job, engine: &InstanceId) -> bool {
+        job.route.kind.repeatable()
+            && self
+                .on_failure(job, engine, CallFailure::SERVER_ERROR, false)
+                .is_ok()
+    }
+
     /// Tells whether the generation could go on at another engine than `engine`.
     ///
     /// Silence alone ends nothing: without another engine the answer is awaited to the end.
@@ -100,7 +109,7 @@
             self.reads += 1;
         }
         self.failed.push(engine.clone());
-        job.gateway.metrics.retried(reason);
+        job.gateway.metrics.outcomes.retried(reason);
     }
 
     /// Takes a retry from the budget of the service.
@@ -108,7 +117,7 @@
         if !job.gateway.try_retry(&job.service) {
             return Err(self.refusal(RefusalReason::RetryBudgetExhausted));
         }
-        job.gateway.metrics.retried(reason);
+        job.gateway.metrics.outcomes.retried(reason);
         Ok(())
     }
 
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::response;
+use http::{Response, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use slog::info;
@@ -72,6 +72,17 @@
     pub ran: Ran,
 }
 
+impl Answer {
+    /// Takes the head for the client, whose body is framed anew.
+    pub fn take_head(&mut self) -> Response<()> {
+        let mut head = Response::new(());
+        *head.status_mut() = self.parts.status;
+        *head.headers_mut() = std::mem::take(&mut self.parts.headers);
+        head.headers_mut().remove(header::CONTENT_LENGTH);
+        head
+    }
+}
+
 impl CallFailure {
     /// The server says that it did not run the request.
     pub const NOT_RUN: Self = Self {
@@ -83,6 +94,11 @@
         reason: RetryReason::WrongFrame,
         ran: Ran::Unknown,
     };
+    /// The server ran the request and failed it with an answer of its own.
+    pub const SERVER_ERROR: Self = Self {
+        reason: RetryReason::ServerError,
+        ran: Ran::Yes,
+    };
     /// The connection ended before the whole answer.
     pub const CLOSED: Self = Self {
         reason: RetryReason::ClosedBeforeAnswer,
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -106,9 +106,13 @@
             let snapshot = Arc::clone(&published.borrow_and_update());
             let was_ready = self.ready();
             let news = snapshot.news != self.snapshot.borrow().news;
+            let instances = u32::try_from(snapshot.peers.len() + 1).unwrap_or(u32::MAX);
+            let mut board = self.board.borrow_mut();
+            board.set_instances(instances);
             if let Some(config) = &snapshot.config {
-                self.board.borrow_mut().apply(&snapshot.servers, config);
+                board.apply(&snapshot.servers, config);
             }
+            drop(board);
             self.metrics
                 .set_members(snapshot.servers.len(), snapshot.peers.len());
             *self.snapshot.borrow_mut() = snapshot;
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -2,12 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use http::{Response, StatusCode, header};
+use http::{Response, StatusCode};
 use slog::{debug, info};
 use wagtailarch_adapter::{CallStep, KvSource, PriorityClass, decode_read_answer};
 use wagtailarch_dispatch::{Placement, Plan, ReadPlan, ServerChoice, Urgency};
-use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
+use wagtailarch_types::{InstanceId, RefusalReason, RetryReason};
 
 use crate::{
     answer_body::AnswerBody,
@@ -107,22 +106,8 @@
                 });
             }
             Ok(answer) => match own_failure(job, &call, answer).await {
-                Ok(response) if !job.route.kind.repeatable() || resumed => {
-                    return Err(StartFailure::Answered(Box::new(response)));
-                }
-                Ok(response) => {
-                    let failure = CallFailure {
-                        reason: RetryReason::ServerError,
-                        ran: Ran::Yes,
-                    };
-                    if attempts
-                        .on_failure(job, &call.server.id, failure, false)
-                        .is_err()
-                    {
-                        return Err(StartFailure::Answered(Box::new(response)));
-                    }
-                    continue;
-                }
+                Ok(_) if !resumed && attempts.on_own_failure(job, &generator.id) => continue,
+                Ok(response) => return Err(StartFailure::Answered(Box::new(response))),
                 Err(failure) => failure,
             },
             Err(failure) => failure,
@@ -150,20 +135,16 @@
         reader,
         &attempts.failed,
     );
-    choice.ok_or_else(|| attempts.refusal(RefusalReason::NoBackend))
+    choice.ok_or_else(|| attempts.refusal(board.lack(now, &job.service, &attempts.failed)))
 }
 
 /// Chooses engines.
 fn plan(job: &Job, attempts: &Attempts) -> Result<Plan, Refusal> {
     let gateway = &job.gateway;
     let request = job.generation_request();
-    let placement = gateway.board.borrow().place_generation(
-        gateway.now(),
-        &job.service,
-        &request,
-        &attempts.failed,
-    );
-    match placement {
+    let now = gateway.now();
+    let board = gateway.board.borrow();
+    match board.place_generation(now, &job.service, &request, &attempts.failed) {
         Placement::Use(plan) => {
             debug!(gateway.log, "placed"; "request" => %job.client.id, "route" => %job.route.name,
                 "tokens" => request.prompt_tokens, "new_tokens" => plan.new_tokens, "engine" => %plan.generate.id,
@@ -188,7 +169,9 @@
                 retry_after,
             })
         }
-        Placement::NoEngine => Err(attempts.refusal(RefusalReason::NoBackend)),
+        Placement::NoEngine => {
+            Err(attempts.refusal(board.lack(now, &job.service, &attempts.failed)))
+        }
     }
 }
 
@@ -260,11 +243,11 @@
     let now = gateway.now();
     let id = &call.server.id;
     match decode_read_answer(&body) {
-        Ok(read) if status == StatusCode::OK => {
+        Ok(handle) if status == StatusCode::OK => {
             gateway.board.borrow_mut().on_success(now, id);
             Ok(KvSource {
                 address: call.server.address,
-                handle: read.handle,
+                handle,
             })
         }
         _ => {
@@ -283,17 +266,14 @@
     mut answer: Answer,
 ) -> Result<Response<AnswerBody>, CallFailure> {
     let gateway = &job.gateway;
-    let mut head = Response::new(());
-    *head.status_mut() = answer.parts.status;
-    *head.headers_mut() = std::mem::take(&mut answer.parts.headers);
-    let body: Bytes = read_whole(job, call, answer).await?;
+    let head = answer.take_head();
+    let body = read_whole(job, call, answer).await?;
     gateway
         .board
         .borrow_mut()
         .on_failure(gateway.now(), &call.server.id);
     info!(gateway.log, "engine failed the request"; "request" => %job.client.id,
         "server" => %call.server.id, "status" => head.status().as_u16());
-    head.headers_mut().remove(header::CONTENT_LENGTH);
     Ok(head.map(|()| AnswerBody::whole(body)))
 }
 
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -8,8 +8,7 @@
     registry::Registry,
 };
 use wagtailarch_dispatch::RequestKind;
-use wagtailarch_telemetry::{Counters, closed_counters};
-use wagtailarch_types::{RefusalReason, RetryReason};
+use wagtailarch_telemetry::{Counters, OutcomeCounters, closed_counters};
 
 /// Upper bounds of the buckets for answers and first events, in seconds.
 const LATENCY_S: [f64; 11] = [0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 4.0, 8.0];
@@ -56,8 +55,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    refusals: Counters,
-    retries: Counters,
+    /// Refusals and retries by reason.
+    pub outcomes: OutcomeCounters,
     store_calls: Counters,
     store_failures: Counter,
     requests: Counters,
@@ -74,16 +73,7 @@
     pub fn new() -> Self {
         let mut registry = Registry::with_prefix("wagtail");
         let r = &mut registry;
-        let reasons: Vec<_> = RefusalReason::ALL
-            .iter()
-            .map(|reason| reason.as_str())
-            .collect();
-        let refusals = closed_counters(r, "refusals", "Refused requests", "reason", &reasons);
-        let reasons: Vec<_> = RetryReason::ALL
-            .iter()
-            .map(|reason| reason.as_str())
-            .collect();
-        let retries = closed_counters(r, "retries", "Repeated attempts", "reason", &reasons);
+        let outcomes = OutcomeCounters::new(r);
         let calls = StoreCall::ALL.map(StoreCall::as_str);
         let store_calls = closed_counters(r, "store_calls", "Calls to the store", "call", &calls);
         let kinds = ["idempotent", "at_most_once", "stream", "resumable_stream"];
@@ -109,8 +99,7 @@
         registry.register("latency_seconds", help, latency.clone());
         Self {
             registry,
-            refusals,
-            retries,
+            outcomes,
             store_calls,
             store_failures,
             requests,
@@ -141,20 +130,6 @@
         self.client_gone.inc();
     }
 
-    /// Counts a refusal.
-    pub fn refused(&self, reason: RefusalReason) {
-        self.refusals
-            .get_or_create(&[("reason", reason.as_str())])
-            .inc();
-    }
-
-    /// Counts a retry.
-    pub fn retried(&self, reason: RetryReason) {
-        self.retries
-            .get_or_create(&[("reason", reason.as_str())])
-            .inc();
-    }
-
     /// Counts a call to the store.
     pub fn store_call(&self, call: StoreCall) {
         self.store_calls
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -2,11 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http::{Response, header};
+use http::Response;
 use slog::debug;
 use wagtailarch_adapter::CallStep;
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
-use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
+use wagtailarch_types::{InstanceId, Ran, RefusalReason};
 
 use crate::{
     answer_body::AnswerBody,
@@ -36,8 +36,9 @@
             &tried,
         );
         let Some(choice) = choice else {
+            let board = gateway.board.borrow();
             let refusal = Refusal {
-                reason: RefusalReason::NoBackend,
+                reason: board.lack(gateway.now(), &job.service, &tried),
                 ran,
                 retry_after: SOON,
             };
@@ -55,10 +56,7 @@
             Ok(response) if !response.status().is_server_error() => return response,
             Ok(response) => {
                 own_failure = Some(response);
-                CallFailure {
-                    reason: RetryReason::ServerError,
-                    ran: Ran::Yes,
-                }
+                CallFailure::SERVER_ERROR
             }
             Err(failure) => failure,
         };
@@ -85,7 +83,7 @@
             RetryDecision::Retry(reason)
                 if !attempt_failure.reached() || gateway.try_retry(&job.service) =>
             {
-                gateway.metrics.retried(reason);
+                gateway.metrics.outcomes.retried(reason);
                 continue;
             }
             RetryDecision::Retry(_) => RefusalReason::RetryBudgetExhausted,
@@ -127,9 +125,7 @@
 async fn attempt(job: &Job, call: &Call) -> Result<Response<AnswerBody>, CallFailure> {
     let gateway = &job.gateway;
     let mut answer = send(job, call).await?;
-    let mut head = Response::new(());
-    *head.status_mut() = answer.parts.status;
-    *head.headers_mut() = std::mem::take(&mut answer.parts.headers);
+    let head = answer.take_head();
     let body = read_whole(job, call, answer).await?;
     let now = gateway.now();
     if head.status().is_server_error() {
@@ -144,7 +140,5 @@
     debug!(gateway.log, "answered"; "request" => %job.client.id, "route" => %job.route.name,
         "server" => %call.server.id, "status" => head.status().as_u16(),
         "age_ms" => job.age().as_millis() as u64);
-    // The body is framed anew.
-    head.headers_mut().remove(header::CONTENT_LENGTH);
     Ok(head.map(|()| AnswerBody::whole(body)))
 }
--- a/crates/wagtailarch-gateway/src/refusal.rs
+++ b/crates/wagtailarch-gateway/src/refusal.rs
@@ -49,7 +49,7 @@
     pub fn respond(&self, job: &Job) -> Response<AnswerBody> {
         let response = self.bare();
         let gateway = &job.gateway;
-        gateway.metrics.refused(self.reason);
+        gateway.metrics.outcomes.refused(self.reason);
         gateway
             .metrics
             .latency(job.route.kind, "refused", job.age());
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use http::{Response, header};
+use http::Response;
 use http_body_util::BodyExt;
 use slog::{debug, info};
 use tokio::time::timeout;
@@ -51,10 +51,7 @@
 
 /// Builds the answer to the client: the head of the first engine and the events of all.
 pub fn respond(job: Rc<Job>, attempts: Attempts, mut started: Started) -> Response<AnswerBody> {
-    let mut head = Response::new(());
-    *head.status_mut() = started.answer.parts.status;
-    *head.headers_mut() = std::mem::take(&mut started.answer.parts.headers);
-    head.headers_mut().remove(header::CONTENT_LENGTH);
+    let head = started.answer.take_head();
     let last_event = job.client.resume_after;
     let relay = Relay {
         job,
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -109,7 +109,7 @@
         Err(fault) => {
             info!(gateway.log, "refused"; "reason" => %RefusalReason::BadRequest,
                 "cause" => %fault);
-            gateway.metrics.refused(RefusalReason::BadRequest);
+            gateway.metrics.outcomes.refused(RefusalReason::BadRequest);
             return status(StatusCode::BAD_REQUEST);
         }
     };
@@ -119,7 +119,10 @@
     let Some(route) = config.find(&client.host, client.path()).cloned() else {
         info!(gateway.log, "refused"; "request" => %client.id, "host" => %client.host,
             "reason" => %RefusalReason::UnknownRoute, "generation" => config.generation());
-        gateway.metrics.refused(RefusalReason::UnknownRoute);
+        gateway
+            .metrics
+            .outcomes
+            .refused(RefusalReason::UnknownRoute);
         return status(StatusCode::NOT_FOUND);
     };
     gateway.metrics.request(route.kind);
@@ -158,7 +161,10 @@
     match tokio::time::timeout(limit, body).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            gateway.metrics.refused(RefusalReason::BodyTooLarge);
+            gateway
+                .metrics
+                .outcomes
+                .refused(RefusalReason::BodyTooLarge);
             Err(status(StatusCode::PAYLOAD_TOO_LARGE))
         }
         Ok(Err(error)) => {
@@ -166,7 +172,10 @@
             Err(status(StatusCode::BAD_REQUEST))
         }
         Err(_) => {
-            gateway.metrics.refused(RefusalReason::HeadersTooSlow);
+            gateway
+                .metrics
+                .outcomes
+                .refused(RefusalReason::HeadersTooSlow);
             Err(status(StatusCode::REQUEST_TIMEOUT))
         }
     }
@@ -178,7 +187,7 @@
     reason: RefusalReason,
 ) -> Response<AnswerBody> {
     info!(gateway.log, "refused"; "request" => %client.id, "reason" => %reason);
-    gateway.metrics.refused(reason);
+    gateway.metrics.outcomes.refused(reason);
     let refusal = Refusal {
         reason,
         ran: Ran::No,
--- a/crates/wagtailarch-telemetry/src/lib.rs
+++ b/crates/wagtailarch-telemetry/src/lib.rs
@@ -3,7 +3,9 @@
 mod counters;
 mod line_limit;
 mod logging;
+mod outcome_counters;
 
 pub use counters::{Counters, closed_counters};
 pub use line_limit::{LineLimit, Verdict};
 pub use logging::{LogOutput, discard, logger};
+pub use outcome_counters::OutcomeCounters;
