Enforce the time for a head, cap client connections, reload settings

Cause: the configured time for the head of a request was decoded and not enforced, so that a half-sent head held a connection for four times the idle time. Client connections had no bound. A changed settings file had no effect, with or without SIGHUP.

Change: `ClientStream` measures the head from its first byte, since hyper's timer also runs while a kept connection is idle. Beyond 2,000 connections an instance closes new ones before it reads anything. The settings file is read again after SIGHUP and within two seconds of a change; the retry budget and the grace period take effect at once, others are reported as needing a restart.

Tests: a_slow_head_ends_its_connection_and_an_idle_connection_stays and a_changed_retry_budget_takes_effect.

--- a/crates/wagtailarch-gateway/src/answer_body.rs
+++ b/crates/wagtailarch-gateway/src/answer_body.rs
@@ -10,13 +10,15 @@
 use futures_util::{StreamExt, stream::LocalBoxStream};
 use hyper::body::{Body, Frame, SizeHint};
 
-use crate::guards::OpenRequest;
+use crate::guards::{OpenRequest, Serving};
 
 /// The body of an answer; a stream that fails ends the connection, so that it never looks complete.
 pub struct AnswerBody {
     content: Content,
     /// Counts the request until the body has been sent or dropped.
     _open: Option<OpenRequest>,
+    /// Tells the connection when the body has been sent or dropped.
+    _serving: Option<Serving>,
 }
 
 enum Content {
@@ -47,6 +49,7 @@
         Self {
             content: Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty())),
             _open: None,
+            _serving: None,
         }
     }
 
@@ -55,6 +58,7 @@
         Self {
             content: Content::Pieces(pieces),
             _open: None,
+            _serving: None,
         }
     }
 
@@ -63,6 +67,12 @@
         self._open = Some(open);
         self
     }
+
+    /// Keeps the connection from measuring another head until the body has been sent.
+    pub fn with_serving(mut self, serving: Serving) -> Self {
+        self._serving = Some(serving);
+        self
+    }
 }
 
 impl Body for AnswerBody {
--- a/crates/wagtailarch-gateway/src/bin/wagtail-gateway.rs
+++ b/crates/wagtailarch-gateway/src/bin/wagtail-gateway.rs
@@ -21,7 +21,8 @@
   --help           print this text
   --version        print the version
 
-SIGTERM finishes the requests that were read and ends the process. Exit status: 0 after a
+SIGHUP takes over changed settings that need no restart; so does a look at the file every two
+seconds. SIGTERM finishes the requests that were read and ends the process. Exit status: 0 after a
 shutdown, 1 when the process could not start, 2 for wrong arguments or settings.
 ";
 
@@ -51,8 +52,8 @@
         return ExitCode::SUCCESS;
     }
     let check = arguments.contains("--check");
-    let settings = match settings(arguments) {
-        Ok(settings) => settings,
+    let (settings, path) = match settings(arguments) {
+        Ok(found) => found,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(2);
@@ -63,7 +64,7 @@
         return ExitCode::SUCCESS;
     }
     let (log, _guard) = logger(LogOutput::Stdout, &settings.instance, &settings.zone);
-    match run(settings, log) {
+    match run(settings, path, log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
@@ -72,7 +73,7 @@
     }
 }
 
-fn settings(mut arguments: Arguments) -> Result<Settings, UsageError> {
+fn settings(mut arguments: Arguments) -> Result<(Settings, PathBuf), UsageError> {
     let path: Option<PathBuf> = arguments
         .opt_value_from_str("--settings")
         .map_err(UsageError::Arguments)?;
@@ -84,5 +85,6 @@
         .ok_or(UsageError::NoSettings(SETTINGS_PATH_VARIABLE))?;
     let name = path.display().to_string();
     let text = std::fs::read_to_string(&path).map_err(|e| UsageError::Read(name.clone(), e))?;
-    parse_settings(&text).map_err(|error| UsageError::Settings(name, error))
+    let settings = parse_settings(&text).map_err(|error| UsageError::Settings(name, error))?;
+    Ok((settings, path))
 }
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -16,7 +16,10 @@
 use wagtailarch_wire::load_note::{SentPrefixes, StrikeNote};
 
 use crate::{
-    metrics::Metrics, outbox::Outbox, settings::Settings, snapshot::Snapshot,
+    metrics::Metrics,
+    outbox::Outbox,
+    settings::{RunningSettings, Settings},
+    snapshot::Snapshot,
     traffic_view::TrafficView,
 };
 
@@ -41,10 +44,13 @@
     pub others_outbox: Outbox,
     /// Requests without a complete answer.
     pub open_requests: Cell<usize>,
+    /// Connections of clients.
+    pub open_connections: Cell<usize>,
     /// Whether the process was told to stop.
     pub stopping: watch::Sender<Stopping>,
     snapshot: RefCell<Arc<Snapshot>>,
     retries: RefCell<IndexMap<ServiceName, RetryWindow>>,
+    running_settings: Cell<RunningSettings>,
     epoch: Instant,
 }
 
@@ -69,6 +75,7 @@
         epoch: Instant,
     ) -> Self {
         Self {
+            running_settings: Cell::new(settings.running()),
             settings,
             log,
             metrics,
@@ -78,6 +85,7 @@
             zone_outbox: Outbox::default(),
             others_outbox: Outbox::default(),
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
             stopping: watch::Sender::new(Stopping::No),
             snapshot: RefCell::default(),
             retries: RefCell::default(),
@@ -125,6 +133,21 @@
         }
     }
 
+    /// Returns the settings that can change while the process runs.
+    pub fn running_settings(&self) -> RunningSettings {
+        self.running_settings.get()
+    }
+
+    /// Takes over settings; returns whether they differ from the present ones.
+    pub fn set_running_settings(&self, settings: RunningSettings) -> bool {
+        let before = self.running_settings.replace(settings);
+        if before.retry_window != settings.retry_window {
+            // Counts of another window cannot be carried over.
+            self.retries.borrow_mut().clear();
+        }
+        before != settings
+    }
+
     /// Counts a request of a client in the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
         let share = self.retry_share();
@@ -196,10 +219,11 @@
     }
 
     fn retry_share(&self) -> RetryShare {
+        let settings = self.running_settings.get();
         RetryShare {
-            ratio: self.settings.retry_ratio,
-            slack: self.settings.retry_slack,
-            window: self.settings.retry_window(),
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            window: settings.retry_window,
             instances: self.snapshot.borrow().peers.len() + 1,
         }
     }
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -5,7 +5,7 @@
 use wagtailarch_dispatch::{PrefixLink, ReadNumber, Urgency};
 use wagtailarch_types::InstanceId;
 
-use crate::gateway::Gateway;
+use crate::{client_stream::HeadClock, gateway::Gateway};
 
 /// A request that was sent to a server and is not answered.
 #[derive(Debug)]
@@ -106,6 +106,54 @@
     }
 }
 
+/// A connection of a client.
+#[derive(Debug)]
+pub struct OpenConnection {
+    gateway: Rc<Gateway>,
+}
+
+impl OpenConnection {
+    /// Counts a connection; `None` if `limit` connections are open.
+    pub fn new(gateway: &Rc<Gateway>, limit: usize) -> Option<Self> {
+        if gateway.open_connections.get() >= limit {
+            return None;
+        }
+        gateway
+            .open_connections
+            .set(gateway.open_connections.get() + 1);
+        gateway.metrics.open_connections.inc();
+        Some(Self {
+            gateway: Rc::clone(gateway),
+        })
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let open = self.gateway.open_connections.get();
+        self.gateway.open_connections.set(open.saturating_sub(1));
+        self.gateway.metrics.open_connections.dec();
+    }
+}
+
+/// A request on a client's connection, until its answer has been sent or dropped.
+#[derive(Debug)]
+pub struct Serving(Rc<HeadClock>);
+
+impl Serving {
+    /// Notes that the head of a request has arrived.
+    pub fn new(clock: &Rc<HeadClock>) -> Self {
+        clock.start_serving();
+        Self(Rc::clone(clock))
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.stop_serving();
+    }
+}
+
 /// A request of a client that has no complete answer yet.
 #[derive(Debug)]
 pub struct OpenRequest {
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer_body;
 mod attempts;
 mod backend_client;
+mod client_stream;
 mod connection;
 mod control;
 mod event_splitter;
@@ -23,6 +24,7 @@
 mod ready;
 mod refusal;
 mod relay;
+mod reload;
 mod server;
 mod settings;
 mod snapshot;
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -62,6 +62,8 @@
     requests: Counters,
     client_gone: Counter,
     open_requests: Gauge,
+    /// Connections of clients.
+    pub open_connections: Gauge,
     generation: Gauge,
     servers: Gauge,
     peers: Gauge,
@@ -90,6 +92,7 @@
             gauge
         };
         let open_requests = gauge("open_requests", "Requests without a complete answer");
+        let open_connections = gauge("open_connections", "Connections of clients");
         let generation = gauge("generation", "Generation of the configuration in force");
         let servers = gauge("servers", "Usable backend servers");
         let peers = gauge("peers", "Other entry instances that are listed");
@@ -105,6 +108,7 @@
             requests,
             client_gone,
             open_requests,
+            open_connections,
             generation,
             servers,
             peers,
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
+    path::PathBuf,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -12,7 +13,7 @@
 use slog::{Logger, info, warn};
 use tokio::{
     net::{TcpListener, UdpSocket},
-    signal::unix::{Signal, SignalKind, signal},
+    signal::unix::{SignalKind, signal},
     task::{LocalSet, spawn_local},
     time::sleep,
 };
@@ -26,6 +27,7 @@
     outbox::Reach,
     peers::{hear_peers, tell_peers},
     ready::serve_status,
+    reload::SettingsFile,
     server::serve_clients,
     settings::Settings,
     traffic_view::TrafficView,
@@ -48,8 +50,10 @@
 impl std::error::Error for StartError {}
 
 /// Runs until the process gets SIGTERM and has finished what it read.
-pub fn run(settings: Settings, log: Logger) -> Result<(), StartError> {
-    run_until(settings, log, || {
+///
+/// Changes of the settings file at `path` are taken over while the process runs.
+pub fn run(settings: Settings, path: PathBuf, log: Logger) -> Result<(), StartError> {
+    run_until(settings, path, log, || {
         let mut term = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
         Ok(async move {
             term.recv().await;
@@ -62,6 +66,7 @@
 /// `stop` is called on the runtime.
 pub fn run_until<F: Future<Output = ()>>(
     settings: Settings,
+    path: PathBuf,
     log: Logger,
     stop: impl FnOnce() -> Result<F, StartError>,
 ) -> Result<(), StartError> {
@@ -71,7 +76,7 @@
         .map_err(StartError::Runtime)?;
     LocalSet::new().block_on(&runtime, async {
         let stop = stop()?;
-        let gateway = serve(settings, log).await?;
+        let gateway = serve(settings, SettingsFile::new(path), log).await?;
         stop.await;
         shut_down(&gateway).await;
         Ok(())
@@ -79,7 +84,11 @@
 }
 
 /// Starts serving.
-async fn serve(settings: Settings, log: Logger) -> Result<Rc<Gateway>, StartError> {
+async fn serve(
+    settings: Settings,
+    file: SettingsFile,
+    log: Logger,
+) -> Result<Rc<Gateway>, StartError> {
     let epoch = Instant::now();
     let metrics = Arc::new(Metrics::new());
     let traffic = Arc::new(TrafficView::default());
@@ -118,14 +127,14 @@
         ));
     }
     spawn_local(hear_peers(Rc::clone(&gateway), socket));
-    spawn_local(report_hangups(Rc::clone(&gateway), hangup));
+    spawn_local(file.follow(Rc::clone(&gateway), hangup));
     Ok(gateway)
 }
 
 /// Finishes what was read and asks clients to go elsewhere.
 async fn shut_down(gateway: &Gateway) {
     let plan = ShutdownPlan {
-        grace: gateway.settings.grace(),
+        grace: gateway.running_settings().grace,
     };
     let begun = gateway.now();
     info!(gateway.log, "stopping"; "open_requests" => gateway.open_requests.get());
@@ -152,13 +161,6 @@
     }
 }
 
-/// Logs each SIGHUP; the settings hold nothing that can change while the process runs.
-async fn report_hangups(gateway: Rc<Gateway>, mut hangup: Signal) {
-    while hangup.recv().await.is_some() {
-        info!(gateway.log, "settings unchanged"; "cause" => "SIGHUP");
-    }
-}
-
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|error| StartError::Listen(address, error))
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -19,9 +19,10 @@
 
 use crate::{
     answer_body::AnswerBody,
+    client_stream::{ClientStream, HeadClock},
     gateway::{Gateway, Stopping},
     generation,
-    guards::OpenRequest,
+    guards::{OpenConnection, OpenRequest, Serving},
     job::Job,
     plain,
     refusal::{Refusal, SOON},
@@ -34,6 +35,10 @@
 /// Clients may reuse a connection shortly before the idle time is over, and a longer idle time may be
 /// configured while the connection is open.
 const IDLE_FACTOR: u32 = 4;
+/// Connections of clients that are open at once; further ones are closed before anything is read.
+///
+/// Half of the 4,100 descriptors of the smallest machines are left for calls to servers.
+const MAX_CLIENT_CONNECTIONS: usize = 2_000;
 /// Time after which a client may return whose request has crashed servers.
 const AFTER_CRASHES: Duration = Duration::from_secs(10);
 
@@ -50,7 +55,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_client(Rc::clone(&gateway), stream));
+                let Some(open) = OpenConnection::new(&gateway, MAX_CLIENT_CONNECTIONS) else {
+                    warn!(gateway.log, "connection refused"; "cause" => "too many connections",
+                        "limit" => MAX_CLIENT_CONNECTIONS);
+                    continue;
+                };
+                tokio::task::spawn_local(serve_client(Rc::clone(&gateway), stream, open));
             }
             Err(error) => {
                 warn!(gateway.log, "accept failed"; "cause" => %error);
@@ -60,16 +70,23 @@
     }
 }
 
-async fn serve_client(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_client(gateway: Rc<Gateway>, stream: TcpStream, _open: OpenConnection) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!(gateway.log, "socket option not set"; "cause" => %error);
     }
     let limits = limits(&gateway);
     let mut stopping = gateway.stopping.subscribe();
+    let clock = Rc::new(HeadClock::default());
+    let stream = ClientStream::new(stream, Rc::clone(&clock));
     let shared = Rc::clone(&gateway);
+    let served = Rc::clone(&clock);
     let service = service_fn(move |request| {
         let gateway = Rc::clone(&shared);
-        async move { Ok::<_, Infallible>(answer(gateway, request).await) }
+        let serving = Serving::new(&served);
+        async move {
+            let response = answer(gateway, request).await;
+            Ok::<_, Infallible>(response.map(|body| body.with_serving(serving)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -80,6 +97,12 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
+        () = clock.overdue(limits.head_timeout) => {
+            gateway.metrics.outcomes.refused(RefusalReason::HeadersTooSlow);
+            info!(gateway.log, "connection closed"; "reason" => %RefusalReason::HeadersTooSlow,
+                "limit_ms" => limits.head_timeout.as_millis() as u64);
+            return;
+        }
         _ = stopping.wait_for(|stopping| *stopping == Stopping::Finishing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
--- a/crates/wagtailarch-gateway/src/settings.rs
+++ b/crates/wagtailarch-gateway/src/settings.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use wagtailarch_types::{InstanceId, ZoneName};
 
-/// Settings of a process; docs/platform.md describes the keys.
+/// Settings of a process; docs/platform.md describes the keys and which need a restart.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
@@ -28,13 +28,26 @@
     /// Time in seconds between the request to stop and the forced end; above 1.
     grace_s: f64,
     /// Retries of all instances for each request; from 0 to 1.
-    pub retry_ratio: f64,
+    retry_ratio: f64,
     /// Retries of all instances in any window besides; not negative.
-    pub retry_slack: f64,
+    retry_slack: f64,
     /// Length in seconds of the window for retries; above 0.
     retry_window_s: f64,
 }
 
+/// The settings that take effect while the process runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RunningSettings {
+    /// Time between the request to stop and the forced end.
+    pub grace: Duration,
+    /// Retries of all instances for each request.
+    pub retry_ratio: f64,
+    /// Retries of all instances in any window besides.
+    pub retry_slack: f64,
+    /// Length of the window for retries.
+    pub retry_window: Duration,
+}
+
 /// Why settings cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum SettingsError {
@@ -52,14 +65,26 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
-    /// Returns the time between the request to stop and the forced end.
-    pub fn grace(&self) -> Duration {
-        Duration::from_secs_f64(self.grace_s)
+    /// Returns the settings that take effect while the process runs.
+    pub fn running(&self) -> RunningSettings {
+        RunningSettings {
+            grace: Duration::from_secs_f64(self.grace_s),
+            retry_ratio: self.retry_ratio,
+            retry_slack: self.retry_slack,
+            retry_window: Duration::from_secs_f64(self.retry_window_s),
+        }
     }
 
-    /// Returns the length of the window for retries.
-    pub fn retry_window(&self) -> Duration {
-        Duration::from_secs_f64(self.retry_window_s)
+    /// Tells whether `newer` differs in a setting that takes effect at a start only.
+    pub fn needs_restart(&self, newer: &Self) -> bool {
+        let with_own_running = Self {
+            grace_s: self.grace_s,
+            retry_ratio: self.retry_ratio,
+            retry_slack: self.retry_slack,
+            retry_window_s: self.retry_window_s,
+            ..newer.clone()
+        };
+        *self != with_own_running
     }
 
     fn check(&self) -> Result<(), SettingsError> {
