Remove gone instances from the store and list a removed one again

Cause: the object of a machine that was replaced stayed in the store for ever. Each listed instance takes a part of the retry budget and of the connections to servers, so the parts of the others shrank with every replacement.

Change: `Listing` decides without I/O. An instance that is listed and silent for ten minutes is removed by the one instance that rendezvous hashing names among those that hear each other; one that hears nobody removes nobody. An instance that is missing from two lists in a row lists itself again.

--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -8,9 +8,11 @@
 use smol_str::SmolStr;
 use tokio::{sync::watch, time::sleep};
 use wagtailarch_adapter::{
-    Kind, PutOutcome, StoreObject, create_request, decode_list, decode_put, list_request,
-    replace_request,
+    Kind, PutOutcome, StoreObject, create_request, decode_delete, decode_list, decode_put,
+    delete_request, list_request, replace_request,
 };
+use wagtailarch_dispatch::{Listing, is_designated};
+use wagtailarch_types::InstanceId;
 
 use crate::{
     control::{ControlContext, publish, store_error::StoreError},
@@ -37,7 +39,7 @@
     NotWritten,
 }
 
-/// Keeps this instance listed and publishes the others.
+/// Keeps this instance listed, publishes the others and removes those that are gone.
 pub async fn keep_listed(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
     let mut client = HttpClient::new(context.store_address);
     while let Err(error) = write(&context, &mut client).await {
@@ -45,13 +47,13 @@
         sleep(SHORT_PAUSE).await;
     }
     let mut lists = 0;
+    let mut listing = Listing::default();
     loop {
         match list(&context, &mut client).await {
-            Ok(peers) if *publisher.borrow().peers != peers => {
-                info!(context.log, "peers changed"; "peers" => peers.len());
-                publish(&publisher, |snapshot| snapshot.peers = Arc::new(peers));
+            Ok(instances) => {
+                keep_list(&context, &mut client, &mut listing, &instances).await;
+                publish_peers(&context, &publisher, instances);
             }
-            Ok(_) => {}
             // The watchers report a lost store.
             Err(_) => context.metrics.store_failure(),
         }
@@ -65,6 +67,59 @@
     }
 }
 
+/// Lists this instance again if it is missing, and removes instances that are gone.
+async fn keep_list(
+    context: &ControlContext,
+    client: &mut HttpClient,
+    listing: &mut Listing,
+    instances: &[Peer],
+) {
+    let now = context.epoch.elapsed();
+    let live = context.traffic.live_peers(now);
+    let heard: Vec<_> = live.into_iter().map(|(name, _)| name).collect();
+    let listed: Vec<_> = instances.iter().map(|peer| peer.name.clone()).collect();
+    let gone = listing.on_list(now, &context.instance, &listed, &heard);
+    if listing.must_list_again() {
+        let written = write(context, client).await;
+        info!(context.log, "instance listed again"; "written" => written.is_ok());
+    }
+    if !is_designated(
+        Kind::Instances.as_str(),
+        &context.instance,
+        &mut heard.iter(),
+    ) {
+        return;
+    }
+    for name in gone {
+        let removed = remove(context, client, &name).await;
+        info!(context.log, "instance removed"; "peer" => %name, "cause" => "silent",
+            "removed" => removed.is_ok());
+    }
+}
+
+fn publish_peers(
+    context: &ControlContext,
+    publisher: &watch::Sender<Arc<Snapshot>>,
+    mut instances: Vec<Peer>,
+) {
+    instances.retain(|peer| peer.name != context.instance);
+    if *publisher.borrow().peers != instances {
+        info!(context.log, "peers changed"; "peers" => instances.len());
+        publish(publisher, |snapshot| snapshot.peers = Arc::new(instances));
+    }
+}
+
+async fn remove(
+    context: &ControlContext,
+    client: &mut HttpClient,
+    name: &InstanceId,
+) -> Result<(), StoreError> {
+    context.metrics.store_call(StoreCall::Write);
+    let request = delete_request(Kind::Instances, name);
+    let (status, _) = client.call(request, CALL_LIMIT).await?;
+    Ok(decode_delete(status)?)
+}
+
 /// Creates or replaces the object of this instance.
 async fn write(context: &ControlContext, client: &mut HttpClient) -> Result<(), ListingError> {
     let content = json!({
@@ -95,24 +150,23 @@
     decode_put(status, &body).map_err(|fault| ListingError::Store(fault.into()))
 }
 
-/// Lists the other instances in the order of their names.
+/// Lists all instances in the order of their names.
 async fn list(context: &ControlContext, client: &mut HttpClient) -> Result<Vec<Peer>, StoreError> {
-    let mut peers = Vec::new();
+    let mut instances = Vec::new();
     let mut after: Option<SmolStr> = None;
     loop {
         context.metrics.store_call(StoreCall::StaleList);
         let request = list_request(Kind::Instances, after.as_deref(), true);
         let (status, body) = client.call(request, CALL_LIMIT).await?;
         let page = decode_list(status, &body)?;
-        let others = page.objects.iter().filter_map(peer);
-        peers.extend(others.filter(|peer| peer.name != context.instance));
+        instances.extend(page.objects.iter().filter_map(peer));
         after = page.next_after;
         if after.is_none() {
             break;
         }
     }
-    peers.sort();
-    Ok(peers)
+    instances.sort();
+    Ok(instances)
 }
 
 fn peer(object: &StoreObject) -> Option<Peer> {
