Let the log explain failures and delay nothing

Cause: the three walks of OPERATIONS.md were checked by hand only, `wagtail-entry` logged to stderr, lines that were left out were not counted, and a process whose standard output nobody reads never ended: the guard of the logger waited for the writing thread for ever.

Change: `ProcessLog` holds logger, counter of lost lines and guard; it waits 0.5 s at the end. Both entry programs write to stdout. New metrics: requests and predicted wait by backend server, prompts not read yet, time of the last answer of the store by kind, memory, lost lines.

--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -31,6 +31,17 @@
     instances: u32,
 }
 
+/// Load of one backend server as this instance believes it, for metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Server.
+    pub server: InstanceId,
+    /// Requests of this instance that were sent and are not answered.
+    pub in_flight: u32,
+    /// Predicted wait of an urgent prompt; absent for plain servers.
+    pub read_wait: Option<Duration>,
+}
+
 /// Sender of this instance's own prompts in the queues of its engines.
 const OWN: InstanceId = InstanceId::new_inline("");
 
@@ -229,6 +240,18 @@
         engines.collect()
     }
 
+    /// Returns the load of every usable server.
+    pub fn loads(&self, now: Duration) -> impl Iterator<Item = ServerLoad> {
+        self.backends.iter().map(move |(id, backend)| {
+            let engine = backend.engine.as_ref();
+            ServerLoad {
+                server: id.clone(),
+                in_flight: backend.in_flight,
+                read_wait: engine.map(|engine| engine.queue.wait(now, Urgency::OnTime)),
+            }
+        })
+    }
+
     /// Returns the requests of all instances that generate, by service.
     pub fn running_by_service(&self, now: Duration) -> IndexMap<ServiceName, u32> {
         let mut running = IndexMap::new();
--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -23,7 +23,7 @@
 mod shutdown;
 mod watch_plan;
 
-pub use board::Board;
+pub use board::{Board, ServerLoad};
 pub use engine_state::EngineState;
 pub use evidence::Evidence;
 pub use listing::Listing;
--- a/crates/wagtailarch-e2e/src/lib.rs
+++ b/crates/wagtailarch-e2e/src/lib.rs
@@ -25,5 +25,5 @@
 pub use load::{LoadHandle, scenario};
 pub use options::{ConfigSource, FleetOptions};
 pub use ports::Ports;
-pub use process::ServerProcess;
+pub use process::{ServerProcess, program_path};
 pub use usage::Usage;
--- a/crates/wagtailarch-e2e/src/process.rs
+++ b/crates/wagtailarch-e2e/src/process.rs
@@ -82,9 +82,11 @@
         self.child.id()
     }
 
-    /// Returns what the process has logged.
+    /// Returns what the process has written: standard output of this start, standard error of all.
     pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
+        let read = |path: &Path| std::fs::read(path).unwrap_or_default();
+        let text = [read(&self.output), read(&self.log)].concat();
+        String::from_utf8_lossy(&text).into_owned()
     }
 
     /// Fails if the process has ended.
@@ -139,7 +141,7 @@
 }
 
 /// Finds a program beside the running one: in the target directory of the same profile.
-pub(crate) fn program_path(program: &str) -> Result<PathBuf, HarnessError> {
+pub fn program_path(program: &str) -> Result<PathBuf, HarnessError> {
     let own = std::env::current_exe()?;
     let mut dir = own.parent().unwrap_or(Path::new(".")).to_owned();
     if dir.ends_with("deps") {
--- a/crates/wagtailarch-entry/src/bin/wagtail-entry.rs
+++ b/crates/wagtailarch-entry/src/bin/wagtail-entry.rs
@@ -6,7 +6,7 @@
 use pico_args::Arguments;
 use tokio::signal::unix::{SignalKind, signal};
 use wagtailarch_entry::{Instance, Settings, parse_settings};
-use wagtailarch_telemetry::{LogOutput, logger};
+use wagtailarch_telemetry::ProcessLog;
 
 const HELP: &str = "\
 wagtail-entry: entry instance of wagtailarch
@@ -91,9 +91,9 @@
             return ExitCode::FAILURE;
         }
     };
-    let (log, _guard) = logger(LogOutput::Stderr, &settings.instance, &settings.zone);
+    let log = ProcessLog::start(&settings.instance, &settings.zone);
     let finished = runtime.block_on(async {
-        let instance = match Instance::start(settings, log).await {
+        let instance = match Instance::start(settings, log.logger.clone()).await {
             Ok(instance) => instance,
             Err(error) => {
                 eprintln!("{error}");
--- a/crates/wagtailarch-gateway/src/bin/wagtail-gateway.rs
+++ b/crates/wagtailarch-gateway/src/bin/wagtail-gateway.rs
@@ -6,7 +6,7 @@
 use pico_args::Arguments;
 use wagtailarch_adapter::SETTINGS_PATH_VARIABLE;
 use wagtailarch_gateway::{Settings, parse_settings, run};
-use wagtailarch_telemetry::{LogOutput, logger};
+use wagtailarch_telemetry::ProcessLog;
 
 const HELP: &str = "\
 wagtail-gateway: entry instance of wagtailarch on the users' platform
@@ -63,8 +63,8 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    let (log, _guard) = logger(LogOutput::Stdout, &settings.instance, &settings.zone);
-    match run(settings, path, log) {
+    let log = ProcessLog::start(&settings.instance, &settings.zone);
+    match run(settings, path, &log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -175,6 +175,7 @@
     }
 
     fn on_answer(&mut self) {
+        self.context.metrics.store_answered(self.kind.as_str());
         self.pause = FIRST_PAUSE;
         if std::mem::take(&mut self.lost) {
             info!(self.log(), "store regained"; "kind" => self.kind.as_str());
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -1,13 +1,16 @@
 //! Metrics of an instance.
 
-use std::time::Duration;
+use std::{
+    fs,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use prometheus_client::{
     encoding::text::encode,
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
-use wagtailarch_dispatch::RequestKind;
+use wagtailarch_dispatch::{Board, RequestKind};
 use wagtailarch_telemetry::{Counters, OutcomeCounters, closed_counters};
 
 /// Upper bounds of the buckets for answers and first events, in seconds.
@@ -67,12 +70,22 @@
     generation: Gauge,
     servers: Gauge,
     peers: Gauge,
+    open_reads: Gauge,
+    in_flight: ByServer,
+    read_wait: ByServer,
+    last_store_answer: Family<[(&'static str, &'static str); 1], Gauge>,
+    resident_bytes: Gauge,
     latency: Family<LatencyLabels, Histogram>,
 }
 
+/// Gauges by backend server; only servers that are usable at present are kept.
+type ByServer = Family<[(&'static str, String); 1], Gauge>;
+
 impl Metrics {
     /// Creates and registers all metrics.
-    pub fn new() -> Self {
+    ///
+    /// `lost_lines` counts the log lines that were not written.
+    pub fn new(lost_lines: Counter) -> Self {
         let mut registry = Registry::with_prefix("wagtail");
         let r = &mut registry;
         let outcomes = OutcomeCounters::new(r);
@@ -83,6 +96,11 @@
         let store_failures = Counter::default();
         let help = "Calls to the store without a result";
         r.register("store_failures", help, store_failures.clone());
+        r.register(
+            "log_lines_lost",
+            "Log lines that were not written",
+            lost_lines,
+        );
         let client_gone = Counter::default();
         let help = "Requests whose client left before the end of the answer";
         r.register("client_gone", help, client_gone.clone());
@@ -96,6 +114,18 @@
         let generation = gauge("generation", "Generation of the configuration in force");
         let servers = gauge("servers", "Usable backend servers");
         let peers = gauge("peers", "Other entry instances that are listed");
+        let open_reads = gauge("open_reads", "Prompts sent to engines and not read yet");
+        let resident_bytes = gauge("resident_bytes", "Memory of the process in RAM");
+        let in_flight = ByServer::default();
+        let help = "Requests of this instance at a backend server";
+        registry.register("in_flight", help, in_flight.clone());
+        let read_wait = ByServer::default();
+        let help = "Predicted wait of a prompt at an engine, in milliseconds";
+        registry.register("read_wait_ms", help, read_wait.clone());
+        let last_store_answer = Family::default();
+        let help = "Time of the last answer of the store, by kind of object";
+        let name = "store_last_answer_timestamp_seconds";
+        registry.register(name, help, last_store_answer.clone());
         let latency =
             Family::<LatencyLabels, Histogram>::new_with_constructor(|| Histogram::new(LATENCY_S));
         let help = "Time to the answer, or to the first event of a stream, by kind and outcome";
@@ -112,6 +142,11 @@
             generation,
             servers,
             peers,
+            open_reads,
+            in_flight,
+            read_wait,
+            last_store_answer,
+            resident_bytes,
             latency,
         }
     }
@@ -165,6 +200,33 @@
         self.peers.set(peers as i64);
     }
 
+    /// Notes an answer of the store about a kind of objects.
+    pub fn store_answered(&self, kind: &'static str) {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let seconds = since_epoch.unwrap_or_default().as_secs();
+        let gauge = self.last_store_answer.get_or_create(&[("kind", kind)]);
+        gauge.set(seconds as i64);
+    }
+
+    /// Takes over what is only read when metrics are asked for.
+    pub fn observe(&self, now: Duration, board: &Board) {
+        self.open_reads.set(board.open_reads().len() as i64);
+        self.in_flight.clear();
+        self.read_wait.clear();
+        for load in board.loads(now) {
+            let labels = [("server", load.server.to_string())];
+            let in_flight = self.in_flight.get_or_create(&labels);
+            in_flight.set(load.in_flight.into());
+            if let Some(wait) = load.read_wait {
+                let read_wait = self.read_wait.get_or_create(&labels);
+                read_wait.set(wait.as_millis() as i64);
+            }
+        }
+        if let Some(bytes) = resident_bytes() {
+            self.resident_bytes.set(bytes);
+        }
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
@@ -173,8 +235,10 @@
     }
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
-        Self::new()
-    }
+/// Returns the memory of this process in RAM; `None` where the system does not tell.
+fn resident_bytes() -> Option<i64> {
+    let text = fs::read_to_string("/proc/self/status").ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kilobytes: i64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kilobytes * 1024)
 }
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -10,7 +10,7 @@
 };
 
 use displaydoc::Display;
-use slog::{Logger, info, warn};
+use slog::{info, warn};
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
@@ -18,6 +18,7 @@
     time::sleep,
 };
 use wagtailarch_dispatch::{ShutdownPhase, ShutdownPlan};
+use wagtailarch_telemetry::ProcessLog;
 use wagtailarch_types::BootId;
 
 use crate::{
@@ -52,7 +53,7 @@
 /// Runs until the process gets SIGTERM and has finished what it read.
 ///
 /// Changes of the settings file at `path` are taken over while the process runs.
-pub fn run(settings: Settings, path: PathBuf, log: Logger) -> Result<(), StartError> {
+pub fn run(settings: Settings, path: PathBuf, log: &ProcessLog) -> Result<(), StartError> {
     run_until(settings, path, log, || {
         let mut term = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
         Ok(async move {
@@ -67,7 +68,7 @@
 pub fn run_until<F: Future<Output = ()>>(
     settings: Settings,
     path: PathBuf,
-    log: Logger,
+    log: &ProcessLog,
     stop: impl FnOnce() -> Result<F, StartError>,
 ) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -87,10 +88,11 @@
 async fn serve(
     settings: Settings,
     file: SettingsFile,
-    log: Logger,
+    log: &ProcessLog,
 ) -> Result<Rc<Gateway>, StartError> {
     let epoch = Instant::now();
-    let metrics = Arc::new(Metrics::new());
+    let metrics = Arc::new(Metrics::new(log.lost_lines.clone()));
+    let log = log.logger.clone();
     let traffic = Arc::new(TrafficView::default());
     let clients = listen(settings.client_address).await?;
     let ready = listen(settings.ready_address).await?;
--- a/crates/wagtailarch-gateway/src/ready.rs
+++ b/crates/wagtailarch-gateway/src/ready.rs
@@ -50,7 +50,11 @@
     let (status, text) = match request.uri().path() {
         READY_PATH if gateway.ready() => (StatusCode::OK, "ready\n".to_owned()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-        METRICS_PATH => (StatusCode::OK, gateway.metrics.encode()),
+        METRICS_PATH => {
+            let board = gateway.board.borrow();
+            gateway.metrics.observe(gateway.now(), &board);
+            (StatusCode::OK, gateway.metrics.encode())
+        }
         _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
     };
     let mut response = Response::new(Full::from(text));
--- a/crates/wagtailarch-telemetry/src/lib.rs
+++ b/crates/wagtailarch-telemetry/src/lib.rs
@@ -7,5 +7,5 @@
 
 pub use counters::{Counters, closed_counters};
 pub use line_limit::{LineLimit, Verdict};
-pub use logging::{LogOutput, discard, logger};
+pub use logging::{ProcessLog, discard};
 pub use outcome_counters::OutcomeCounters;
--- a/crates/wagtailarch-telemetry/src/logging.rs
+++ b/crates/wagtailarch-telemetry/src/logging.rs
@@ -3,11 +3,14 @@
 use std::{
     fmt::{self, Write as _},
     io::{self, Write as _},
-    sync::{Mutex, PoisonError},
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    sync::{Mutex, PoisonError, mpsc},
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use slog::{Drain, KV, Key, Level, Logger, OwnedKVList, Record, Serializer, o};
+use prometheus_client::metrics::counter::Counter;
+use slog::{Drain, KV, Key, Level, Logger, Never, OwnedKVList, Record, Serializer, o};
+use slog_async::{AsyncCore, AsyncGuard};
 
 use crate::{LineLimit, Verdict};
 
@@ -17,27 +20,92 @@
 /// Lines that a process writes in a second; about 60 KB a second at 200 bytes a line.
 const LINES_PER_S: u32 = 300;
 
-/// Where lines are written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LogOutput {
-    /// Standard output.
-    Stdout,
-    /// Standard error.
-    Stderr,
-}
+/// Time that waiting lines are given at the end of a process; what reads them may have stopped.
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
 
-/// Creates the logger of a process; a thread of its own writes, so that no caller waits.
+/// The log of a process, written to standard output.
 ///
-/// At most `LINES_PER_S` lines are written in a second, failures before routine lines (level debug);
-/// a line with the field `left_out` says how many were not. The returned guard writes out waiting
-/// records when it is dropped.
-pub fn logger(output: LogOutput, instance: &str, zone: &str) -> (Logger, slog_async::AsyncGuard) {
-    let (drain, guard) = slog_async::Async::new(LineDrain::new(output).ignore_res())
-        .chan_size(QUEUE_RECORDS)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build_with_guard();
-    let values = o!("instance" => instance.to_owned(), "zone" => zone.to_owned());
-    (Logger::root(drain.fuse(), values), guard)
+/// A thread of its own writes, so that no caller waits, whatever reads the lines. At most
+/// `LINES_PER_S` lines are written in a second, failures before routine lines (level debug); a line
+/// with the field `left_out` says how many were not.
+pub struct ProcessLog {
+    /// Logger whose lines name the instance and its zone.
+    pub logger: Logger,
+    /// Lines that were not written, because of the limit or because nothing reads them.
+    pub lost_lines: Counter,
+    guard: Option<AsyncGuard>,
+}
+
+impl ProcessLog {
+    /// Starts the thread that writes.
+    pub fn start(instance: &str, zone: &str) -> Self {
+        let lost_lines = Counter::default();
+        let lines = LineDrain::new(lost_lines.clone());
+        let builder = AsyncCore::custom(lines.ignore_res()).chan_size(QUEUE_RECORDS);
+        let (queue, guard) = builder.build_with_guard();
+        let drain = CountingQueue {
+            queue,
+            lost_lines: lost_lines.clone(),
+        };
+        let values = o!("instance" => instance.to_owned(), "zone" => zone.to_owned());
+        Self {
+            logger: Logger::root(drain.fuse(), values),
+            lost_lines,
+            guard: Some(guard),
+        }
+    }
+
+    /// Creates a log that writes nothing.
+    pub fn discard() -> Self {
+        Self {
+            logger: discard(),
+            lost_lines: Counter::default(),
+            guard: None,
+        }
+    }
+}
+
+impl fmt::Debug for ProcessLog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ProcessLog").finish_non_exhaustive()
+    }
+}
+
+impl Drop for ProcessLog {
+    /// Writes out waiting lines, for at most `FLUSH_LIMIT`.
+    fn drop(&mut self) {
+        let Some(guard) = self.guard.take() else {
+            return;
+        };
+        let (done, flushed) = mpsc::channel();
+        let flushing = thread::Builder::new().spawn(move || {
+            drop(guard);
+            // Nothing waits any more after the limit.
+            let _ = done.send(());
+        });
+        if flushing.is_ok() {
+            // Lines that are still waiting are lost with the process.
+            let _ = flushed.recv_timeout(FLUSH_LIMIT);
+        }
+    }
+}
+
+/// Queue of records in front of the thread that writes; it drops and counts what has no room.
+struct CountingQueue {
+    queue: AsyncCore,
+    lost_lines: Counter,
+}
+
+impl Drain for CountingQueue {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        if self.queue.log(record, values).is_err() {
+            self.lost_lines.inc();
+        }
+        Ok(())
+    }
 }
 
 /// Creates a logger that discards every event.
@@ -48,26 +116,19 @@
 /// Writes one line per record.
 #[derive(Debug)]
 struct LineDrain {
-    output: LogOutput,
+    lost_lines: Counter,
     limit: Mutex<LineLimit>,
     started: Instant,
 }
 
 impl LineDrain {
-    fn new(output: LogOutput) -> Self {
+    fn new(lost_lines: Counter) -> Self {
         Self {
-            output,
+            lost_lines,
             limit: Mutex::new(LineLimit::new(LINES_PER_S)),
             started: Instant::now(),
         }
     }
-
-    fn write(&self, line: &str) -> io::Result<()> {
-        match self.output {
-            LogOutput::Stdout => io::stdout().write_all(line.as_bytes()),
-            LogOutput::Stderr => io::stderr().write_all(line.as_bytes()),
-        }
-    }
 }
 
 impl Drain for LineDrain {
@@ -82,6 +143,7 @@
             .unwrap_or_else(PoisonError::into_inner)
             .on_line(self.started.elapsed(), routine);
         let Verdict::Write { left_out } = verdict else {
+            self.lost_lines.inc();
             return Ok(());
         };
         let now = SystemTime::now()
@@ -104,7 +166,7 @@
             line.pair("left_out", left_out);
         }
         line.0.push('\n');
-        self.write(&line.0)
+        io::stdout().write_all(line.0.as_bytes())
     }
 }
 
