Reset connections and cut one direction in the link stand-in

The fault soak of the gateway needs both: a cut in one direction, and connections that end with a reset.

--- a/crates/wagtailarch-e2e/src/links.rs
+++ b/crates/wagtailarch-e2e/src/links.rs
@@ -117,7 +117,7 @@
             let cut = Cut {
                 links: names("peer", to),
                 from: from.iter().map(|&n| self.entries[n].peer).collect(),
-                refuse: false,
+                ..Cut::default()
             };
             links.cut(&cut).await?;
         }
--- a/crates/wagtailarch-standin/src/link/mod.rs
+++ b/crates/wagtailarch-standin/src/link/mod.rs
@@ -10,4 +10,4 @@
 
 pub use server::run_links;
 pub use settings::{LINK_HELP, LinkSettings, Route, RouteError};
-pub use state::{Cut, Delay, Heal, LinkCounters};
+pub use state::{Cut, Delay, Direction, Heal, LinkCounters, Reset};
--- a/crates/wagtailarch-standin/src/link/server.rs
+++ b/crates/wagtailarch-standin/src/link/server.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 
 use super::settings::LinkSettings;
-use super::state::{Cut, Delay, Heal, Link, LinkCounters};
+use super::state::{Cut, Delay, Heal, Link, LinkCounters, Reset};
 use super::tcp::forward_tcp;
 use super::udp::forward_udp;
 use crate::serve::{
@@ -88,6 +88,13 @@
             }
             Err(refused) => refused,
         },
+        (Method::POST, "/standin/v1/reset") => match read_json::<Reset>(request).await {
+            Ok(reset) => {
+                info!(log, "reset"; "links" => ?reset.links);
+                for_each(links, &reset.links, Link::reset)
+            }
+            Err(refused) => refused,
+        },
         (Method::GET, "/standin/v1/counters") => {
             let counters: Vec<LinkCounters> = links.iter().map(|link| link.counters()).collect();
             json_answer(StatusCode::OK, &counters)
--- a/crates/wagtailarch-standin/src/link/settings.rs
+++ b/crates/wagtailarch-standin/src/link/settings.rs
@@ -18,9 +18,11 @@
 Each link listens on a loopback port of its own, which the counters name.
 
 CONTROL API:
-  POST /standin/v1/cut     {links, from, refuse}   no data passes; an empty list means all
+  POST /standin/v1/cut     {links, from, refuse, only}   no data passes, or not in the direction
+                           `only` (to_target, to_source); an empty list means all
   POST /standin/v1/heal    {links}
   POST /standin/v1/delay   {links, ms}             delays each direction
+  POST /standin/v1/reset   {links}                 resets TCP connections
   GET  /standin/v1/counters";
 
 /// the link {0:?} is not of the form name=address
--- a/crates/wagtailarch-standin/src/link/state.rs
+++ b/crates/wagtailarch-standin/src/link/state.rs
@@ -26,6 +26,18 @@
 struct Condition {
     cut: Option<Scope>,
     delay: Duration,
+    /// Number of resets so far; connections that began before the last one are reset.
+    resets: u64,
+}
+
+/// Direction of data on a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Direction {
+    /// From the sender to the target of the link.
+    ToTarget,
+    /// From the target back.
+    ToSource,
 }
 
 #[derive(Debug, Clone)]
@@ -33,12 +45,17 @@
     /// Senders that the cut separates from the target; empty for all.
     from: Vec<SocketAddr>,
     refuse: bool,
+    only: Option<Direction>,
 }
 
 impl Scope {
     fn holds_for(&self, source: SocketAddr) -> bool {
         self.from.is_empty() || self.from.contains(&source)
     }
+
+    fn stops(&self, source: SocketAddr, direction: Direction) -> bool {
+        self.holds_for(source) && self.only.is_none_or(|only| only == direction)
+    }
 }
 
 impl Link {
@@ -57,6 +74,7 @@
         let scope = Scope {
             from: cut.from.clone(),
             refuse: cut.refuse,
+            only: cut.only,
         };
         self.condition.send_modify(|c| c.cut = Some(scope));
     }
@@ -73,10 +91,11 @@
         self.condition.borrow().delay
     }
 
-    /// Returns whether no data passes between `source` and the target.
-    pub(super) fn is_cut_for(&self, source: SocketAddr) -> bool {
+    /// Returns whether no data of `source` passes in a direction.
+    pub(super) fn is_cut_for(&self, source: SocketAddr, direction: Direction) -> bool {
         let condition = self.condition.borrow();
-        condition.cut.as_ref().is_some_and(|s| s.holds_for(source))
+        let cut = condition.cut.as_ref();
+        cut.is_some_and(|scope| scope.stops(source, direction))
     }
 
     /// Returns whether new connections are refused while the link is cut.
@@ -85,10 +104,23 @@
         condition.cut.as_ref().is_some_and(|scope| scope.refuse)
     }
 
-    /// Waits until data passes between `source` and the target.
-    pub(super) async fn passable(&self, source: SocketAddr) {
+    /// Resets all connections.
+    pub(super) fn reset(&self) {
+        self.condition.send_modify(|c| c.resets += 1);
+    }
+
+    /// Waits for the next reset.
+    pub(super) async fn reset_done(&self) {
         let mut receiver = self.condition.subscribe();
-        let open = |c: &Condition| !c.cut.as_ref().is_some_and(|s| s.holds_for(source));
+        let before = receiver.borrow().resets;
+        // Fails only once the link is gone, when nothing is left to reset.
+        let _ = receiver.wait_for(|c| c.resets > before).await;
+    }
+
+    /// Waits until data of `source` passes in a direction.
+    pub(super) async fn passable(&self, source: SocketAddr, direction: Direction) {
+        let mut receiver = self.condition.subscribe();
+        let open = |c: &Condition| !c.cut.as_ref().is_some_and(|s| s.stops(source, direction));
         // Fails only once the link is gone, when nothing is left to forward.
         let _ = receiver.wait_for(open).await;
     }
@@ -118,6 +150,8 @@
     pub from: Vec<SocketAddr>,
     /// Whether new TCP connections are closed at once; otherwise they hang.
     pub refuse: bool,
+    /// The only direction that is cut; absent for both.
+    pub only: Option<Direction>,
 }
 
 /// Body of the call that heals links.
@@ -128,6 +162,14 @@
     pub links: Vec<SmolStr>,
 }
 
+/// Body of the call that resets the connections of links.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Reset {
+    /// Names; empty for all links.
+    pub links: Vec<SmolStr>,
+}
+
 /// Body of the call that delays links.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/wagtailarch-standin/src/link/tcp.rs
+++ b/crates/wagtailarch-standin/src/link/tcp.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::delay_line::{DelayReceiver, DelaySender, delay_line};
-use super::state::Link;
+use super::state::{Direction, Link};
 use crate::serve::accept_loop;
 
 /// Longest piece of a stream.
@@ -24,11 +24,11 @@
     let Ok(source) = client.peer_addr() else {
         return;
     };
-    if link.is_cut_for(source) {
+    if link.is_cut_for(source, Direction::ToTarget) {
         // A connection begun during the cut carries nothing, as its first packet is lost.
         Link::count(&link.dropped);
         if !link.refuses() {
-            link.passable(source).await;
+            link.passable(source, Direction::ToTarget).await;
         }
         return;
     }
@@ -37,23 +37,52 @@
         return;
     };
     let _ = server.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
-    tokio::join!(
-        one_way(client_read, server_write, source, &link),
-        one_way(server_read, client_write, source, &link),
-    );
+    let (mut client, mut server) = (client, server);
+    let forwarded = {
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
+        let to_target = one_way(
+            client_read,
+            server_write,
+            source,
+            Direction::ToTarget,
+            &link,
+        );
+        let to_source = one_way(
+            server_read,
+            client_write,
+            source,
+            Direction::ToSource,
+            &link,
+        );
+        tokio::select! {
+            _ = async { tokio::join!(to_target, to_source) } => true,
+            () = link.reset_done() => false,
+        }
+    };
+    if !forwarded {
+        Link::count(&link.dropped);
+        // Dropping a socket without lingering sends a reset.
+        let _ = client.set_zero_linger();
+        let _ = server.set_zero_linger();
+    }
 }
 
-async fn one_way(from: OwnedReadHalf, to: OwnedWriteHalf, source: SocketAddr, link: &Link) {
+async fn one_way(
+    from: ReadHalf<'_>,
+    to: WriteHalf<'_>,
+    source: SocketAddr,
+    direction: Direction,
+    link: &Link,
+) {
     let (sender, receiver) = delay_line();
     tokio::join!(
         read_pieces(from, sender, link),
-        write_pieces(receiver, to, source, link),
+        write_pieces(receiver, to, source, direction, link),
     );
 }
 
-async fn read_pieces(mut from: OwnedReadHalf, line: DelaySender, link: &Link) {
+async fn read_pieces(mut from: ReadHalf<'_>, line: DelaySender, link: &Link) {
     let mut buffer = vec![0; PIECE_BYTES];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
         let piece = Bytes::copy_from_slice(&buffer[..length]);
@@ -66,18 +95,19 @@
 /// Writes pieces and then the end of the stream; both stall while the link is cut.
 async fn write_pieces(
     mut line: DelayReceiver,
-    mut to: OwnedWriteHalf,
+    mut to: WriteHalf<'_>,
     source: SocketAddr,
+    direction: Direction,
     link: &Link,
 ) {
     while let Some(piece) = line.next().await {
-        link.passable(source).await;
+        link.passable(source, direction).await;
         if to.write_all(&piece).await.is_err() {
             return;
         }
         Link::count(&link.forwarded);
     }
-    link.passable(source).await;
+    link.passable(source, direction).await;
     // The other side may be gone already.
     let _ = to.shutdown().await;
 }
--- a/crates/wagtailarch-standin/src/link/udp.rs
+++ b/crates/wagtailarch-standin/src/link/udp.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 
 use super::delay_line::{DelayReceiver, DelaySender, delay_line};
-use super::state::Link;
+use super::state::{Direction, Link};
 
 /// Senders that one link serves; datagrams of further ones are dropped.
 const MAX_FLOWS: usize = 256;
@@ -46,7 +46,9 @@
         }
         let piece = Bytes::copy_from_slice(&buffer[..length]);
         let flow = flows.get(&source);
-        if link.is_cut_for(source) || !flow.is_some_and(|flow| flow.try_send(&link, piece)) {
+        if link.is_cut_for(source, Direction::ToTarget)
+            || !flow.is_some_and(|flow| flow.try_send(&link, piece))
+        {
             Link::count(&link.dropped);
         }
     }
@@ -78,14 +80,14 @@
 
     async fn send_to_target(&self, mut line: DelayReceiver) {
         while let Some(piece) = line.next().await {
-            let passes = !self.link.is_cut_for(self.source);
+            let passes = !self.link.is_cut_for(self.source, Direction::ToTarget);
             self.count(passes && self.upstream.send(&piece).await.is_ok());
         }
     }
 
     async fn send_to_source(&self, mut line: DelayReceiver) {
         while let Some(piece) = line.next().await {
-            let passes = !self.link.is_cut_for(self.source);
+            let passes = !self.link.is_cut_for(self.source, Direction::ToSource);
             self.count(passes && self.socket.send_to(&piece, self.source).await.is_ok());
         }
     }
@@ -98,7 +100,9 @@
                 continue;
             };
             let piece = Bytes::copy_from_slice(&buffer[..length]);
-            if self.link.is_cut_for(self.source) || !line.try_send(&self.link, piece) {
+            if self.link.is_cut_for(self.source, Direction::ToSource)
+                || !line.try_send(&self.link, piece)
+            {
                 Link::count(&self.link.dropped);
             }
         }
--- a/crates/wagtailarch-standin/tests/link.rs
+++ b/crates/wagtailarch-standin/tests/link.rs
@@ -135,3 +135,27 @@
     assert_eq!(&buffer[..length], b"1");
     assert!(start.elapsed() >= Duration::from_millis(50));
 }
+
+/// Guards against a cut in one direction that also holds back the other, and against a reset that
+/// looks like an ordinary end.
+#[test]
+fn one_way_cuts_and_resets() {
+    let server = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let target = server.local_addr().expect("address");
+    let process = Process::start(target, target);
+    let address = process.counters()[0].address;
+    let mut client = TcpStream::connect(address).expect("connected");
+    let (mut accepted, _) = server.accept().expect("accepted");
+    process.post("cut", r#"{"links":["t"],"only":"to_source"}"#);
+    client.write_all(b"a").expect("sent");
+    assert_eq!(read_byte(&mut accepted, LIMIT).ok(), Some(b'a'));
+    accepted.write_all(b"b").expect("sent");
+    read_byte(&mut client, QUIET).expect_err("no byte passes");
+    process.post("heal", "{}");
+    assert_eq!(read_byte(&mut client, LIMIT).ok(), Some(b'b'));
+    process.post("reset", r#"{"links":["t"]}"#);
+    for stream in [&mut client, &mut accepted] {
+        let error = read_byte(stream, LIMIT).expect_err("reset");
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    }
+}
