--- a/crates/wagtailarch-dispatch/src/role_plan.rs
+++ b/crates/wagtailarch-dispatch/src/role_plan.rs
@@ -17,13 +17,11 @@
 ///
 /// Half of the shortest objective of the measured sites is 200 ms; a quarter leaves time for the change.
 const READ_WAIT: Duration = Duration::from_millis(100);
-/// Entry instances for each engine that is changed before requests arrive.
+/// Engines for each entry instance that are expected to be busy before requests arrive.
 ///
-/// The demand is not known then, and an order costs an engine three seconds. An entry instance is sized
-/// for the traffic that it brings: on the four measured deployments a third of their number was needed.
-const INSTANCES_PER_EARLY_CHANGE: usize = 3;
-/// Engines that are changed before requests arrive in any case.
-const MIN_EARLY_CHANGES: usize = 6;
+/// The demand is not known then. An entry instance is sized for the traffic that it brings: the four
+/// measured deployments, all of which lacked engines that read, have 0.8 to 2.3 engines an instance.
+const BUSY_ENGINES_PER_INSTANCE: usize = 3;
 /// Time for which engines must lack a role before an engine is changed while requests are served.
 ///
 /// A crashed engine is back within a few seconds, and a change takes an engine away for three.
@@ -93,11 +91,7 @@
         engines: &[PlannedEngine],
         situation: &RoleSituation,
     ) -> Vec<RoleChange> {
-        let most = match situation.serving {
-            true => 1,
-            false => self.early_changes_left(situation.instances),
-        };
-        let mut due = due_changes(engines, situation, most);
+        let mut due = due_changes(engines, situation);
         if due.is_empty() {
             self.lacking_since = None;
             return due;
@@ -116,32 +110,27 @@
         due
     }
 
-    /// Returns how many engines may still be changed while no requests arrive.
-    fn early_changes_left(&self, instances: usize) -> usize {
-        let early = (instances / INSTANCES_PER_EARLY_CHANGE).max(MIN_EARLY_CHANGES);
-        early.saturating_sub(self.ordered.len())
-    }
-
     fn rested(&self, now: Duration, engine: &InstanceId) -> bool {
         let ordered = self.ordered.get(engine);
         ordered.is_none_or(|&at| now.saturating_sub(at) >= REST)
     }
 }
 
-/// Returns the first `limit` changes that the situation asks for.
-fn due_changes(
-    engines: &[PlannedEngine],
-    situation: &RoleSituation,
-    limit: usize,
-) -> Vec<RoleChange> {
-    let by_share = engines.len() as f64 * MIN_GENERATING_SHARE;
-    let by_demand = f64::from(situation.demand.running) / RUNNING_PER_ENGINE;
-    let wanted = by_share.max(by_demand).ceil() as usize;
-    let most = match situation.serving {
+/// Returns the changes that the situation asks for: one while requests arrive, all of them before.
+fn due_changes(engines: &[PlannedEngine], situation: &RoleSituation) -> Vec<RoleChange> {
+    let generating = |engines: usize| (engines as f64 * MIN_GENERATING_SHARE).ceil() as usize;
+    let by_demand = (f64::from(situation.demand.running) / RUNNING_PER_ENGINE).ceil() as usize;
+    let wanted = generating(engines.len()).max(by_demand);
+    let busy = situation.instances * BUSY_ENGINES_PER_INSTANCE;
+    let readers = busy - generating(busy);
+    let (most, limit) = match situation.serving {
         // Engines that generate are left as they are while prompts are read without delay.
-        true if situation.demand.read_wait < READ_WAIT => engines.len(),
-        true => wanted + SERVING_SLACK,
-        false => wanted,
+        true if situation.demand.read_wait < READ_WAIT => (engines.len(), 1),
+        true => (wanted + SERVING_SLACK, 1),
+        false => (
+            wanted.max(engines.len().saturating_sub(readers)),
+            usize::MAX,
+        ),
     };
     let mut planned = engines.to_vec();
     let mut due = Vec::new();
