--- a/crates/wagtailarch-dispatch/src/role_plan.rs
+++ b/crates/wagtailarch-dispatch/src/role_plan.rs
@@ -17,11 +17,14 @@
 ///
 /// Half of the shortest objective of the measured sites is 200 ms; a quarter leaves time for the change.
 const READ_WAIT: Duration = Duration::from_millis(100);
-/// Engines for each entry instance that are expected to be busy before requests arrive.
+/// Engines for each entry instance up to which a fleet is arranged before requests arrive.
 ///
 /// The demand is not known then. An entry instance is sized for the traffic that it brings: the four
-/// measured deployments, all of which lacked engines that read, have 0.8 to 2.3 engines an instance.
-const BUSY_ENGINES_PER_INSTANCE: usize = 3;
+/// measured deployments, all of which lacked engines that read, have 0.8 to 2.3 engines an instance. In
+/// a sweep with ten an instance none lacked, and orders cost more than everything else together.
+const EARLY_ENGINES_PER_INSTANCE: usize = 3;
+/// Engines of a service for each engine that changes at a time while requests are served.
+const ENGINES_PER_CHANGE: usize = 100;
 /// Time for which engines must lack a role before an engine is changed while requests are served.
 ///
 /// A crashed engine is back within a few seconds, and a change takes an engine away for three.
@@ -84,7 +87,7 @@
 impl RolePlan {
     /// Returns the changes that are due and notes them as ordered.
     ///
-    /// While requests arrive a lack has to last, and one engine changes at a time.
+    /// While requests arrive a lack has to last, and few engines change at a time.
     pub fn changes(
         &mut self,
         now: Duration,
@@ -116,21 +119,19 @@
     }
 }
 
-/// Returns the changes that the situation asks for: one while requests arrive, all of them before.
+/// Returns the changes that the situation asks for: few while requests arrive, all of them before.
 fn due_changes(engines: &[PlannedEngine], situation: &RoleSituation) -> Vec<RoleChange> {
-    let generating = |engines: usize| (engines as f64 * MIN_GENERATING_SHARE).ceil() as usize;
+    let by_share = (engines.len() as f64 * MIN_GENERATING_SHARE).ceil() as usize;
     let by_demand = (f64::from(situation.demand.running) / RUNNING_PER_ENGINE).ceil() as usize;
-    let wanted = generating(engines.len()).max(by_demand);
-    let busy = situation.instances * BUSY_ENGINES_PER_INSTANCE;
-    let readers = busy - generating(busy);
+    let wanted = by_share.max(by_demand);
+    let at_a_time = (engines.len() / ENGINES_PER_CHANGE).max(1);
+    let expected_busy = situation.instances * EARLY_ENGINES_PER_INSTANCE;
     let (most, limit) = match situation.serving {
         // Engines that generate are left as they are while prompts are read without delay.
-        true if situation.demand.read_wait < READ_WAIT => (engines.len(), 1),
-        true => (wanted + SERVING_SLACK, 1),
-        false => (
-            wanted.max(engines.len().saturating_sub(readers)),
-            usize::MAX,
-        ),
+        true if situation.demand.read_wait < READ_WAIT => (engines.len(), at_a_time),
+        true => (wanted + SERVING_SLACK, at_a_time),
+        false if engines.len() > expected_busy => (engines.len(), usize::MAX),
+        false => (wanted, usize::MAX),
     };
     let mut planned = engines.to_vec();
     let mut due = Vec::new();
