Tell peers of news that a list has shown, and end the wait of a renewed watch

All watches were deaf after the store had been silent. The designated instance found out after 2.5 s and read the new configuration in a list. Only changes told by a watch counted as news, so its peers heard of none and waited for the end of their own watches, 20 s.

Change: a list after a failure counts as news up to its version, the first list up to its newest object. A watch that is renewed because of such news waits 50 ms only: its answer tells the store's version, so that news of a kind without newer objects do not renew it again and again.

Test: all_instances_hear_news_after_the_store_was_silent, with three gateways; it failed before (404 at an instance five seconds after the return).

--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -29,6 +29,8 @@
 const NEWS_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time for which peers may have news that this watch has not, before it counts as deaf.
 const DEAF_AFTER: Duration = Duration::from_millis(1_000);
+/// Wait of a watch that only has to reach the news of peers; its answer tells the store's version.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(50);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls; each call is priced, also while the store is down.
@@ -46,8 +48,12 @@
     lost: bool,
     /// The next watch does not begin before this time.
     not_before: Option<Instant>,
-    /// Version of the newest change seen.
+    /// Version up to which this instance has news that peers may lack.
     news: ObjectVersion,
+    /// Whether all objects were listed once.
+    listed: bool,
+    /// Whether the next watch only has to reach the news of peers.
+    catching_up: bool,
     /// What peers have seen.
     peer_news: watch::Receiver<StoreNews>,
 }
@@ -76,11 +82,13 @@
             lost: false,
             not_before: None,
             news: 0,
+            listed: false,
+            catching_up: false,
             peer_news,
         }
     }
 
-    /// Returns the version of the newest change seen.
+    /// Returns the version up to which this instance has news that peers may lack.
     pub fn news(&self) -> ObjectVersion {
         self.news
     }
@@ -131,11 +139,26 @@
             self.position = Some(self.position.unwrap_or(page.store_version));
             after = page.next_after;
             if after.is_none() {
+                self.on_list(&objects);
                 return Ok(Seen::Listed(objects));
             }
         }
     }
 
+    /// Notes what a list shows of changes that no watch has told.
+    ///
+    /// After a failure the list may lack objects that were removed meanwhile, so that all changes up to
+    /// its version count as news. Peers whose watches stayed deaf would otherwise wait for their end.
+    fn on_list(&mut self, objects: &[StoreObject]) {
+        let newest = objects.iter().map(|object| object.version).max();
+        let seen = match self.listed {
+            true => self.position,
+            false => newest,
+        };
+        self.news = self.news.max(seen.unwrap_or(0));
+        self.listed = true;
+    }
+
     async fn watch(&mut self, position: ObjectVersion) -> Result<Seen, StoreError> {
         if let Some(time) = self.not_before.take() {
             sleep_until(time).await;
@@ -148,6 +171,7 @@
             answer = self.client.call(request, wait + WATCH_MARGIN) => answer,
             () = outdated(&mut self.peer_news, kind, position) => {
                 // A call that is given up closes its connection.
+                self.catching_up = true;
                 info!(self.log(), "watch renewed"; "kind" => kind.as_str(), "version" => position,
                     "cause" => "peers have news");
                 return Ok(Seen::Changed(Vec::new()));
@@ -165,7 +189,10 @@
     }
 
     /// Returns the time for which the next watch waits.
-    fn wait(&self) -> Duration {
+    fn wait(&mut self) -> Duration {
+        if std::mem::take(&mut self.catching_up) {
+            return CATCH_UP_WAIT;
+        }
         let context = &self.context;
         let peers = context.live_peers();
         let same_zone = peers.iter().filter(|(_, zone)| *zone == context.zone);
