Answer a stream that fails before its first event

The head of a stream was passed on before its first event. When the engine then broke it off, the connection was closed, mostly before the head had left: the client got nothing, not even whether its request may have run.

Change: the head waits for the first event. A stream that fails before is answered with the status of its refusal, or with the engine's own answer; one that is started anew elsewhere has the head of the engine that serves it. Clients measure the first event, so that nothing comes later for them.

--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -42,7 +42,7 @@
     pub reading: Option<Reading>,
 }
 
-/// Why a generation has not begun.
+/// Why a generation has not begun, or does not go on.
 #[derive(Debug)]
 pub enum StartFailure {
     /// The instance gives up.
@@ -54,8 +54,12 @@
 /// Serves a generation.
 pub async fn serve(job: Rc<Job>) -> Response<AnswerBody> {
     let mut attempts = Attempts::default();
-    match start(&job, &mut attempts, job.client.resume_after).await {
-        Ok(started) => relay::respond(job, attempts, started),
+    let answer = match start(&job, &mut attempts, job.client.resume_after).await {
+        Ok(started) => relay::respond(Rc::clone(&job), attempts, started).await,
+        Err(failure) => Err(failure),
+    };
+    match answer {
+        Ok(response) => response,
         Err(StartFailure::Refused(refusal)) => refusal.respond(&job),
         Err(StartFailure::Answered(response)) => *response,
     }
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use slog::{debug, info};
 use tokio::time::timeout;
+use wagtailarch_types::{Ran, RefusalReason};
 
 use crate::{
     answer_body::{AnswerBody, BodyError},
@@ -16,6 +17,7 @@
     event_splitter::EventSplitter,
     generation::{StartFailure, Started, start},
     job::Job,
+    refusal::{Refusal, SOON},
 };
 
 /// Silence after which a stream that may be resumed is taken to another engine.
@@ -25,6 +27,8 @@
 
 /// A stream on its way to the client.
 struct Relay {
+    /// Head for the client; that of the engine that sends the first event.
+    head: Response<()>,
     job: Rc<Job>,
     attempts: Attempts,
     /// The engine's answer; absent after its end.
@@ -49,11 +53,18 @@
     TimedOut,
 }
 
-/// Builds the answer to the client: the head of the first engine and the events of all.
-pub fn respond(job: Rc<Job>, attempts: Attempts, mut started: Started) -> Response<AnswerBody> {
-    let head = started.answer.take_head();
+/// Waits for the first events and builds the answer to the client.
+///
+/// Until then nothing is sent, so that a stream that fails before its first event has an answer that
+/// tells whether it ran.
+pub async fn respond(
+    job: Rc<Job>,
+    attempts: Attempts,
+    mut started: Started,
+) -> Result<Response<AnswerBody>, StartFailure> {
     let last_event = job.client.resume_after;
-    let relay = Relay {
+    let mut relay = Relay {
+        head: started.answer.take_head(),
         job,
         attempts,
         live: Some(started),
@@ -65,16 +76,33 @@
         longest_pause: Duration::ZERO,
         finished: false,
     };
-    let pieces = stream::unfold(relay, |mut relay| async move {
+    let first = relay.next_piece().await.transpose()?;
+    let head = std::mem::take(&mut relay.head);
+    let rest = stream::unfold(relay, |mut relay| async move {
         let piece = relay.next_piece().await?;
-        Some((piece, relay))
+        Some((piece.map_err(BodyError::from), relay))
     });
-    head.map(|()| AnswerBody::pieces(pieces.boxed_local()))
+    let pieces = stream::iter(first.map(Ok)).chain(rest);
+    Ok(head.map(|()| AnswerBody::pieces(pieces.boxed_local())))
+}
+
+impl From<StartFailure> for BodyError {
+    /// Tells why a stream that has begun ends early.
+    fn from(failure: StartFailure) -> Self {
+        match failure {
+            StartFailure::Refused(refusal)
+                if refusal.reason == RefusalReason::DeadlineUnreachable =>
+            {
+                Self::TimedOut
+            }
+            StartFailure::Refused(_) | StartFailure::Answered(_) => Self::BrokenOff,
+        }
+    }
 }
 
 impl Relay {
     /// Returns the next bytes for the client; `None` after the end of the stream.
-    async fn next_piece(&mut self) -> Option<Result<Bytes, BodyError>> {
+    async fn next_piece(&mut self) -> Option<Result<Bytes, StartFailure>> {
         loop {
             if let Some(piece) = self.take_events() {
                 return Some(Ok(piece));
@@ -93,15 +121,20 @@
                     return None;
                 }
                 Next::Broken(cause) => {
-                    if let Err(error) = self.resume(cause).await {
+                    if let Err(failure) = self.resume(cause).await {
                         self.on_end("broken off");
-                        return Some(Err(error));
+                        return Some(Err(failure));
                     }
                 }
                 Next::TimedOut => {
                     self.live = None;
                     self.on_end("timed out");
-                    return Some(Err(BodyError::TimedOut));
+                    let refusal = Refusal {
+                        reason: RefusalReason::DeadlineUnreachable,
+                        ran: Ran::Unknown,
+                        retry_after: SOON,
+                    };
+                    return Some(Err(StartFailure::Refused(refusal)));
                 }
             }
         }
@@ -183,10 +216,12 @@
     }
 
     /// Goes on at another engine after the last event, if the stream may be resumed.
-    async fn resume(&mut self, cause: &'static str) -> Result<(), BodyError> {
+    async fn resume(&mut self, cause: &'static str) -> Result<(), StartFailure> {
         // The first engine has to stop before another one goes on.
         let Some(live) = self.live.take() else {
-            return Err(BodyError::BrokenOff);
+            return Err(StartFailure::Refused(
+                self.attempts.refusal(RefusalReason::NoBackend),
+            ));
         };
         suspect_crash(&self.job, &live.call.server);
         let engine = live.call.server.id.clone();
@@ -204,24 +239,29 @@
         let failure = CallFailure::CLOSED;
         let delivered = self.events > 0;
         let decision = self.attempts.on_failure(&job, &engine, failure, delivered);
-        if let Err(refusal) = decision {
-            info!(gateway.log, "stream not resumed"; "request" => %job.client.id,
-                "reason" => %refusal.reason);
-            return Err(BodyError::BrokenOff);
-        }
-        match start(&job, &mut self.attempts, self.last_event).await {
-            Ok(started) => {
+        let resumed = match decision {
+            Ok(()) => start(&job, &mut self.attempts, self.last_event).await,
+            Err(refusal) => Err(StartFailure::Refused(refusal)),
+        };
+        match resumed {
+            Ok(mut started) => {
                 info!(gateway.log, "stream resumed"; "request" => %job.client.id,
                     "server" => %started.call.server.id, "last_event" => self.last_event);
+                if !delivered {
+                    self.head = started.answer.take_head();
+                }
                 self.live = Some(started);
                 Ok(())
             }
-            Err(StartFailure::Refused(refusal)) => {
+            Err(failure) => {
+                let reason = match &failure {
+                    StartFailure::Refused(refusal) => refusal.reason.as_str(),
+                    StartFailure::Answered(_) => "engine failed",
+                };
                 info!(gateway.log, "stream not resumed"; "request" => %job.client.id,
-                    "reason" => %refusal.reason);
-                Err(BodyError::BrokenOff)
+                    "reason" => reason);
+                Err(failure)
             }
-            Err(StartFailure::Answered(_)) => Err(BodyError::BrokenOff),
         }
     }
 
