Deliver events that arrived before a stream fails

A gateway that stood still found both the first event and the end of the route's time when it went on. It passed the event on and failed the body in the same poll; the server then closes the connection without writing what it has buffered, the head included.

Change: the body pauses once before it fails, so that everything before is written. Test: events_that_arrived_during_a_pause_are_delivered (SIGSTOP; the client got nothing before).

--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use slog::{debug, info};
-use tokio::time::timeout;
+use tokio::{task::yield_now, time::timeout};
 use wagtailarch_types::{Ran, RefusalReason};
 
 use crate::{
@@ -80,6 +80,10 @@
     let head = std::mem::take(&mut relay.head);
     let rest = stream::unfold(relay, |mut relay| async move {
         let piece = relay.next_piece().await?;
+        if piece.is_err() {
+            // The server drops what it has not written when a body fails without a pause before.
+            yield_now().await;
+        }
         Some((piece.map_err(BodyError::from), relay))
     });
     let pieces = stream::iter(first.map(Ok)).chain(rest);
