Derive the pause after news from the bounds of the deployment

Cause: watches paused for a second after news, half of the bound on the sites that were measured. A deployment with a bound of a second would have broken it; one with three seconds paid for calls that it does not need (calls to the store are the greatest price on the grown sites).

--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -7,7 +7,13 @@
 mod store_error;
 mod watcher;
 
-use std::{io, net::SocketAddr, sync::Arc, thread, time::Instant};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use slog::Logger;
 use tokio::{sync::watch, task::LocalSet};
@@ -26,6 +32,10 @@
     pub peer_address: SocketAddr,
     /// Address of the store.
     pub store_address: SocketAddr,
+    /// Time in which a new configuration has to be in force.
+    pub config_bound: Duration,
+    /// Time in which a leaving server has to get no more requests.
+    pub leaving_bound: Duration,
     /// Start of the process.
     pub epoch: Instant,
     /// Log.
--- a/crates/wagtailarch-gateway/src/control/routing.rs
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -16,7 +16,7 @@
 
 /// Follows the configuration and publishes each newer one.
 pub async fn watch_routing(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
-    let mut watcher = Watcher::new(Kind::Config, context.clone());
+    let mut watcher = Watcher::new(Kind::Config, context.config_bound, context.clone());
     loop {
         let objects = match watcher.next().await {
             Seen::Listed(objects) => objects,
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -18,7 +18,7 @@
 
 /// Follows the registrations and publishes the usable servers after each change.
 pub async fn watch_servers(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
-    let mut watcher = Watcher::new(Kind::Servers, context.clone());
+    let mut watcher = Watcher::new(Kind::Servers, context.leaving_bound, context.clone());
     let mut membership = Membership::default();
     loop {
         let news = watcher.news();
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -24,9 +24,9 @@
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Time after the end of a watch's wait in which the answer has to arrive.
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
-/// Pause after news, so that changes in quick succession are read in one call; the shortest bound on
-/// taking them over is two seconds.
-const NEWS_PAUSE: Duration = Duration::from_millis(1_000);
+/// Pause after news as a part of the bound on taking them over, so that changes in quick succession are
+/// read in one call; the rest is for slow answers.
+const NEWS_PAUSE_PART: u32 = 2;
 /// Time for which peers may have news that this watch has not, before it counts as deaf.
 const DEAF_AFTER: Duration = Duration::from_millis(1_000);
 /// Wait of a watch that only has to reach the news of peers; its answer tells the store's version.
@@ -42,6 +42,8 @@
     kind: Kind,
     client: HttpClient,
     context: ControlContext,
+    /// Time in which changes have to be taken over.
+    bound: Duration,
     /// Version from which the next watch continues; absent before a list.
     position: Option<ObjectVersion>,
     pause: Duration,
@@ -71,12 +73,15 @@
 
 impl Watcher {
     /// Creates a watcher that begins with a list.
-    pub fn new(kind: Kind, context: ControlContext) -> Self {
+    ///
+    /// `bound` is the time in which changes have to be taken over.
+    pub fn new(kind: Kind, bound: Duration, context: ControlContext) -> Self {
         let peer_news = context.traffic.news();
         Self {
             kind,
             client: HttpClient::new(context.store_address),
             context,
+            bound,
             position: None,
             pause: FIRST_PAUSE,
             lost: false,
@@ -181,7 +186,7 @@
         let page = decode_watch(status, &body)?;
         self.position = Some(page.store_version);
         if !page.changes.is_empty() {
-            self.not_before = Some(Instant::now() + NEWS_PAUSE);
+            self.not_before = Some(Instant::now() + self.bound / NEWS_PAUSE_PART);
         }
         let versions = page.changes.iter().map(|(object, _)| object.version);
         self.news = versions.fold(self.news, ObjectVersion::max);
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -105,6 +105,8 @@
         zone: settings.zone.clone(),
         peer_address: settings.peer_address,
         store_address: settings.store_address,
+        config_bound: settings.config_bound(),
+        leaving_bound: settings.leaving_bound(),
         epoch,
         log: log.clone(),
         metrics: Arc::clone(&metrics),
--- a/crates/wagtailarch-gateway/src/settings.rs
+++ b/crates/wagtailarch-gateway/src/settings.rs
@@ -25,6 +25,10 @@
     pub metrics_address: SocketAddr,
     /// Address of the store.
     pub store_address: SocketAddr,
+    /// Time in milliseconds in which a new configuration has to be in force; from 200 to 60000.
+    config_bound_ms: u64,
+    /// Time in milliseconds in which a leaving server has to get no more requests; from 200 to 60000.
+    leaving_bound_ms: u64,
     /// Time in seconds between the request to stop and the forced end; above 1.
     grace_s: f64,
     /// Retries of all instances for each request; from 0 to 1.
@@ -65,6 +69,16 @@
 impl std::error::Error for SettingsError {}
 
 impl Settings {
+    /// Returns the time in which a new configuration has to be in force.
+    pub fn config_bound(&self) -> Duration {
+        Duration::from_millis(self.config_bound_ms)
+    }
+
+    /// Returns the time in which a leaving server has to get no more requests.
+    pub fn leaving_bound(&self) -> Duration {
+        Duration::from_millis(self.leaving_bound_ms)
+    }
+
     /// Returns the settings that take effect while the process runs.
     pub fn running(&self) -> RunningSettings {
         RunningSettings {
@@ -89,6 +103,12 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         let range = |key, hint| Err(SettingsError::Range { key, hint });
+        if !(200..=60_000).contains(&self.config_bound_ms) {
+            return range("config_bound_ms", "200 to 60000 milliseconds");
+        }
+        if !(200..=60_000).contains(&self.leaving_bound_ms) {
+            return range("leaving_bound_ms", "200 to 60000 milliseconds");
+        }
         if !(1.0..=3_600.0).contains(&self.grace_s) {
             return range("grace_s", "1 to 3600 seconds");
         }
