--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -290,11 +290,9 @@
                 .collect();
             engine.cache.insert(&links);
         }
-        let keys: IndexSet<u32> = note.running.iter().map(|(key, _)| *key).collect();
-        let keys = keys
-            .into_iter()
-            .chain(note.open_reads.iter().map(|read| read.engine));
-        let keys: IndexSet<u32> = keys.collect();
+        let running = note.running.iter().map(|(key, _)| *key);
+        let reading = note.open_reads.iter().map(|read| read.engine);
+        let keys: IndexSet<u32> = running.chain(reading).collect();
         let before = match keys.is_empty() {
             true => self.told_engines.swap_remove(&note.sender),
             false => self.told_engines.insert(note.sender.clone(), keys.clone()),
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -223,9 +223,8 @@
     async fn resume(&mut self, cause: &'static str) -> Result<(), StartFailure> {
         // The first engine has to stop before another one goes on.
         let Some(live) = self.live.take() else {
-            return Err(StartFailure::Refused(
-                self.attempts.refusal(RefusalReason::NoBackend),
-            ));
+            let refusal = self.attempts.refusal(RefusalReason::NoBackend);
+            return Err(StartFailure::Refused(refusal));
         };
         suspect_crash(&self.job, &live.call.server);
         let engine = live.call.server.id.clone();
