--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -83,8 +83,10 @@
     let listed: Vec<_> = instances.iter().map(|peer| peer.name.clone()).collect();
     let gone = listing.on_list(now, &context.instance, &listed, &heard);
     if listing.must_list_again() {
-        let written = write(context, client).await;
-        info!(context.log, "instance listed again"; "written" => written.is_ok());
+        match write(context, client).await {
+            Ok(()) => info!(context.log, "instance listed again"),
+            Err(error) => warn!(context.log, "instance not listed"; "cause" => %error),
+        }
     }
     if !is_designated(
         Kind::Instances.as_str(),
@@ -94,9 +96,12 @@
         return;
     }
     for name in gone {
-        let removed = remove(context, client, &name).await;
-        info!(context.log, "instance removed"; "peer" => %name, "cause" => "silent",
-            "removed" => removed.is_ok());
+        match remove(context, client, &name).await {
+            Ok(()) => info!(context.log, "instance removed"; "peer" => %name, "cause" => "silent"),
+            Err(error) => {
+                warn!(context.log, "instance not removed"; "peer" => %name, "cause" => %error);
+            }
+        }
     }
 }
 
