Count open requests once and merge repeated lines of the gateway

Found on the last read of the change; behaviour stays as it is. - Open requests and client connections were counted twice, in the state and in gauges. The gauges now take the counts when metrics are asked for. - Three functions of the retry budget looked up their window alike; failures of calls repeated their shape, and an unopened connection had no name. - `PrefixCache::clear` was called by nothing: a restarted engine begins with a new state.

--- a/crates/wagtailarch-dispatch/src/prefix_cache.rs
+++ b/crates/wagtailarch-dispatch/src/prefix_cache.rs
@@ -68,13 +68,6 @@
         }
     }
 
-    /// Forgets everything, as a restarted engine does.
-    pub fn clear(&mut self) {
-        self.entries.clear();
-        self.by_use.clear();
-        self.used_tokens = 0;
-    }
-
     fn touch(&mut self, hash: u64, tokens: u32) {
         let last_use = self.next_use;
         self.next_use += 1;
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -84,31 +84,22 @@
 }
 
 impl CallFailure {
+    /// No connection could be opened.
+    pub const UNREACHABLE: Self = Self::new(RetryReason::ConnectFailed, Ran::No);
     /// The server says that it did not run the request.
-    pub const NOT_RUN: Self = Self {
-        reason: RetryReason::RefusedNotRun,
-        ran: Ran::No,
-    };
+    pub const NOT_RUN: Self = Self::new(RetryReason::RefusedNotRun, Ran::No);
     /// The answer is not one that the server gave to this request.
-    pub const WRONG_ANSWER: Self = Self {
-        reason: RetryReason::WrongFrame,
-        ran: Ran::Unknown,
-    };
+    pub const WRONG_ANSWER: Self = Self::new(RetryReason::WrongFrame, Ran::Unknown);
     /// The server ran the request and failed it with an answer of its own.
-    pub const SERVER_ERROR: Self = Self {
-        reason: RetryReason::ServerError,
-        ran: Ran::Yes,
-    };
+    pub const SERVER_ERROR: Self = Self::new(RetryReason::ServerError, Ran::Yes);
     /// The connection ended before the whole answer.
-    pub const CLOSED: Self = Self {
-        reason: RetryReason::ClosedBeforeAnswer,
-        ran: Ran::Unknown,
-    };
+    pub const CLOSED: Self = Self::new(RetryReason::ClosedBeforeAnswer, Ran::Unknown);
     /// The answer did not begin in time.
-    pub const SILENT: Self = Self {
-        reason: RetryReason::FirstTokenTimeout,
-        ran: Ran::Unknown,
-    };
+    pub const SILENT: Self = Self::new(RetryReason::FirstTokenTimeout, Ran::Unknown);
+
+    const fn new(reason: RetryReason, ran: Ran) -> Self {
+        Self { reason, ran }
+    }
 }
 
 /// Sends a call on a connection of its own and returns the answer that belongs to it.
@@ -124,12 +115,8 @@
         Ok(connection) => connection,
         Err(error) => {
             gateway.board.borrow_mut().on_unreachable(gateway.now(), id);
-            let failure = CallFailure {
-                reason: RetryReason::ConnectFailed,
-                ran: Ran::No,
-            };
-            log_failure(job, call, failure, &error.to_string());
-            return Err(failure);
+            log_failure(job, call, CallFailure::UNREACHABLE, &error.to_string());
+            return Err(CallFailure::UNREACHABLE);
         }
     };
     let head = encode_call(
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -150,28 +150,18 @@
 
     /// Counts a request of a client in the retry budget of its service.
     pub fn count_request(&self, service: &ServiceName) {
-        let share = self.retry_share();
-        let now = self.now();
-        self.traffic.on_request(now);
-        let mut retries = self.retries.borrow_mut();
-        let window = retries.entry(service.clone()).or_default();
-        window.on_request(now, &share);
+        self.traffic.on_request(self.now());
+        self.with_retries(service, RetryWindow::on_request);
     }
 
     /// Tells whether a retry is left in the budget of a service.
     pub fn may_retry(&self, service: &ServiceName) -> bool {
-        let share = self.retry_share();
-        let mut retries = self.retries.borrow_mut();
-        let window = retries.entry(service.clone()).or_default();
-        window.may_retry(self.now(), &share)
+        self.with_retries(service, RetryWindow::may_retry)
     }
 
     /// Takes one retry from the budget of a service.
     pub fn try_retry(&self, service: &ServiceName) -> bool {
-        let share = self.retry_share();
-        let mut retries = self.retries.borrow_mut();
-        let window = retries.entry(service.clone()).or_default();
-        window.try_retry(self.now(), &share)
+        self.with_retries(service, RetryWindow::try_retry)
     }
 
     /// Queues the prefixes of a prompt that was sent, for peers.
@@ -218,6 +208,17 @@
         self.quarantine.apply_remote(self.now(), event);
     }
 
+    /// Uses the part of a service's retry budget that this instance has.
+    fn with_retries<T>(
+        &self,
+        service: &ServiceName,
+        operation: impl FnOnce(&mut RetryWindow, Duration, &RetryShare) -> T,
+    ) -> T {
+        let mut retries = self.retries.borrow_mut();
+        let window = retries.entry(service.clone()).or_default();
+        operation(window, self.now(), &self.retry_share())
+    }
+
     fn retry_share(&self) -> RetryShare {
         let settings = self.running_settings.get();
         RetryShare {
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -121,7 +121,6 @@
         gateway
             .open_connections
             .set(gateway.open_connections.get() + 1);
-        gateway.metrics.open_connections.inc();
         Some(Self {
             gateway: Rc::clone(gateway),
         })
@@ -132,7 +131,6 @@
     fn drop(&mut self) {
         let open = self.gateway.open_connections.get();
         self.gateway.open_connections.set(open.saturating_sub(1));
-        self.gateway.metrics.open_connections.dec();
     }
 }
 
@@ -174,6 +172,5 @@
     fn drop(&mut self) {
         let open = self.gateway.open_requests.get();
         self.gateway.open_requests.set(open.saturating_sub(1));
-        self.gateway.metrics.request_ended();
     }
 }
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// What is open at an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenCounts {
+    /// Requests without a complete answer.
+    pub requests: usize,
+    /// Connections of clients.
+    pub connections: usize,
+}
+
 /// Labels of a latency histogram.
 type LatencyLabels = [(&'static str, &'static str); 2];
 
@@ -65,8 +74,7 @@
     requests: Counters,
     client_gone: Counter,
     open_requests: Gauge,
-    /// Connections of clients.
-    pub open_connections: Gauge,
+    open_connections: Gauge,
     generation: Gauge,
     servers: Gauge,
     peers: Gauge,
@@ -156,12 +164,6 @@
         self.requests
             .get_or_create(&[("kind", kind.as_str())])
             .inc();
-        self.open_requests.inc();
-    }
-
-    /// Counts the end of a request.
-    pub fn request_ended(&self) {
-        self.open_requests.dec();
     }
 
     /// Counts a request whose client left.
@@ -209,7 +211,9 @@
     }
 
     /// Takes over what is only read when metrics are asked for.
-    pub fn observe(&self, now: Duration, board: &Board) {
+    pub fn observe(&self, now: Duration, board: &Board, open: OpenCounts) {
+        self.open_requests.set(open.requests as i64);
+        self.open_connections.set(open.connections as i64);
         self.open_reads.set(board.open_reads().len() as i64);
         self.in_flight.clear();
         self.read_wait.clear();
--- a/crates/wagtailarch-gateway/src/ready.rs
+++ b/crates/wagtailarch-gateway/src/ready.rs
@@ -11,7 +11,7 @@
 use tokio::{net::TcpListener, time::sleep};
 use wagtailarch_adapter::READY_PATH;
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, metrics::OpenCounts};
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -52,7 +52,11 @@
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         METRICS_PATH => {
             let board = gateway.board.borrow();
-            gateway.metrics.observe(gateway.now(), &board);
+            let open = OpenCounts {
+                requests: gateway.open_requests.get(),
+                connections: gateway.open_connections.get(),
+            };
+            gateway.metrics.observe(gateway.now(), &board, open);
             (StatusCode::OK, gateway.metrics.encode())
         }
         _ => (StatusCode::NOT_FOUND, "not found\n".to_owned()),
