Bound what servers may send, judge streams by whole events, and contain panics

Change: an allowance of bytes for each connection to a server, a budget for all bodies that are kept whole, events of at most 64 KB and at most as many as output tokens, silence measured from the last whole event as a part of the route's patience, promises only with the server's word, a limit on clients that read nothing, and tasks that are started again after a panic. An order has a connection of its own, so that a second answer to the report is not taken for its answer.

--- a/crates/wagtailarch-gateway/src/answer_body.rs
+++ b/crates/wagtailarch-gateway/src/answer_body.rs
@@ -10,11 +10,16 @@
 use futures_util::{StreamExt, stream::LocalBoxStream};
 use hyper::body::{Body, Frame, SizeHint};
 
-use crate::guards::{OpenRequest, Serving};
+use crate::{
+    guards::{OpenRequest, Serving},
+    held_bytes::{HeldBody, HeldShare},
+};
 
 /// The body of an answer; a stream that fails ends the connection, so that it never looks complete.
 pub struct AnswerBody {
     content: Content,
+    /// Counts the bytes of a body that was kept whole.
+    _held: Option<HeldShare>,
     /// Counts the request until the body has been sent or dropped.
     _open: Option<OpenRequest>,
     /// Tells the connection when the body has been sent or dropped.
@@ -48,15 +53,25 @@
     pub fn whole(bytes: Bytes) -> Self {
         Self {
             content: Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty())),
+            _held: None,
             _open: None,
             _serving: None,
         }
     }
 
+    /// Creates a body that was kept whole; its bytes are counted until it has been sent.
+    pub fn held(body: HeldBody) -> Self {
+        Self {
+            _held: Some(body.share),
+            ..Self::whole(body.bytes)
+        }
+    }
+
     /// Creates a body that arrives in pieces.
     pub fn pieces(pieces: LocalBoxStream<'static, Result<Bytes, BodyError>>) -> Self {
         Self {
             content: Content::Pieces(pieces),
+            _held: None,
             _open: None,
             _serving: None,
         }
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Response, header, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Response, StatusCode, header, response};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::info;
 use tokio::time::timeout;
@@ -17,6 +16,7 @@
 use crate::{
     connection::{Driver, connect},
     guards::InFlight,
+    held_bytes::{HeldBody, HoldError},
     job::Job,
 };
 
@@ -26,7 +26,15 @@
 /// second only, so that a longer wait gains nothing.
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Greatest body of an answer that is kept whole, so that a broken one can be replaced.
-pub const MAX_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+const MAX_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+/// Greatest body of the answer to a call that only reads a prompt; it has about a hundred bytes.
+const MAX_HANDLE_BYTES: usize = 16 * 1024;
+/// Bytes on the wire for each byte of a body; small chunks take as much again for their frames.
+const FRAMING_FACTOR: usize = 2;
+/// Bytes of a stream on the wire besides those of its tokens.
+const STREAM_BYTES: usize = 1024 * 1024;
+/// Bytes of a stream on the wire for each token of its output; an event with one token has a few hundred.
+const STREAM_BYTES_PER_TOKEN: usize = 4 * 1024;
 /// Time in which a crashed server refuses a new connection.
 const CRASH_PROBE_LIMIT: Duration = Duration::from_millis(300);
 
@@ -90,6 +98,8 @@
     pub const NOT_RUN: Self = Self::new(RetryReason::RefusedNotRun, Ran::No);
     /// The answer is not one that the server gave to this request.
     pub const WRONG_ANSWER: Self = Self::new(RetryReason::WrongFrame, Ran::Unknown);
+    /// The server refused the request without saying that it did not run it.
+    pub const UNPROVEN_REFUSAL: Self = Self::new(RetryReason::ServerError, Ran::Unknown);
     /// The server ran the request and failed it with an answer of its own.
     pub const SERVER_ERROR: Self = Self::new(RetryReason::ServerError, Ran::Yes);
     /// The connection ended before the whole answer.
@@ -129,7 +139,7 @@
             step: call.step.clone(),
         },
     );
-    let request = head.map(|()| Full::new(job.body.clone()));
+    let request = head.map(|()| Full::new(job.body.bytes.clone()));
     let sent = connection.sender.send_request(request);
     let response = match timeout(call.head_limit, sent).await {
         Err(_) => {
@@ -163,6 +173,7 @@
         log_failure(job, call, failure, &cause);
         return Err(failure);
     }
+    connection.allowance.renew(body_allowance(job, &call.step));
     Ok(Answer {
         parts,
         body,
@@ -173,15 +184,40 @@
     })
 }
 
-/// Reads the whole body of an answer.
-pub async fn read_whole(job: &Job, call: &Call, answer: Answer) -> Result<Bytes, CallFailure> {
+/// Returns the bytes that the rest of an answer may have on the wire.
+fn body_allowance(job: &Job, step: &CallStep) -> usize {
+    if job.route.kind.is_stream() && *step != CallStep::Read {
+        let tokens = job.max_events().min(u64::from(u16::MAX)) as usize;
+        return STREAM_BYTES + tokens * STREAM_BYTES_PER_TOKEN;
+    }
+    max_whole(step) * FRAMING_FACTOR
+}
+
+/// Returns the greatest body that is kept whole.
+fn max_whole(step: &CallStep) -> usize {
+    match step {
+        CallStep::Read => MAX_HANDLE_BYTES,
+        CallStep::Whole | CallStep::Generate(_) => MAX_WHOLE_BYTES,
+    }
+}
+
+/// Reads the whole body of an answer within `limit`.
+pub async fn read_whole(
+    job: &Job,
+    call: &Call,
+    answer: Answer,
+    limit: Duration,
+) -> Result<HeldBody, CallFailure> {
     let gateway = &job.gateway;
-    let body = Limited::new(answer.body, MAX_WHOLE_BYTES).collect();
-    match timeout(job.time_left(), body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+    let body = gateway.held.read(answer.body, max_whole(&call.step));
+    match timeout(limit, body).await {
+        Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) => {
-            let now = gateway.now();
-            gateway.board.borrow_mut().on_failure(now, &call.server.id);
+            // That this instance has no room says nothing about the server.
+            if !matches!(error, HoldError::NoRoom) {
+                let now = gateway.now();
+                gateway.board.borrow_mut().on_failure(now, &call.server.id);
+            }
             log_failure(job, call, CallFailure::CLOSED, &error.to_string());
             Err(CallFailure::CLOSED)
         }
@@ -200,6 +236,9 @@
     if facts.not_run && !parts.status.is_success() {
         return Some(CallFailure::NOT_RUN);
     }
+    if promises_not_run(parts.status) {
+        return Some(CallFailure::UNPROVEN_REFUSAL);
+    }
     let own = facts.signed && !facts.encoded;
     if parts.status.is_success() && !own && *step != CallStep::Read {
         return Some(CallFailure::WRONG_ANSWER);
@@ -207,6 +246,16 @@
     None
 }
 
+/// Tells whether a status promises a client that its request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Strikes the request if its server refuses connections, as it does after a crash.
 pub fn suspect_crash(job: &Job, server: &ServerChoice) {
     let gateway = std::rc::Rc::clone(&job.gateway);
--- a/crates/wagtailarch-gateway/src/bin/wagtail-gateway.rs
+++ b/crates/wagtailarch-gateway/src/bin/wagtail-gateway.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 use pico_args::Arguments;
 use wagtailarch_adapter::SETTINGS_PATH_VARIABLE;
-use wagtailarch_gateway::{Settings, parse_settings, run};
+use wagtailarch_gateway::{Settings, log_panics, parse_settings, run};
 use wagtailarch_telemetry::ProcessLog;
 
 const HELP: &str = "\
@@ -64,6 +64,7 @@
         return ExitCode::SUCCESS;
     }
     let log = ProcessLog::start(&settings.instance, &settings.zone);
+    log_panics(log.logger.clone());
     match run(settings, path, &log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -1,6 +1,6 @@
 //! Connections to servers and to the store.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -10,6 +10,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
+use crate::{metered_stream::MeteredStream, read_allowance::ReadAllowance};
+
 /// Idle time after which a connection is probed; connections may go silent without a reset.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 /// Time without an acknowledgement after which a connection is broken.
@@ -17,6 +19,13 @@
 /// Together with `PROBE_AFTER` a silent connection is noticed within 3 seconds.
 const SILENCE: Duration = Duration::from_millis(2_000);
 
+/// Bytes that may be read before the head of an answer is whole, heads of interim answers included.
+///
+/// Heads have a few hundred bytes; the rest is what is read beyond the head at once.
+pub const HEAD_BYTES: usize = 128 * 1024;
+/// Greatest size of the buffer into which a connection is read; a larger head is no answer.
+const BUFFER_BYTES: usize = 64 * 1024;
+
 /// An HTTP/1.1 connection whose driving task ends with it.
 #[derive(Debug)]
 pub struct Connection {
@@ -24,6 +33,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Drives the connection.
     pub driver: Driver,
+    /// Bytes that may still be read; `HEAD_BYTES` at first.
+    pub allowance: Rc<ReadAllowance>,
 }
 
 /// The task that drives a connection; dropping it closes the connection.
@@ -61,7 +72,12 @@
         .map_err(|_| ConnectError::TimedOut(limit))?
         .map_err(ConnectError::Io)?;
     set_options(&stream).map_err(ConnectError::Io)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let allowance = Rc::new(ReadAllowance::new(HEAD_BYTES));
+    let stream = MeteredStream::new(stream, Rc::clone(&allowance));
+    let handshake = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(ConnectError::Http)?;
     let driver = tokio::task::spawn_local(async move {
         // Errors reach whoever waits for an answer.
@@ -70,6 +86,7 @@
     Ok(Connection {
         sender,
         driver: Driver(driver),
+        allowance,
     })
 }
 
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -19,7 +19,9 @@
 use tokio::{sync::watch, task::LocalSet};
 use wagtailarch_types::{InstanceId, ZoneName};
 
-use crate::{metrics::Metrics, snapshot::Snapshot, traffic_view::TrafficView};
+use crate::{
+    contain::keep_running, metrics::Metrics, snapshot::Snapshot, traffic_view::TrafficView,
+};
 
 /// What the control thread works with.
 #[derive(Debug, Clone)]
@@ -64,11 +66,26 @@
         .spawn(move || {
             let publisher = Arc::new(publisher);
             LocalSet::new().block_on(&runtime, async {
+                let log = &context.log;
+                let parts = || (context.clone(), Arc::clone(&publisher));
+                let routing = || {
+                    let (context, publisher) = parts();
+                    routing::watch_routing(context, publisher)
+                };
+                let servers = || {
+                    let (context, publisher) = parts();
+                    servers::watch_servers(context, publisher)
+                };
+                let instances = || {
+                    let (context, publisher) = parts();
+                    instances::keep_listed(context, publisher)
+                };
+                let roles = || roles::keep_roles(context.clone(), publisher.subscribe());
                 tokio::join!(
-                    routing::watch_routing(context.clone(), Arc::clone(&publisher)),
-                    servers::watch_servers(context.clone(), Arc::clone(&publisher)),
-                    instances::keep_listed(context.clone(), Arc::clone(&publisher)),
-                    roles::keep_roles(context.clone(), publisher.subscribe()),
+                    keep_running(log, "watch of the configuration", routing),
+                    keep_running(log, "watch of the servers", servers),
+                    keep_running(log, "list of instances", instances),
+                    keep_running(log, "roles", roles),
                 );
             });
         })?;
--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -167,12 +167,11 @@
     engine: &BackendServer,
     role: Role,
 ) -> Result<OrderAnswer, OrderError> {
-    let mut client = HttpClient::new(engine.address);
     let report = report_request(&engine.id);
-    let (status, body) = client
+    let answer = HttpClient::new(engine.address)
         .call(report, CALL_LIMIT)
-        .await
-        .map_err(OrderError::Engine)?;
+        .await;
+    let (status, body) = answer.map_err(OrderError::Engine)?;
     if status != StatusCode::OK {
         return Err(OrderError::Status(status));
     }
@@ -192,7 +191,10 @@
     if !OrderClaim::may_send(context.epoch.elapsed(), written) {
         return Err(OrderError::Late);
     }
-    let answer = client.call(request, CALL_LIMIT).await;
+    // A connection of its own: a second answer to the report is not taken for that to the order.
+    let answer = HttpClient::new(engine.address)
+        .call(request, CALL_LIMIT)
+        .await;
     let (status, _) = answer.map_err(OrderError::Engine)?;
     Ok(decode_order_answer(status))
 }
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use wagtailarch_wire::load_note::{SentPrefixes, StrikeNote};
 
 use crate::{
+    held_bytes::HeldBytes,
     metrics::Metrics,
     outbox::Outbox,
     settings::{RunningSettings, Settings},
@@ -42,6 +43,8 @@
     pub zone_outbox: Outbox,
     /// What peers of other zones have not been told yet.
     pub others_outbox: Outbox,
+    /// Bodies that are kept whole.
+    pub held: Rc<HeldBytes>,
     /// Requests without a complete answer.
     pub open_requests: Cell<usize>,
     /// Connections of clients.
@@ -84,6 +87,7 @@
             quarantine: Quarantine::new(),
             zone_outbox: Outbox::default(),
             others_outbox: Outbox::default(),
+            held: Rc::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             stopping: watch::Sender::new(Stopping::No),
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -234,14 +234,20 @@
 }
 
 /// Has an engine read the prompt and returns where it is held.
+///
+/// The limit on the head holds for the whole answer, which is short.
 async fn read_handle(job: &Job, call: &Call) -> Result<KvSource, CallFailure> {
+    let sent = job.gateway.now();
     let answer = send(job, call).await?;
     let status = answer.parts.status;
-    let body = read_whole(job, call, answer).await?;
+    let limit = call
+        .head_limit
+        .saturating_sub(job.gateway.now().saturating_sub(sent));
+    let body = read_whole(job, call, answer, limit).await?;
     let gateway = &job.gateway;
     let now = gateway.now();
     let id = &call.server.id;
-    match decode_read_answer(&body) {
+    match decode_read_answer(&body.bytes) {
         Ok(handle) if status == StatusCode::OK => {
             gateway.board.borrow_mut().on_success(now, id);
             Ok(KvSource {
@@ -266,14 +272,14 @@
 ) -> Result<Response<AnswerBody>, CallFailure> {
     let gateway = &job.gateway;
     let head = answer.take_head();
-    let body = read_whole(job, call, answer).await?;
+    let body = read_whole(job, call, answer, job.time_left()).await?;
     gateway
         .board
         .borrow_mut()
         .on_failure(gateway.now(), &call.server.id);
     info!(gateway.log, "engine failed the request"; "request" => %job.client.id,
         "server" => %call.server.id, "status" => head.status().as_u16());
-    Ok(head.map(|()| AnswerBody::whole(body)))
+    Ok(head.map(|()| AnswerBody::held(body)))
 }
 
 fn reading(job: &Job, engine: &ServerChoice, urgency: Urgency) -> Reading {
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -5,7 +5,7 @@
 use wagtailarch_dispatch::{PrefixLink, ReadNumber, Urgency};
 use wagtailarch_types::InstanceId;
 
-use crate::{client_stream::HeadClock, gateway::Gateway};
+use crate::{client_clock::ClientClock, gateway::Gateway};
 
 /// A request that was sent to a server and is not answered.
 #[derive(Debug)]
@@ -136,11 +136,11 @@
 
 /// A request on a client's connection, until its answer has been sent or dropped.
 #[derive(Debug)]
-pub struct Serving(Rc<HeadClock>);
+pub struct Serving(Rc<ClientClock>);
 
 impl Serving {
     /// Notes that the head of a request has arrived.
-    pub fn new(clock: &Rc<HeadClock>) -> Self {
+    pub fn new(clock: &Rc<ClientClock>) -> Self {
         clock.start_serving();
         Self(Rc::clone(clock))
     }
--- a/crates/wagtailarch-gateway/src/http_client.rs
+++ b/crates/wagtailarch-gateway/src/http_client.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
-use crate::connection::{ConnectError, Connection, connect};
+use crate::connection::{ConnectError, Connection, HEAD_BYTES, connect};
 
 /// Limit on opening a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(800);
@@ -63,6 +63,7 @@
         let exchange = async {
             let broken = |error: hyper::Error| CallError::Broken(error.to_string());
             connection.sender.ready().await.map_err(broken)?;
+            connection.allowance.renew(HEAD_BYTES + MAX_ANSWER_BYTES);
             let sent = connection.sender.send_request(request.map(Full::new));
             let (parts, body) = sent.await.map_err(broken)?.into_parts();
             let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
--- a/crates/wagtailarch-gateway/src/job.rs
+++ b/crates/wagtailarch-gateway/src/job.rs
@@ -2,12 +2,16 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use wagtailarch_adapter::ClientRequest;
 use wagtailarch_dispatch::{GenerationRequest, PrefixLink, Route, RoutingConfig};
 use wagtailarch_types::{Fingerprint, ServiceName, fingerprint};
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, held_bytes::HeldBody};
+
+/// Output tokens that a generation may have if its client does not say.
+const DEFAULT_OUTPUT_TOKENS: u32 = 4_096;
+/// Events of a stream that carry no token of its output, such as its end.
+const EVENTS_BESIDE_TOKENS: u64 = 64;
 
 /// A client's request while it is served.
 #[derive(Debug)]
@@ -17,7 +21,7 @@
     /// Head of the request.
     pub client: ClientRequest,
     /// Body of the request.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Route.
     pub route: Route,
     /// Service.
@@ -37,7 +41,7 @@
     pub fn new(
         gateway: &Rc<Gateway>,
         client: ClientRequest,
-        body: Bytes,
+        body: HeldBody,
         route: Route,
         config: Arc<RoutingConfig>,
         arrived: Duration,
@@ -45,7 +49,11 @@
         let service = route.target(&client.id).clone();
         let prefixes = client.prompt.as_ref().map(|prompt| prompt.prefixes());
         let target = client.uri.path_and_query().map_or("", |path| path.as_str());
-        let fields = [client.method.as_str().as_bytes(), target.as_bytes(), &body];
+        let fields = [
+            client.method.as_str().as_bytes(),
+            target.as_bytes(),
+            &body.bytes,
+        ];
         let fingerprint = fingerprint(&fields);
         Self {
             gateway: Rc::clone(gateway),
@@ -83,6 +91,13 @@
         }
     }
 
+    /// Returns the events that a stream has at most; a generation has no more than its output tokens.
+    pub fn max_events(&self) -> u64 {
+        let prompt = self.client.prompt.as_ref();
+        let tokens = prompt.map_or(DEFAULT_OUTPUT_TOKENS, |prompt| prompt.output_tokens);
+        u64::from(tokens) + EVENTS_BESIDE_TOKENS
+    }
+
     /// Returns the time that is left before the first answer is late.
     pub fn objective_left(&self) -> Duration {
         self.route.objective.saturating_sub(self.age())
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -126,7 +126,7 @@
     let gateway = &job.gateway;
     let mut answer = send(job, call).await?;
     let head = answer.take_head();
-    let body = read_whole(job, call, answer).await?;
+    let body = read_whole(job, call, answer, job.time_left()).await?;
     let now = gateway.now();
     if head.status().is_server_error() {
         gateway.board.borrow_mut().on_failure(now, &call.server.id);
@@ -140,5 +140,5 @@
     debug!(gateway.log, "answered"; "request" => %job.client.id, "route" => %job.route.name,
         "server" => %call.server.id, "status" => head.status().as_u16(),
         "age_ms" => job.age().as_millis() as u64);
-    Ok(head.map(|()| AnswerBody::whole(body)))
+    Ok(head.map(|()| AnswerBody::held(body)))
 }
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -14,6 +14,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
+    sync::watch,
     task::{LocalSet, spawn_local},
     time::sleep,
 };
@@ -22,6 +23,7 @@
 use wagtailarch_types::BootId;
 
 use crate::{
+    contain::{contain, keep_running},
     control::{self, ControlContext},
     gateway::{Gateway, Stopping},
     metrics::Metrics,
@@ -31,6 +33,7 @@
     reload::SettingsFile,
     server::serve_clients,
     settings::Settings,
+    snapshot::Snapshot,
     traffic_view::TrafficView,
 };
 
@@ -118,22 +121,62 @@
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
     let boot = boot_id();
     let gateway = Rc::new(Gateway::new(settings, log, metrics, traffic, epoch));
-    spawn_local(Rc::clone(&gateway).follow(published));
-    spawn_local(serve_clients(Rc::clone(&gateway), clients));
-    spawn_local(serve_status(Rc::clone(&gateway), ready));
-    spawn_local(serve_status(Rc::clone(&gateway), scrapes));
+    start_tasks(&gateway, published, socket, boot);
+    start_listening(&gateway, clients, [ready, scrapes]);
+    let shared = Rc::clone(&gateway);
+    spawn_local(async move {
+        let follow = file.follow(Rc::clone(&shared), hangup);
+        contain(&shared.log, "settings file", follow).await
+    });
+    Ok(gateway)
+}
+
+/// Starts what the traffic thread does beside serving.
+fn start_tasks(
+    gateway: &Rc<Gateway>,
+    published: watch::Receiver<Arc<Snapshot>>,
+    socket: Rc<UdpSocket>,
+    boot: BootId,
+) {
+    spawn_kept(gateway, "snapshots", move |gateway| {
+        gateway.follow(published.clone())
+    });
     for reach in [Reach::Zone, Reach::Others] {
-        spawn_local(tell_peers(
-            Rc::clone(&gateway),
-            Rc::clone(&socket),
-            reach,
-            boot,
-        ));
+        let socket = Rc::clone(&socket);
+        spawn_kept(gateway, "notes to peers", move |gateway| {
+            tell_peers(gateway, Rc::clone(&socket), reach, boot)
+        });
     }
-    spawn_local(tell_demand(Rc::clone(&gateway)));
-    spawn_local(hear_peers(Rc::clone(&gateway), socket));
-    spawn_local(file.follow(Rc::clone(&gateway), hangup));
-    Ok(gateway)
+    spawn_kept(gateway, "demand", tell_demand);
+    spawn_kept(gateway, "notes of peers", move |gateway| {
+        hear_peers(gateway, Rc::clone(&socket))
+    });
+}
+
+/// Starts serving clients, the balancer and scrapes.
+fn start_listening(gateway: &Rc<Gateway>, clients: TcpListener, status: [TcpListener; 2]) {
+    let clients = Rc::new(clients);
+    spawn_kept(gateway, "clients", move |gateway| {
+        serve_clients(gateway, Rc::clone(&clients))
+    });
+    for listener in status.map(Rc::new) {
+        spawn_kept(gateway, "status", move |gateway| {
+            serve_status(gateway, Rc::clone(&listener))
+        });
+    }
+}
+
+/// Spawns a task that is started again whenever it panics.
+fn spawn_kept<F: Future<Output = ()> + 'static>(
+    gateway: &Rc<Gateway>,
+    task: &'static str,
+    mut start: impl FnMut(Rc<Gateway>) -> F + 'static,
+) {
+    let gateway = Rc::clone(gateway);
+    spawn_local(async move {
+        let log = gateway.log.clone();
+        keep_running(&log, task, || start(Rc::clone(&gateway))).await;
+    });
 }
 
 /// Finishes what was read and asks clients to go elsewhere.
--- a/crates/wagtailarch-gateway/src/ready.rs
+++ b/crates/wagtailarch-gateway/src/ready.rs
@@ -21,7 +21,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves readiness and metrics at one address until the process ends.
-pub async fn serve_status(gateway: Rc<Gateway>, listener: TcpListener) {
+pub async fn serve_status(gateway: Rc<Gateway>, listener: Rc<TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -14,16 +14,18 @@
     answer_body::{AnswerBody, BodyError},
     attempts::Attempts,
     backend_client::{CallFailure, suspect_crash},
-    event_splitter::EventSplitter,
+    event_splitter::{EventSplitter, EventTooLong},
     generation::{StartFailure, Started, start},
     job::Job,
     refusal::{Refusal, SOON},
 };
 
-/// Silence after which a stream that may be resumed is taken to another engine.
+/// Part of the pause after which clients leave a stream, after which one that may be resumed is taken
+/// to another engine.
 ///
-/// Clients leave a silent stream after two seconds or more.
-const SILENCE: Duration = Duration::from_millis(1_200);
+/// The rest of the pause is left for the other engine. How long a sound stream pauses follows from the
+/// route, as the clients' patience does.
+const SILENCE_SHARE: f64 = 0.6;
 
 /// A stream on its way to the client.
 struct Relay {
@@ -42,6 +44,8 @@
     last_at: Option<Duration>,
     /// Longest pause between two events.
     longest_pause: Duration,
+    /// When the present engine last sent a whole event, or took the stream over.
+    progress_at: Duration,
     finished: bool,
 }
 
@@ -63,6 +67,7 @@
     mut started: Started,
 ) -> Result<Response<AnswerBody>, StartFailure> {
     let last_event = job.client.resume_after;
+    let progress_at = job.gateway.now();
     let mut relay = Relay {
         head: started.answer.take_head(),
         job,
@@ -74,6 +79,7 @@
         first_event_ms: None,
         last_at: None,
         longest_pause: Duration::ZERO,
+        progress_at,
         finished: false,
     };
     let first = relay.next_piece().await.transpose()?;
@@ -108,10 +114,12 @@
     /// Returns the next bytes for the client; `None` after the end of the stream.
     async fn next_piece(&mut self) -> Option<Result<Bytes, StartFailure>> {
         loop {
-            if let Some(piece) = self.take_events() {
-                return Some(Ok(piece));
-            }
-            match self.read().await {
+            let next = match self.take_events() {
+                Ok(Some(piece)) => return Some(Ok(piece)),
+                Ok(None) => self.read().await,
+                Err(cause) => Next::Broken(cause),
+            };
+            match next {
                 Next::Bytes(bytes) => self.splitter.push(&bytes),
                 Next::End => {
                     self.live.take()?;
@@ -144,26 +152,35 @@
         }
     }
 
-    /// Takes all whole events that follow the last one passed on.
-    fn take_events(&mut self) -> Option<Bytes> {
+    /// Takes all whole events that follow the last one passed on; fails if the bytes are no events.
+    fn take_events(&mut self) -> Result<Option<Bytes>, &'static str> {
         let mut pieces: Vec<Bytes> = Vec::new();
-        while let Some(event) = self.splitter.next_event() {
+        let fault = loop {
+            let event = match self.splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break None,
+                Err(EventTooLong) => break Some("event too long"),
+            };
             // After a resumption an engine may send events again.
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
+            if self.events >= self.job.max_events() {
+                break Some("too many events");
+            }
             self.last_event = event.id.or(self.last_event);
             self.events += 1;
             pieces.push(event.bytes);
-        }
+        };
         if pieces.is_empty() {
-            return None;
+            return fault.map_or(Ok(None), Err);
         }
+        // A fault shows again with the next look at the rest.
         self.on_events();
-        match pieces.len() {
+        Ok(match pieces.len() {
             1 => pieces.pop(),
             _ => Some(pieces.concat().into()),
-        }
+        })
     }
 
     fn on_events(&mut self) {
@@ -175,6 +192,7 @@
         let job = &self.job;
         let gateway = &job.gateway;
         let now = gateway.now();
+        self.progress_at = now;
         if let Some(last_at) = self.last_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.saturating_sub(last_at));
         }
@@ -194,18 +212,21 @@
     }
 
     /// Reads from the engine's answer.
+    ///
+    /// Only whole events count as progress. Bytes that have arrived are taken also after the time for
+    /// the request is over.
     async fn read(&mut self) -> Next {
         let Some(live) = &mut self.live else {
             return Next::End;
         };
-        let left = self.job.time_left();
-        if left.is_zero() {
-            return Next::TimedOut;
-        }
+        let silence = self.job.route.patience().mul_f64(SILENCE_SHARE);
+        let silent = self.job.gateway.now().saturating_sub(self.progress_at);
+        let wait = silence.saturating_sub(silent).min(self.job.time_left());
         let frame = live.answer.body.frame();
         let mut frame = std::pin::pin!(frame);
-        let read = match timeout(left.min(SILENCE), frame.as_mut()).await {
+        let read = match timeout(wait, frame.as_mut()).await {
             Ok(read) => Ok(read),
+            Err(_) if self.job.time_left().is_zero() => return Next::TimedOut,
             Err(_) if self.attempts.may_move(&self.job, &live.call.server.id) => {
                 return Next::Broken("silent");
             }
@@ -253,6 +274,7 @@
                 if !delivered {
                     self.head = started.answer.take_head();
                 }
+                self.progress_at = gateway.now();
                 self.live = Some(started);
                 Ok(())
             }
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, info, warn};
@@ -19,11 +18,14 @@
 
 use crate::{
     answer_body::AnswerBody,
-    client_stream::{ClientStream, HeadClock},
+    client_clock::{ClientClock, Overdue},
+    contain::contain,
     gateway::{Gateway, Stopping},
     generation,
     guards::{OpenConnection, OpenRequest, Serving},
+    held_bytes::{HeldBody, HoldError},
     job::Job,
+    metered_stream::MeteredStream,
     plain,
     refusal::{Refusal, SOON},
 };
@@ -46,7 +48,7 @@
 ///
 /// A request that is taken late in a shutdown would be cut at its end, while the client of a refused
 /// connection knows that nothing was read.
-pub async fn serve_clients(gateway: Rc<Gateway>, listener: TcpListener) {
+pub async fn serve_clients(gateway: Rc<Gateway>, listener: Rc<TcpListener>) {
     let mut stopping = gateway.stopping.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -76,8 +78,8 @@
     }
     let limits = limits(&gateway);
     let mut stopping = gateway.stopping.subscribe();
-    let clock = Rc::new(HeadClock::default());
-    let stream = ClientStream::new(stream, Rc::clone(&clock));
+    let clock = Rc::new(ClientClock::default());
+    let stream = MeteredStream::new(stream, Rc::clone(&clock));
     let shared = Rc::clone(&gateway);
     let served = Rc::clone(&clock);
     let service = service_fn(move |request| {
@@ -97,10 +99,18 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = clock.overdue(limits.head_timeout) => {
-            gateway.metrics.outcomes.refused(RefusalReason::HeadersTooSlow);
-            info!(gateway.log, "connection closed"; "reason" => %RefusalReason::HeadersTooSlow,
-                "limit_ms" => limits.head_timeout.as_millis() as u64);
+        overdue = clock.overdue(limits.head_timeout, limits.idle_timeout) => {
+            match overdue {
+                Overdue::Head => {
+                    gateway.metrics.outcomes.refused(RefusalReason::HeadersTooSlow);
+                    info!(gateway.log, "connection closed"; "reason" => %RefusalReason::HeadersTooSlow,
+                        "limit_ms" => limits.head_timeout.as_millis() as u64);
+                }
+                Overdue::Answer => {
+                    info!(gateway.log, "connection closed"; "reason" => "client reads nothing",
+                        "limit_ms" => limits.idle_timeout.as_millis() as u64);
+                }
+            }
             return;
         }
         _ = stopping.wait_for(|stopping| *stopping == Stopping::Finishing) => {
@@ -115,7 +125,9 @@
 
 /// Answers one request.
 async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let mut response = route(&gateway, request).await;
+    let routed = contain(&gateway.log, "request", route(&gateway, request)).await;
+    // Nobody knows how far a request came whose task panicked.
+    let mut response = routed.unwrap_or_else(|| status(StatusCode::BAD_GATEWAY));
     if *gateway.stopping.borrow() != Stopping::No {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -179,18 +191,19 @@
     client: &ClientRequest,
     body: Incoming,
     limit: Duration,
-) -> Result<Bytes, Response<AnswerBody>> {
-    let body = Limited::new(body, limits(gateway).body_bytes).collect();
+) -> Result<HeldBody, Response<AnswerBody>> {
+    let body = gateway.held.read(body, limits(gateway).body_bytes);
     match tokio::time::timeout(limit, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(HoldError::NoRoom)) => Err(refuse(gateway, client, RefusalReason::Overloaded)),
+        Ok(Err(HoldError::TooLarge(_))) => {
             gateway
                 .metrics
                 .outcomes
                 .refused(RefusalReason::BodyTooLarge);
             Err(status(StatusCode::PAYLOAD_TOO_LARGE))
         }
-        Ok(Err(error)) => {
+        Ok(Err(HoldError::Broken(error))) => {
             info!(gateway.log, "body not read"; "request" => %client.id, "cause" => %error);
             Err(status(StatusCode::BAD_REQUEST))
         }
--- /dev/null
+++ b/crates/wagtailarch-gateway/tests/contain.rs
@@ -0,0 +1,50 @@
+//! Panics of single tasks.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
+
+use slog::{Discard, Logger, o};
+use tokio::time::{Instant, sleep};
+use wagtailarch_gateway::{contain, keep_running};
+
+fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// Guards against a panic in the task of one request that ends others or leaves shared state borrowed.
+#[tokio::test]
+async fn a_panic_ends_its_own_future_only() {
+    let state = RefCell::new(0);
+    let log = log();
+    let failed = contain(&log, "request", async {
+        let _borrowed = state.borrow_mut();
+        panic!("injected")
+    });
+    let result: Option<()> = failed.await;
+    assert_eq!(result, None);
+    *state.borrow_mut() += 1;
+    assert_eq!(contain(&log, "request", async { 2 }).await, Some(2));
+}
+
+/// Guards against a task of the process that is gone after an unexpected input, so that the process
+/// serves on without it; and against a task that takes the processor by panicking again and again.
+#[tokio::test(start_paused = true)]
+async fn a_task_that_panics_is_started_again_after_a_pause() {
+    let starts = Cell::new(0);
+    let begun = Instant::now();
+    keep_running(&log(), "watch", || {
+        starts.set(starts.get() + 1);
+        let start = starts.get();
+        async move {
+            sleep(Duration::from_millis(1)).await;
+            assert!(start > 8, "injected");
+        }
+    })
+    .await;
+    assert_eq!(starts.get(), 9);
+    let elapsed = begun.elapsed();
+    let expected = Duration::from_secs(5)..Duration::from_secs(12);
+    assert!(expected.contains(&elapsed), "{elapsed:?}");
+}
--- a/crates/wagtailarch-gateway/tests/event_splitter.rs
+++ b/crates/wagtailarch-gateway/tests/event_splitter.rs
@@ -13,7 +13,7 @@
         let mut events = Vec::new();
         for part in [&text[..split], &text[split..]] {
             splitter.push(part.as_bytes());
-            while let Some(event) = splitter.next_event() {
+            while let Some(event) = splitter.next_event().expect("short events") {
                 events.push(event);
             }
         }
@@ -29,7 +29,40 @@
 fn half_an_event_is_kept_back() {
     let mut splitter = EventSplitter::default();
     splitter.push(b"id: 7\ndata: whole\n\nid: 8\ndata: ha");
-    assert_eq!(splitter.next_event().and_then(|event| event.id), Some(7));
-    assert!(splitter.next_event().is_none());
+    assert_eq!(
+        splitter
+            .next_event()
+            .expect("short events")
+            .and_then(|event| event.id),
+        Some(7)
+    );
+    assert_eq!(splitter.next_event(), Ok(None));
     assert_eq!(&splitter.take_rest()[..], b"id: 8\ndata: ha");
 }
+
+/// Guards against comments that look like progress, and against those that are lost on their way.
+#[test]
+fn comments_are_passed_on_with_the_event_after_them() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b": wait\n\n:\r\n\r\n");
+    assert_eq!(splitter.next_event(), Ok(None));
+    splitter.push(b"id: 3\ndata: a\n\n");
+    let event = splitter.next_event().expect("short events");
+    let event = event.expect("a whole event");
+    assert_eq!(event.id, Some(3));
+    assert_eq!(&event.bytes[..], b": wait\n\n:\r\n\r\nid: 3\ndata: a\n\n");
+}
+
+/// Guards against an event without end that fills the memory.
+#[rstest]
+#[case(b"data: x")]
+#[case(b": wait\n\n")]
+fn an_event_without_end_is_refused(#[case] repeated: &[u8]) {
+    let mut splitter = EventSplitter::default();
+    let mut pushed = 0;
+    while splitter.next_event().is_ok() {
+        splitter.push(&repeated.repeat(1_000));
+        pushed += repeated.len() * 1_000;
+        assert!(pushed < 1024 * 1024, "{pushed} bytes are kept");
+    }
+}
