Read from the store in a few instances of each zone and pass on in the zone

Cause: each instance lists and watches the store by itself.

Change: two relays of a zone, or one for 30 members, read the configuration, the registrations and the list of instances; the others ask them over the address of the notes and get the store's own versions. A relay that is dead, deaf or refused by the store is left for another one and then for the store. Nobody is elected: members that list the same others agree.

A stream whose time is over while its process stood still gets a moment for what has arrived.

--- /dev/null
+++ b/crates/wagtailarch-dispatch/src/relay_plan.rs
@@ -0,0 +1,123 @@
+//! Which instance asks the store for news, and which one it asks another instance.
+//!
+//! A few instances of each availability zone, the relays, read from the store; the others get the same
+//! objects and versions from them. The calls to the store so grow with the zones and not with the
+//! instances. No relay is elected: instances that list the same members agree, and one that disagrees
+//! asks the store itself.
+
+use std::{cmp::Reverse, time::Duration};
+
+use indexmap::IndexMap;
+use wagtailarch_types::{InstanceId, rendezvous_weight};
+
+/// Members of a zone for each relay, so that a relay answers a bounded number of instances.
+const MEMBERS_PER_RELAY: usize = 30;
+/// Fewest relays of a zone, so that one is left when another fails.
+const MIN_RELAYS: usize = 2;
+/// Time for which a relay that failed is not asked again.
+const SUSPECT_FOR: Duration = Duration::from_secs(5);
+/// Time for which a relay may know nothing yet; it may be starting, as all may after a loss of power.
+const START_PATIENCE: Duration = Duration::from_millis(700);
+/// Time after the start for which an instance waits to hear of others before it asks the store.
+const ALONE_PATIENCE: Duration = Duration::from_millis(2_200);
+/// Time between two calls to a store that relays say is lost.
+///
+/// Calls are priced while the store is down too. An unstable store extends the bounds by seconds.
+const LOST_STORE_PAUSE: Duration = Duration::from_secs(2);
+
+/// Decides whom one instance asks for the objects of a kind.
+#[derive(Debug, Default)]
+pub struct RelayPlan {
+    /// Relays that failed, and until when they are not asked.
+    suspects: IndexMap<InstanceId, Duration>,
+    /// Since when the asked relay has known nothing.
+    unknown_since: Option<Duration>,
+    /// When all relays last knew nothing and the store was asked.
+    store_asked: Option<Duration>,
+}
+
+/// Whom to ask.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// The store.
+    Store,
+    /// An instance of the same zone.
+    Relay(InstanceId),
+    /// Nobody yet.
+    Wait,
+}
+
+impl RelayPlan {
+    /// Returns whom the instance `own` asks.
+    ///
+    /// `others` are the other members of its zone, `age` the time since its start.
+    pub fn source(
+        &mut self,
+        now: Duration,
+        age: Duration,
+        own: &InstanceId,
+        others: &[InstanceId],
+    ) -> Source {
+        self.suspects.retain(|_, until| *until > now);
+        if others.is_empty() {
+            return match age < ALONE_PATIENCE {
+                true => Source::Wait,
+                false => Source::Store,
+            };
+        }
+        let relays = relays(own, others);
+        if relays.contains(&own) {
+            return Source::Store;
+        }
+        let key = rendezvous_weight(0, own);
+        let usable = relays.iter().filter(|relay| !self.is_suspect(relay));
+        let nearest = usable.max_by_key(|relay| rendezvous_weight(key, relay));
+        if let Some(relay) = nearest {
+            return Source::Relay((*relay).clone());
+        }
+        let pause_over = |at| now.saturating_sub(at) >= LOST_STORE_PAUSE;
+        if self.unknown_since.is_some() && !self.store_asked.is_none_or(pause_over) {
+            return Source::Wait;
+        }
+        self.store_asked = Some(now);
+        Source::Store
+    }
+
+    /// Notes that a relay answered.
+    pub fn on_answer(&mut self) {
+        self.unknown_since = None;
+        self.store_asked = None;
+    }
+
+    /// Notes that the store answered.
+    pub fn on_store_answer(&mut self) {
+        self.unknown_since = None;
+        self.store_asked = None;
+    }
+
+    /// Notes that a relay could not be reached, or was found deaf.
+    pub fn on_failure(&mut self, now: Duration, relay: &InstanceId) {
+        self.suspects.insert(relay.clone(), now + SUSPECT_FOR);
+    }
+
+    /// Notes that a relay knows nothing at present: it starts, or the store does not answer it.
+    pub fn on_unknown(&mut self, now: Duration, relay: &InstanceId) {
+        let since = *self.unknown_since.get_or_insert(now);
+        if now.saturating_sub(since) >= START_PATIENCE {
+            self.on_failure(now, relay);
+        }
+    }
+
+    fn is_suspect(&self, relay: &InstanceId) -> bool {
+        self.suspects.contains_key(relay)
+    }
+}
+
+/// Returns the relays among the members of a zone.
+fn relays<'a>(own: &'a InstanceId, others: &'a [InstanceId]) -> Vec<&'a InstanceId> {
+    let mut members: Vec<_> = others.iter().chain([own]).collect();
+    let count = members.len().div_ceil(MEMBERS_PER_RELAY).max(MIN_RELAYS);
+    members.sort_by_key(|member| Reverse(rendezvous_weight(0, member)));
+    members.truncate(count);
+    members
+}
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -1,26 +1,30 @@
 //! The control thread: configuration, servers and peers from the store.
 
 mod instances;
+mod relay;
 mod roles;
 mod routing;
 mod servers;
+mod sources;
 mod store_error;
 mod watcher;
 
 use std::{
     io,
     net::SocketAddr,
+    rc::Rc,
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
 
 use slog::Logger;
-use tokio::{sync::watch, task::LocalSet};
+use tokio::{net::TcpListener, sync::watch, task::LocalSet};
 use wagtailarch_types::{InstanceId, ZoneName};
 
 use crate::{
-    contain::keep_running, metrics::Metrics, snapshot::Snapshot, traffic_view::TrafficView,
+    contain::keep_running, control::sources::Sources, metrics::Metrics, snapshot::Snapshot,
+    traffic_view::TrafficView,
 };
 
 /// What the control thread works with.
@@ -56,32 +60,45 @@
 }
 
 /// Starts the control thread, which ends with the process, and returns what it publishes.
-pub fn start(context: ControlContext) -> io::Result<watch::Receiver<Arc<Snapshot>>> {
+pub fn start(
+    context: ControlContext,
+    relay_listener: std::net::TcpListener,
+) -> io::Result<watch::Receiver<Arc<Snapshot>>> {
     let (publisher, published) = watch::channel(Arc::new(Snapshot::default()));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    relay_listener.set_nonblocking(true)?;
+    let listener = {
+        let _reactor = runtime.enter();
+        TcpListener::from_std(relay_listener)?
+    };
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
             let publisher = Arc::new(publisher);
             LocalSet::new().block_on(&runtime, async {
                 let log = &context.log;
-                let parts = || (context.clone(), Arc::clone(&publisher));
+                let sources = Sources::new(context.clone());
+                let parts = || (sources.clone(), Arc::clone(&publisher));
                 let routing = || {
-                    let (context, publisher) = parts();
-                    routing::watch_routing(context, publisher)
+                    let (sources, publisher) = parts();
+                    routing::watch_routing(sources, publisher)
                 };
                 let servers = || {
-                    let (context, publisher) = parts();
-                    servers::watch_servers(context, publisher)
+                    let (sources, publisher) = parts();
+                    servers::watch_servers(sources, publisher)
                 };
                 let instances = || {
-                    let (context, publisher) = parts();
-                    instances::keep_listed(context, publisher)
+                    let (sources, publisher) = parts();
+                    instances::keep_listed(sources, publisher)
                 };
                 let roles = || roles::keep_roles(context.clone(), publisher.subscribe());
+                let listener = Rc::new(listener);
+                let relay =
+                    || relay::serve_relay(sources.relay.clone(), Rc::clone(&listener), log.clone());
                 tokio::join!(
+                    keep_running(log, "relay", relay),
                     keep_running(log, "watch of the configuration", routing),
                     keep_running(log, "watch of the servers", servers),
                     keep_running(log, "list of instances", instances),
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -11,11 +11,16 @@
     Kind, PutOutcome, StoreObject, create_request, decode_delete, decode_list, decode_put,
     delete_request, list_request, replace_request,
 };
-use wagtailarch_dispatch::{Listing, is_designated};
-use wagtailarch_types::InstanceId;
+use wagtailarch_dispatch::{Listing, Source, is_designated};
+use wagtailarch_types::{InstanceId, ObjectVersion};
+use wagtailarch_wire::relay::RelayKind;
 
 use crate::{
-    control::{ControlContext, publish, store_error::StoreError},
+    control::{
+        ControlContext, publish,
+        sources::{RelayReader, Relayed, Sources},
+        store_error::StoreError,
+    },
     http_client::HttpClient,
     metrics::StoreCall,
     snapshot::{Peer, Snapshot},
@@ -40,20 +45,30 @@
 }
 
 /// Keeps this instance listed, publishes the others and removes those that are gone.
-pub async fn keep_listed(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
+pub async fn keep_listed(sources: Sources, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
+    let context = sources.context.clone();
     let mut client = HttpClient::new(context.store_address);
-    while let Err(error) = write(&context, &mut client).await {
-        warn!(context.log, "instance not listed"; "cause" => %error);
+    loop {
+        match write(&context, &mut client).await {
+            Ok(new) => {
+                sources.set_new_member(new);
+                break;
+            }
+            Err(error) => warn!(context.log, "instance not listed"; "cause" => %error),
+        }
         sleep(SHORT_PAUSE).await;
     }
     let mut lists = 0;
     let mut listing = Listing::default();
+    let mut reader = InstanceReader::new(sources.clone());
     loop {
-        match list(&context, &mut client).await {
-            Ok(instances) => {
+        match reader.read(&mut client).await {
+            Ok(Some(instances)) => {
                 keep_list(&context, &mut client, &mut listing, &instances).await;
+                sources.set_listed(&instances);
                 publish_peers(&context, &publisher, instances);
             }
+            Ok(None) => {}
             // The watchers report a lost store.
             Err(_) => context.metrics.store_failure(),
         }
@@ -84,7 +99,7 @@
     let gone = listing.on_list(now, &context.instance, &listed, &heard);
     if listing.must_list_again() {
         match write(context, client).await {
-            Ok(()) => info!(context.log, "instance listed again"),
+            Ok(_) => info!(context.log, "instance listed again"),
             Err(error) => warn!(context.log, "instance not listed"; "cause" => %error),
         }
     }
@@ -128,21 +143,21 @@
     Ok(decode_delete(status)?)
 }
 
-/// Creates or replaces the object of this instance.
-async fn write(context: &ControlContext, client: &mut HttpClient) -> Result<(), ListingError> {
+/// Creates or replaces the object of this instance; returns whether it is new.
+async fn write(context: &ControlContext, client: &mut HttpClient) -> Result<bool, ListingError> {
     let content = json!({
         "peer_address": context.peer_address.to_string(),
         "zone": context.zone,
     });
     let create = create_request(Kind::Instances, &context.instance, &content);
     match put(context, client, create).await? {
-        PutOutcome::Done(_) => return Ok(()),
-        PutOutcome::Conflict(object) if object.content == content => return Ok(()),
+        PutOutcome::Done(_) => return Ok(true),
+        PutOutcome::Conflict(object) if object.content == content => return Ok(false),
         PutOutcome::Conflict(_) | PutOutcome::Missing => {}
     }
     let replace = replace_request(Kind::Instances, &context.instance, &content, None);
     match put(context, client, replace).await? {
-        PutOutcome::Done(_) => Ok(()),
+        PutOutcome::Done(_) => Ok(false),
         PutOutcome::Conflict(_) | PutOutcome::Missing => Err(ListingError::NotWritten),
     }
 }
@@ -158,23 +173,90 @@
     decode_put(status, &body).map_err(|fault| ListingError::Store(fault.into()))
 }
 
-/// Lists all instances in the order of their names.
-async fn list(context: &ControlContext, client: &mut HttpClient) -> Result<Vec<Peer>, StoreError> {
-    let mut instances = Vec::new();
-    let mut after: Option<SmolStr> = None;
-    loop {
-        context.metrics.store_call(StoreCall::StaleList);
-        let request = list_request(Kind::Instances, after.as_deref(), true);
-        let (status, body) = client.call(request, CALL_LIMIT).await?;
-        let page = decode_list(status, &body)?;
-        instances.extend(page.objects.iter().filter_map(peer));
-        after = page.next_after;
-        if after.is_none() {
-            break;
+/// Reads the list of instances from the store or from a relay.
+struct InstanceReader {
+    context: ControlContext,
+    relays: RelayReader,
+    /// Version of the newest list.
+    have: Option<ObjectVersion>,
+    /// Objects of the newest list that the store gave.
+    stored: Vec<StoreObject>,
+    /// Whether the next list comes from the store whatever the relays have.
+    check: bool,
+}
+
+impl InstanceReader {
+    fn new(sources: Sources) -> Self {
+        Self {
+            context: sources.context.clone(),
+            relays: RelayReader::new(RelayKind::Instances, sources),
+            have: None,
+            stored: Vec::new(),
+            check: true,
+        }
+    }
+
+    /// Returns all instances in the order of their names; `None` if there is nothing new.
+    async fn read(&mut self, client: &mut HttpClient) -> Result<Option<Vec<Peer>>, StoreError> {
+        let source = match std::mem::take(&mut self.check) {
+            true => Source::Store,
+            false => self.relays.source(),
+        };
+        let objects = match source {
+            Source::Wait | Source::Store => self.list(client).await?,
+            Source::Relay(relay) => {
+                self.relays.on_store_unheard();
+                match self.relays.ask(&relay, self.have, Duration::ZERO).await {
+                    Ok(Relayed::All(version, objects)) => {
+                        self.have = Some(version);
+                        // A relay's list may be older than this instance's own entry.
+                        let own = &self.context.instance;
+                        self.check = !objects.iter().any(|object| object.name == *own);
+                        if self.check {
+                            return Ok(None);
+                        }
+                        objects
+                    }
+                    Ok(_) => return Ok(None),
+                    Err(error) => {
+                        info!(self.context.log, "relay not asked"; "kind" => "instances",
+                            "peer" => %relay, "cause" => %error);
+                        return Ok(None);
+                    }
+                }
+            }
+        };
+        let mut instances: Vec<_> = objects.iter().filter_map(peer).collect();
+        instances.sort();
+        Ok(Some(instances))
+    }
+
+    /// Lists all instances at the store.
+    async fn list(&mut self, client: &mut HttpClient) -> Result<Vec<StoreObject>, StoreError> {
+        let mut objects = Vec::new();
+        let mut version = 0;
+        let mut after: Option<SmolStr> = None;
+        loop {
+            self.context.metrics.store_call(StoreCall::StaleList);
+            let request = list_request(Kind::Instances, after.as_deref(), true);
+            let (status, body) = client.call(request, CALL_LIMIT).await?;
+            let page = decode_list(status, &body)?;
+            objects.extend(page.objects);
+            version = page.store_version.max(version);
+            after = page.next_after;
+            if after.is_none() {
+                break;
+            }
+        }
+        // Others are told only of lists that differ.
+        if objects != self.stored || self.have.is_none() {
+            self.stored.clone_from(&objects);
+            self.have = Some(version);
         }
+        let have = self.have.unwrap_or(version);
+        self.relays.on_store_list(have, &self.stored);
+        Ok(objects)
     }
-    instances.sort();
-    Ok(instances)
 }
 
 fn peer(object: &StoreObject) -> Option<Peer> {
--- a/crates/wagtailarch-gateway/src/control/routing.rs
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -5,18 +5,22 @@
 use slog::{info, warn};
 use tokio::sync::watch;
 use wagtailarch_adapter::{Kind, StoreObject, decode_routing};
+use wagtailarch_wire::relay::RelayKind;
 
 use crate::{
     control::{
         ControlContext, publish,
+        sources::Sources,
         watcher::{Seen, Watcher},
     },
     snapshot::Snapshot,
 };
 
 /// Follows the configuration and publishes each newer one.
-pub async fn watch_routing(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
-    let mut watcher = Watcher::new(Kind::Config, context.config_bound, context.clone());
+pub async fn watch_routing(sources: Sources, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
+    let context = sources.context.clone();
+    let bound = context.config_bound;
+    let mut watcher = Watcher::new(Kind::Config, RelayKind::Routing, bound, sources);
     loop {
         let objects = match watcher.next().await {
             Seen::Listed(objects) => objects,
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -7,18 +7,22 @@
 use wagtailarch_adapter::{Kind, StoreObject, decode_server};
 use wagtailarch_dispatch::{BackendServer, Change, Membership};
 use wagtailarch_types::{InstanceId, ObjectVersion};
+use wagtailarch_wire::relay::RelayKind;
 
 use crate::{
     control::{
         ControlContext, publish,
+        sources::Sources,
         watcher::{Seen, Watcher},
     },
     snapshot::Snapshot,
 };
 
 /// Follows the registrations and publishes the usable servers after each change.
-pub async fn watch_servers(context: ControlContext, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
-    let mut watcher = Watcher::new(Kind::Servers, context.leaving_bound, context.clone());
+pub async fn watch_servers(sources: Sources, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
+    let context = sources.context.clone();
+    let bound = context.leaving_bound;
+    let mut watcher = Watcher::new(Kind::Servers, RelayKind::Servers, bound, sources);
     let mut membership = Membership::default();
     loop {
         let news = watcher.news();
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -10,12 +10,16 @@
 use wagtailarch_adapter::{
     Kind, StoreFault, StoreObject, decode_list, decode_watch, list_request, watch_request,
 };
-use wagtailarch_dispatch::{is_designated, watch_wait};
-use wagtailarch_types::ObjectVersion;
-use wagtailarch_wire::load_note::StoreNews;
+use wagtailarch_dispatch::{Source, is_designated, watch_wait};
+use wagtailarch_types::{InstanceId, ObjectVersion};
+use wagtailarch_wire::{load_note::StoreNews, relay::RelayKind};
 
 use crate::{
-    control::{ControlContext, store_error::StoreError},
+    control::{
+        ControlContext,
+        sources::{RelayError, RelayReader, Relayed, Sources},
+        store_error::StoreError,
+    },
     http_client::HttpClient,
     metrics::StoreCall,
 };
@@ -31,6 +35,10 @@
 const DEAF_AFTER: Duration = Duration::from_millis(1_000);
 /// Wait of a watch that only has to reach the news of peers; its answer tells the store's version.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(50);
+/// Time for which a question to a relay waits for news.
+const RELAY_WAIT: Duration = Duration::from_secs(15);
+/// Pause before a relay that knows nothing is asked again, and while nobody can be asked.
+const RELAY_PAUSE: Duration = Duration::from_millis(100);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls; each call is priced, also while the store is down.
@@ -42,6 +50,8 @@
     kind: Kind,
     client: HttpClient,
     context: ControlContext,
+    /// Relays, and what this instance passes on itself.
+    relays: RelayReader,
     /// Time in which changes have to be taken over.
     bound: Duration,
     /// Version from which the next watch continues; absent before a list.
@@ -72,15 +82,18 @@
 }
 
 impl Watcher {
-    /// Creates a watcher that begins with a list.
+    /// Creates a watcher that begins with a list of the objects of `kind`, which relays pass on as
+    /// `relayed`.
     ///
     /// `bound` is the time in which changes have to be taken over.
-    pub fn new(kind: Kind, bound: Duration, context: ControlContext) -> Self {
+    pub fn new(kind: Kind, relayed: RelayKind, bound: Duration, sources: Sources) -> Self {
+        let context = sources.context.clone();
         let peer_news = context.traffic.news();
         Self {
             kind,
             client: HttpClient::new(context.store_address),
             context,
+            relays: RelayReader::new(relayed, sources),
             bound,
             position: None,
             pause: FIRST_PAUSE,
@@ -101,9 +114,19 @@
     /// Waits for the next news; the list of changes may be empty.
     pub async fn next(&mut self) -> Seen {
         loop {
-            let step = match self.position {
-                None => self.list().await,
-                Some(position) => self.watch(position).await,
+            let step = match self.relays.source() {
+                Source::Wait => {
+                    sleep(RELAY_PAUSE).await;
+                    continue;
+                }
+                Source::Relay(relay) => match self.ask(&relay).await {
+                    Some(seen) => return seen,
+                    None => continue,
+                },
+                Source::Store => match self.position {
+                    None => self.list().await,
+                    Some(position) => self.watch(position).await,
+                },
             };
             match step {
                 Ok(seen) => {
@@ -117,6 +140,7 @@
                 }
                 Err(error) => {
                     self.position = None;
+                    self.relays.on_store_unheard();
                     if self.on_failure(&error) {
                         return Seen::Lost;
                     }
@@ -145,6 +169,8 @@
             after = page.next_after;
             if after.is_none() {
                 self.on_list(&objects);
+                let position = self.position.unwrap_or_default();
+                self.relays.on_store_list(position, &objects);
                 return Ok(Seen::Listed(objects));
             }
         }
@@ -185,14 +211,83 @@
         let (status, body) = answer?;
         let page = decode_watch(status, &body)?;
         self.position = Some(page.store_version);
+        self.relays
+            .on_store_changes(page.store_version, &page.changes);
         if !page.changes.is_empty() {
             self.not_before = Some(Instant::now() + self.bound / NEWS_PAUSE_PART);
         }
-        let versions = page.changes.iter().map(|(object, _)| object.version);
-        self.news = versions.fold(self.news, ObjectVersion::max);
+        self.on_changes(&page.changes);
         Ok(Seen::Changed(page.changes))
     }
 
+    /// Notes the versions of changed objects.
+    fn on_changes(&mut self, changes: &[(StoreObject, bool)]) {
+        let versions = changes.iter().map(|(object, _)| object.version);
+        self.news = versions.fold(self.news, ObjectVersion::max);
+    }
+
+    /// Asks a relay for news; `None` if another source has to be asked.
+    async fn ask(&mut self, relay: &InstanceId) -> Option<Seen> {
+        self.relays.on_store_unheard();
+        let wait = match self.position {
+            Some(_) => RELAY_WAIT,
+            None => Duration::ZERO,
+        };
+        let position = self.position.unwrap_or(ObjectVersion::MAX);
+        let answer = tokio::select! {
+            answer = self.relays.ask(relay, self.position, wait) => answer,
+            () = outdated(&mut self.peer_news, self.kind, position) => {
+                info!(self.log(), "relay deaf"; "kind" => self.kind.as_str(), "peer" => %relay,
+                    "version" => position);
+                self.relays.on_deaf(relay);
+                self.catching_up = true;
+                return None;
+            }
+        };
+        match answer {
+            Ok(relayed) => {
+                self.on_answer();
+                Some(self.take_over(relayed))
+            }
+            Err(RelayError::TooLarge) => {
+                self.catching_up = self.position.is_some();
+                None
+            }
+            Err(RelayError::Unknown) => {
+                sleep(RELAY_PAUSE).await;
+                // Servers may be missing when the store returns, as after a failed call to it.
+                let first = !std::mem::replace(&mut self.lost, true);
+                if first {
+                    info!(self.log(), "relay knows nothing"; "kind" => self.kind.as_str(),
+                        "peer" => %relay);
+                }
+                first.then_some(Seen::Lost)
+            }
+            Err(error) => {
+                info!(self.log(), "relay not asked"; "kind" => self.kind.as_str(),
+                    "peer" => %relay, "cause" => %error);
+                None
+            }
+        }
+    }
+
+    /// Takes over what a relay has passed on; its versions are those of the store.
+    fn take_over(&mut self, relayed: Relayed) -> Seen {
+        match relayed {
+            Relayed::Unchanged => Seen::Changed(Vec::new()),
+            Relayed::All(position, objects) => {
+                self.position = Some(position);
+                self.on_list(&objects);
+                Seen::Listed(objects)
+            }
+            Relayed::Changes(position, changes) => {
+                self.position = Some(position);
+                self.on_changes(&changes);
+                Seen::Changed(changes)
+            }
+        }
+    }
+
     /// Returns the time for which the next watch waits.
     fn wait(&mut self) -> Duration {
         if std::mem::take(&mut self.catching_up) {
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -115,7 +115,9 @@
         metrics: Arc::clone(&metrics),
         traffic: Arc::clone(&traffic),
     };
-    let published = control::start(context).map_err(StartError::Runtime)?;
+    let relays = std::net::TcpListener::bind(settings.peer_address);
+    let relays = relays.map_err(|error| StartError::Listen(settings.peer_address, error))?;
+    let published = control::start(context, relays).map_err(StartError::Runtime)?;
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -27,6 +27,10 @@
 /// route, as the clients' patience does.
 const SILENCE_SHARE: f64 = 0.6;
 
+/// Time in which the task of a connection hands over what has arrived, after the time for a request is
+/// over.
+const HAND_OVER: Duration = Duration::from_millis(20);
+
 /// A stream on its way to the client.
 struct Relay {
     /// Head for the client; that of the engine that sends the first event.
@@ -226,7 +230,8 @@
         let mut frame = std::pin::pin!(frame);
         let read = match timeout(wait, frame.as_mut()).await {
             Ok(read) => Ok(read),
-            Err(_) if self.job.time_left().is_zero() => return Next::TimedOut,
+            // After a pause of the process the connection's task has not read yet.
+            Err(_) if self.job.time_left().is_zero() => timeout(HAND_OVER, frame).await,
             Err(_) if self.attempts.may_move(&self.job, &live.call.server.id) => {
                 return Next::Broken("silent");
             }
--- a/crates/wagtailarch-wire/src/lib.rs
+++ b/crates/wagtailarch-wire/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`service`] holds the load report of plain services.
 //! [`engine`] holds the engine protocol, [`platform`] the platform protocol and [`records`] the
 //! system's own objects in the platform, all JSON; [`peer`] and [`load_note`] hold the postcard
-//! messages between instances.
+//! messages between instances, and [`relay`] their questions to each other.
 
 pub mod connection_headers;
 pub mod engine;
@@ -12,4 +12,5 @@
 pub mod peer;
 pub mod platform;
 pub mod records;
+pub mod relay;
 pub mod service;
