Pass notes on by relays of each zone in fleets of more than 25 instances

Cause: each instance told each other one, with up to 1,900 datagrams a second sent and received.

Change: members tell the relays of their zone, which pass notes on unchanged, in bundles, to the other members every 40 ms and to the relays of other zones every 120 ms. Everyone still tells everyone in fleets of up to 24 peers. NoteRoutes decides who tells whom, without a meeting.

--- a/crates/wagtailarch-dispatch/src/relay_plan.rs
+++ b/crates/wagtailarch-dispatch/src/relay_plan.rs
@@ -114,7 +114,7 @@
 }
 
 /// Returns the relays among the members of a zone.
-fn relays<'a>(own: &'a InstanceId, others: &'a [InstanceId]) -> Vec<&'a InstanceId> {
+pub(crate) fn relays<'a>(own: &'a InstanceId, others: &'a [InstanceId]) -> Vec<&'a InstanceId> {
     let mut members: Vec<_> = others.iter().chain([own]).collect();
     let count = members.len().div_ceil(MEMBERS_PER_RELAY).max(MIN_RELAYS);
     members.sort_by_key(|member| Reverse(rendezvous_weight(0, member)));
--- a/crates/wagtailarch-dispatch/tests/load_note.rs
+++ b/crates/wagtailarch-dispatch/tests/load_note.rs
@@ -7,7 +7,7 @@
 use common::{ENGINES, config, engine};
 use wagtailarch_dispatch::{Board, Urgency};
 use wagtailarch_types::{InstanceId, Role, ServiceName};
-use wagtailarch_wire::load_note::{LOAD_NOTE_VERSION, LoadNote, OpenRead, StoreNews, server_key};
+use wagtailarch_wire::load_note::{LoadNote, OpenRead, StoreNews, server_key};
 
 fn note(sender: &str, reads: &[(&str, u32)], running: &[(&str, u32)]) -> LoadNote {
     let read = |&(engine, number): &(&str, u32)| OpenRead {
@@ -18,7 +18,6 @@
     };
     let running = running.iter().map(|(id, count)| (server_key(id), *count));
     LoadNote {
-        version: LOAD_NOTE_VERSION,
         sender: sender.into(),
         zone: "a".into(),
         boot: 1,
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -55,7 +55,7 @@
 impl ControlContext {
     /// Returns the peers that this instance hears at present, with their zones.
     fn live_peers(&self) -> Vec<(InstanceId, ZoneName)> {
-        self.traffic.live_peers(self.epoch.elapsed(), &self.zone)
+        self.traffic.live_peers(self.epoch.elapsed())
     }
 }
 
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -39,10 +39,8 @@
     pub board: RefCell<Board>,
     /// Requests that were in flight on crashing servers.
     pub quarantine: Quarantine,
-    /// What peers of the own zone have not been told yet.
-    pub zone_outbox: Outbox,
-    /// What peers of other zones have not been told yet.
-    pub others_outbox: Outbox,
+    /// What peers have not been told yet.
+    pub outbox: Outbox,
     /// Bodies that are kept whole.
     pub held: Rc<HeldBytes>,
     /// Requests without a complete answer.
@@ -85,8 +83,7 @@
             traffic,
             board: RefCell::default(),
             quarantine: Quarantine::new(),
-            zone_outbox: Outbox::default(),
-            others_outbox: Outbox::default(),
+            outbox: Outbox::default(),
             held: Rc::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
@@ -171,15 +168,13 @@
     /// Queues the prefixes of a prompt that was sent, for peers.
     pub fn tell_prefixes(&self, sent: Option<SentPrefixes>) {
         if let Some(sent) = sent {
-            self.zone_outbox.add_prefixes(sent.clone());
-            self.others_outbox.add_prefixes(sent);
+            self.outbox.add_prefixes(sent);
         }
     }
 
-    /// Wakes the tasks that tell peers of prompts and running requests.
+    /// Wakes the task that tells peers of prompts and running requests.
     pub fn tell_peers(&self) {
-        self.zone_outbox.wake();
-        self.others_outbox.wake();
+        self.outbox.wake();
     }
 
     /// Notes that a server crashed while it ran the given request, and queues this for peers.
@@ -197,8 +192,7 @@
                 fingerprint,
                 server,
             };
-            self.zone_outbox.add_strike(note.clone());
-            self.others_outbox.add_strike(note);
+            self.outbox.add_strike(note);
         }
     }
 
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod outbox;
 mod peers;
+mod pending_notes;
 mod plain;
 mod process;
 mod read_allowance;
--- a/crates/wagtailarch-gateway/src/outbox.rs
+++ b/crates/wagtailarch-gateway/src/outbox.rs
@@ -3,34 +3,20 @@
 use std::{cell::RefCell, time::Duration};
 
 use tokio::sync::Notify;
-use wagtailarch_types::ZoneName;
 use wagtailarch_wire::load_note::{SentPrefixes, StrikeNote};
 
-use crate::snapshot::Peer;
-
-/// Datagrams a second to peers of the own zone, which mostly use the same engines.
-const ZONE_DATAGRAMS_PER_S: u32 = 1_000;
-/// Datagrams a second to peers of other zones, whose bytes are priced.
-const OTHER_DATAGRAMS_PER_S: u32 = 900;
+/// Datagrams a second that an instance sends of its own notes at most.
+const DATAGRAMS_PER_S: u32 = 1_000;
+/// Shortest time for which a note is held back, so that it carries what follows at once.
+const MIN_GATHER: Duration = Duration::from_millis(3);
 /// Time after which a note is sent though nothing has changed; peers forget running requests after two
 /// seconds and a silent instance after three and a half.
-const REPEAT: Duration = Duration::from_millis(1_000);
-/// Notes a second to other zones while nothing changes, so that an idle instance sends a bounded number.
-const IDLE_DATAGRAMS_PER_S: u32 = 100;
+pub const REPEAT: Duration = Duration::from_millis(1_000);
 /// Prompts whose prefixes are in one note; more are told in the next one, so that a note fits into few
 /// packets.
 const MAX_SENT_PREFIXES: usize = 24;
 
-/// Which peers are told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
-    /// Those of the own availability zone.
-    Zone,
-    /// Those of other availability zones.
-    Others,
-}
-
-/// What the peers of one [`Reach`] have not been told yet.
+/// What peers have not been told yet.
 #[derive(Debug, Default)]
 pub struct Outbox {
     untold: RefCell<Untold>,
@@ -46,36 +32,13 @@
     pub strikes: Vec<StrikeNote>,
 }
 
-impl Reach {
-    /// Tells whether a peer belongs to the reach of an instance in `zone`.
-    pub fn covers(self, zone: &ZoneName, peer: &Peer) -> bool {
-        (peer.zone == *zone) == (self == Self::Zone)
-    }
-
-    /// Returns the time after which a note is sent though nothing has changed.
-    pub fn repeat(self, peers: usize) -> Duration {
-        match self {
-            Self::Zone => REPEAT,
-            Self::Others => REPEAT.max(share_of_second(peers, IDLE_DATAGRAMS_PER_S)),
-        }
-    }
-
-    /// Returns the time for which a note is held back so that it carries what follows at once.
-    ///
-    /// It grows with the number of peers, so that an instance sends a bounded number of datagrams.
-    pub fn gather(self, peers: usize) -> Duration {
-        let rate = match self {
-            Self::Zone => ZONE_DATAGRAMS_PER_S,
-            Self::Others => OTHER_DATAGRAMS_PER_S,
-        };
-        share_of_second(peers, rate)
-    }
-}
-
-/// Returns the interval at which notes to `peers` peers are `rate` datagrams a second.
-fn share_of_second(peers: usize, rate: u32) -> Duration {
-    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-    Duration::from_secs(1).saturating_mul(peers) / rate
+/// Returns the time for which a note to `receivers` receivers is held back.
+///
+/// It grows with their number, so that an instance sends a bounded number of datagrams.
+pub fn gather(receivers: usize) -> Duration {
+    let receivers = u32::try_from(receivers).unwrap_or(u32::MAX);
+    let share = Duration::from_secs(1).saturating_mul(receivers) / DATAGRAMS_PER_S;
+    share.max(MIN_GATHER)
 }
 
 impl Outbox {
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -1,129 +1,250 @@
 //! Datagrams between entry instances.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use slog::{debug, info};
 use tokio::{
     net::UdpSocket,
     time::{sleep, timeout},
 };
+use wagtailarch_dispatch::NoteRoutes;
 use wagtailarch_types::{BootId, InstanceId};
-use wagtailarch_wire::load_note::{LOAD_NOTE_VERSION, LoadNote};
+use wagtailarch_wire::load_note::{LoadNote, NoteBundle};
 
 use crate::{
     gateway::Gateway,
-    outbox::{Reach, Untold},
+    outbox::{REPEAT, Untold, gather},
+    pending_notes::PendingNotes,
+    snapshot::Snapshot,
 };
 
 /// Interval at which the control thread is told what is asked of the engines.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
 /// Greatest size of a datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Interval at which a relay passes notes on to the members of its zone.
+const ZONE_INTERVAL: Duration = Duration::from_millis(40);
+/// Interval at which a relay passes the notes of its zone on to other zones, whose bytes are priced.
+const FOREIGN_INTERVAL: Duration = Duration::from_millis(120);
+/// Interval at which the receivers of notes are determined.
+const ROUTES_INTERVAL: Duration = Duration::from_millis(500);
+/// Age of the process from which a peer counts only if it is heard; notes come every second.
+const HEARD_FROM: Duration = Duration::from_secs(4);
 
-/// Tells the peers of one reach of prompts, running requests, news and strikes until the process ends.
-pub async fn tell_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, reach: Reach, boot: BootId) {
-    let mut sequence = 0;
-    loop {
-        let outbox = match reach {
-            Reach::Zone => &gateway.zone_outbox,
-            Reach::Others => &gateway.others_outbox,
-        };
-        let peers = gateway.snapshot().peers.len();
-        let woken = timeout(reach.repeat(peers), outbox.woken()).await.is_ok();
+/// Sends and receives notes.
+#[derive(Debug)]
+pub struct Notes {
+    gateway: Rc<Gateway>,
+    socket: UdpSocket,
+    boot: BootId,
+    routes: RefCell<Routes>,
+    /// Notes that members of the zone that have no other source get.
+    for_zone: PendingNotes,
+    /// Notes of the own zone that relays of other zones get.
+    for_foreign: PendingNotes,
+}
+
+/// Addresses of the receivers of notes.
+#[derive(Debug, Default)]
+struct Routes {
+    own: Vec<SocketAddr>,
+    followers: Vec<SocketAddr>,
+    foreign: Vec<SocketAddr>,
+}
+
+impl Notes {
+    /// Creates the notes of an instance that has no receivers yet.
+    pub fn new(gateway: Rc<Gateway>, socket: UdpSocket, boot: BootId) -> Self {
+        Self {
+            gateway,
+            socket,
+            boot,
+            routes: RefCell::default(),
+            for_zone: PendingNotes::default(),
+            for_foreign: PendingNotes::default(),
+        }
+    }
+
+    /// Determines the receivers again and again until the process ends.
+    pub async fn keep_routes(self: Rc<Self>) {
+        loop {
+            let routes = self.present_routes();
+            *self.routes.borrow_mut() = routes;
+            sleep(ROUTES_INTERVAL).await;
+        }
+    }
+
+    fn present_routes(&self) -> Routes {
+        let gateway = &self.gateway;
         let snapshot = gateway.snapshot();
         let zone = &gateway.settings.zone;
-        let peers = snapshot
-            .peers
-            .iter()
-            .filter(|peer| reach.covers(zone, peer));
-        let peers: Vec<_> = peers.collect();
-        if woken {
-            sleep(reach.gather(peers.len())).await;
+        let now = gateway.now();
+        let peers = snapshot.peers.iter();
+        let mut peers: Vec<_> = peers
+            .map(|peer| (peer.name.clone(), peer.zone.clone()))
+            .collect();
+        if now >= HEARD_FROM {
+            let heard = gateway.traffic.live_peers(now);
+            peers.retain(|(name, _)| heard.iter().any(|(known, _)| known == name));
         }
-        sequence += 1;
-        let note = note(&gateway, outbox.take(), boot, sequence);
-        let bytes = match note.encode() {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                info!(gateway.log, "note not encoded"; "cause" => %error);
-                continue;
+        let routes = NoteRoutes::new(&gateway.settings.instance, zone, &peers);
+        Routes {
+            own: addresses(&snapshot, &routes.own),
+            followers: addresses(&snapshot, &routes.followers),
+            foreign: addresses(&snapshot, &routes.foreign),
+        }
+    }
+
+    /// Tells peers of prompts, running requests, news and strikes until the process ends.
+    pub async fn tell(self: Rc<Self>) {
+        let mut sequence = 0;
+        let outbox = &self.gateway.outbox;
+        loop {
+            let woken = timeout(REPEAT, outbox.woken()).await.is_ok();
+            if woken {
+                let receivers = self.routes.borrow().own.len();
+                sleep(gather(receivers)).await;
             }
-        };
-        for peer in peers {
-            if let Err(error) = socket.send_to(&bytes, peer.address).await {
-                debug!(gateway.log, "note not sent"; "peer" => %peer.name, "cause" => %error);
+            sequence += 1;
+            let note = self.note(outbox.take(), sequence);
+            self.pass_on(&note);
+            let receivers = self.routes.borrow().own.clone();
+            self.send(&NoteBundle::new(vec![note]), &receivers).await;
+        }
+    }
+
+    /// Passes on notes of others to members of the zone until the process ends.
+    pub async fn tell_followers(self: Rc<Self>) {
+        loop {
+            sleep(ZONE_INTERVAL).await;
+            let receivers = self.routes.borrow().followers.clone();
+            for bundle in self.for_zone.take() {
+                self.send(&bundle, &receivers).await;
             }
         }
     }
-}
 
-/// Tells the control thread what is asked of the engines until the process ends.
-pub async fn tell_demand(gateway: Rc<Gateway>) {
-    loop {
-        sleep(DEMAND_INTERVAL).await;
-        let demand = gateway.board.borrow().demand(gateway.now());
-        gateway.traffic.set_demand(demand);
+    /// Passes on notes of the zone to other zones until the process ends.
+    pub async fn tell_foreign(self: Rc<Self>) {
+        loop {
+            sleep(FOREIGN_INTERVAL).await;
+            let receivers = self.routes.borrow().foreign.clone();
+            for bundle in self.for_foreign.take() {
+                self.send(&bundle, &receivers).await;
+            }
+        }
     }
-}
 
-/// Builds a note with the present state.
-fn note(gateway: &Gateway, untold: Untold, boot: BootId, sequence: u32) -> LoadNote {
-    let snapshot = gateway.snapshot();
-    let board = gateway.board.borrow();
-    LoadNote {
-        version: LOAD_NOTE_VERSION,
-        sender: gateway.settings.instance.clone(),
-        zone: gateway.settings.zone.clone(),
-        boot,
-        sequence,
-        generation: snapshot.config.as_ref().map_or(0, |c| c.generation()),
-        news: snapshot.news,
-        open_reads: board.open_reads(),
-        sent_prefixes: untold.sent_prefixes,
-        running: board.own_running(),
-        strikes: untold.strikes,
+    /// Takes over what peers tell until the process ends.
+    pub async fn hear(self: Rc<Self>) {
+        let log = &self.gateway.log;
+        let mut last: HashMap<InstanceId, (BootId, u32)> = HashMap::new();
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    // An unreachable peer shows as an error of the socket.
+                    debug!(log, "datagram not received"; "cause" => %error);
+                    continue;
+                }
+            };
+            let Some(bundle) = NoteBundle::decode(&buffer[..length]) else {
+                debug!(log, "notes ignored"; "from" => %from);
+                continue;
+            };
+            for note in bundle.notes {
+                self.on_note(&mut last, note, from);
+            }
+        }
     }
-}
 
-/// Takes over what peers tell until the process ends.
-pub async fn hear_peers(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut last: HashMap<InstanceId, (BootId, u32)> = HashMap::new();
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
+    /// Takes over one note; a note that was overtaken by a newer one is ignored.
+    fn on_note(
+        &self,
+        last: &mut HashMap<InstanceId, (BootId, u32)>,
+        note: LoadNote,
+        from: SocketAddr,
+    ) {
+        let gateway = &self.gateway;
+        if note.sender == gateway.settings.instance {
+            return;
+        }
+        match last.get(&note.sender) {
+            Some(&(boot, sequence)) if boot == note.boot && sequence >= note.sequence => return,
+            Some(&(boot, _)) if boot == note.boot => {}
+            _ => debug!(gateway.log, "peer heard"; "peer" => %note.sender, "from" => %from,
+                "generation" => note.generation),
+        }
+        last.insert(note.sender.clone(), (note.boot, note.sequence));
+        let now = gateway.now();
+        gateway.traffic.on_note(now, &note);
+        gateway.board.borrow_mut().on_load_note(now, &note);
+        for strike in &note.strikes {
+            gateway.on_peer_strike(strike.clone());
+        }
+        self.pass_on(&note);
+    }
+
+    /// Queues a note for those who get it from this instance.
+    fn pass_on(&self, note: &LoadNote) {
+        let routes = self.routes.borrow();
+        if !routes.followers.is_empty() {
+            self.for_zone.add(note.clone());
+        }
+        if !routes.foreign.is_empty() && note.zone == self.gateway.settings.zone {
+            self.for_foreign.add(note.clone());
+        }
+    }
+
+    async fn send(&self, bundle: &NoteBundle, receivers: &[SocketAddr]) {
+        let log = &self.gateway.log;
+        let bytes = match bundle.encode() {
+            Ok(bytes) => bytes,
             Err(error) => {
-                // An unreachable peer shows as an error of the socket.
-                debug!(gateway.log, "datagram not received"; "cause" => %error);
-                continue;
+                info!(log, "notes not encoded"; "cause" => %error);
+                return;
             }
         };
-        let Some(note) = LoadNote::decode(&buffer[..length]) else {
-            debug!(gateway.log, "note ignored"; "from" => %from);
-            continue;
-        };
-        on_note(&gateway, &mut last, note, from);
+        for receiver in receivers {
+            if let Err(error) = self.socket.send_to(&bytes, receiver).await {
+                debug!(log, "notes not sent"; "peer" => %receiver, "cause" => %error);
+            }
+        }
     }
-}
 
-/// Takes over one note; a note that was overtaken by a newer one is ignored.
-fn on_note(
-    gateway: &Gateway,
-    last: &mut HashMap<InstanceId, (BootId, u32)>,
-    note: LoadNote,
-    from: SocketAddr,
-) {
-    match last.get(&note.sender) {
-        Some(&(boot, sequence)) if boot == note.boot && sequence >= note.sequence => return,
-        Some(&(boot, _)) if boot == note.boot => {}
-        _ => info!(gateway.log, "peer heard"; "peer" => %note.sender, "from" => %from,
-            "generation" => note.generation),
+    /// Builds a note with the present state.
+    fn note(&self, untold: Untold, sequence: u32) -> LoadNote {
+        let gateway = &self.gateway;
+        let snapshot = gateway.snapshot();
+        let board = gateway.board.borrow();
+        LoadNote {
+            sender: gateway.settings.instance.clone(),
+            zone: gateway.settings.zone.clone(),
+            boot: self.boot,
+            sequence,
+            generation: snapshot.config.as_ref().map_or(0, |c| c.generation()),
+            news: snapshot.news,
+            open_reads: board.open_reads(),
+            sent_prefixes: untold.sent_prefixes,
+            running: board.own_running(),
+            strikes: untold.strikes,
+        }
     }
-    last.insert(note.sender.clone(), (note.boot, note.sequence));
-    let now = gateway.now();
-    gateway.traffic.on_note(now, &note);
-    gateway.board.borrow_mut().on_load_note(now, &note);
-    for strike in note.strikes {
-        gateway.on_peer_strike(strike);
+}
+
+/// Returns the addresses of instances.
+fn addresses(snapshot: &Snapshot, names: &[InstanceId]) -> Vec<SocketAddr> {
+    let peers = snapshot.peers.iter();
+    let named = peers.filter(|peer| names.contains(&peer.name));
+    named.map(|peer| peer.address).collect()
+}
+
+/// Tells the control thread what is asked of the engines until the process ends.
+pub async fn tell_demand(gateway: Rc<Gateway>) {
+    loop {
+        sleep(DEMAND_INTERVAL).await;
+        let demand = gateway.board.borrow().demand(gateway.now());
+        gateway.traffic.set_demand(demand);
     }
 }
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/pending_notes.rs
@@ -0,0 +1,48 @@
+//! Notes that wait to be passed on.
+
+use std::cell::RefCell;
+
+use indexmap::IndexMap;
+use wagtailarch_types::InstanceId;
+use wagtailarch_wire::load_note::{LoadNote, NoteBundle};
+
+/// Size of a bundle beyond which another one begins; a lost datagram takes few notes with it.
+const BUNDLE_BYTES: usize = 6 * 1024;
+
+/// Notes that wait to be passed on, the newest of each instance.
+#[derive(Debug, Default)]
+pub struct PendingNotes {
+    notes: RefCell<IndexMap<InstanceId, LoadNote>>,
+}
+
+impl PendingNotes {
+    /// Adds a note, which replaces an older one of the same instance.
+    pub fn add(&self, mut note: LoadNote) {
+        let mut notes = self.notes.borrow_mut();
+        if let Some(older) = notes.swap_remove(&note.sender) {
+            note.follow(older);
+        }
+        notes.insert(note.sender.clone(), note);
+    }
+
+    /// Takes all notes, in bundles of which each fits into a datagram.
+    pub fn take(&self) -> Vec<NoteBundle> {
+        let notes = std::mem::take(&mut *self.notes.borrow_mut());
+        let mut bundles = Vec::new();
+        let mut bundle = Vec::new();
+        let mut bytes = 0;
+        for note in notes.into_values() {
+            let size = note.estimated_bytes();
+            if bytes + size > BUNDLE_BYTES && !bundle.is_empty() {
+                bundles.push(NoteBundle::new(std::mem::take(&mut bundle)));
+                bytes = 0;
+            }
+            bytes += size;
+            bundle.push(note);
+        }
+        if !bundle.is_empty() {
+            bundles.push(NoteBundle::new(bundle));
+        }
+        bundles
+    }
+}
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -27,8 +27,7 @@
     control::{self, ControlContext},
     gateway::{Gateway, Stopping},
     metrics::Metrics,
-    outbox::Reach,
-    peers::{hear_peers, tell_demand, tell_peers},
+    peers::{Notes, tell_demand},
     ready::serve_status,
     reload::SettingsFile,
     server::serve_clients,
@@ -102,7 +101,6 @@
     let scrapes = listen(settings.metrics_address).await?;
     let socket = UdpSocket::bind(settings.peer_address).await;
     let socket = socket.map_err(|error| StartError::Listen(settings.peer_address, error))?;
-    let socket = Rc::new(socket);
     let context = ControlContext {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
@@ -121,9 +119,8 @@
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
-    let boot = boot_id();
     let gateway = Rc::new(Gateway::new(settings, log, metrics, traffic, epoch));
-    start_tasks(&gateway, published, socket, boot);
+    start_tasks(&gateway, published, socket, boot_id());
     start_listening(&gateway, clients, [ready, scrapes]);
     let shared = Rc::clone(&gateway);
     spawn_local(async move {
@@ -137,22 +134,29 @@
 fn start_tasks(
     gateway: &Rc<Gateway>,
     published: watch::Receiver<Arc<Snapshot>>,
-    socket: Rc<UdpSocket>,
+    socket: UdpSocket,
     boot: BootId,
 ) {
     spawn_kept(gateway, "snapshots", move |gateway| {
         gateway.follow(published.clone())
     });
-    for reach in [Reach::Zone, Reach::Others] {
-        let socket = Rc::clone(&socket);
-        spawn_kept(gateway, "notes to peers", move |gateway| {
-            tell_peers(gateway, Rc::clone(&socket), reach, boot)
-        });
-    }
     spawn_kept(gateway, "demand", tell_demand);
-    spawn_kept(gateway, "notes of peers", move |gateway| {
-        hear_peers(gateway, Rc::clone(&socket))
+    let notes = Rc::new(Notes::new(Rc::clone(gateway), socket, boot));
+    let shared = Rc::clone(&notes);
+    spawn_kept(gateway, "receivers of notes", move |_| {
+        Rc::clone(&shared).keep_routes()
+    });
+    let shared = Rc::clone(&notes);
+    spawn_kept(gateway, "own notes", move |_| Rc::clone(&shared).tell());
+    let shared = Rc::clone(&notes);
+    spawn_kept(gateway, "notes for the zone", move |_| {
+        Rc::clone(&shared).tell_followers()
+    });
+    let shared = Rc::clone(&notes);
+    spawn_kept(gateway, "notes for other zones", move |_| {
+        Rc::clone(&shared).tell_foreign()
     });
+    spawn_kept(gateway, "notes of peers", move |_| Rc::clone(&notes).hear());
 }
 
 /// Starts serving clients, the balancer and scrapes.
--- a/crates/wagtailarch-gateway/src/traffic_view.rs
+++ b/crates/wagtailarch-gateway/src/traffic_view.rs
@@ -11,7 +11,7 @@
 use wagtailarch_types::{InstanceId, ServiceName, ZoneName};
 use wagtailarch_wire::load_note::{LoadNote, StoreNews};
 
-use crate::outbox::Reach;
+use crate::outbox::REPEAT;
 
 /// Notes in a row after whose absence a silent peer counts as gone.
 const MISSED_NOTES: f64 = 3.5;
@@ -47,16 +47,13 @@
         });
     }
 
-    /// Returns the peers that an instance in `zone` hears at present, with their zones.
-    pub fn live_peers(&self, now: Duration, zone: &ZoneName) -> Vec<(InstanceId, ZoneName)> {
+    /// Returns the peers that this instance hears at present, with their zones.
+    pub fn live_peers(&self, now: Duration) -> Vec<(InstanceId, ZoneName)> {
         let mut state = self.lock();
-        let peers = state.heard.len();
-        let silent_after = |reach: Reach| reach.repeat(peers).mul_f64(MISSED_NOTES);
-        let (near, far) = (silent_after(Reach::Zone), silent_after(Reach::Others));
-        state.heard.retain(|_, (of, at)| {
-            let limit = if of == zone { near } else { far };
-            now.saturating_sub(*at) < limit
-        });
+        let limit = REPEAT.mul_f64(MISSED_NOTES);
+        state
+            .heard
+            .retain(|_, (_, at)| now.saturating_sub(*at) < limit);
         let heard = state.heard.iter();
         heard
             .map(|(name, (zone, _))| (name.clone(), zone.clone()))
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -9,7 +9,7 @@
     ServiceConfig, Urgency,
 };
 use wagtailarch_types::{Role, ServiceName, ZoneName};
-use wagtailarch_wire::load_note::{LOAD_NOTE_VERSION, LoadNote, OpenRead, StoreNews, server_key};
+use wagtailarch_wire::load_note::{LoadNote, NoteBundle, OpenRead, StoreNews, server_key};
 
 use crate::capacity::probe::{call_us, resident_bytes};
 use crate::capacity::slope::{NODE_MEMORY_BYTES, NODE_US_PER_S};
@@ -128,7 +128,6 @@
         urgent: true,
     };
     LoadNote {
-        version: LOAD_NOTE_VERSION,
         sender: format_smolstr!("front-{sender}"),
         zone: format_smolstr!("zone-{}", sender % ZONES),
         boot: 1,
@@ -176,12 +175,13 @@
     let mut board = board(engines);
     let mut notes = Vec::new();
     for sender in 0..size {
-        let note = note(sender, engines).encode();
+        let note = NoteBundle::new(vec![note(sender, engines)]).encode();
         notes.push(note.map_err(CapacityError::measured)?);
     }
     let us = call_us(5, || {
         for bytes in &notes {
-            if let Some(note) = LoadNote::decode(bytes) {
+            let bundle = NoteBundle::decode(bytes);
+            for note in bundle.into_iter().flat_map(|bundle| bundle.notes) {
                 board.on_load_note(NOW, &note);
             }
         }
--- a/crates/wagtailarch-wire/src/load_note.rs
+++ b/crates/wagtailarch-wire/src/load_note.rs
@@ -8,13 +8,23 @@
 use wagtailarch_types::{BootId, Fingerprint, Generation, InstanceId, ObjectVersion, ZoneName};
 
 /// Version of the encoding; notes of other versions are ignored.
-pub const LOAD_NOTE_VERSION: u8 = 3;
+pub const LOAD_NOTE_VERSION: u8 = 4;
 
-/// What one entry instance tells all others.
+/// Prompts whose prefixes are kept when notes are passed on together; the oldest go first.
+const MAX_FOLLOWED_PREFIXES: usize = 64;
+
+/// Notes of several instances in one datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadNote {
+pub struct NoteBundle {
     /// `LOAD_NOTE_VERSION` of the sender.
     pub version: u8,
+    /// Notes, each as its instance sent it.
+    pub notes: Vec<LoadNote>,
+}
+
+/// What one entry instance tells all others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNote {
     /// Sender.
     pub sender: InstanceId,
     /// Availability zone of the sender.
@@ -80,15 +90,47 @@
 }
 
 impl LoadNote {
-    /// Encodes the note.
+    /// Adds what an older note of the same instance told once, so that it is not lost when this one is
+    /// passed on in its place.
+    pub fn follow(&mut self, older: Self) {
+        self.sent_prefixes.splice(0..0, older.sent_prefixes);
+        self.strikes.splice(0..0, older.strikes);
+        let excess = self
+            .sent_prefixes
+            .len()
+            .saturating_sub(MAX_FOLLOWED_PREFIXES);
+        self.sent_prefixes.drain(..excess);
+    }
+
+    /// Estimates the size of the encoded note from above, for usual names.
+    pub fn estimated_bytes(&self) -> usize {
+        let links = self
+            .sent_prefixes
+            .iter()
+            .map(|sent| 6 + sent.prefixes.len() * 15);
+        let strikes = self.strikes.len() * 48;
+        80 + links.sum::<usize>() + self.open_reads.len() * 14 + self.running.len() * 10 + strikes
+    }
+}
+
+impl NoteBundle {
+    /// Creates a bundle.
+    pub fn new(notes: Vec<LoadNote>) -> Self {
+        Self {
+            version: LOAD_NOTE_VERSION,
+            notes,
+        }
+    }
+
+    /// Encodes the bundle.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         postcard::to_stdvec(self)
     }
 
-    /// Decodes a note; `None` for anything else, also for other versions.
+    /// Decodes a bundle; `None` for anything else, also for other versions.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let note: Self = postcard::from_bytes(bytes).ok()?;
-        (note.version == LOAD_NOTE_VERSION).then_some(note)
+        let bundle: Self = postcard::from_bytes(bytes).ok()?;
+        (bundle.version == LOAD_NOTE_VERSION).then_some(bundle)
     }
 }
 
