Wake relays only for notes, and look at engines only where orders are given

Each instance woke 33 times a second to pass on notes that it did not have, and cloned all engines twice a second although one instance gives orders.

--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -20,7 +20,7 @@
     BackendServer, ClaimContent, ClaimStep, OrderClaim, PlannedEngine, RoleChange, RolePlan,
     RoleSituation, is_designated,
 };
-use wagtailarch_types::{ObjectVersion, Role, ServiceName};
+use wagtailarch_types::{InstanceId, ObjectVersion, Role, ServiceName, ZoneName};
 
 use crate::{
     control::{ControlContext, store_error::StoreError},
@@ -74,10 +74,12 @@
     sleep(FIRST_LOOK).await;
     loop {
         let snapshot = Arc::clone(&published.borrow());
-        for (service, servers) in engines_by_service(&snapshot) {
+        let peers = context.live_peers();
+        for (service, servers) in engines_by_service(&snapshot, &context, &peers) {
             let plan = plans.entry(service.clone()).or_default();
             let instances = snapshot.peers.len() + 1;
-            for (engine, change) in due_changes(&context, plan, &service, &servers, instances) {
+            let due = due_changes(&context, plan, &service, &servers, instances, peers.len());
+            for (engine, change) in due {
                 spawn_local(give_order(context.clone(), engine, change.role));
             }
         }
@@ -85,18 +87,30 @@
     }
 }
 
-/// Returns the engines of each service.
-fn engines_by_service(snapshot: &Snapshot) -> IndexMap<ServiceName, Vec<BackendServer>> {
-    let mut services: IndexMap<ServiceName, Vec<BackendServer>> = IndexMap::new();
+/// Returns the engines of each service that this instance is designated to arrange.
+fn engines_by_service(
+    snapshot: &Snapshot,
+    context: &ControlContext,
+    peers: &[(InstanceId, ZoneName)],
+) -> IndexMap<ServiceName, Vec<BackendServer>> {
+    let mut services: IndexMap<&ServiceName, Vec<&BackendServer>> = IndexMap::new();
     for server in snapshot
         .servers
         .iter()
         .filter(|server| server.role.is_some())
     {
-        let members = services.entry(server.service.clone()).or_default();
-        members.push(server.clone());
+        services.entry(&server.service).or_default().push(server);
     }
-    services
+    services.retain(|service, _| {
+        let names = peers.iter().map(|(name, _)| name);
+        is_designated(service, &context.instance, names)
+    });
+    let services = services.into_iter();
+    let owned = services.map(|(service, servers)| {
+        let servers = servers.into_iter().cloned().collect();
+        (service.clone(), servers)
+    });
+    owned.collect()
 }
 
 /// Returns the orders that are due from this instance.
@@ -106,13 +120,9 @@
     service: &ServiceName,
     servers: &[BackendServer],
     instances: usize,
+    heard: usize,
 ) -> Vec<(BackendServer, RoleChange)> {
     let now = context.epoch.elapsed();
-    let peers = context.live_peers();
-    let names = peers.iter().map(|(name, _)| name);
-    if !is_designated(service, &context.instance, names) {
-        return Vec::new();
-    }
     let engines: Vec<_> = servers
         .iter()
         .filter_map(|server| {
@@ -136,7 +146,7 @@
         info!(context.log, "role change due"; "service" => %service, "server" => %server.id,
             "role" => %change.role, "running" => situation.demand.running,
             "read_wait_ms" => situation.demand.read_wait.as_millis() as u64,
-            "serving" => serving, "instances" => instances, "heard" => peers.len());
+            "serving" => serving, "instances" => instances, "heard" => heard);
         Some((server.clone(), change))
     });
     named.collect()
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -27,7 +27,9 @@
 /// Interval at which a relay passes the notes of its zone on to other zones, whose bytes are priced.
 const FOREIGN_INTERVAL: Duration = Duration::from_millis(120);
 /// Interval at which the receivers of notes are determined.
-const ROUTES_INTERVAL: Duration = Duration::from_millis(500);
+const ROUTES_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The same while no peer is known.
+const FIRST_ROUTES_INTERVAL: Duration = Duration::from_millis(200);
 /// Age of the process from which a peer counts only if it is heard; notes come every second.
 const HEARD_FROM: Duration = Duration::from_secs(4);
 
@@ -69,8 +71,14 @@
     pub async fn keep_routes(self: Rc<Self>) {
         loop {
             let routes = self.present_routes();
+            let known = !routes.own.is_empty();
             *self.routes.borrow_mut() = routes;
-            sleep(ROUTES_INTERVAL).await;
+            let pause = if known {
+                ROUTES_INTERVAL
+            } else {
+                FIRST_ROUTES_INTERVAL
+            };
+            sleep(pause).await;
         }
     }
 
@@ -116,6 +124,7 @@
     /// Passes on notes of others to members of the zone until the process ends.
     pub async fn tell_followers(self: Rc<Self>) {
         loop {
+            self.for_zone.added().await;
             sleep(ZONE_INTERVAL).await;
             let receivers = self.routes.borrow().followers.clone();
             for bundle in self.for_zone.take() {
@@ -127,6 +136,7 @@
     /// Passes on notes of the zone to other zones until the process ends.
     pub async fn tell_foreign(self: Rc<Self>) {
         loop {
+            self.for_foreign.added().await;
             sleep(FOREIGN_INTERVAL).await;
             let receivers = self.routes.borrow().foreign.clone();
             for bundle in self.for_foreign.take() {
--- a/crates/wagtailarch-gateway/src/pending_notes.rs
+++ b/crates/wagtailarch-gateway/src/pending_notes.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 
 use indexmap::IndexMap;
+use tokio::sync::Notify;
 use wagtailarch_types::InstanceId;
 use wagtailarch_wire::load_note::{LoadNote, NoteBundle};
 
@@ -13,6 +14,7 @@
 #[derive(Debug, Default)]
 pub struct PendingNotes {
     notes: RefCell<IndexMap<InstanceId, LoadNote>>,
+    added: Notify,
 }
 
 impl PendingNotes {
@@ -23,6 +25,12 @@
             note.follow(older);
         }
         notes.insert(note.sender.clone(), note);
+        self.added.notify_one();
+    }
+
+    /// Waits until a note was added; instances that pass on nothing so do not wake.
+    pub async fn added(&self) {
+        self.added.notified().await;
     }
 
     /// Takes all notes, in bundles of which each fits into a datagram.
