Ask a lost store every four seconds, and keep the version for relays meanwhile

During an outage each instance asked every two seconds, and after it listed everything at the store, as its relays counted as failed for five seconds and its own version was thrown away.

Change: relays that know nothing are asked again after half a second, the store every four seconds; the version is kept, so that a relay tells only what is lacking. The store itself is listed after a failure, as before. Documents describe the relays.

--- a/crates/wagtailarch-dispatch/src/relay_plan.rs
+++ b/crates/wagtailarch-dispatch/src/relay_plan.rs
@@ -16,14 +16,17 @@
 const MIN_RELAYS: usize = 2;
 /// Time for which a relay that failed is not asked again.
 const SUSPECT_FOR: Duration = Duration::from_secs(5);
+/// Time for which a relay that knows nothing is not asked again; it hears of a store that returns soon.
+const UNKNOWN_FOR: Duration = Duration::from_millis(500);
 /// Time for which a relay may know nothing yet; it may be starting, as all may after a loss of power.
 const START_PATIENCE: Duration = Duration::from_millis(700);
 /// Time after the start for which an instance waits to hear of others before it asks the store.
 const ALONE_PATIENCE: Duration = Duration::from_millis(2_200);
 /// Time between two calls to a store that relays say is lost.
 ///
-/// Calls are priced while the store is down too. An unstable store extends the bounds by seconds.
-const LOST_STORE_PAUSE: Duration = Duration::from_secs(2);
+/// Calls are priced while the store is down too, and relays hear of its return within a second. An
+/// unstable store extends the bounds by five seconds and more.
+const LOST_STORE_PAUSE: Duration = Duration::from_secs(4);
 
 /// Decides whom one instance asks for the objects of a kind.
 #[derive(Debug, Default)]
@@ -83,18 +86,12 @@
         Source::Store
     }
 
-    /// Notes that a relay answered.
+    /// Notes that a relay or the store answered.
     pub fn on_answer(&mut self) {
         self.unknown_since = None;
         self.store_asked = None;
     }
 
-    /// Notes that the store answered.
-    pub fn on_store_answer(&mut self) {
-        self.unknown_since = None;
-        self.store_asked = None;
-    }
-
     /// Notes that a relay could not be reached, or was found deaf.
     pub fn on_failure(&mut self, now: Duration, relay: &InstanceId) {
         self.suspects.insert(relay.clone(), now + SUSPECT_FOR);
@@ -104,7 +101,7 @@
     pub fn on_unknown(&mut self, now: Duration, relay: &InstanceId) {
         let since = *self.unknown_since.get_or_insert(now);
         if now.saturating_sub(since) >= START_PATIENCE {
-            self.on_failure(now, relay);
+            self.suspects.insert(relay.clone(), now + UNKNOWN_FOR);
         }
     }
 
--- a/crates/wagtailarch-gateway/src/control/sources.rs
+++ b/crates/wagtailarch-gateway/src/control/sources.rs
@@ -177,13 +177,13 @@
 
     /// Takes over a complete list that the store gave, for others.
     pub fn on_store_list(&mut self, position: ObjectVersion, objects: &[StoreObject]) {
-        self.plan.on_store_answer();
+        self.plan.on_answer();
         self.sources.relay.on_list(self.kind, position, objects);
     }
 
     /// Takes over changes that the store gave, for others.
     pub fn on_store_changes(&mut self, position: ObjectVersion, changes: &[(StoreObject, bool)]) {
-        self.plan.on_store_answer();
+        self.plan.on_answer();
         self.sources.relay.on_changes(self.kind, position, changes);
     }
 
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -62,6 +62,9 @@
     not_before: Option<Instant>,
     /// Version up to which this instance has news that peers may lack.
     news: ObjectVersion,
+    /// Whether the store has to be listed next: after a failure a watch would tell of registrations that
+    /// expired as if their servers had left.
+    list_next: bool,
     /// Whether all objects were listed once.
     listed: bool,
     /// Whether the next watch only has to reach the news of peers.
@@ -100,6 +103,7 @@
             lost: false,
             not_before: None,
             news: 0,
+            list_next: false,
             listed: false,
             catching_up: false,
             peer_news,
@@ -123,7 +127,7 @@
                     Some(seen) => return seen,
                     None => continue,
                 },
-                Source::Store => match self.position {
+                Source::Store => match self.position.filter(|_| !self.list_next) {
                     None => self.list().await,
                     Some(position) => self.watch(position).await,
                 },
@@ -139,7 +143,7 @@
                     self.position = None;
                 }
                 Err(error) => {
-                    self.position = None;
+                    self.list_next = true;
                     self.relays.on_store_unheard();
                     if self.on_failure(&error) {
                         return Seen::Lost;
@@ -158,6 +162,7 @@
     async fn list(&mut self) -> Result<Seen, StoreError> {
         let mut objects = Vec::new();
         let mut after = None;
+        let mut position = None;
         loop {
             let request = list_request(self.kind, after.as_deref(), false);
             self.context.metrics.store_call(StoreCall::List);
@@ -165,12 +170,13 @@
             let page = decode_list(status, &body)?;
             objects.extend(page.objects);
             // The oldest version is where no change can have been missed between two pages.
-            self.position = Some(self.position.unwrap_or(page.store_version));
+            let oldest = *position.get_or_insert(page.store_version);
             after = page.next_after;
             if after.is_none() {
+                self.position = Some(oldest);
+                self.list_next = false;
                 self.on_list(&objects);
-                let position = self.position.unwrap_or_default();
-                self.relays.on_store_list(position, &objects);
+                self.relays.on_store_list(oldest, &objects);
                 return Ok(Seen::Listed(objects));
             }
         }
@@ -246,6 +252,7 @@
         };
         match answer {
             Ok(relayed) => {
+                self.list_next = false;
                 self.on_answer();
                 Some(self.take_over(relayed))
             }
