Tell zones and members that are not heard

Fault found while reading: receivers of notes were only those that are heard. After a partition of a few seconds, or the loss of the relay that told an instance of all others, neither side heard the other and neither told it anything again.

Change: of a zone in which nobody is heard all listed members count; an instance that hears nobody of its zone tells all of it. Small fleets tell all that are listed, as before the relays.

--- a/crates/wagtailarch-dispatch/src/note_routes.rs
+++ b/crates/wagtailarch-dispatch/src/note_routes.rs
@@ -4,6 +4,9 @@
 //! which pass notes on to the other members and to the relays of other zones, so that the datagrams of
 //! an instance do not grow with the fleet.
 
+use std::collections::HashSet;
+
+use indexmap::IndexMap;
 use wagtailarch_types::{InstanceId, ZoneName, rendezvous_weight};
 
 use crate::relay_plan::relays;
@@ -25,27 +28,38 @@
 }
 
 impl NoteRoutes {
-    /// Returns the receivers of the instance `own` in `zone`, whose peers are `peers`.
-    pub fn new(own: &InstanceId, zone: &ZoneName, peers: &[(InstanceId, ZoneName)]) -> Self {
-        if peers.len() <= MESH_PEERS {
-            let all = peers.iter().map(|(name, _)| name.clone());
+    /// Returns the receivers of the instance `own` in `zone`.
+    ///
+    /// `listed` are all other instances, `heard` those whose notes arrive. Of a zone in which nobody is
+    /// heard all listed members count: after a partition or the loss of a relay both sides would
+    /// otherwise tell each other nothing for ever.
+    pub fn new(
+        own: &InstanceId,
+        zone: &ZoneName,
+        listed: &[(InstanceId, ZoneName)],
+        heard: &HashSet<InstanceId>,
+    ) -> Self {
+        if listed.len() <= MESH_PEERS {
+            let all = listed.iter().map(|(name, _)| name.clone());
             return Self {
                 own: all.collect(),
                 ..Self::default()
             };
         }
-        let of_zone = |wanted: &ZoneName| -> Vec<InstanceId> {
-            let members = peers.iter().filter(|(_, zone)| zone == wanted);
-            members.map(|(name, _)| name.clone()).collect()
-        };
-        let others = of_zone(zone);
+        let mut zones = members_by_zone(listed);
+        let others = zones.swap_remove(zone).unwrap_or_default();
+        if !others.iter().any(|name| heard.contains(name)) {
+            // Whichever of them are relays hear this instance and pass it on.
+            return Self {
+                own: others,
+                ..Self::default()
+            };
+        }
+        let others = present(others, heard);
         let zone_relays: Vec<_> = relays(own, &others).into_iter().cloned().collect();
+        let to_relays = zone_relays.iter().filter(|name| *name != own);
         let mut routes = Self {
-            own: zone_relays
-                .iter()
-                .filter(|name| *name != own)
-                .cloned()
-                .collect(),
+            own: to_relays.cloned().collect(),
             ..Self::default()
         };
         if !zone_relays.contains(own) {
@@ -53,50 +67,58 @@
         }
         let nearest = |member: &InstanceId| {
             let key = rendezvous_weight(0, member);
-            let nearest = zone_relays.iter();
-            nearest.max_by_key(|relay| rendezvous_weight(key, relay))
+            let relays = zone_relays.iter();
+            relays.max_by_key(|relay| rendezvous_weight(key, relay))
         };
         let members = others.iter().filter(|name| !zone_relays.contains(name));
-        routes.followers = members
-            .filter(|name| nearest(name) == Some(own))
-            .cloned()
-            .collect();
-        routes.foreign = foreign(own, zone, &zone_relays, peers);
+        let followers = members.filter(|name| nearest(name) == Some(own));
+        routes.followers = followers.cloned().collect();
+        for (other, members) in zones {
+            let members = present(members, heard);
+            routes
+                .foreign
+                .extend(foreign(own, &zone_relays, other, &members));
+        }
         routes
     }
 }
 
-/// Returns the relays of other zones to which this relay passes on the notes of its zone.
+fn members_by_zone(listed: &[(InstanceId, ZoneName)]) -> IndexMap<&ZoneName, Vec<InstanceId>> {
+    let mut zones: IndexMap<&ZoneName, Vec<InstanceId>> = IndexMap::new();
+    for (name, zone) in listed {
+        zones.entry(zone).or_default().push(name.clone());
+    }
+    zones.sort_keys();
+    zones
+}
+
+/// Returns the members that are heard, or all if none is.
+fn present(members: Vec<InstanceId>, heard: &HashSet<InstanceId>) -> Vec<InstanceId> {
+    let known: Vec<_> = members
+        .iter()
+        .filter(|name| heard.contains(*name))
+        .cloned()
+        .collect();
+    if known.is_empty() { members } else { known }
+}
+
+/// Returns the relays of another zone to which this relay passes on the notes of its zone.
 ///
 /// One relay of a zone serves each other zone, so that notes cross a border once for each relay there.
 fn foreign(
     own: &InstanceId,
-    zone: &ZoneName,
     zone_relays: &[InstanceId],
-    peers: &[(InstanceId, ZoneName)],
+    other: &ZoneName,
+    members: &[InstanceId],
 ) -> Vec<InstanceId> {
-    let mut zones: Vec<_> = peers
+    let key = xxhash_rust::xxh3::xxh3_64(other.as_bytes());
+    let speaker = zone_relays
         .iter()
-        .map(|(_, of)| of)
-        .filter(|of| *of != zone)
-        .collect();
-    zones.sort();
-    zones.dedup();
-    let mut receivers = Vec::new();
-    for other in zones {
-        let key = xxhash_rust::xxh3::xxh3_64(other.as_bytes());
-        let speaker = zone_relays
-            .iter()
-            .max_by_key(|relay| rendezvous_weight(key, relay));
-        if speaker != Some(own) {
-            continue;
+        .max_by_key(|relay| rendezvous_weight(key, relay));
+    match members.split_first() {
+        Some((first, rest)) if speaker == Some(own) => {
+            relays(first, rest).into_iter().cloned().collect()
         }
-        let members = peers.iter().filter(|(_, of)| of == other);
-        let members: Vec<_> = members.map(|(name, _)| name.clone()).collect();
-        let Some((first, rest)) = members.split_first() else {
-            continue;
-        };
-        receivers.extend(relays(first, rest).into_iter().cloned());
+        _ => Vec::new(),
     }
-    receivers
 }
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -1,6 +1,12 @@
 //! Datagrams between entry instances.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use slog::{debug, info};
 use tokio::{
@@ -88,14 +94,19 @@
         let zone = &gateway.settings.zone;
         let now = gateway.now();
         let peers = snapshot.peers.iter();
-        let mut peers: Vec<_> = peers
+        let peers: Vec<_> = peers
             .map(|peer| (peer.name.clone(), peer.zone.clone()))
             .collect();
-        if now >= HEARD_FROM {
-            let heard = gateway.traffic.live_peers(now);
-            peers.retain(|(name, _)| heard.iter().any(|(known, _)| known == name));
-        }
-        let routes = NoteRoutes::new(&gateway.settings.instance, zone, &peers);
+        let heard: HashSet<_> = match now >= HEARD_FROM {
+            true => gateway
+                .traffic
+                .live_peers(now)
+                .into_iter()
+                .map(|(name, _)| name)
+                .collect(),
+            false => peers.iter().map(|(name, _)| name.clone()).collect(),
+        };
+        let routes = NoteRoutes::new(&gateway.settings.instance, zone, &peers, &heard);
         Routes {
             own: addresses(&snapshot, &routes.own),
             followers: addresses(&snapshot, &routes.followers),
