--- a/crates/wagtailarch-gateway/src/relay.rs
+++ b/crates/wagtailarch-gateway/src/relay.rs
@@ -50,6 +50,8 @@
     longest_pause: Duration,
     /// When the present engine last sent a whole event, or took the stream over.
     progress_at: Duration,
+    /// Why what the engine sent after the last event is no stream.
+    fault: Option<&'static str>,
     finished: bool,
 }
 
@@ -84,6 +86,7 @@
         last_at: None,
         longest_pause: Duration::ZERO,
         progress_at,
+        fault: None,
         finished: false,
     };
     let first = relay.next_piece().await.transpose()?;
@@ -158,6 +161,9 @@
 
     /// Takes all whole events that follow the last one passed on; fails if the bytes are no events.
     fn take_events(&mut self) -> Result<Option<Bytes>, &'static str> {
+        if let Some(fault) = self.fault.take() {
+            return Err(fault);
+        }
         let mut pieces: Vec<Bytes> = Vec::new();
         let fault = loop {
             let event = match self.splitter.next_event() {
@@ -179,7 +185,7 @@
         if pieces.is_empty() {
             return fault.map_or(Ok(None), Err);
         }
-        // A fault shows again with the next look at the rest.
+        self.fault = fault;
         self.on_events();
         Ok(match pieces.len() {
             1 => pieces.pop(),
