--- a/crates/wagtailarch-gateway/src/control/sources.rs
+++ b/crates/wagtailarch-gateway/src/control/sources.rs
@@ -1,6 +1,10 @@
 //! Whom this instance asks for objects: the store, or a relay of its zone.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -38,7 +42,7 @@
     /// Listed members of the own zone but this one.
     members: Rc<RefCell<Vec<Peer>>>,
     /// Whether this instance is new, so that the list of members may be far from complete.
-    new_member: Rc<RefCell<Option<bool>>>,
+    new_member: Rc<Cell<bool>>,
 }
 
 /// Asks relays for the objects of one kind.
@@ -101,7 +105,7 @@
 
     /// Notes whether this instance was listed before it started.
     pub fn set_new_member(&self, new: bool) {
-        *self.new_member.borrow_mut() = Some(new);
+        self.new_member.set(new);
     }
 
     /// Returns the other members of the zone that can be relays.
@@ -116,7 +120,7 @@
 
     /// Tells whether members of a new fleet may still be unlisted.
     fn settling(&self) -> bool {
-        *self.new_member.borrow() == Some(true) && self.context.epoch.elapsed() < SETTLING
+        self.new_member.get() && self.context.epoch.elapsed() < SETTLING
     }
 }
 
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams between entry instances.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
@@ -45,6 +45,8 @@
     gateway: Rc<Gateway>,
     socket: UdpSocket,
     boot: BootId,
+    /// Number of the last note; it goes on when a task starts again after a panic.
+    sequence: Cell<u32>,
     routes: RefCell<Routes>,
     /// Notes that members of the zone that have no other source get.
     for_zone: PendingNotes,
@@ -67,6 +69,7 @@
             gateway,
             socket,
             boot,
+            sequence: Cell::new(0),
             routes: RefCell::default(),
             for_zone: PendingNotes::default(),
             for_foreign: PendingNotes::default(),
@@ -116,7 +119,6 @@
 
     /// Tells peers of prompts, running requests, news and strikes until the process ends.
     pub async fn tell(self: Rc<Self>) {
-        let mut sequence = 0;
         let outbox = &self.gateway.outbox;
         loop {
             let woken = timeout(REPEAT, outbox.woken()).await.is_ok();
@@ -124,8 +126,7 @@
                 let receivers = self.routes.borrow().own.len();
                 sleep(gather(receivers)).await;
             }
-            sequence += 1;
-            let note = self.note(outbox.take(), sequence);
+            let note = self.note(outbox.take());
             self.pass_on(&note);
             let receivers = self.routes.borrow().own.clone();
             self.send(&NoteBundle::new(vec![note]), &receivers).await;
@@ -235,7 +236,9 @@
     }
 
     /// Builds a note with the present state.
-    fn note(&self, untold: Untold, sequence: u32) -> LoadNote {
+    fn note(&self, untold: Untold) -> LoadNote {
+        let sequence = self.sequence.get() + 1;
+        self.sequence.set(sequence);
         let gateway = &self.gateway;
         let snapshot = gateway.snapshot();
         let board = gateway.board.borrow();
