--- a/crates/wagtailarch-gateway/src/control/sources.rs
+++ b/crates/wagtailarch-gateway/src/control/sources.rs
@@ -22,13 +22,12 @@
         relay::{Relay, decoded},
     },
     http_client::{CallError, HttpClient},
+    outbox::HEARD_FROM,
     snapshot::Peer,
 };
 
 /// Time after the end of a question's wait in which the answer has to arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(600);
-/// Age of the process from which a member counts only if it is heard; notes come every second.
-const HEARD_FROM: Duration = Duration::from_secs(4);
 /// Time for which a new member waits before it asks anybody, while others of a new fleet list themselves.
 const SETTLING: Duration = Duration::from_millis(1_500);
 
@@ -109,11 +108,12 @@
     }
 
     /// Returns the other members of the zone that can be relays.
-    fn others(&self) -> Vec<Peer> {
-        let mut members = self.members.borrow().clone();
+    fn others(&self) -> Vec<InstanceId> {
+        let members = self.members.borrow();
+        let mut members: Vec<_> = members.iter().map(|peer| peer.name.clone()).collect();
         if self.context.epoch.elapsed() >= HEARD_FROM {
             let heard = self.context.live_peers();
-            members.retain(|peer| heard.iter().any(|(name, _)| *name == peer.name));
+            members.retain(|member| heard.iter().any(|(name, _)| name == member));
         }
         members
     }
@@ -144,18 +144,15 @@
         if self.sources.settling() {
             return Source::Wait;
         }
-        let others = self.sources.others();
-        let names: Vec<_> = others.into_iter().map(|peer| peer.name).collect();
         let context = &self.sources.context;
         let age = context.epoch.elapsed();
-        self.plan.source(age, age, &context.instance, &names)
+        let others = self.sources.others();
+        self.plan.source(age, age, &context.instance, &others)
     }
 
     /// Tells whether the watches of this instance are short.
     pub fn leads(&self) -> bool {
-        let others = self.sources.others().into_iter();
-        let names: Vec<_> = others.map(|peer| peer.name).collect();
-        RelayPlan::leads(&self.sources.context.instance, &names)
+        RelayPlan::leads(&self.sources.context.instance, &self.sources.others())
     }
 
     /// Asks a relay for what is newer than `have`; the answer may wait for news.
--- a/crates/wagtailarch-gateway/src/outbox.rs
+++ b/crates/wagtailarch-gateway/src/outbox.rs
@@ -12,6 +12,8 @@
 /// Time after which a note is sent though nothing has changed; peers forget running requests after two
 /// seconds and a silent instance after three and a half.
 pub const REPEAT: Duration = Duration::from_millis(1_000);
+/// Age of the process from which a peer counts only if it is heard; notes come every second.
+pub const HEARD_FROM: Duration = Duration::from_secs(4);
 /// Prompts whose prefixes are in one note; more are told in the next one, so that a note fits into few
 /// packets.
 const MAX_SENT_PREFIXES: usize = 24;
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     gateway::Gateway,
-    outbox::{REPEAT, Untold, gather},
+    outbox::{HEARD_FROM, REPEAT, Untold, gather},
     pending_notes::PendingNotes,
     snapshot::Snapshot,
 };
@@ -36,8 +36,6 @@
 const ROUTES_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The same while no peer is known.
 const FIRST_ROUTES_INTERVAL: Duration = Duration::from_millis(200);
-/// Age of the process from which a peer counts only if it is heard; notes come every second.
-const HEARD_FROM: Duration = Duration::from_secs(4);
 
 /// Sends and receives notes.
 #[derive(Debug)]
