Read no prompt beside streams that would pause for it

Each piece that such an engine reads lies between two tokens of all its streams, so that an event of 51 tokens took 235 ms instead of 45 ms (pause allowed: 150 ms), the step after a split read took 70 ms instead of 9 ms, and streams held their slots five times as long: 1,400 requests were refused because no slot was free, many of them after their prompt had been read. The check on disturbance was a cost that a long queue elsewhere outweighed, and it left out late prompts, which interleave too.

Now an engine reads beside streams only what fits into 0.8 of the routes' pause objective, all that waits there included; where no engine only reads, it stays a cost.

--- a/crates/wagtailarch-dispatch/src/board.rs
+++ b/crates/wagtailarch-dispatch/src/board.rs
@@ -365,6 +365,10 @@
         (None, Some(traits)) => Some(EngineState::new(role, traits)),
         (_, None) => None,
     };
+    if let (Some(engine), Some(gap)) = (&mut backend.engine, config.gap_objective(&server.service))
+    {
+        engine.gap_objective = gap;
+    }
     backend.max_connections = service.map_or(0, |service| service.max_connections);
     backend.server = server;
     backend
--- a/crates/wagtailarch-dispatch/src/engine_state.rs
+++ b/crates/wagtailarch-dispatch/src/engine_state.rs
@@ -24,6 +24,12 @@
 const SLOWNESS_RANGE: (f64, f64) = (0.7, 4.0);
 /// Shortest expected time from which the speed is learned; shorter ones are mostly network.
 const LEARN_FROM: Duration = Duration::from_millis(25);
+/// Share of the pause between two events that reading on the same engine may take.
+///
+/// The rest is left for the tokens of the event.
+const READ_SHARE_OF_GAP: f64 = 0.8;
+/// Pause between two events that is on time if no route of the service states one.
+const DEFAULT_GAP: Duration = Duration::from_millis(200);
 /// Time after which the running requests told by a silent peer are forgotten.
 const PEER_RUNNING_TTL: Duration = Duration::from_secs(2);
 
@@ -34,6 +40,8 @@
     pub role: Role,
     /// Properties of its service.
     pub traits: EngineTraits,
+    /// Longest pause between two events that is on time for all streams of the service.
+    pub gap_objective: Duration,
     /// Prompts that wait.
     pub queue: ReadQueue,
     /// Prefixes that it holds.
@@ -51,6 +59,7 @@
     pub fn new(role: Role, traits: EngineTraits) -> Self {
         Self {
             role,
+            gap_objective: DEFAULT_GAP,
             queue: ReadQueue::default(),
             cache: PrefixCache::new(traits.kv_capacity_tokens),
             traits,
@@ -78,6 +87,15 @@
         prompt_tokens.saturating_sub(self.cache.held_tokens(prefixes))
     }
 
+    /// Tells whether running streams pause for too long if a prompt that takes `read_time` is read here.
+    ///
+    /// An engine reads a piece between the tokens of its streams, whatever the rank of the prompt, so
+    /// that all that waits there delays the event that each of them produces at the time.
+    pub fn pauses_streams(&self, now: Duration, read_time: Duration) -> bool {
+        let reading = self.queue.wait(now, Urgency::Late) + read_time;
+        self.running(now) > 0 && reading > self.gap_objective.mul_f64(READ_SHARE_OF_GAP)
+    }
+
     /// Adds a prompt of `sender` and returns the time that reading it takes.
     pub fn start_read(
         &mut self,
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -17,13 +17,10 @@
 ///
 /// It keeps prompts on engines that hold their parts while others are idle.
 const WORK_WEIGHT: f64 = 1.5;
-/// Reading that may wait at a decode engine while it generates.
+/// Cost of reading on an engine whose streams pause for too long by it.
 ///
-/// It reads pieces of about 1024 tokens between tokens, about 40 ms each; four of them in one event
-/// of six tokens exceed the usual objective of 200 ms between events.
-const MAX_DISTURBANCE_MS: f64 = 160.0;
-/// Cost of disturbing the streams of a decode engine by more than `MAX_DISTURBANCE_MS`.
-const DISTURBANCE_MS: f64 = 150.0;
+/// It counts only where no engine is left that just reads.
+const PAUSED_STREAMS_MS: f64 = 150.0;
 /// Cost of a millisecond of reading on a decode engine for each stream that it delays there.
 ///
 /// Without it the short prompts alone took half of the decode engines' time on a measured day.
@@ -201,6 +198,8 @@
     new_tokens: u32,
     first_ms: f64,
     cost_ms: f64,
+    /// Whether streams of the engine that reads pause for too long.
+    pauses_streams: bool,
 }
 
 /// Places a generation on engines of `engines`; those that may not be used are left out before.
@@ -272,6 +271,10 @@
 ///
 /// The cost of a split is a sum over its reader, its generator and their zones, so that only the best
 /// generator of each zone needs to be tried with each reader.
+///
+/// At a peak of long prompts no stream is paused for another prompt as long as engines that only read
+/// are left: every event of all streams of the engine would be late, and each would hold its slot for
+/// as much longer.
 fn options<'a>(
     now: Duration,
     request: &GenerationRequest<'_>,
@@ -323,9 +326,13 @@
                 new_tokens,
                 first_ms,
                 cost_ms: first_ms + reader_ms + generator_ms + zone_cost(&reader.server.zone, zone),
+                pauses_streams: false,
             });
         }
     }
+    if options.iter().any(|option| option.reader.is_some()) {
+        options.retain(|option| !option.pauses_streams);
+    }
     options
 }
 
@@ -340,10 +347,15 @@
 ) -> Candidate<'a> {
     let running = state.running(now);
     let read_wait_ms = ms(state.queue.wait(now, urgency));
-    let read_ms = ms(state.read_time(request.prefixes, request.prompt_tokens));
+    let read_time = state.read_time(request.prefixes, request.prompt_tokens);
+    let read_ms = ms(read_time);
     let first_ms = read_wait_ms + read_ms + DIRECT_OVERHEAD_MS;
-    let disturbed = running > 0 && read_wait_ms + read_ms > MAX_DISTURBANCE_MS;
-    let disturbance_ms = if disturbed { DISTURBANCE_MS } else { 0.0 };
+    let pauses_streams = state.pauses_streams(now, read_time);
+    let pause_ms = if pauses_streams {
+        PAUSED_STREAMS_MS
+    } else {
+        0.0
+    };
     Candidate {
         reader: None,
         generator,
@@ -355,7 +367,8 @@
             + read_ms * WORK_WEIGHT
             + generate_ms
             + read_ms * f64::from(running) * DELAYED_STREAM_WEIGHT
-            + disturbance_ms,
+            + pause_ms,
+        pauses_streams,
     }
 }
 
--- a/crates/wagtailarch-dispatch/src/routing.rs
+++ b/crates/wagtailarch-dispatch/src/routing.rs
@@ -139,6 +139,15 @@
         self.services.get(name)
     }
 
+    /// Returns the longest pause between two events that is on time on all routes of a service.
+    pub fn gap_objective(&self, service: &ServiceName) -> Option<Duration> {
+        let of_service = self.routes.iter().filter(|route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| target.service == *service && target.weight > 0)
+        });
+        of_service.filter_map(|route| route.gap_objective).min()
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- a/crates/wagtailarch-dispatch/tests/placement.rs
+++ b/crates/wagtailarch-dispatch/tests/placement.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use common::{ENGINES, config, engine, prompt, request};
 use wagtailarch_dispatch::{Board, Placement, Plan, PrefixLink, ReadNumber, ReadPlan, Urgency};
@@ -148,6 +151,55 @@
     assert_ne!(used[0], used[1]);
 }
 
+/// Guards against streams that pause at a peak of long prompts: while engines that only read are
+/// busier than the clients' objective allows, prompts were read on those that generate, every event of
+/// whose streams was late by it.
+#[test]
+fn streams_do_not_pause_for_long_prompts_at_a_peak() {
+    let gap = Duration::from_millis(200);
+    let mut board = board(&[
+        ("r1", Role::Prefill),
+        ("r2", Role::Prefill),
+        ("d1", Role::Decode),
+        ("d2", Role::Decode),
+    ]);
+    for id in ["d1", "d2"] {
+        board.add_running(&id.into(), 2);
+    }
+    let mut read_here: HashMap<InstanceId, Duration> = HashMap::new();
+    let mut refused = 0;
+    for index in 0..60 {
+        let own = format!("o{index}");
+        let prefixes = prompt(&own, 2_500, &own, 1_500);
+        match place(&board, &prefixes) {
+            Placement::Use(plan) => {
+                let (engine, _) = start_read(&mut board, &plan, &prefixes);
+                *read_here.entry(engine).or_default() += plan.read_time;
+            }
+            Placement::Refuse { .. } => refused += 1,
+            Placement::NoEngine => panic!("engines are usable"),
+        }
+    }
+    assert!(refused > 0, "the peak is above what the engines can read");
+    for id in ["d1", "d2"] {
+        let paused = read_here.get(id).copied().unwrap_or_default();
+        assert!(paused < gap, "{id} reads for {paused:?}");
+    }
+    assert!(read_here["r1"] > gap && read_here["r2"] > gap);
+}
+
+/// Guards against prompts that nobody reads because all engines generate, as after the loss of those
+/// that only read.
+#[test]
+fn long_prompts_are_read_beside_streams_where_no_engine_only_reads() {
+    let mut board = board(&[("d1", Role::Decode), ("d2", Role::Decode)]);
+    for id in ["d1", "d2"] {
+        board.add_running(&id.into(), 2);
+    }
+    let plan = plan(&board, &prompt("s", 13_300, "o", 3_700));
+    assert_eq!(plan.read, ReadPlan::Direct);
+}
+
 /// Guards against a request that is refused or late because only part of a large fleet is compared: all
 /// engines that its prompt prefers are busy, and others are idle.
 #[test]
