Work out the pause objective of each service once for a configuration

It was looked up among all routes for each server at every change of a registration, on the thread that serves requests. The values are the same.

--- a/crates/wagtailarch-dispatch/src/routing.rs
+++ b/crates/wagtailarch-dispatch/src/routing.rs
@@ -17,6 +17,8 @@
     limits: ClientLimits,
     /// Indexes into `routes` by host, those with the longest path prefix first.
     by_host: HashMap<SmolStr, Vec<usize>>,
+    /// Shortest pause objective among the routes of each service; absent if none states one.
+    gap_objectives: HashMap<ServiceName, Duration>,
 }
 
 /// One route.
@@ -115,12 +117,14 @@
         for indexes in by_host.values_mut() {
             indexes.sort_by_key(|&index| std::cmp::Reverse(routes[index].path_prefix.len()));
         }
+        let gap_objectives = gap_objectives(&routes);
         Self {
             generation,
             routes,
             services,
             limits,
             by_host,
+            gap_objectives,
         }
     }
 
@@ -141,11 +145,7 @@
 
     /// Returns the longest pause between two events that is on time on all routes of a service.
     pub fn gap_objective(&self, service: &ServiceName) -> Option<Duration> {
-        let of_service = self.routes.iter().filter(|route| {
-            let mut targets = route.targets.iter();
-            targets.any(|target| target.service == *service && target.weight > 0)
-        });
-        of_service.filter_map(|route| route.gap_objective).min()
+        self.gap_objectives.get(service).copied()
     }
 
     /// Returns all routes.
@@ -167,6 +167,21 @@
     }
 }
 
+/// Returns the shortest pause objective among the routes that send requests to each service.
+fn gap_objectives(routes: &[Route]) -> HashMap<ServiceName, Duration> {
+    let mut shortest: HashMap<ServiceName, Duration> = HashMap::new();
+    for route in routes {
+        let Some(gap) = route.gap_objective else {
+            continue;
+        };
+        for target in route.targets.iter().filter(|target| target.weight > 0) {
+            let known = shortest.entry(target.service.clone()).or_insert(gap);
+            *known = gap.min(*known);
+        }
+    }
+    shortest
+}
+
 impl Route {
     /// Chooses the service of a request.
     ///
