Decode and show the rate limits that servers name

The header with the limit was not read, so that neither logs nor metrics could tell whether a server had named one. Changes are logged with both values, and a gauge shows the limits in force. A response without a limit takes it back only if its request was sent after the limit was known, since responses on different connections overtake each other. No decision uses the limit yet.

--- a/crates/wagtailarch-dispatch/src/backend.rs
+++ b/crates/wagtailarch-dispatch/src/backend.rs
@@ -1,6 +1,6 @@
 //! The state of a backend server in the traffic thread.
 
-use crate::{BackendServer, EngineState, ServerHealth};
+use crate::{BackendServer, EngineState, LimitStatement, ServerHealth};
 
 /// Number of connections that each instance may open to a server, regardless of the number of
 /// instances.
@@ -17,6 +17,8 @@
     pub max_connections: u32,
     /// Running and waiting requests per slot in the last report of the server.
     pub reported_load: f64,
+    /// Rate limit that the server names.
+    pub limit: LimitStatement,
     /// State of an engine; absent for plain servers.
     pub engine: Option<EngineState>,
 }
--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod backend;
 mod engine_state;
+mod limit_statement;
 mod load_balancer;
 mod membership;
 mod note_routes;
@@ -17,6 +18,7 @@
 mod prefill_queue;
 mod prefill_speed;
 mod prefix_cache;
+mod rate_limit;
 mod registration_tracker;
 mod relay_log;
 mod relay_plan;
@@ -31,7 +33,8 @@
 mod watch_plan;
 
 pub use engine_state::EngineState;
-pub use load_balancer::{LoadBalancer, ServerLoad};
+pub use limit_statement::LimitStatement;
+pub use load_balancer::{LimitChange, LoadBalancer, ServerLoad};
 pub use membership::{Membership, MembershipChange};
 pub use note_routes::NoteRoutes;
 pub use order_claim::{ClaimContent, ClaimStep, OrderClaim};
@@ -39,6 +42,7 @@
 pub use prefill_queue::{PrefillNumber, PrefillQueue, QueuedPrompt};
 pub use prefill_speed::PrefillSpeed;
 pub use prefix_cache::PrefixCache;
+pub use rate_limit::{NamedLimit, RateLimit};
 pub use registration_tracker::RegistrationTracker;
 pub use relay_log::{RelayChange, RelayLog, RelayView};
 pub use relay_plan::{RelayPlan, UpdateSource};
--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -10,8 +10,9 @@
 use wagtailarch_wire::load_note::{LoadNote, OpenPrefill, SentPrefixes, server_key};
 
 use crate::{
-    BackendServer, EngineState, GenerationRequest, Placement, PrefillNumber, PrefillSpeed,
-    PrefixLink, RoleDemand, RoutingConfig, ServerEndpoint, Urgency, backend::Backend, placement,
+    BackendServer, EngineState, GenerationRequest, NamedLimit, Placement, PrefillNumber,
+    PrefillSpeed, PrefixLink, RateLimit, RoleDemand, RoutingConfig, ServerEndpoint, Urgency,
+    backend::Backend, placement,
 };
 
 /// Cost of a plain server that fails every request, in load per slot.
@@ -50,6 +51,17 @@
     pub in_flight: u32,
     /// Predicted wait of a prompt with [`Urgency::OnTime`]; absent for plain servers.
     pub on_time_wait: Option<Duration>,
+    /// Rate limit that the server names.
+    pub rate_limit: Option<RateLimit>,
+}
+
+/// A change of the rate limit that a server names; `None` stands for no limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitChange {
+    /// Limit before the change.
+    pub before: Option<RateLimit>,
+    /// Limit after the change.
+    pub after: Option<RateLimit>,
 }
 
 /// Sender under which the prompts of this instance are queued.
@@ -170,6 +182,25 @@
         }
     }
 
+    /// Applies what the response to a request of `sent_at` states about the rate limit of its
+    /// server; returns the limit that was in force if it changed.
+    pub fn on_named_limit(
+        &mut self,
+        now: Duration,
+        id: &InstanceId,
+        sent_at: Duration,
+        named: NamedLimit,
+    ) -> Option<LimitChange> {
+        let limit = &mut self.backends.get_mut(id)?.limit;
+        let before = limit.limit();
+        limit
+            .on_response(now, sent_at, named)
+            .then_some(LimitChange {
+                before,
+                after: limit.limit(),
+            })
+    }
+
     /// Records a response that shows that a server works.
     pub fn on_success(&mut self, now: Duration, id: &InstanceId) {
         if let Some(backend) = self.backends.get_mut(id) {
@@ -286,6 +317,7 @@
                 server: id.clone(),
                 in_flight: backend.in_flight,
                 on_time_wait: engine.map(|engine| engine.queue.wait(now, Urgency::OnTime)),
+                rate_limit: backend.limit.limit(),
             }
         })
     }
@@ -399,6 +431,7 @@
         in_flight: 0,
         max_connections: 0,
         reported_load: 0.0,
+        limit: Default::default(),
         engine: None,
     });
     backend.engine = match (backend.engine.take(), properties) {
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -145,6 +145,7 @@
             step: call.step.clone(),
         },
     );
+    let sent_at = gateway.now();
     let request = head.map(|()| Full::new(context.body.bytes.clone()));
     let sent = connection.sender.send_request(request);
     let response = match timeout(call.head_limit, sent).await {
@@ -173,6 +174,7 @@
         let mut load_balancer = gateway.load_balancer.borrow_mut();
         load_balancer.on_load_report(id, load.running, load.waiting, load.slots);
     }
+    gateway.on_named_limit(id, sent_at, facts.rate_limit);
     if let Some(failure) = response_failure(&parts, &facts, &call.step) {
         let cause = format!("status {} {facts:?}", parts.status.as_u16());
         let now = gateway.now();
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -10,7 +10,9 @@
 use indexmap::IndexMap;
 use slog::{Logger, info};
 use tokio::sync::watch;
-use wagtailarch_dispatch::{LoadBalancer, RetryWindow, SharedRetryBudget};
+use wagtailarch_dispatch::{
+    LimitChange, LoadBalancer, NamedLimit, RateLimit, RetryWindow, SharedRetryBudget,
+};
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{InstanceId, ServiceName};
 use wagtailarch_wire::load_note::{SentPrefixes, StrikeNote};
@@ -165,6 +167,22 @@
         self.with_retry_window(service, RetryWindow::try_retry)
     }
 
+    /// Applies what the response to a request of `sent_at` states about the rate limit of its
+    /// server.
+    pub fn on_named_limit(&self, server: &InstanceId, sent_at: Duration, named: NamedLimit) {
+        if named == NamedLimit::Invalid {
+            info!(self.log, "rate limit ignored"; "server" => %server, "cause" => "not a rate");
+        }
+        let mut load_balancer = self.load_balancer.borrow_mut();
+        let change = load_balancer.on_named_limit(self.now(), server, sent_at, named);
+        let Some(LimitChange { before, after }) = change else {
+            return;
+        };
+        info!(self.log, "rate limit changed"; "server" => %server,
+            "before_per_s" => before.map(RateLimit::per_s),
+            "per_s" => after.map(RateLimit::per_s));
+    }
+
     /// Queues the prefixes of a sent prompt for the next load note.
     pub fn queue_prefixes(&self, sent: Option<SentPrefixes>) {
         if let Some(sent) = sent {
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs,
+    sync::atomic::AtomicU64,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -81,6 +82,7 @@
     open_prefills: Gauge,
     in_flight: ByServer,
     prefill_wait: ByServer,
+    rate_limit: Family<[(&'static str, String); 1], Gauge<f64, AtomicU64>>,
     last_store_response: Family<[(&'static str, &'static str); 1], Gauge>,
     resident_bytes: Gauge,
     latency: Family<LatencyLabels, Histogram>,
@@ -130,6 +132,9 @@
         let prefill_wait = ByServer::default();
         let help = "Predicted wait of a prompt at an engine, in milliseconds";
         registry.register("read_wait_ms", help, prefill_wait.clone());
+        let rate_limit = Family::default();
+        let help = "Rate limit that a backend server names, in requests per second";
+        registry.register("server_limit_per_s", help, rate_limit.clone());
         let last_store_response = Family::default();
         let help = "Time of the last answer of the store, by kind of object";
         let name = "store_last_answer_timestamp_seconds";
@@ -154,6 +159,7 @@
             open_prefills,
             in_flight,
             prefill_wait,
+            rate_limit,
             last_store_response,
             resident_bytes,
             latency,
@@ -219,6 +225,7 @@
             .set(load_balancer.open_prefills().len() as i64);
         self.in_flight.clear();
         self.prefill_wait.clear();
+        self.rate_limit.clear();
         for load in load_balancer.loads(now) {
             let labels = [("server", load.server.to_string())];
             let in_flight = self.in_flight.get_or_create(&labels);
@@ -227,6 +234,9 @@
                 let prefill_wait = self.prefill_wait.get_or_create(&labels);
                 prefill_wait.set(wait.as_millis() as i64);
             }
+            if let Some(limit) = load.rate_limit {
+                self.rate_limit.get_or_create(&labels).set(limit.per_s());
+            }
         }
         if let Some(bytes) = resident_bytes() {
             self.resident_bytes.set(bytes);
