Keep the rate limits of servers by all instances together

Cause: nothing used the limit.

Each server has a coordinator, the first live instance by rendezvous hashing, that grants one permit for each request at the rate of the limit. Other instances ask it by datagrams and use their equal share of the limit while it does not respond; a coordinator grants only the shares of the instances that it hears, so that the sum holds in a partition. Limits reach all instances with the load notes. Plain calls, retries, prefill and decode calls and resumed streams each take a permit; engines that name a limit get no orders. Requests without a permit go to other servers; if none has room, the refusal is immediate and its Retry-After follows from the coordinator's backlog. While urgent routes ask, permits are reserved for them.

--- a/crates/wagtailarch-dispatch/src/backend.rs
+++ b/crates/wagtailarch-dispatch/src/backend.rs
@@ -1,6 +1,6 @@
 //! The state of a backend server in the traffic thread.
 
-use crate::{BackendServer, EngineState, LimitStatement, ServerHealth};
+use crate::{BackendServer, EngineState, LimitStatement, PermitBucket, PermitHolder, ServerHealth};
 
 /// Number of connections that each instance may open to a server, regardless of the number of
 /// instances.
@@ -19,6 +19,10 @@
     pub reported_load: f64,
     /// Rate limit that the server names.
     pub limit: LimitStatement,
+    /// Permits of this instance for requests within that limit.
+    pub permits: PermitHolder,
+    /// Permits that this instance grants as coordinator of the limit.
+    pub bucket: PermitBucket,
     /// State of an engine; absent for plain servers.
     pub engine: Option<EngineState>,
 }
--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -9,11 +9,14 @@
 
 mod backend;
 mod engine_state;
+mod limit_members;
 mod limit_statement;
 mod load_balancer;
 mod membership;
 mod note_routes;
 mod order_claim;
+mod permit_bucket;
+mod permit_holder;
 mod placement;
 mod prefill_queue;
 mod prefill_speed;
@@ -33,11 +36,14 @@
 mod watch_plan;
 
 pub use engine_state::EngineState;
+pub use limit_members::LimitMembers;
 pub use limit_statement::LimitStatement;
-pub use load_balancer::{LimitChange, LoadBalancer, ServerLoad};
+pub use load_balancer::{LimitChange, LoadBalancer, PermitStep, ServerLoad};
 pub use membership::{Membership, MembershipChange};
 pub use note_routes::NoteRoutes;
 pub use order_claim::{ClaimContent, ClaimStep, OrderClaim};
+pub use permit_bucket::PermitBucket;
+pub use permit_holder::{HolderStep, PermitHolder};
 pub use placement::{GenerationPlan, GenerationRequest, Placement, PrefillPlan};
 pub use prefill_queue::{PrefillNumber, PrefillQueue, QueuedPrompt};
 pub use prefill_speed::PrefillSpeed;
--- /dev/null
+++ b/crates/wagtailarch-dispatch/src/limit_members.rs
@@ -0,0 +1,38 @@
+//! The instances that share the rate limits of servers.
+
+use wagtailarch_types::{InstanceId, rendezvous_weight};
+
+/// The entry instances, as one of them sees them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LimitMembers {
+    /// This instance; `None` until it knows whether there are others.
+    pub own: Option<InstanceId>,
+    /// The other instances that it can hear.
+    pub live: Vec<InstanceId>,
+    /// Number of listed instances, including this one.
+    pub listed: usize,
+}
+
+impl LimitMembers {
+    /// Returns the instance that coordinates the limit of the server with this key.
+    ///
+    /// Instances that hear the same members select the same one.
+    pub fn coordinator(&self, server_key: u32) -> Option<&InstanceId> {
+        let members = self.live.iter().chain(&self.own);
+        let weight = |member: &&InstanceId| rendezvous_weight(server_key.into(), member);
+        self.own.as_ref()?;
+        members.max_by_key(weight)
+    }
+
+    /// Returns the part of a limit that this instance may grant as coordinator: the equal shares of
+    /// the instances that it can hear, since the others use theirs.
+    pub fn reachable_share(&self) -> f64 {
+        let reachable = self.live.len() + 1;
+        (reachable as f64 * self.equal_share()).min(1.0)
+    }
+
+    /// Returns the part of a limit that each instance uses while the coordinator does not respond.
+    pub fn equal_share(&self) -> f64 {
+        1.0 / self.listed.max(1) as f64
+    }
+}
--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -3,18 +3,25 @@
 //! It serves the entry instance on the users' platform; `wagtailarch-traffic` has the counterpart
 //! for the instance of `wagtailarch-entry`.
 
+mod limits;
+
 use std::{collections::HashMap, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
 use wagtailarch_types::{InstanceId, RefusalReason, Role, ServiceName, ZoneName};
-use wagtailarch_wire::load_note::{LoadNote, OpenPrefill, SentPrefixes, server_key};
+use wagtailarch_wire::{
+    load_note::{LoadNote, OpenPrefill, SentPrefixes, server_key},
+    permit::PermitRank,
+};
 
 use crate::{
-    BackendServer, EngineState, GenerationRequest, NamedLimit, Placement, PrefillNumber,
+    BackendServer, EngineState, GenerationRequest, LimitMembers, Placement, PrefillNumber,
     PrefillSpeed, PrefixLink, RateLimit, RoleDemand, RoutingConfig, ServerEndpoint, Urgency,
     backend::Backend, placement,
 };
 
+pub use limits::{LimitChange, PermitStep};
+
 /// Cost of a plain server that fails every request, in load per slot.
 const FAILURE_LOAD: f64 = 3.0;
 /// Cost of a plain server in another availability zone, in load per slot.
@@ -40,6 +47,8 @@
     reported_engines: IndexMap<InstanceId, IndexSet<u32>>,
     /// Number of entry instances, which share the connections that a server accepts.
     instances: u32,
+    /// The instances that share the rate limits of servers.
+    limit_members: LimitMembers,
 }
 
 /// Load of one backend server in the local view, for metrics.
@@ -55,15 +64,6 @@
     pub rate_limit: Option<RateLimit>,
 }
 
-/// A change of the rate limit that a server names; `None` stands for no limit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LimitChange {
-    /// Limit before the change.
-    pub before: Option<RateLimit>,
-    /// Limit after the change.
-    pub after: Option<RateLimit>,
-}
-
 /// Sender under which the prompts of this instance are queued.
 const OWN_SENDER: InstanceId = InstanceId::new_inline("");
 
@@ -108,9 +108,10 @@
         now: Duration,
         service: &ServiceName,
         zone: &ZoneName,
+        rank: PermitRank,
         excluded: &[InstanceId],
     ) -> Option<ServerEndpoint> {
-        let usable = self.usable(now, service, excluded);
+        let usable = self.usable(now, service, rank, excluded);
         let best = usable.min_by(|a, b| {
             let cost = |backend: &Backend| plain_cost(now, backend, zone);
             cost(a).total_cmp(&cost(b))
@@ -126,7 +127,8 @@
         request: &GenerationRequest<'_>,
         excluded: &[InstanceId],
     ) -> Placement {
-        placement::place(now, request, self.usable(now, service, excluded))
+        let usable = self.usable(now, service, request.rank, excluded);
+        placement::place(now, request, usable)
     }
 
     /// Selects the decode engine for a prompt that `prefill_engine` has prefilled.
@@ -144,7 +146,8 @@
         let prefill_engine = self.backends.get(prefill_engine);
         let zone =
             prefill_engine.map_or(request.zone, |prefill_engine| &prefill_engine.server.zone);
-        placement::place_decode(now, request, zone, self.usable(now, service, excluded))
+        let usable = self.usable(now, service, request.rank, excluded);
+        placement::place_decode(now, request, zone, usable)
     }
 
     /// Returns the reason why no server of a service could be selected.
@@ -152,8 +155,12 @@
         &self,
         now: Duration,
         service: &ServiceName,
+        rank: PermitRank,
         excluded: &[InstanceId],
     ) -> RefusalReason {
+        if self.limit_retry_after(now, service, rank).is_some() {
+            return RefusalReason::ServerRateLimited;
+        }
         let any_available = self.available(now, service, excluded).next().is_some();
         match any_available {
             true => RefusalReason::Overloaded,
@@ -182,25 +189,6 @@
         }
     }
 
-    /// Applies what the response to a request of `sent_at` states about the rate limit of its
-    /// server; returns the limit that was in force if it changed.
-    pub fn on_named_limit(
-        &mut self,
-        now: Duration,
-        id: &InstanceId,
-        sent_at: Duration,
-        named: NamedLimit,
-    ) -> Option<LimitChange> {
-        let limit = &mut self.backends.get_mut(id)?.limit;
-        let before = limit.limit();
-        limit
-            .on_response(now, sent_at, named)
-            .then_some(LimitChange {
-                before,
-                after: limit.limit(),
-            })
-    }
-
     /// Records a response that shows that a server works.
     pub fn on_success(&mut self, now: Duration, id: &InstanceId) {
         if let Some(backend) = self.backends.get_mut(id) {
@@ -391,15 +379,20 @@
         self.backends.get_mut(id)?.engine.as_mut()
     }
 
-    /// Returns the available servers that are below their connection limit.
+    /// Returns the available servers that are below their connection limit and whose rate limit
+    /// leaves room for a request.
     fn usable(
         &self,
         now: Duration,
         service: &ServiceName,
+        rank: PermitRank,
         excluded: &[InstanceId],
     ) -> impl Iterator<Item = &Backend> {
         let available = self.available(now, service, excluded);
-        available.filter(|backend| !backend.at_connection_limit(self.instances))
+        available.filter(move |backend| {
+            !backend.at_connection_limit(self.instances)
+                && backend.may_have_permit(now, rank, &self.limit_members)
+        })
     }
 
     /// Returns the servers that are not in backoff, including those at their connection limit.
@@ -432,6 +425,8 @@
         max_connections: 0,
         reported_load: 0.0,
         limit: Default::default(),
+        permits: Default::default(),
+        bucket: Default::default(),
         engine: None,
     });
     backend.engine = match (backend.engine.take(), properties) {
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 use wagtailarch_types::{Role, Urgency, ZoneName, rendezvous_weight};
+use wagtailarch_wire::permit::PermitRank;
 
 #[cfg(doc)]
 use crate::PrefillSpeed;
@@ -78,6 +79,8 @@
     pub client_timeout_left: Duration,
     /// Availability zone of this instance.
     pub zone: &'a ZoneName,
+    /// Rank among the requests to rate-limited engines.
+    pub rank: PermitRank,
 }
 
 /// Engine that prefills the prompt.
--- a/crates/wagtailarch-dispatch/tests/common/mod.rs
+++ b/crates/wagtailarch-dispatch/tests/common/mod.rs
@@ -10,6 +10,7 @@
     PromptPart, RoutingConfig, ServiceConfig,
 };
 use wagtailarch_types::{Role, ZoneName};
+use wagtailarch_wire::permit::PermitRank;
 
 /// Service of the engines.
 pub const ENGINES: &str = "lm";
@@ -85,5 +86,6 @@
         objective_left: Duration::from_millis(600),
         client_timeout_left: Duration::from_millis(2_400),
         zone,
+        rank: PermitRank::Normal,
     }
 }
--- a/crates/wagtailarch-dispatch/tests/load_note.rs
+++ b/crates/wagtailarch-dispatch/tests/load_note.rs
@@ -28,6 +28,7 @@
         sent_prefixes: Vec::new(),
         running: running.collect(),
         strikes: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/wagtailarch-dispatch/tests/plain.rs
+++ b/crates/wagtailarch-dispatch/tests/plain.rs
@@ -7,6 +7,7 @@
 use common::{PLAIN, config, plain};
 use wagtailarch_dispatch::{BackendServer, LoadBalancer, ServerHealth};
 use wagtailarch_types::RefusalReason;
+use wagtailarch_wire::permit::PermitRank;
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -20,7 +21,7 @@
 }
 
 fn select(balancer: &LoadBalancer, now: Duration) -> Option<String> {
-    let selected = balancer.select_server(now, &PLAIN.into(), &"a".into(), &[]);
+    let selected = balancer.select_server(now, &PLAIN.into(), &"a".into(), PermitRank::Normal, &[]);
     selected.map(|server| server.id.to_string())
 }
 
@@ -92,7 +93,7 @@
             balancer.on_sent(&"s1".into());
             sent += 1;
         }
-        let reason = balancer.unavailable_reason(at(0), &PLAIN.into(), &[]);
+        let reason = balancer.unavailable_reason(at(0), &PLAIN.into(), PermitRank::Normal, &[]);
         assert_eq!(reason, RefusalReason::Overloaded);
         balancer.on_ended(&"s1".into());
         assert_eq!(select(&balancer, at(0)).as_deref(), Some("s1"));
@@ -117,6 +118,6 @@
     let mut balancer = LoadBalancer::default();
     balancer.apply(&[plain("s1", "a")], &config());
     balancer.on_unreachable(at(0), &"s1".into());
-    let reason = balancer.unavailable_reason(at(10), &PLAIN.into(), &[]);
+    let reason = balancer.unavailable_reason(at(10), &PLAIN.into(), PermitRank::Normal, &[]);
     assert_eq!(reason, RefusalReason::NoBackend);
 }
--- a/crates/wagtailarch-dispatch/tests/role_plan.rs
+++ b/crates/wagtailarch-dispatch/tests/role_plan.rs
@@ -44,6 +44,7 @@
                 id: format!("{zone}{index}").into(),
                 zone: zone.into(),
                 role,
+                limited: false,
             });
         }
     }
@@ -62,6 +63,7 @@
             } else {
                 Role::Decode
             },
+            limited: false,
         });
         fleet.extend(members);
     }
--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -16,8 +16,8 @@
 /// The calls made so far for one generation.
 #[derive(Debug, Default)]
 pub struct Attempts {
-    /// Engines that failed, which are not selected again.
-    pub failed_engines: Vec<InstanceId>,
+    /// Engines that failed or have no permit for this request, which are not selected again.
+    pub excluded_engines: Vec<InstanceId>,
     /// Number of calls that may have run the request.
     possible_runs: u32,
     /// Number of all calls.
@@ -42,7 +42,7 @@
         failure: CallFailure,
         delivered: bool,
     ) -> Result<(), Refusal> {
-        self.failed_engines.push(engine.clone());
+        self.excluded_engines.push(engine.clone());
         if failure.ran != Ran::No {
             self.possible_runs += 1;
         }
@@ -94,14 +94,14 @@
         {
             return false;
         }
-        let mut excluded = self.failed_engines.clone();
+        let mut excluded = self.excluded_engines.clone();
         excluded.push(engine.clone());
         let load_balancer = gateway.load_balancer.borrow();
         let now = gateway.now();
         let placement = load_balancer.place_generation(
             now,
             &context.service,
-            &context.generation_request(),
+            &context.generation_request(context.rank()),
             &excluded,
         );
         matches!(placement, Placement::Use(_))
@@ -118,7 +118,7 @@
         if (AttemptFailure { reason }).reached_server() {
             self.prefills += 1;
         }
-        self.failed_engines.push(engine.clone());
+        self.excluded_engines.push(engine.clone());
         context.gateway.metrics.outcomes.count_retry(reason);
     }
 
--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -131,6 +131,7 @@
                 id: server.id.clone(),
                 zone: server.zone.clone(),
                 role: server.role?,
+                limited: context.traffic.is_limited(&server.id),
             })
         })
         .collect();
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -9,18 +9,19 @@
 
 use indexmap::IndexMap;
 use slog::{Logger, info};
-use tokio::sync::watch;
+use tokio::{net::UdpSocket, sync::watch};
 use wagtailarch_dispatch::{
     LimitChange, LoadBalancer, NamedLimit, RateLimit, RetryWindow, SharedRetryBudget,
 };
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{InstanceId, ServiceName};
-use wagtailarch_wire::load_note::{SentPrefixes, StrikeNote};
+use wagtailarch_wire::load_note::{LimitReport, SentPrefixes, StrikeNote};
 
 use crate::{
     body_buffer::BufferBudget,
     metrics::Metrics,
     outbox::Outbox,
+    permits::PendingPermits,
     settings::{ReloadableSettings, Settings},
     snapshot::Snapshot,
     traffic_view::TrafficView,
@@ -43,6 +44,10 @@
     pub quarantine: Quarantine,
     /// Updates for peers that have not been sent yet.
     pub outbox: Outbox,
+    /// Socket for datagrams of other instances.
+    pub peer_socket: UdpSocket,
+    /// Requests for permits that wait for a response.
+    pub pending_permits: PendingPermits,
     /// Memory limit for buffered bodies.
     pub buffer_budget: Rc<BufferBudget>,
     /// Number of requests without a complete response.
@@ -75,6 +80,7 @@
         log: Logger,
         metrics: Arc<Metrics>,
         traffic: Arc<TrafficView>,
+        peer_socket: UdpSocket,
         epoch: Instant,
     ) -> Self {
         Self {
@@ -86,6 +92,8 @@
             load_balancer: RefCell::default(),
             quarantine: Quarantine::new(),
             outbox: Outbox::default(),
+            peer_socket,
+            pending_permits: PendingPermits::default(),
             buffer_budget: Rc::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
@@ -175,11 +183,29 @@
         }
         let mut load_balancer = self.load_balancer.borrow_mut();
         let change = load_balancer.on_named_limit(self.now(), server, sent_at, named);
-        let Some(LimitChange { before, after }) = change else {
-            return;
-        };
+        drop(load_balancer);
+        if let Some(change) = change {
+            self.log_limit(server, change, "response");
+            self.schedule_load_note();
+        }
+    }
+
+    /// Applies the rate limits that a peer reports.
+    pub fn on_peer_limits(&self, now: Duration, reports: &[LimitReport]) {
+        for report in reports {
+            let mut load_balancer = self.load_balancer.borrow_mut();
+            let change = load_balancer.on_limit_report(now, report);
+            drop(load_balancer);
+            if let Some((server, change)) = change {
+                self.log_limit(&server, change, "peer");
+            }
+        }
+    }
+
+    fn log_limit(&self, server: &InstanceId, change: LimitChange, source: &'static str) {
+        let LimitChange { before, after } = change;
         info!(self.log, "rate limit changed"; "server" => %server,
-            "before_per_s" => before.map(RateLimit::per_s),
+            "source" => source, "before_per_s" => before.map(RateLimit::per_s),
             "per_s" => after.map(RateLimit::per_s));
     }
 
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -8,11 +8,13 @@
 use wagtailarch_adapter::{CallStep, KvSource, PriorityClass, decode_prefill_response};
 use wagtailarch_dispatch::{GenerationPlan, Placement, PrefillPlan, ServerEndpoint, Urgency};
 use wagtailarch_types::{InstanceId, RefusalReason, RetryReason};
+use wagtailarch_wire::permit::PermitRank;
 
 use crate::{
     attempts::{Attempts, MAX_CALLS},
     backend_client::{BackendResponse, Call, CallFailure, collect_body, send},
     guards::{DecodeGuard, PrefillGuard},
+    permits,
     refusal::Refusal,
     request_context::RequestContext,
     response_body::ResponseBody,
@@ -75,18 +77,29 @@
     resume_after: Option<u64>,
 ) -> Result<StartedGeneration, GenerationError> {
     let interrupted = resume_after != context.client.resume_after;
+    let rank = match interrupted {
+        true => PermitRank::Urgent,
+        false => context.rank(),
+    };
     loop {
-        let plan = plan(context, attempts).map_err(GenerationError::Refused)?;
-        let (step, prefill_engine) = match run_prefill(context, attempts, &plan).await {
+        let plan = plan(context, attempts, rank).map_err(GenerationError::Refused)?;
+        let (step, prefill_engine) = match run_prefill(context, attempts, &plan, rank).await {
             Ok(prefilled) => prefilled,
             Err(PrefillError::Replan) => continue,
             Err(PrefillError::Refused(refusal)) => return Err(GenerationError::Refused(refusal)),
         };
         let decode_engine = match &prefill_engine {
             None => plan.decode.clone(),
-            Some(prefill_engine) => select_decode_engine(context, attempts, prefill_engine)
+            Some(prefill_engine) => select_decode_engine(context, attempts, prefill_engine, rank)
+                .await
                 .map_err(GenerationError::Refused)?,
         };
+        if prefill_engine.is_none()
+            && !permits::acquire(&context.gateway, &decode_engine.id, rank).await
+        {
+            attempts.excluded_engines.push(decode_engine.id);
+            continue;
+        }
         let call = Call {
             server: decode_engine.clone(),
             step,
@@ -129,7 +142,7 @@
                 .load_balancer
                 .borrow_mut()
                 .on_failure(gateway.now(), prefill_engine);
-            attempts.failed_engines.push(prefill_engine.clone());
+            attempts.excluded_engines.push(prefill_engine.clone());
         }
         attempts
             .on_failure(context, &call.server.id, failure, interrupted)
@@ -137,39 +150,48 @@
     }
 }
 
-/// Selects the decode engine for a finished prefill.
-fn select_decode_engine(
+/// Selects the decode engine for a finished prefill and takes its permit.
+async fn select_decode_engine(
     context: &RequestContext,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     prefill_engine: &InstanceId,
+    rank: PermitRank,
 ) -> Result<ServerEndpoint, Refusal> {
     let gateway = &context.gateway;
-    let now = gateway.now();
-    let load_balancer = gateway.load_balancer.borrow();
-    let engine = load_balancer.place_decode(
-        now,
-        &context.service,
-        &context.generation_request(),
-        prefill_engine,
-        &attempts.failed_engines,
-    );
-    engine.ok_or_else(|| {
-        attempts.refusal(load_balancer.unavailable_reason(
-            now,
+    loop {
+        let engine = gateway.load_balancer.borrow().place_decode(
+            gateway.now(),
             &context.service,
-            &attempts.failed_engines,
-        ))
-    })
+            &context.generation_request(rank),
+            prefill_engine,
+            &attempts.excluded_engines,
+        );
+        let Some(engine) = engine else {
+            return Err(context.unavailable(attempts.ran(), rank, &attempts.excluded_engines));
+        };
+        if permits::acquire(gateway, &engine.id, rank).await {
+            return Ok(engine);
+        }
+        attempts.excluded_engines.push(engine.id);
+    }
 }
 
 /// Selects the engines of a generation.
-fn plan(context: &RequestContext, attempts: &Attempts) -> Result<GenerationPlan, Refusal> {
+fn plan(
+    context: &RequestContext,
+    attempts: &Attempts,
+    rank: PermitRank,
+) -> Result<GenerationPlan, Refusal> {
     let gateway = &context.gateway;
-    let request = context.generation_request();
-    let now = gateway.now();
-    let load_balancer = gateway.load_balancer.borrow();
-    match load_balancer.place_generation(now, &context.service, &request, &attempts.failed_engines)
-    {
+    let request = context.generation_request(rank);
+    let excluded = &attempts.excluded_engines;
+    let placement = gateway.load_balancer.borrow().place_generation(
+        gateway.now(),
+        &context.service,
+        &request,
+        excluded,
+    );
+    match placement {
         Placement::Use(plan) => {
             debug!(gateway.log, "placed"; "request" => %context.client.id, "route" => %context.route.name,
                 "tokens" => request.prompt_tokens, "new_tokens" => plan.new_tokens, "engine" => %plan.decode.id,
@@ -194,11 +216,7 @@
                 retry_after,
             })
         }
-        Placement::NoEngine => Err(attempts.refusal(load_balancer.unavailable_reason(
-            now,
-            &context.service,
-            &attempts.failed_engines,
-        ))),
+        Placement::NoEngine => Err(context.unavailable(attempts.ran(), rank, excluded)),
     }
 }
 
@@ -217,10 +235,15 @@
     context: &Rc<RequestContext>,
     attempts: &mut Attempts,
     plan: &GenerationPlan,
+    rank: PermitRank,
 ) -> Result<(CallStep, Option<InstanceId>), PrefillError> {
     let PrefillPlan::Split(prefill_engine) = &plan.prefill else {
         return Ok((CallStep::Whole, None));
     };
+    if !permits::acquire(&context.gateway, &prefill_engine.id, rank).await {
+        attempts.excluded_engines.push(prefill_engine.id.clone());
+        return Err(PrefillError::Replan);
+    }
     // Once a prefill has reached an engine, each further one takes a retry from the budget. It is
     // counted as a failed import, whatever made the earlier prefill or its decode fail.
     if attempts.prefills > 0 {
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod panic_handling;
 mod peers;
 mod pending_notes;
+mod permits;
 mod plain;
 mod process;
 mod read_allowance;
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -52,6 +52,29 @@
     }
 }
 
+/// Results of the requests for permits that this instance sends to coordinators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PermitResult {
+    /// The server may be called.
+    Granted,
+    /// The limit leaves no room.
+    Denied,
+    /// The coordinator of the limit has not responded or is another instance.
+    Unanswered,
+}
+
+impl PermitResult {
+    const ALL: [Self; 3] = [Self::Granted, Self::Denied, Self::Unanswered];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Denied => "denied",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// Numbers of open requests and connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OpenCounts {
@@ -72,6 +95,7 @@
     pub outcomes: OutcomeCounters,
     store_calls: LabeledCounters,
     store_failures: Counter,
+    permits: LabeledCounters,
     requests: LabeledCounters,
     client_gone: Counter,
     open_requests: Gauge,
@@ -101,6 +125,9 @@
         let outcomes = OutcomeCounters::new(r);
         let calls = StoreCall::ALL.map(StoreCall::as_str);
         let store_calls = register_counters(r, "store_calls", "Calls to the store", "call", &calls);
+        let results = PermitResult::ALL.map(PermitResult::as_str);
+        let help = "Requests for permits to call rate-limited servers";
+        let permits = register_counters(r, "permits", help, "result", &results);
         let kinds = ["idempotent", "at_most_once", "stream", "resumable_stream"];
         let requests = register_counters(r, "requests", "Requests received", "kind", &kinds);
         let store_failures = Counter::default();
@@ -149,6 +176,7 @@
             outcomes,
             store_calls,
             store_failures,
+            permits,
             requests,
             client_gone,
             open_requests,
@@ -185,6 +213,13 @@
             .inc();
     }
 
+    /// Counts a request for a permit.
+    pub fn count_permit(&self, result: PermitResult) {
+        self.permits
+            .get_or_create(&[("result", result.as_str())])
+            .inc();
+    }
+
     /// Counts a call to the store that had no result.
     pub fn count_store_failure(&self) {
         self.store_failures.inc();
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -9,18 +9,19 @@
 };
 
 use slog::{debug, info};
-use tokio::{
-    net::UdpSocket,
-    time::{sleep, timeout},
+use tokio::time::{sleep, timeout};
+use wagtailarch_dispatch::{LimitMembers, NoteRoutes};
+use wagtailarch_types::{BootId, InstanceId, ZoneName};
+use wagtailarch_wire::{
+    load_note::{LoadNote, NoteBundle},
+    permit::PermitMessage,
 };
-use wagtailarch_dispatch::NoteRoutes;
-use wagtailarch_types::{BootId, InstanceId};
-use wagtailarch_wire::load_note::{LoadNote, NoteBundle};
 
 use crate::{
     gateway::Gateway,
     outbox::{LIVENESS_GRACE, NOTE_INTERVAL, PendingUpdates, batch_delay},
     pending_notes::PendingNotes,
+    permits,
     snapshot::Snapshot,
 };
 
@@ -42,7 +43,6 @@
 #[derive(Debug)]
 pub struct NoteExchange {
     gateway: Rc<Gateway>,
-    socket: UdpSocket,
     boot: BootId,
     /// Number of the last note; kept outside the sending task, which restarts after a panic.
     sequence: Cell<u32>,
@@ -63,10 +63,9 @@
 
 impl NoteExchange {
     /// Creates the exchange of an instance that has no receivers yet.
-    pub fn new(gateway: Rc<Gateway>, socket: UdpSocket, boot: BootId) -> Self {
+    pub fn new(gateway: Rc<Gateway>, boot: BootId) -> Self {
         Self {
             gateway,
-            socket,
             boot,
             sequence: Cell::new(0),
             routes: RefCell::default(),
@@ -108,6 +107,7 @@
                 .collect(),
             false => peers.iter().map(|(name, _)| name.clone()).collect(),
         };
+        self.set_limit_members(&peers, &live);
         let routes = NoteRoutes::new(&gateway.settings.instance, zone, &peers, &live);
         Routes {
             own_receivers: addresses(&snapshot, &routes.own_receivers),
@@ -116,6 +116,23 @@
         }
     }
 
+    /// Updates the instances that share the rate limits of servers.
+    fn set_limit_members(&self, listed: &[(InstanceId, ZoneName)], live: &HashSet<InstanceId>) {
+        let gateway = &self.gateway;
+        let names = listed.iter().map(|(name, _)| name);
+        // An instance that has just started does not know yet whether it is alone.
+        let knows_members = !listed.is_empty() || gateway.now() >= LIVENESS_GRACE;
+        let members = LimitMembers {
+            own: knows_members.then(|| gateway.settings.instance.clone()),
+            live: names.filter(|name| live.contains(*name)).cloned().collect(),
+            listed: listed.len() + 1,
+        };
+        gateway
+            .load_balancer
+            .borrow_mut()
+            .set_limit_members(members);
+    }
+
     /// Sends the instance's own load notes until the process ends.
     pub async fn send_own_notes(self: Rc<Self>) {
         let outbox = &self.gateway.outbox;
@@ -162,7 +179,7 @@
         let mut last_received: HashMap<InstanceId, (BootId, u32)> = HashMap::new();
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
-            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+            let (length, from) = match self.gateway.peer_socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
                 Err(error) => {
                     // An unreachable peer shows up as a socket error.
@@ -170,7 +187,12 @@
                     continue;
                 }
             };
-            let Some(bundle) = NoteBundle::decode(&buffer[..length]) else {
+            let datagram = &buffer[..length];
+            if let Some(message) = PermitMessage::decode(datagram) {
+                permits::on_message(&self.gateway, message, from).await;
+                continue;
+            }
+            let Some(bundle) = NoteBundle::decode(datagram) else {
                 debug!(log, "notes ignored"; "from" => %from);
                 continue;
             };
@@ -201,6 +223,7 @@
         let now = gateway.now();
         gateway.traffic.on_note(now, &note);
         gateway.load_balancer.borrow_mut().on_load_note(now, &note);
+        gateway.on_peer_limits(now, &note.limits);
         for strike in &note.strikes {
             gateway.on_peer_strike(strike.clone());
         }
@@ -228,7 +251,7 @@
             }
         };
         for receiver in receivers {
-            if let Err(error) = self.socket.send_to(&bytes, receiver).await {
+            if let Err(error) = self.gateway.peer_socket.send_to(&bytes, receiver).await {
                 debug!(log, "notes not sent"; "peer" => %receiver, "cause" => %error);
             }
         }
@@ -240,7 +263,7 @@
         self.sequence.set(sequence);
         let gateway = &self.gateway;
         let snapshot = gateway.snapshot();
-        let load_balancer = gateway.load_balancer.borrow();
+        let mut load_balancer = gateway.load_balancer.borrow_mut();
         LoadNote {
             sender: gateway.settings.instance.clone(),
             zone: gateway.settings.zone.clone(),
@@ -252,6 +275,7 @@
             sent_prefixes: pending.sent_prefixes,
             running: load_balancer.own_running(),
             strikes: pending.strikes,
+            limits: load_balancer.take_limit_reports(gateway.now()),
         }
     }
 }
@@ -267,7 +291,12 @@
 pub async fn report_demand(gateway: Rc<Gateway>) {
     loop {
         sleep(DEMAND_INTERVAL).await;
-        let demand = gateway.load_balancer.borrow().demand(gateway.now());
-        gateway.traffic.set_demand(demand);
+        let load_balancer = gateway.load_balancer.borrow();
+        gateway
+            .traffic
+            .set_demand(load_balancer.demand(gateway.now()));
+        gateway
+            .traffic
+            .set_limited_servers(load_balancer.limited_servers());
     }
 }
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     backend_client::{Call, CallFailure, collect_body, send},
+    permits,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
     response_body::ResponseBody,
@@ -23,7 +24,9 @@
 /// Serves a request by one of the servers of its service.
 pub async fn serve(context: Rc<RequestContext>) -> Response<ResponseBody> {
     let gateway = &context.gateway;
-    let mut tried: Vec<InstanceId> = Vec::new();
+    // Servers that were called or have no permit for this request.
+    let mut excluded: Vec<InstanceId> = Vec::new();
+    let mut calls = 0;
     let mut possible_runs = 0;
     let mut ran = Ran::No;
     // The error response of a server, passed on if no other server succeeds.
@@ -33,20 +36,20 @@
             gateway.now(),
             &context.service,
             &gateway.settings.zone,
-            &tried,
+            context.rank(),
+            &excluded,
         );
         let Some(selected) = selected else {
-            let load_balancer = gateway.load_balancer.borrow();
-            let refusal = Refusal {
-                reason: load_balancer.unavailable_reason(gateway.now(), &context.service, &tried),
-                ran,
-                retry_after: DEFAULT_RETRY_AFTER,
-            };
+            let refusal = context.unavailable(ran, context.rank(), &excluded);
             return error_response.unwrap_or_else(|| refusal.respond(&context));
         };
-        tried.push(selected.id.clone());
+        excluded.push(selected.id.clone());
+        if !permits::acquire(gateway, &selected.id, context.rank()).await {
+            continue;
+        }
+        calls += 1;
         let call = Call {
-            head_limit: head_limit(&context, possible_runs, &tried),
+            head_limit: head_limit(&context, possible_runs, calls, &excluded),
             server: selected,
             step: CallStep::Whole,
             priority: None,
@@ -79,9 +82,7 @@
             RetryDecision::Retry(_) if context.time_left().is_zero() => {
                 RefusalReason::DeadlineUnreachable
             }
-            RetryDecision::Retry(_) if tried.len() >= MAX_SERVERS => {
-                RefusalReason::AttemptsExhausted
-            }
+            RetryDecision::Retry(_) if calls >= MAX_SERVERS => RefusalReason::AttemptsExhausted,
             RetryDecision::Retry(reason)
                 if !attempt_failure.reached_server() || gateway.try_retry(&context.service) =>
             {
@@ -107,16 +108,27 @@
 ///
 /// A repeatable request leaves an unresponsive server while another one can still meet the
 /// objective. Without an alternative the response is awaited up to the request's timeout.
-fn head_limit(context: &RequestContext, possible_runs: u32, tried: &[InstanceId]) -> Duration {
+fn head_limit(
+    context: &RequestContext,
+    possible_runs: u32,
+    calls: usize,
+    excluded: &[InstanceId],
+) -> Duration {
     let left = context.time_left();
     let gateway = &context.gateway;
     let can_fail_over = context.route.kind.repeatable()
         && possible_runs + 1 < context.route.max_attempts
-        && tried.len() < MAX_SERVERS
+        && calls < MAX_SERVERS
         && gateway.may_retry(&context.service);
     let zone = &gateway.settings.zone;
     let load_balancer = gateway.load_balancer.borrow();
-    let alternative = load_balancer.select_server(gateway.now(), &context.service, zone, tried);
+    let alternative = load_balancer.select_server(
+        gateway.now(),
+        &context.service,
+        zone,
+        context.rank(),
+        excluded,
+    );
     if !can_fail_over || alternative.is_none() {
         return left;
     }
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -120,8 +120,8 @@
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
-    let gateway = Rc::new(Gateway::new(settings, log, metrics, traffic, epoch));
-    start_tasks(&gateway, published, socket, boot_id());
+    let gateway = Rc::new(Gateway::new(settings, log, metrics, traffic, socket, epoch));
+    start_tasks(&gateway, published, boot_id());
     start_listening(&gateway, clients, [ready, scrapes]);
     let shared = Rc::clone(&gateway);
     spawn_local(async move {
@@ -132,17 +132,12 @@
 }
 
 /// Starts the background tasks of the traffic thread.
-fn start_tasks(
-    gateway: &Rc<Gateway>,
-    published: watch::Receiver<Arc<Snapshot>>,
-    socket: UdpSocket,
-    boot: BootId,
-) {
+fn start_tasks(gateway: &Rc<Gateway>, published: watch::Receiver<Arc<Snapshot>>, boot: BootId) {
     spawn_restarting(gateway, "snapshots", move |gateway| {
         gateway.follow_snapshots(published.clone())
     });
     spawn_restarting(gateway, "demand", report_demand);
-    let notes = Rc::new(NoteExchange::new(Rc::clone(gateway), socket, boot));
+    let notes = Rc::new(NoteExchange::new(Rc::clone(gateway), boot));
     let shared = Rc::clone(&notes);
     spawn_restarting(gateway, "receivers of notes", move |_| {
         Rc::clone(&shared).update_routes()
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -4,9 +4,14 @@
 
 use wagtailarch_adapter::ClientRequest;
 use wagtailarch_dispatch::{GenerationRequest, PrefixLink, Route, RoutingConfig};
-use wagtailarch_types::{Fingerprint, ServiceName, fingerprint};
+use wagtailarch_types::{Fingerprint, InstanceId, Ran, ServiceName, fingerprint};
+use wagtailarch_wire::permit::PermitRank;
 
-use crate::{body_buffer::BufferedBody, gateway::Gateway};
+use crate::{
+    body_buffer::BufferedBody,
+    gateway::Gateway,
+    refusal::{DEFAULT_RETRY_AFTER, Refusal},
+};
 
 /// Output tokens assumed for a generation whose client states no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 4_096;
@@ -80,8 +85,25 @@
         limit.min(self.route.timeout).saturating_sub(self.age())
     }
 
+    /// Returns the rank among the requests to rate-limited servers.
+    pub fn rank(&self) -> PermitRank {
+        PermitRank::of_priority(self.route.priority)
+    }
+
+    /// Returns the refusal of a request for which no server can be selected.
+    pub fn unavailable(&self, ran: Ran, rank: PermitRank, excluded: &[InstanceId]) -> Refusal {
+        let now = self.gateway.now();
+        let load_balancer = self.gateway.load_balancer.borrow();
+        let retry_after = load_balancer.limit_retry_after(now, &self.service, rank);
+        Refusal {
+            reason: load_balancer.unavailable_reason(now, &self.service, rank, excluded),
+            ran,
+            retry_after: retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
+        }
+    }
+
     /// Returns the description of the generation by which engines are selected.
-    pub fn generation_request(&self) -> GenerationRequest<'_> {
+    pub fn generation_request(&self, rank: PermitRank) -> GenerationRequest<'_> {
         let prompt = self.client.prompt.as_ref();
         GenerationRequest {
             prefixes: &self.prefixes,
@@ -89,6 +111,7 @@
             objective_left: self.objective_left(),
             client_timeout_left: self.client_timeout_left(),
             zone: &self.gateway.settings.zone,
+            rank,
         }
     }
 
--- a/crates/wagtailarch-gateway/src/traffic_view.rs
+++ b/crates/wagtailarch-gateway/src/traffic_view.rs
@@ -1,6 +1,7 @@
 //! State that the traffic thread reports to the control thread.
 
 use std::{
+    collections::HashSet,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -30,6 +31,8 @@
     last_notes: IndexMap<InstanceId, (ZoneName, Duration)>,
     /// Demand for engines by service.
     demand: IndexMap<ServiceName, RoleDemand>,
+    /// Servers that name a rate limit.
+    limited_servers: HashSet<InstanceId>,
     /// When the last request arrived.
     last_request: Option<Duration>,
 }
@@ -76,6 +79,16 @@
         self.lock().demand.get(service).copied().unwrap_or_default()
     }
 
+    /// Replaces the servers that name a rate limit.
+    pub fn set_limited_servers(&self, servers: HashSet<InstanceId>) {
+        self.lock().limited_servers = servers;
+    }
+
+    /// Returns whether a server names a rate limit.
+    pub fn is_limited(&self, server: &InstanceId) -> bool {
+        self.lock().limited_servers.contains(server)
+    }
+
     /// Records the arrival of a request.
     pub fn on_request(&self, now: Duration) {
         self.lock().last_request = Some(now);
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -9,7 +9,10 @@
     RoutingConfig, ServiceConfig, Urgency,
 };
 use wagtailarch_types::{Role, ServiceName, ZoneName};
-use wagtailarch_wire::load_note::{LoadNote, NoteBundle, OpenPrefill, StoreVersions, server_key};
+use wagtailarch_wire::{
+    load_note::{LoadNote, NoteBundle, OpenPrefill, StoreVersions, server_key},
+    permit::PermitRank,
+};
 
 use crate::capacity::measurement::{INSTANCE_CPU_US_PER_S, INSTANCE_MEMORY_BYTES};
 use crate::capacity::probe::{cpu_us_per_call, resident_bytes_per_copy};
@@ -146,6 +149,7 @@
             .map(|index| (engine(index), 1))
             .collect(),
         strikes: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
@@ -170,6 +174,7 @@
             objective_left: Duration::from_millis(600),
             client_timeout_left: Duration::from_millis(2_400),
             zone: &zone,
+            rank: PermitRank::Normal,
         };
         drop(load_balancer.place_generation(NOW, &service, &request, &[]));
     });
--- a/crates/wagtailarch-types/src/outcome.rs
+++ b/crates/wagtailarch-types/src/outcome.rs
@@ -78,6 +78,8 @@
         DeadlineUnreachable = "deadline_unreachable",
         /// The instance, the service or the fleet has no capacity for the request in time.
         Overloaded = "overloaded",
+        /// The rate limits that the backend servers name leave no room for the request.
+        ServerRateLimited = "server_rate_limited",
         /// No backend server can serve the request.
         NoBackend = "no_backend",
         /// The request is quarantined, since backend servers have crashed while running it.
@@ -117,6 +119,7 @@
             Self::DeadlineUnreachable
             | Self::Overloaded
             | Self::NoBackend
+            | Self::ServerRateLimited
             | Self::ClaimsUnavailable
             | Self::RetryBudgetExhausted
             | Self::Draining
--- a/crates/wagtailarch-wire/src/lib.rs
+++ b/crates/wagtailarch-wire/src/lib.rs
@@ -3,13 +3,14 @@
 //! The JSON messages are in [`engine`] (the engine protocol), [`service`] (the load report of plain
 //! services), [`platform`] (the platform protocol) and [`records`] (the objects that the system
 //! stores in the platform). The messages between instances are encoded with postcard: [`peer`],
-//! [`load_note`], and [`relay`] for requests to relays. [`connection_headers`] removes the headers
+//! [`load_note`], [`permit`], and [`relay`] for requests to relays. [`connection_headers`] removes the headers
 //! that must not be forwarded.
 
 pub mod connection_headers;
 pub mod engine;
 pub mod load_note;
 pub mod peer;
+pub mod permit;
 pub mod platform;
 pub mod records;
 pub mod relay;
--- a/crates/wagtailarch-wire/src/load_note.rs
+++ b/crates/wagtailarch-wire/src/load_note.rs
@@ -11,12 +11,15 @@
 };
 
 /// Version of the encoding; notes of other versions are ignored.
-pub const LOAD_NOTE_VERSION: u8 = 5;
+pub const LOAD_NOTE_VERSION: u8 = 6;
 
 /// Maximum number of prompts whose prefixes are kept when notes are merged; the oldest ones are
 /// dropped.
 const MAX_MERGED_PREFIXES: usize = 64;
 
+/// Maximum number of rate limits in a merged note; the others are reported again.
+const MAX_MERGED_LIMITS: usize = 64;
+
 /// Notes of several instances in one datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NoteBundle {
@@ -52,6 +55,20 @@
     pub running: Vec<(u32, u32)>,
     /// Requests that were in flight on a server when it crashed.
     pub strikes: Vec<StrikeNote>,
+    /// Rate limits that servers have named to the sender.
+    pub limits: Vec<LimitReport>,
+}
+
+/// The rate limit that a server named in a response to the sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// `server_key` of the server.
+    pub server: u32,
+    /// Limit in thousandths of a request per second, for all instances together; `None` if the
+    /// server has taken it back.
+    pub milli_per_s: Option<u32>,
+    /// Age of the response in milliseconds.
+    pub age_ms: u32,
 }
 
 /// Versions of the newest changes that an instance has received from the store; 0 for none.
@@ -105,6 +122,12 @@
         self.strikes.splice(0..0, older.strikes);
         let excess = self.sent_prefixes.len().saturating_sub(MAX_MERGED_PREFIXES);
         self.sent_prefixes.drain(..excess);
+        for report in older.limits {
+            let is_newer = |newer: &LimitReport| newer.server == report.server;
+            if self.limits.len() < MAX_MERGED_LIMITS && !self.limits.iter().any(is_newer) {
+                self.limits.push(report);
+            }
+        }
     }
 
     /// Returns an upper estimate of the encoded size, for names of usual length.
@@ -117,6 +140,7 @@
         80 + links.sum::<usize>()
             + self.open_prefills.len() * 14
             + self.running.len() * 10
+            + self.limits.len() * 14
             + strikes
     }
 }
