Take the permit of the decode step before the prefill

Cause: the permit was taken when the decode call was due. Each call now owns a permit, which send() consumes; one that is dropped unspent is given back, and a generation whose permit is reserved stays with its planned decode engine.

--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -150,6 +150,12 @@
         placement::place_decode(now, request, zone, usable)
     }
 
+    /// Returns whether a server may still be called.
+    pub fn is_available(&self, now: Duration, id: &InstanceId) -> bool {
+        let backend = self.backends.get(id);
+        backend.is_some_and(|backend| backend.health.is_available(now))
+    }
+
     /// Returns the reason why no server of a service could be selected.
     pub fn unavailable_reason(
         &self,
--- a/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
@@ -30,8 +30,10 @@
 /// Next step of a request that is about to be sent to a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PermitStep {
-    /// The request may be sent.
-    Send,
+    /// The server names no limit.
+    Unlimited,
+    /// The request has a permit.
+    Permitted,
     /// This instance has to be asked for a permit.
     Ask {
         /// The coordinator of the server's limit.
@@ -136,18 +138,18 @@
     /// Takes a permit for a request to a server, or returns where to ask for one.
     pub fn take_permit(&mut self, now: Duration, id: &InstanceId, rank: PermitRank) -> PermitStep {
         let Some(backend) = self.backends.get_mut(id) else {
-            return PermitStep::Send;
+            return PermitStep::Unlimited;
         };
         let Some(limit) = backend.limit.limit() else {
-            return PermitStep::Send;
+            return PermitStep::Unlimited;
         };
         let members = &self.limit_members;
         match backend.holder_step(now, rank, members) {
-            None => return PermitStep::Send,
+            None => return PermitStep::Unlimited,
             Some(HolderStep::Use) => {
                 let share_per_s = effective_rate_per_s(limit) * members.equal_share();
                 backend.permits.take(now, share_per_s);
-                return PermitStep::Send;
+                return PermitStep::Permitted;
             }
             Some(HolderStep::Wait { .. }) => return PermitStep::Denied,
             Some(HolderStep::Ask) => {}
@@ -165,11 +167,18 @@
             .permits
             .on_response(now, rank, &coordinator, outcome, true);
         match outcome {
-            PermitOutcome::Granted => PermitStep::Send,
+            PermitOutcome::Granted => PermitStep::Permitted,
             PermitOutcome::Denied { .. } | PermitOutcome::NotCoordinator => PermitStep::Denied,
         }
     }
 
+    /// Takes back a permit that was not used.
+    pub fn give_back_permit(&mut self, now: Duration, id: &InstanceId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.permits.give_back(now);
+        }
+    }
+
     /// Responds to a peer that asks for a permit.
     ///
     /// A server that this instance does not know, or of which it knows that the limit was taken
--- a/crates/wagtailarch-dispatch/src/permit_holder.rs
+++ b/crates/wagtailarch-dispatch/src/permit_holder.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Takes back a permit that was not used.
+    pub fn give_back(&mut self, now: Duration) {
+        self.unused.push_back(now + UNUSED_PERMIT_TTL);
+    }
+
     /// Applies the response of the coordinator; `is_awaited` states whether a request still waits
     /// for it.
     pub fn on_response(
@@ -127,7 +132,7 @@
         match outcome {
             PermitOutcome::NotCoordinator => return self.on_unresponsive(now, coordinator),
             PermitOutcome::Granted if is_awaited => {}
-            PermitOutcome::Granted => self.unused.push_back(now + UNUSED_PERMIT_TTL),
+            PermitOutcome::Granted => self.give_back(now),
             PermitOutcome::Denied { next_ms, retry_ms } => {
                 let next = Duration::from_millis(next_ms.into());
                 self.denials[rank as usize] = Some(Denial {
--- a/crates/wagtailarch-dispatch/src/role_plan.rs
+++ b/crates/wagtailarch-dispatch/src/role_plan.rs
@@ -95,9 +95,6 @@
     pub zone: ZoneName,
     /// Current role.
     pub role: Role,
-    /// Whether the engine names a rate limit. It keeps its role then, since orders count in the
-    /// limit.
-    pub limited: bool,
 }
 
 /// A change of an engine's role.
@@ -227,7 +224,7 @@
 fn change(members: &[&PlannedEngine], role: Role) -> Option<RoleChange> {
     let others = members
         .iter()
-        .filter(|engine| !engine.limited && decodes(engine) != (role == Role::Decode));
+        .filter(|engine| decodes(engine) != (role == Role::Decode));
     let engine = others.min_by(|a, b| a.id.cmp(&b.id))?;
     Some(RoleChange {
         engine: engine.id.clone(),
--- a/crates/wagtailarch-dispatch/tests/role_plan.rs
+++ b/crates/wagtailarch-dispatch/tests/role_plan.rs
@@ -44,7 +44,6 @@
                 id: format!("{zone}{index}").into(),
                 zone: zone.into(),
                 role,
-                limited: false,
             });
         }
     }
@@ -63,7 +62,6 @@
             } else {
                 Role::Decode
             },
-            limited: false,
         });
         fleet.extend(members);
     }
--- a/crates/wagtailarch-dispatch/tests/server_limit.rs
+++ b/crates/wagtailarch-dispatch/tests/server_limit.rs
@@ -291,7 +291,7 @@
             return;
         }
         match self.balancers[instance].take_permit(self.now, &server(), rank) {
-            PermitStep::Send => self.send(instance, rank),
+            PermitStep::Unlimited | PermitStep::Permitted => self.send(instance, rank),
             PermitStep::Ask { coordinator, limit } if may_ask => {
                 let (to, asked_at) = (number(&coordinator), self.now);
                 self.messages += 1;
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -18,6 +18,7 @@
     body_buffer::{BufferError, BufferedBody},
     connection::{Driver, connect},
     guards::InFlightGuard,
+    permits::Permit,
     request_context::RequestContext,
 };
 
@@ -119,7 +120,11 @@
 ///
 /// A new connection carries no bytes of earlier responses and cannot have been closed while idle,
 /// so a failure to open it proves that nothing ran.
-pub async fn send(context: &RequestContext, call: &Call) -> Result<BackendResponse, CallFailure> {
+pub async fn send(
+    context: &RequestContext,
+    call: &Call,
+    permit: Permit,
+) -> Result<BackendResponse, CallFailure> {
     let gateway = &context.gateway;
     let id = &call.server.id;
     let in_flight = InFlightGuard::new(gateway, id);
@@ -145,6 +150,7 @@
             step: call.step.clone(),
         },
     );
+    permit.spend();
     let sent_at = gateway.now();
     let request = head.map(|()| Full::new(context.body.bytes.clone()));
     let sent = connection.sender.send_request(request);
--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -124,14 +124,16 @@
     live_peers: usize,
 ) -> Vec<(BackendServer, RoleChange)> {
     let now = context.epoch.elapsed();
-    let engines: Vec<_> = servers
+    // An engine that names a rate limit contributes little, and an order would count in the limit.
+    let unlimited = servers
         .iter()
+        .filter(|server| !context.traffic.is_limited(&server.id));
+    let engines: Vec<_> = unlimited
         .filter_map(|server| {
             Some(PlannedEngine {
                 id: server.id.clone(),
                 zone: server.zone.clone(),
                 role: server.role?,
-                limited: context.traffic.is_limited(&server.id),
             })
         })
         .collect();
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -14,7 +14,7 @@
     attempts::{Attempts, MAX_CALLS},
     backend_client::{BackendResponse, Call, CallFailure, collect_body, send},
     guards::{DecodeGuard, PrefillGuard},
-    permits,
+    permits::{self, Permit},
     refusal::Refusal,
     request_context::RequestContext,
     response_body::ResponseBody,
@@ -83,23 +83,26 @@
     };
     loop {
         let plan = plan(context, attempts, rank).map_err(GenerationError::Refused)?;
+        // A prefill without a permit for the decode step would be wasted.
+        let gateway = &context.gateway;
+        let Some(decode_permit) = permits::acquire(gateway, &plan.decode.id, rank).await else {
+            attempts.excluded_engines.push(plan.decode.id);
+            continue;
+        };
         let (step, prefill_engine) = match run_prefill(context, attempts, &plan, rank).await {
             Ok(prefilled) => prefilled,
             Err(PrefillError::Replan) => continue,
             Err(PrefillError::Refused(refusal)) => return Err(GenerationError::Refused(refusal)),
         };
-        let decode_engine = match &prefill_engine {
-            None => plan.decode.clone(),
+        let (decode_engine, permit) = match &prefill_engine {
+            None => (plan.decode.clone(), decode_permit),
+            Some(_) if is_reserved(context, &plan.decode.id, &decode_permit) => {
+                (plan.decode.clone(), decode_permit)
+            }
             Some(prefill_engine) => select_decode_engine(context, attempts, prefill_engine, rank)
                 .await
                 .map_err(GenerationError::Refused)?,
         };
-        if prefill_engine.is_none()
-            && !permits::acquire(&context.gateway, &decode_engine.id, rank).await
-        {
-            attempts.excluded_engines.push(decode_engine.id);
-            continue;
-        }
         let call = Call {
             server: decode_engine.clone(),
             step,
@@ -111,13 +114,12 @@
             },
         };
         attempts.calls += 1;
-        let gateway = &context.gateway;
         let decode_guard = DecodeGuard::new(gateway, &decode_engine.id);
         let prefill = prefill_engine
             .is_none()
             .then(|| start_prefill(context, &decode_engine, plan.urgency));
         gateway.schedule_load_note();
-        let failure = match send(context, &call).await {
+        let failure = match send(context, &call, permit).await {
             Ok(response) if response.parts.status == StatusCode::OK => {
                 return Ok(StartedGeneration {
                     response,
@@ -150,13 +152,21 @@
     }
 }
 
+/// Returns whether a prefilled generation continues at its planned decode engine, since a permit of
+/// that engine's rate limit is reserved for it.
+fn is_reserved(context: &RequestContext, engine: &InstanceId, permit: &Permit) -> bool {
+    let gateway = &context.gateway;
+    let load_balancer = gateway.load_balancer.borrow();
+    permit.is_reserved() && load_balancer.is_available(gateway.now(), engine)
+}
+
 /// Selects the decode engine for a finished prefill and takes its permit.
 async fn select_decode_engine(
     context: &RequestContext,
     attempts: &mut Attempts,
     prefill_engine: &InstanceId,
     rank: PermitRank,
-) -> Result<ServerEndpoint, Refusal> {
+) -> Result<(ServerEndpoint, Permit), Refusal> {
     let gateway = &context.gateway;
     loop {
         let engine = gateway.load_balancer.borrow().place_decode(
@@ -169,8 +179,8 @@
         let Some(engine) = engine else {
             return Err(context.unavailable(attempts.ran(), rank, &attempts.excluded_engines));
         };
-        if permits::acquire(gateway, &engine.id, rank).await {
-            return Ok(engine);
+        if let Some(permit) = permits::acquire(gateway, &engine.id, rank).await {
+            return Ok((engine, permit));
         }
         attempts.excluded_engines.push(engine.id);
     }
@@ -240,10 +250,11 @@
     let PrefillPlan::Split(prefill_engine) = &plan.prefill else {
         return Ok((CallStep::Whole, None));
     };
-    if !permits::acquire(&context.gateway, &prefill_engine.id, rank).await {
+    let gateway = &context.gateway;
+    let Some(permit) = permits::acquire(gateway, &prefill_engine.id, rank).await else {
         attempts.excluded_engines.push(prefill_engine.id.clone());
         return Err(PrefillError::Replan);
-    }
+    };
     // Once a prefill has reached an engine, each further one takes a retry from the budget. It is
     // counted as a failed import, whatever made the earlier prefill or its decode fail.
     if attempts.prefills > 0 {
@@ -260,7 +271,7 @@
         head_limit: plan.attempt_timeout(context.client_timeout_left()),
     };
     let sent_at = context.gateway.now();
-    let handle = request_prefill(context, &call).await;
+    let handle = request_prefill(context, &call, permit).await;
     match &handle {
         Ok(_) => prefill.finish(),
         Err(_) => drop(prefill),
@@ -289,9 +300,13 @@
 /// Runs a prefill and returns the location of the resulting cache.
 ///
 /// The limit of the call on the response head covers the whole response here, since it is short.
-async fn request_prefill(context: &RequestContext, call: &Call) -> Result<KvSource, CallFailure> {
+async fn request_prefill(
+    context: &RequestContext,
+    call: &Call,
+    permit: Permit,
+) -> Result<KvSource, CallFailure> {
     let sent_at = context.gateway.now();
-    let response = send(context, call).await?;
+    let response = send(context, call, permit).await?;
     let status = response.parts.status;
     let limit = call
         .head_limit
--- a/crates/wagtailarch-gateway/src/permits.rs
+++ b/crates/wagtailarch-gateway/src/permits.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    rc::Rc,
     time::Duration,
 };
 
@@ -24,6 +25,11 @@
 /// their share of a processor.
 const RESPONSE_LIMIT: Duration = Duration::from_millis(50);
 
+/// Time for which a permit may be kept before it is spent, such as during a separate prefill.
+///
+/// All permits of a limit that are spent late add to those of the following window.
+const RESERVATION_TIME: Duration = Duration::from_millis(1_500);
+
 /// Requests for permits that wait for a response.
 #[derive(Debug, Default)]
 pub struct PendingPermits {
@@ -63,11 +69,47 @@
     }
 }
 
-/// Takes a permit for a request to a server; returns whether the request may be sent.
-pub async fn acquire(gateway: &Gateway, server: &InstanceId, rank: PermitRank) -> bool {
+/// A permit for one request to a server; it is given back if it is dropped without being spent.
+#[derive(Debug)]
+pub struct Permit {
+    gateway: Rc<Gateway>,
+    server: InstanceId,
+    /// When the permit was taken; `None` if the server names no limit or the permit was spent.
+    taken_at: Option<Duration>,
+}
+
+impl Permit {
+    /// Spends the permit, immediately before the request is sent.
+    pub fn spend(mut self) {
+        self.taken_at = None;
+    }
+
+    /// Returns whether the server names a limit and the permit can still be spent.
+    pub fn is_reserved(&self) -> bool {
+        self.taken_at
+            .is_some_and(|at| self.gateway.now().saturating_sub(at) < RESERVATION_TIME)
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.is_reserved() {
+            let now = self.gateway.now();
+            let mut load_balancer = self.gateway.load_balancer.borrow_mut();
+            load_balancer.give_back_permit(now, &self.server);
+        }
+    }
+}
+
+/// Takes a permit for a request to a server; returns `None` if its limit leaves no room.
+pub async fn acquire(
+    gateway: &Rc<Gateway>,
+    server: &InstanceId,
+    rank: PermitRank,
+) -> Option<Permit> {
     let step = take(gateway, server, rank);
     let PermitStep::Ask { coordinator, limit } = step else {
-        return step == PermitStep::Send;
+        return permit(gateway, server, &step);
     };
     let outcome = ask(gateway, &coordinator, limit, rank).await;
     let result = match outcome {
@@ -77,8 +119,8 @@
     };
     gateway.metrics.count_permit(result);
     match result {
-        PermitResult::Granted => return true,
-        PermitResult::Denied => return false,
+        PermitResult::Granted => return permit(gateway, server, &PermitStep::Permitted),
+        PermitResult::Denied => return None,
         PermitResult::Unanswered => {}
     }
     debug!(gateway.log, "no permit"; "server" => %server, "coordinator" => %coordinator,
@@ -88,7 +130,20 @@
         load_balancer.on_permit_timeout(gateway.now(), server, &coordinator);
     }
     // The equal share of this instance may have room.
-    take(gateway, server, rank) == PermitStep::Send
+    permit(gateway, server, &take(gateway, server, rank))
+}
+
+fn permit(gateway: &Rc<Gateway>, server: &InstanceId, step: &PermitStep) -> Option<Permit> {
+    let taken_at = match step {
+        PermitStep::Unlimited => None,
+        PermitStep::Permitted => Some(gateway.now()),
+        PermitStep::Ask { .. } | PermitStep::Denied => return None,
+    };
+    Some(Permit {
+        gateway: Rc::clone(gateway),
+        server: server.clone(),
+        taken_at,
+    })
 }
 
 fn take(gateway: &Gateway, server: &InstanceId, rank: PermitRank) -> PermitStep {
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     backend_client::{Call, CallFailure, collect_body, send},
-    permits,
+    permits::{self, Permit},
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
     response_body::ResponseBody,
@@ -44,9 +44,9 @@
             return error_response.unwrap_or_else(|| refusal.respond(&context));
         };
         excluded.push(selected.id.clone());
-        if !permits::acquire(gateway, &selected.id, context.rank()).await {
+        let Some(permit) = permits::acquire(gateway, &selected.id, context.rank()).await else {
             continue;
-        }
+        };
         calls += 1;
         let call = Call {
             head_limit: head_limit(&context, possible_runs, calls, &excluded),
@@ -55,7 +55,7 @@
             priority: None,
             resume_after: context.client.resume_after,
         };
-        let failure = match attempt(&context, &call).await {
+        let failure = match attempt(&context, &call, permit).await {
             Ok(response) if !response.status().is_server_error() => return response,
             Ok(response) => {
                 error_response = Some(response);
@@ -139,9 +139,10 @@
 async fn attempt(
     context: &RequestContext,
     call: &Call,
+    permit: Permit,
 ) -> Result<Response<ResponseBody>, CallFailure> {
     let gateway = &context.gateway;
-    let mut response = send(context, call).await?;
+    let mut response = send(context, call, permit).await?;
     let head = response.take_head();
     let body = collect_body(context, call, response, context.time_left()).await?;
     let now = gateway.now();
