--- a/crates/wagtailarch-dispatch/src/limit_statement.rs
+++ b/crates/wagtailarch-dispatch/src/limit_statement.rs
@@ -42,7 +42,7 @@
         let limit = match (named, self.newest) {
             (NamedLimit::Limit(limit), _) => Some(limit),
             (NamedLimit::Absent, Some(newest)) if sent_at >= newest.at => None,
-            (NamedLimit::Absent | NamedLimit::Invalid, _) => return false,
+            (NamedLimit::Absent | NamedLimit::Invalid | NamedLimit::Unstated, _) => return false,
         };
         let previous = self.limit();
         self.newest = Some(Statement {
--- a/crates/wagtailarch-dispatch/src/rate_limit.rs
+++ b/crates/wagtailarch-dispatch/src/rate_limit.rs
@@ -17,6 +17,8 @@
     Limit(RateLimit),
     /// The value is no rate; it changes nothing.
     Invalid,
+    /// The response is none in which the server would have to name its limit; it changes nothing.
+    Unstated,
 }
 
 impl RateLimit {
--- a/crates/wagtailarch-standin/src/link/server.rs
+++ b/crates/wagtailarch-standin/src/link/server.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
 
-use super::settings::LinkSettings;
+use super::settings::{LinkSettings, Route};
 use super::state::{Cut, Delay, Heal, Link, LinkCounters, Reset};
 use super::tcp::forward_tcp;
 use super::udp::forward_udp;
@@ -20,6 +20,8 @@
     Body, ServeError, build_response, json_response, listen, read_json, serve_http, shutdown_signal,
 };
 
+/// Number of free TCP ports that are tried for a port that is also free for UDP.
+const MAX_BIND_ATTEMPTS: u32 = 16;
 /// A free port on loopback.
 const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
@@ -48,22 +50,50 @@
 ) -> io::Result<Vec<Arc<Link>>> {
     let mut links = Vec::new();
     for route in &settings.tcp {
-        let listener = TcpListener::bind(ANY_PORT).await?;
-        let address = listener.local_addr()?;
-        let link = Arc::new(Link::new(route.name.clone(), address, route.target));
-        tasks.spawn(forward_tcp(listener, Arc::clone(&link)));
-        links.push(link);
+        links.push(start_tcp(route, TcpListener::bind(ANY_PORT).await?, tasks)?);
     }
     for route in &settings.udp {
-        let socket = UdpSocket::bind(ANY_PORT).await?;
-        let address = socket.local_addr()?;
-        let link = Arc::new(Link::new(route.name.clone(), address, route.target));
-        tasks.spawn(forward_udp(socket, Arc::clone(&link)));
-        links.push(link);
+        links.push(start_udp(route, UdpSocket::bind(ANY_PORT).await?, tasks)?);
+    }
+    for route in &settings.both {
+        let (listener, socket) = bind_both().await?;
+        links.push(start_tcp(route, listener, tasks)?);
+        links.push(start_udp(route, socket, tasks)?);
     }
     Ok(links)
 }
 
+fn start_tcp(
+    route: &Route,
+    listener: TcpListener,
+    tasks: &mut JoinSet<()>,
+) -> io::Result<Arc<Link>> {
+    let address = listener.local_addr()?;
+    let link = Arc::new(Link::new(route.name.clone(), address, route.target));
+    tasks.spawn(forward_tcp(listener, Arc::clone(&link)));
+    Ok(link)
+}
+
+fn start_udp(route: &Route, socket: UdpSocket, tasks: &mut JoinSet<()>) -> io::Result<Arc<Link>> {
+    let address = socket.local_addr()?;
+    let link = Arc::new(Link::new(route.name.clone(), address, route.target));
+    tasks.spawn(forward_udp(socket, Arc::clone(&link)));
+    Ok(link)
+}
+
+/// Binds a TCP and a UDP socket to the same port.
+async fn bind_both() -> io::Result<(TcpListener, UdpSocket)> {
+    let mut attempts = 0;
+    loop {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        match UdpSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if attempts == MAX_BIND_ATTEMPTS => return Err(error),
+            Err(_) => attempts += 1,
+        }
+    }
+}
+
 /// Handles a control call.
 async fn handle_control(
     links: &[Arc<Link>],
--- a/crates/wagtailarch-standin/src/link/settings.rs
+++ b/crates/wagtailarch-standin/src/link/settings.rs
@@ -14,6 +14,7 @@
   --port <N>               control API port on loopback; 0 selects a free port and prints it [0]
   --tcp <NAME=TARGET>      link for TCP connections to TARGET (repeatable)
   --udp <NAME=TARGET>      link for UDP datagrams to TARGET (repeatable)
+  --both <NAME=TARGET>     links for both to TARGET at one port (repeatable)
 
 Each link listens on its own loopback port, which is part of its counters.
 
@@ -63,6 +64,8 @@
     pub tcp: Vec<Route>,
     /// Links for UDP datagrams.
     pub udp: Vec<Route>,
+    /// Links for both, which share a name and a port.
+    pub both: Vec<Route>,
 }
 
 impl LinkSettings {
@@ -72,6 +75,7 @@
             port: option(args, "--port", 0)?,
             tcp: args.values_from_str("--tcp")?,
             udp: args.values_from_str("--udp")?,
+            both: args.values_from_str("--both")?,
         })
     }
 }
