--- a/crates/wagtailarch-dispatch/src/limit_members.rs
+++ b/crates/wagtailarch-dispatch/src/limit_members.rs
@@ -7,7 +7,7 @@
 pub struct LimitMembers {
     /// This instance; `None` until it knows whether there are others.
     pub own: Option<InstanceId>,
-    /// The other instances that it can hear.
+    /// The other instances whose notes arrive.
     pub live: Vec<InstanceId>,
     /// Number of listed instances, including this one.
     pub listed: usize,
@@ -16,7 +16,7 @@
 impl LimitMembers {
     /// Returns the instance that coordinates the limit of the server with this key.
     ///
-    /// Instances that hear the same members select the same one.
+    /// Instances with the same live members select the same one.
     pub fn coordinator(&self, server_key: u32) -> Option<&InstanceId> {
         let members = self.live.iter().chain(&self.own);
         let weight = |member: &&InstanceId| rendezvous_weight(server_key.into(), member);
@@ -25,7 +25,7 @@
     }
 
     /// Returns the part of a limit that this instance may grant as coordinator: the equal shares of
-    /// the instances that it can hear, since the others use theirs.
+    /// the instances whose notes arrive, since the others use theirs.
     pub fn reachable_share(&self) -> f64 {
         let reachable = self.live.len() + 1;
         (reachable as f64 * self.equal_share()).min(1.0)
--- a/crates/wagtailarch-dispatch/tests/server_limit.rs
+++ b/crates/wagtailarch-dispatch/tests/server_limit.rs
@@ -149,7 +149,7 @@
         }
     }
 
-    fn hears(&self, to: Instance, from: Instance) -> bool {
+    fn is_connected(&self, to: Instance, from: Instance) -> bool {
         let stopped = self.stopped.contains_key(&from) || self.stopped.contains_key(&to);
         let cut = self.cut.contains_key(&from) != self.cut.contains_key(&to);
         !stopped && !cut
@@ -160,7 +160,7 @@
         let recent = |at: Option<&Duration>| at.is_some_and(|at| self.now < *at + LIVENESS_TIME);
         let since_stop = self.stopped.get(&other);
         let since_cut = [self.cut.get(&other), self.cut.get(&instance)];
-        self.hears(instance, other)
+        self.is_connected(instance, other)
             || recent(since_stop)
             || since_stop.is_none() && since_cut.into_iter().any(recent)
     }
@@ -190,7 +190,7 @@
                 rank,
                 asked_at,
             } => {
-                if !self.hears(to, from) {
+                if !self.is_connected(to, from) {
                     return;
                 }
                 let outcome = self.balancers[to].on_permit_request(self.now, &limit, rank);
@@ -211,7 +211,7 @@
                 outcome,
                 asked_at,
             } => {
-                if !self.hears(to, from) {
+                if !self.is_connected(to, from) {
                     return;
                 }
                 let is_awaited = self.now < asked_at + PERMIT_TIMEOUT;
@@ -231,7 +231,7 @@
                 rank,
                 asked_at,
             } => {
-                if self.hears(instance, coordinator) {
+                if self.is_connected(instance, coordinator) {
                     return;
                 }
                 assert_eq!(self.now, asked_at + PERMIT_TIMEOUT);
@@ -276,7 +276,7 @@
         for &from in &running {
             for report in self.balancers[from].take_limit_reports(self.now) {
                 for &to in running.iter().filter(|to| **to != from) {
-                    if self.hears(to, from) {
+                    if self.is_connected(to, from) {
                         self.add(MESSAGE_DELAY, Event::Report(to, report));
                     }
                 }
