--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -5,13 +5,13 @@
 use indexmap::IndexMap;
 use smol_str::format_smolstr;
 use wagtailarch_dispatch::{
-    BackendServer, ClientLimits, EngineProperties, GenerationRequest, LoadBalancer, PrefixLink,
-    RoutingConfig, ServiceConfig, Urgency,
+    BackendServer, ClientLimits, EngineProperties, GenerationRequest, LimitMembers, LoadBalancer,
+    PrefixLink, RoutingConfig, ServiceConfig, Urgency,
 };
 use wagtailarch_types::{Role, ServiceName, ZoneName};
 use wagtailarch_wire::{
-    load_note::{LoadNote, NoteBundle, OpenPrefill, StoreVersions, server_key},
-    permit::PermitRank,
+    load_note::{LimitReport, LoadNote, NoteBundle, OpenPrefill, StoreVersions, server_key},
+    permit::{PermitBody, PermitMessage, PermitRank},
 };
 
 use crate::capacity::measurement::{INSTANCE_CPU_US_PER_S, INSTANCE_MEMORY_BYTES};
@@ -53,6 +53,26 @@
         own_process: false,
         measure: note_cpu,
     },
+    Measurement {
+        name: "permit-request-cpu",
+        quantity: "us to answer one request for a permit",
+        size_of: "entry instances, 3,800 engines",
+        sizes: &[32, 64, 128, 256, 512],
+        design_size: DESIGN_SIZE.instances,
+        target: None,
+        own_process: false,
+        measure: permit_request_cpu,
+    },
+    Measurement {
+        name: "limit-members-cpu",
+        quantity: "us to apply a change of the members that share rate limits",
+        size_of: "entry instances, 38 of 3,800 engines with a limit",
+        sizes: &[32, 64, 128, 256, 512],
+        design_size: DESIGN_SIZE.instances,
+        target: None,
+        own_process: false,
+        measure: limit_members_cpu,
+    },
     Measurement {
         name: "board-memory",
         quantity: "resident bytes of the board",
@@ -200,6 +220,75 @@
     point(size, cpu_us)
 }
 
+/// Returns the instances that share rate limits, as one of `size` sees them.
+fn limit_members(size: u32) -> LimitMembers {
+    LimitMembers {
+        own: Some(format_smolstr!("front-0")),
+        live: (1..size)
+            .map(|number| format_smolstr!("front-{number}"))
+            .collect(),
+        listed: size as usize,
+    }
+}
+
+/// Creates a load balancer in which one engine in a hundred names a limit.
+fn limited_load_balancer(instances: u32) -> LoadBalancer {
+    let mut load_balancer = new_load_balancer(DESIGN_SIZE.engines as u32);
+    load_balancer.set_limit_members(limit_members(instances));
+    for number in (0..DESIGN_SIZE.engines as u32).step_by(100) {
+        load_balancer.on_limit_report(NOW, &limit_report(number));
+    }
+    load_balancer
+}
+
+fn limit_report(engine: u32) -> LimitReport {
+    LimitReport {
+        server: server_key(&new_server(engine).id),
+        milli_per_s: Some(4_000),
+        age_ms: 0,
+    }
+}
+
+fn permit_request_cpu(size: u32, _seed: u64) -> Result<Point, CapacityError> {
+    let mut load_balancer = limited_load_balancer(size);
+    let (limit, rank) = (limit_report(0), PermitRank::Normal);
+    let request = PermitMessage::new(1, PermitBody::Request { limit, rank }).encode();
+    let request = request.map_err(CapacityError::measured_code)?;
+    let cpu_us = cpu_us_per_call(2_000, || {
+        let Some(PermitMessage { number, body, .. }) = PermitMessage::decode(&request) else {
+            return;
+        };
+        let PermitBody::Request { limit, rank } = body else {
+            return;
+        };
+        let outcome = load_balancer.on_permit_request(NOW, &limit, rank);
+        let server = limit.server;
+        let body = PermitBody::Response {
+            server,
+            rank,
+            outcome,
+        };
+        drop(std::hint::black_box(
+            PermitMessage::new(number, body).encode(),
+        ));
+    });
+    point(size, cpu_us)
+}
+
+fn limit_members_cpu(size: u32, _seed: u64) -> Result<Point, CapacityError> {
+    let mut load_balancer = limited_load_balancer(size);
+    let mut all_live = true;
+    let cpu_us = cpu_us_per_call(50, || {
+        all_live = !all_live;
+        let mut members = limit_members(size);
+        if !all_live {
+            members.live.pop();
+        }
+        load_balancer.set_limit_members(members);
+    });
+    point(size, cpu_us)
+}
+
 fn memory_bytes(size: u32, _seed: u64) -> Result<Point, CapacityError> {
     point(
         size,
