Bound the reserve of a small rate limit by one second's permits

While instances disagree about the coordinator of a limit, two buckets can be full. The reserve for a more urgent rank is now at most the permits of one second.

--- a/crates/wagtailarch-dispatch/src/permit_bucket.rs
+++ b/crates/wagtailarch-dispatch/src/permit_bucket.rs
@@ -17,8 +17,7 @@
 
 /// Grants permits for requests to one server at the rate of its limit.
 ///
-/// In any time `t`, at most `rate * t` permits are granted, and three more and those of half a
-/// second. A bucket starts without permits, so that a new coordinator does not grant again what the
+/// In any time `t`, at most `rate * t` permits are granted, and `3 + rate / 2` more. A bucket starts without permits, so that a new coordinator does not grant again what the
 /// previous one has granted.
 #[derive(Debug, Default)]
 pub struct PermitBucket {
@@ -77,7 +76,8 @@
     }
 }
 
-/// Returns the number of permits that are reserved for each more urgent rank.
+/// Returns the number of permits that are reserved for each more urgent rank, at most those of one
+/// second.
 fn reserve(rate_per_s: f64) -> f64 {
-    1.0 + rate_per_s * RESERVE_S
+    (1.0 + rate_per_s * RESERVE_S).min(rate_per_s)
 }
--- a/crates/wagtailarch-dispatch/tests/server_limit.rs
+++ b/crates/wagtailarch-dispatch/tests/server_limit.rs
@@ -462,6 +462,41 @@
     );
 }
 
+/// Guards against a limit that is exceeded by two instances that both regard themselves as its
+/// coordinator for two seconds, each with a full bucket.
+#[rstest]
+fn two_coordinators_stay_within_the_limit_in_a_burst(
+    #[values(0.0, 0.5, 1.5, 4.0, 60.0)] limit: f64,
+) {
+    let mut simulation = Simulation::new(2);
+    simulation.limit = Some(limit);
+    for instance in 0..2 {
+        simulation.add_clients(instance, PermitRank::Urgent, 20.0, 0.0..1.0);
+        // A bucket fills from its first request on.
+        simulation.add_clients(instance, PermitRank::Normal, 10.0, 6.0..6.1);
+        let burst_per_s = (limit * 8.0).max(20.0);
+        simulation.add_clients(instance, PermitRank::Urgent, burst_per_s, 40.0..44.0);
+    }
+    simulation.run_until(5.0);
+    simulation
+        .events
+        .retain(|_, event| !matches!(event, Event::UpdateMembers));
+    for (instance, balancer) in simulation.balancers.iter_mut().enumerate() {
+        balancer.set_limit_members(LimitMembers {
+            own: Some(name(instance)),
+            live: Vec::new(),
+            listed: 1,
+        });
+    }
+    simulation.run_until(42.0);
+    let most = simulation.most(38.0);
+    assert!(
+        most <= allowed(limit),
+        "{most} requests, allowed {}",
+        allowed(limit)
+    );
+}
+
 /// Guards against a limit that is exceeded after it was lowered, and against instances that go on
 /// keeping a limit that was raised or taken back.
 #[test]
