--- a/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
@@ -34,7 +34,7 @@
     Unlimited,
     /// The request has a permit.
     Permitted,
-    /// This instance has to be asked for a permit.
+    /// The coordinator has to be asked for a permit.
     Ask {
         /// The coordinator of the server's limit.
         coordinator: InstanceId,
