Let one engine decode although no zone keeps both roles

Without any decode engine nothing is served, so that the largest zone now gives one up. The new test fails without this change.

--- a/crates/wagtailarch-dispatch/src/role_plan.rs
+++ b/crates/wagtailarch-dispatch/src/role_plan.rs
@@ -204,6 +204,11 @@
         }
     }
     let total_decode = engines.iter().filter(|engine| decodes(engine)).count();
+    if total_decode == 0 {
+        // Without a decode engine nothing is served.
+        let largest_zone = zones.values().max_by_key(|members| members.len())?;
+        return change(largest_zone, Role::Decode);
+    }
     // A zone whose engine changes its role keeps both roles.
     let zones = zones.values().filter(|members| members.len() >= 2);
     if total_decode < min_decode {
--- a/crates/wagtailarch-dispatch/tests/role_plan.rs
+++ b/crates/wagtailarch-dispatch/tests/role_plan.rs
@@ -135,6 +135,22 @@
     }
 }
 
+/// Guards against a fleet without any decode engine, as when all of them name rate limits, in which
+/// no zone has two engines.
+#[test]
+fn one_engine_decodes_although_no_zone_keeps_both_roles() {
+    let mut plan = RolePlan::default();
+    let mut fleet = engines([0, 0, 0]);
+    fleet.retain(|engine| engine.id.ends_with('0'));
+    let mut changes = Vec::new();
+    for second in 0..8 {
+        let now = START + Duration::from_secs(second);
+        changes.extend(plan.changes(now, &fleet, &serving(5)));
+    }
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].role, Role::Decode);
+}
+
 /// Guards against decode engines that are overloaded because their share is fixed.
 #[rstest]
 #[case(10, 4)]
