Tell refused clients times at which permits are expected

Cause: all clients that an instance refused between two requests to the coordinator were told the same time. The coordinator now announces its permits one behind the other and says how far apart those of one instance are; the instance gives its clients times that far apart, also behind those that it refused earlier. Denied instances ask again after 10 ms for each competing instance, so that a client finds its permit also at another instance. At most a quarter of the clients of a burst is refused again at 1, 8 and 370 instances.

--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -164,7 +164,7 @@
         rank: PermitRank,
         excluded: &[InstanceId],
     ) -> RefusalReason {
-        if self.limit_retry_after(now, service, rank).is_some() {
+        if self.is_rate_limited(now, service, rank) {
             return RefusalReason::ServerRateLimited;
         }
         let any_available = self.available(now, service, excluded).next().is_some();
--- a/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
@@ -15,6 +15,8 @@
 ///
 /// Only the response to a request can change a limit, also one of zero.
 const MIN_RATE_PER_S: f64 = 0.1;
+/// Sender of the requests of the coordinator itself.
+const OWN_REQUESTS: u64 = 0;
 /// Maximum number of limits in one load note.
 const MAX_REPORTS: usize = 16;
 
@@ -46,6 +48,12 @@
 }
 
 impl Backend {
+    /// Applies a change of the limit.
+    fn on_limit_changed(&mut self, members: &LimitMembers) {
+        self.permits.on_limit_changed();
+        self.update_coordinator(members);
+    }
+
     /// Updates the coordinator after a change of the limit or of the members.
     fn update_coordinator(&mut self, members: &LimitMembers) {
         let limit = self.limit.limit();
@@ -108,7 +116,7 @@
         if !backend.limit.on_response(now, sent_at, named) {
             return None;
         }
-        backend.update_coordinator(&self.limit_members);
+        backend.on_limit_changed(&self.limit_members);
         let after = backend.limit.limit();
         Some(LimitChange { before, after })
     }
@@ -127,7 +135,7 @@
         if !backend.limit.on_report(now, limit, age) {
             return None;
         }
-        backend.update_coordinator(&self.limit_members);
+        backend.on_limit_changed(&self.limit_members);
         let after = backend.limit.limit();
         Some((backend.server.id.clone(), LimitChange { before, after }))
     }
@@ -177,7 +185,7 @@
             return PermitStep::Ask { coordinator, limit };
         }
         let rate_per_s = effective_rate_per_s(limit) * members.reachable_share();
-        let outcome = backend.bucket.request(now, rate_per_s, rank);
+        let outcome = backend.bucket.request(now, rate_per_s, rank, OWN_REQUESTS);
         backend
             .permits
             .on_response(now, rank, &coordinator, outcome, true);
@@ -194,7 +202,7 @@
         }
     }
 
-    /// Responds to a peer that asks for a permit.
+    /// Responds to the peer `sender` that asks for a permit.
     ///
     /// A server that this instance does not know, or of which it knows that the limit was taken
     /// back, may be called.
@@ -203,6 +211,7 @@
         now: Duration,
         report: &LimitReport,
         rank: PermitRank,
+        sender: u64,
     ) -> PermitOutcome {
         let members = &self.limit_members;
         if members.own.is_none() || members.coordinator(report.server) != members.own.as_ref() {
@@ -217,7 +226,7 @@
             return PermitOutcome::Granted;
         };
         let rate_per_s = effective_rate_per_s(limit) * reachable_share;
-        backend.bucket.request(now, rate_per_s, rank)
+        backend.bucket.request(now, rate_per_s, rank, sender)
     }
 
     /// Applies the response of a coordinator; `is_awaited` states whether a request still waits for
@@ -246,21 +255,38 @@
         }
     }
 
-    /// Returns the time after which the limits of a service leave room for a request; `None` if
-    /// they leave room now or do not matter.
-    pub fn limit_retry_after(
+    /// Returns whether the limits of a service leave no room for a request at a server that could
+    /// otherwise be called.
+    pub(super) fn is_rate_limited(
         &self,
         now: Duration,
         service: &ServiceName,
         rank: PermitRank,
+    ) -> bool {
+        let mut available = self.available(now, service, &[]);
+        available.any(|backend| !backend.may_have_permit(now, rank, &self.limit_members))
+    }
+
+    /// Refuses a client because of the limits of a service; returns the time after which it may
+    /// retry, behind the clients that were refused before, or `None` if the limits leave room.
+    pub fn refuse_by_limits(
+        &mut self,
+        now: Duration,
+        service: &ServiceName,
+        rank: PermitRank,
     ) -> Option<Duration> {
         let available = self.available(now, service, &[]);
-        let steps = available.map(|backend| backend.holder_step(now, rank, &self.limit_members));
-        let waits = steps.filter_map(|step| match step {
-            Some(HolderStep::Wait { retry_after }) => Some(retry_after),
-            _ => None,
+        let waits = available.filter_map(|backend| {
+            match backend.holder_step(now, rank, &self.limit_members)? {
+                HolderStep::Wait { retry_after } => Some((retry_after, backend.server.id.clone())),
+                HolderStep::Use | HolderStep::Ask => None,
+            }
         });
-        waits.min()
+        let (retry_after, id) = waits.min()?;
+        if let Some(backend) = self.backends.get_mut(&id) {
+            backend.permits.on_refused(now, rank);
+        }
+        Some(retry_after)
     }
 
     fn backend_by_key(&mut self, key: u32) -> Option<&mut Backend> {
--- a/crates/wagtailarch-dispatch/src/permit_bucket.rs
+++ b/crates/wagtailarch-dispatch/src/permit_bucket.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use wagtailarch_wire::permit::{PermitOutcome, PermitRank};
 
 /// Time in seconds at the limit for which permits are kept for each more urgent rank.
@@ -10,10 +11,15 @@
 const BURST_S: f64 = 0.25;
 /// Time since the last request of a rank for which permits are reserved for it.
 const RESERVE_MEMORY: Duration = Duration::from_secs(2);
-/// Time constant in seconds with which denied requests are forgotten.
-const BACKLOG_TIME_CONSTANT_S: f64 = 1.0;
-/// Longest time after which a refused client may retry.
-const MAX_RETRY_AFTER_S: f64 = 30.0;
+/// Time since its last request for which an instance competes for permits.
+const COMPETING_TIME: Duration = Duration::from_secs(2);
+/// Time between two requests of an instance for each instance that competes for permits.
+///
+/// It bounds the requests for the permits of one server to 100 a second, whatever the number of
+/// instances.
+const INSTANCE_REQUEST_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time for which a permit is announced.
+const MAX_ANNOUNCED_S: f64 = 30.0;
 
 /// Grants permits for requests to one server at the rate of its limit.
 ///
@@ -25,38 +31,44 @@
     refilled_at: Option<Duration>,
     /// Time of the last request of each rank.
     requested_at: [Option<Duration>; PermitRank::ALL.len()],
-    /// Decayed number of denied requests of each rank, which are expected again.
-    backlog: [f64; PermitRank::ALL.len()],
-    /// Time to which `backlog` has decayed.
-    decayed_at: Duration,
+    /// Time at which a permit is expected for the last denied request of each rank.
+    announced: [Duration; PermitRank::ALL.len()],
+    /// Time of the last request of each instance that competes for permits.
+    competing: IndexMap<u64, Duration>,
 }
 
 impl PermitBucket {
-    /// Handles a request for a permit at a limit of `rate_per_s`, which must be positive.
-    pub fn request(&mut self, now: Duration, rate_per_s: f64, rank: PermitRank) -> PermitOutcome {
+    /// Handles a request of the instance `sender` for a permit at a limit of `rate_per_s`, which
+    /// must be positive.
+    pub fn request(
+        &mut self,
+        now: Duration,
+        rate_per_s: f64,
+        rank: PermitRank,
+        sender: u64,
+    ) -> PermitOutcome {
         self.refill(now, rate_per_s);
         self.requested_at[rank as usize] = Some(now);
+        self.competing.insert(sender, now);
+        self.competing
+            .retain(|_, at| now.saturating_sub(*at) < COMPETING_TIME);
         let required = 1.0 + self.reserved_ranks(now, rank) * reserve(rate_per_s);
         if self.permits >= required {
             self.permits -= 1.0;
             return PermitOutcome::Granted;
         }
-        self.decay_backlog(now);
-        let ahead: f64 = self.backlog[..=rank as usize].iter().sum();
-        self.backlog[rank as usize] += 1.0;
-        // Each denied instance asks again at a time of its own, so that the number of requests does
-        // not grow with the number of instances.
-        let next_s = (required - self.permits + ahead) / rate_per_s;
+        let interval = announced_time(1.0 / rate_per_s);
+        let earlier = self.announced[..=rank as usize].iter().max().copied();
+        let next = (now + announced_time((required - self.permits) / rate_per_s))
+            .max(earlier.unwrap_or_default() + interval);
+        let next = next.min(now + announced_time(f64::INFINITY));
+        self.announced[rank as usize] = next;
+        let competing = self.competing.len() as u32;
+        let spacing = announced_time(f64::from(competing) / rate_per_s);
         PermitOutcome::Denied {
-            next_ms: (next_s.min(MAX_RETRY_AFTER_S) * 1_000.0) as u32,
-        }
-    }
-
-    fn decay_backlog(&mut self, now: Duration) {
-        let elapsed_s = now.saturating_sub(self.decayed_at).as_secs_f64();
-        self.decayed_at = now;
-        for backlog in &mut self.backlog {
-            *backlog *= (-elapsed_s / BACKLOG_TIME_CONSTANT_S).exp();
+            next_ms: millis(next - now),
+            spacing_ms: millis(spacing),
+            ask_after_ms: millis((next - now).min(INSTANCE_REQUEST_INTERVAL * competing)),
         }
     }
 
@@ -81,3 +93,13 @@
 fn reserve(rate_per_s: f64) -> f64 {
     (1.0 + rate_per_s * RESERVE_S).min(rate_per_s)
 }
+
+/// Converts a time in seconds, at most [`MAX_ANNOUNCED_S`].
+fn announced_time(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.min(MAX_ANNOUNCED_S))
+}
+
+/// Rounds a time up to milliseconds.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).map_or(u32::MAX, |ms| ms + 1)
+}
--- a/crates/wagtailarch-dispatch/src/permit_holder.rs
+++ b/crates/wagtailarch-dispatch/src/permit_holder.rs
@@ -11,13 +11,13 @@
 const UNUSED_PERMIT_TTL: Duration = Duration::from_millis(400);
 /// Time for which a coordinator that has not responded is not asked again.
 const UNRESPONSIVE_TIME: Duration = Duration::from_millis(500);
-/// Time after a denial for which the coordinator is not asked for the same or a less urgent rank,
-/// at least.
-const MIN_DENIAL_TIME: Duration = Duration::from_millis(20);
-/// Time after a denial for which the coordinator is not asked, at most; the limit may have risen.
-const MAX_DENIAL_TIME: Duration = Duration::from_secs(2);
+/// Longest time after a denial for which the coordinator is not asked for the same or a less urgent
+/// rank.
+const MAX_DENIAL_TIME: Duration = Duration::from_secs(5);
 /// Shortest time after which a refused client may retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Longest time after which a refused client may retry.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
 /// The permits of this instance for one server.
 ///
@@ -51,8 +51,10 @@
 struct Denial {
     /// Time from which the coordinator is asked again.
     until: Duration,
-    /// Time at which a refused client may retry.
+    /// Time at which the next refused client may retry.
     retry_at: Duration,
+    /// Time between two permits that this instance can expect.
+    spacing: Duration,
 }
 
 /// A coordinator that does not respond, and the equal share that is used meanwhile.
@@ -86,9 +88,9 @@
                 return HolderStep::Use;
             }
             let missing_s = (1.0 - permits) / share_per_s;
-            let retry_after = Duration::try_from_secs_f64(missing_s).unwrap_or(MAX_DENIAL_TIME);
+            let retry_after = Duration::try_from_secs_f64(missing_s).unwrap_or(MAX_RETRY_AFTER);
             return HolderStep::Wait {
-                retry_after: retry_after.clamp(MIN_RETRY_AFTER, MAX_DENIAL_TIME),
+                retry_after: retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
             };
         }
         // A denial of a more urgent rank also holds for this one.
@@ -114,6 +116,20 @@
         }
     }
 
+    /// Records that a client was refused, so that the next one is told to retry later.
+    pub fn on_refused(&mut self, now: Duration, rank: PermitRank) {
+        let denials = self.denials[..=rank as usize].iter_mut().flatten();
+        if let Some(denial) = denials.max_by_key(|denial| denial.retry_at) {
+            let next = denial.retry_at.max(now) + denial.spacing;
+            denial.retry_at = next.min(now + MAX_RETRY_AFTER);
+        }
+    }
+
+    /// Forgets all denials, since the limit has changed.
+    pub fn on_limit_changed(&mut self) {
+        self.denials = Default::default();
+    }
+
     /// Takes back a permit that was not used.
     pub fn give_back(&mut self, now: Duration) {
         self.unused.push_back(now + UNUSED_PERMIT_TTL);
@@ -133,11 +149,20 @@
             PermitOutcome::NotCoordinator => return self.on_unresponsive(now, coordinator),
             PermitOutcome::Granted if is_awaited => {}
             PermitOutcome::Granted => self.give_back(now),
-            PermitOutcome::Denied { next_ms } => {
+            PermitOutcome::Denied {
+                next_ms,
+                spacing_ms,
+                ask_after_ms,
+            } => {
                 let next = Duration::from_millis(next_ms.into());
-                self.denials[rank as usize] = Some(Denial {
-                    until: now + next.clamp(MIN_DENIAL_TIME, MAX_DENIAL_TIME),
-                    retry_at: now + next,
+                let ask_after = Duration::from_millis(ask_after_ms.into());
+                let denial = &mut self.denials[rank as usize];
+                // Clients that were refused before retry first.
+                let retry_at = denial.map_or(Duration::ZERO, |denial| denial.retry_at);
+                *denial = Some(Denial {
+                    until: now + ask_after.min(MAX_DENIAL_TIME),
+                    retry_at: retry_at.max(now + next),
+                    spacing: Duration::from_millis(spacing_ms.into()),
                 });
             }
         }
--- a/crates/wagtailarch-dispatch/tests/server_limit/main.rs
+++ b/crates/wagtailarch-dispatch/tests/server_limit/main.rs
@@ -186,34 +186,37 @@
         .iter()
         .filter(|(at, ..)| at.as_secs() >= 20);
     let urgent = late
-        .filter(|(_, _, rank)| *rank == PermitRank::Urgent)
+        .filter(|(_, _, client)| client.rank == PermitRank::Urgent)
         .count();
     let share = urgent as f64 / (urgent_per_s * 40.0);
     assert!(share > 0.8, "{share} of the urgent requests");
     assert!(simulation.most(5.0) <= allowed(limit));
 }
 
-/// Guards against a Retry-After that does not hold: clients who come back after it at any instance
-/// find room in most cases.
-#[test]
-fn a_refused_client_finds_room_when_it_retries() {
-    const INSTANCES: usize = 8;
-    let mut simulation = Simulation::new(INSTANCES);
-    simulation.limit = Some(4.0);
-    for instance in 0..INSTANCES {
-        simulation.add_clients(instance, PermitRank::Normal, 2.0, 0.0..10.0);
+/// Guards against a Retry-After that does not hold: most clients of a burst find room when they
+/// come back after it, at another instance.
+#[rstest]
+fn refused_clients_find_room_when_they_retry(
+    #[values(1, 8, 370)] instances: usize,
+    #[values(1.0, 4.0, 20.0)] limit: f64,
+) {
+    let mut simulation = Simulation::loaded(instances, limit, 1.0);
+    simulation.run_until(60.0);
+    simulation.clients_retry = true;
+    let burst_per_s = limit * 10.0 / instances.min(8) as f64;
+    for instance in 0..instances.min(8) {
+        simulation.add_clients(instance, PermitRank::Normal, burst_per_s, 60.0..61.0);
     }
-    simulation.run_until(10.5);
-    let retry_after = simulation.retry_after.last().copied().expect("a refusal");
+    let before = simulation.refusals.len();
+    simulation.run_until(100.0);
+    let refusals = &simulation.refusals[before..];
+    let refused = refusals.iter().filter(|client| !client.returned).count();
+    let refused_again = refusals.len() - refused;
+    assert!(refused as f64 >= limit * 4.0, "{refused} refused");
     assert!(
-        (Duration::from_millis(250)..Duration::from_secs(6)).contains(&retry_after),
-        "{retry_after:?}"
+        refused_again * 4 <= refused,
+        "{refused_again} of {refused} are refused again"
     );
-    let before = simulation.arrivals.len();
-    let at = simulation.now + retry_after;
-    simulation.add(retry_after, Event::Client(3, PermitRank::Normal));
-    simulation.run_until(at.as_secs_f64() + 0.1);
-    assert_eq!(simulation.arrivals.len(), before + 1);
 }
 
 /// Guards against a response that takes a limit back although its server sent it before it named
--- a/crates/wagtailarch-dispatch/tests/server_limit/simulation.rs
+++ b/crates/wagtailarch-dispatch/tests/server_limit/simulation.rs
@@ -41,33 +41,42 @@
     pub stopped: BTreeMap<Instance, Duration>,
     /// Instances that are cut off from the others, with the time.
     pub cut: BTreeMap<Instance, Duration>,
-    /// Requests that have reached the server, with their instances and ranks.
-    pub arrivals: Vec<(Duration, Instance, PermitRank)>,
-    /// Times after which refused clients may retry.
-    pub retry_after: Vec<Duration>,
+    /// Requests that have reached the server, with their instances.
+    pub arrivals: Vec<(Duration, Instance, Client)>,
+    pub refusals: Vec<Client>,
+    /// Whether refused clients retry.
+    pub clients_retry: bool,
     pub messages: u64,
 }
 
+/// A request of a client.
+#[derive(Debug, Clone, Copy)]
+pub struct Client {
+    pub rank: PermitRank,
+    /// Whether the request was refused before.
+    pub returned: bool,
+}
+
 pub enum Event {
-    Client(Instance, PermitRank),
+    Client(Instance, Client),
     Request {
         from: Instance,
         to: Instance,
         limit: LimitReport,
-        rank: PermitRank,
+        client: Client,
         asked_at: Duration,
     },
     Outcome {
         to: Instance,
         from: Instance,
-        rank: PermitRank,
+        client: Client,
         outcome: PermitOutcome,
         asked_at: Duration,
     },
     Timeout {
         instance: Instance,
         coordinator: Instance,
-        rank: PermitRank,
+        client: Client,
         asked_at: Duration,
     },
     Response {
@@ -114,7 +123,8 @@
             stopped: BTreeMap::new(),
             cut: BTreeMap::new(),
             arrivals: Vec::new(),
-            retry_after: Vec::new(),
+            refusals: Vec::new(),
+            clients_retry: false,
             messages: 0,
         };
         simulation.add(Duration::ZERO, Event::UpdateMembers);
@@ -152,7 +162,11 @@
         let mut at = time.start + instance as f64 * 0.618 % 1.0 / per_s;
         while at < time.end {
             let delay = Duration::from_secs_f64(at).saturating_sub(self.now);
-            self.add(delay, Event::Client(instance, rank));
+            let client = Client {
+                rank,
+                returned: false,
+            };
+            self.add(delay, Event::Client(instance, client));
             at += 1.0 / per_s;
         }
     }
@@ -190,23 +204,28 @@
         match event {
             Event::SendReports => self.send_reports(),
             Event::UpdateMembers => self.update_members(),
-            Event::Client(instance, rank) => self.start(instance, rank, true),
+            Event::Client(instance, client) => self.start(instance, client, true),
             Event::Request {
                 from,
                 to,
                 limit,
-                rank,
+                client,
                 asked_at,
             } => {
                 if !self.is_connected(to, from) {
                     return;
                 }
-                let outcome = self.balancers[to].on_permit_request(self.now, &limit, rank);
+                let outcome = self.balancers[to].on_permit_request(
+                    self.now,
+                    &limit,
+                    client.rank,
+                    from as u64 + 1,
+                );
                 self.messages += 1;
                 let event = Event::Outcome {
                     to: from,
                     from: to,
-                    rank,
+                    client,
                     outcome,
                     asked_at,
                 };
@@ -215,7 +234,7 @@
             Event::Outcome {
                 to,
                 from,
-                rank,
+                client,
                 outcome,
                 asked_at,
             } => {
@@ -225,18 +244,18 @@
                 let is_awaited = self.now < asked_at + PERMIT_TIMEOUT;
                 let key = server_key(&server());
                 let balancer = &mut self.balancers[to];
-                balancer.on_permit_response(self.now, key, rank, outcome, is_awaited);
+                balancer.on_permit_response(self.now, key, client.rank, outcome, is_awaited);
                 match outcome {
-                    PermitOutcome::Granted if is_awaited => self.send(to, rank),
+                    PermitOutcome::Granted if is_awaited => self.send(to, client),
                     PermitOutcome::Granted => {}
-                    PermitOutcome::Denied { .. } => self.refuse(to, rank),
-                    PermitOutcome::NotCoordinator => self.start(to, rank, false),
+                    PermitOutcome::Denied { .. } => self.refuse(to, client),
+                    PermitOutcome::NotCoordinator => self.start(to, client, false),
                 }
             }
             Event::Timeout {
                 instance,
                 coordinator,
-                rank,
+                client,
                 asked_at,
             } => {
                 if self.is_connected(instance, coordinator) {
@@ -245,7 +264,7 @@
                 assert_eq!(self.now, asked_at + PERMIT_TIMEOUT);
                 let balancer = &mut self.balancers[instance];
                 balancer.on_permit_timeout(self.now, &server(), &name(coordinator));
-                self.start(instance, rank, false);
+                self.start(instance, client, false);
             }
             Event::Response { to, sent_at, named } => {
                 if self.stopped.contains_key(&to) {
@@ -294,12 +313,12 @@
     }
 
     /// Handles a client's request; asks for a permit only if `may_ask`.
-    fn start(&mut self, instance: Instance, rank: PermitRank, may_ask: bool) {
+    fn start(&mut self, instance: Instance, client: Client, may_ask: bool) {
         if self.stopped.contains_key(&instance) {
             return;
         }
-        match self.balancers[instance].take_permit(self.now, &server(), rank) {
-            PermitStep::Unlimited | PermitStep::Permitted => self.send(instance, rank),
+        match self.balancers[instance].take_permit(self.now, &server(), client.rank) {
+            PermitStep::Unlimited | PermitStep::Permitted => self.send(instance, client),
             PermitStep::Ask { coordinator, limit } if may_ask => {
                 let (to, asked_at) = (number(&coordinator), self.now);
                 self.messages += 1;
@@ -307,24 +326,24 @@
                     from: instance,
                     to,
                     limit,
-                    rank,
+                    client,
                     asked_at,
                 };
                 self.add(MESSAGE_DELAY, request);
                 let timeout = Event::Timeout {
                     instance,
                     coordinator: to,
-                    rank,
+                    client,
                     asked_at,
                 };
                 self.add(PERMIT_TIMEOUT, timeout);
             }
-            PermitStep::Ask { .. } | PermitStep::Denied => self.refuse(instance, rank),
+            PermitStep::Ask { .. } | PermitStep::Denied => self.refuse(instance, client),
         }
     }
 
-    fn send(&mut self, instance: Instance, rank: PermitRank) {
-        self.arrivals.push((self.now, instance, rank));
+    fn send(&mut self, instance: Instance, client: Client) {
+        self.arrivals.push((self.now, instance, client));
         let response = Event::Response {
             to: instance,
             sent_at: self.now,
@@ -333,10 +352,20 @@
         self.add(RESPONSE_TIME, response);
     }
 
-    fn refuse(&mut self, instance: Instance, rank: PermitRank) {
-        let balancer = &self.balancers[instance];
-        let retry_after = balancer.limit_retry_after(self.now, &PLAIN.into(), rank);
-        self.retry_after.push(retry_after.unwrap_or_default());
+    /// Refuses a request; its client retries once, at the next instance.
+    fn refuse(&mut self, instance: Instance, client: Client) {
+        let balancer = &mut self.balancers[instance];
+        let retry_after = balancer.refuse_by_limits(self.now, &PLAIN.into(), client.rank);
+        self.refusals.push(client);
+        if !self.clients_retry || client.returned {
+            return;
+        }
+        let client = Client {
+            returned: true,
+            ..client
+        };
+        let next = (instance + 1) % self.balancers.len();
+        self.add(retry_after.unwrap_or_default(), Event::Client(next, client));
     }
 
     /// Returns the number of requests that arrive from `from_s` to `until_s`.
--- a/crates/wagtailarch-gateway/src/permits.rs
+++ b/crates/wagtailarch-gateway/src/permits.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -174,10 +175,11 @@
     let now = gateway.now();
     match message.body {
         PermitBody::Request { limit, rank } => {
+            let sender = address_key(from);
             let outcome = gateway
                 .load_balancer
                 .borrow_mut()
-                .on_permit_request(now, &limit, rank);
+                .on_permit_request(now, &limit, rank, sender);
             let server = limit.server;
             let body = PermitBody::Response {
                 server,
@@ -210,3 +212,10 @@
         debug!(gateway.log, "permit message not sent"; "peer" => %to, "cause" => %error);
     }
 }
+
+/// Returns a number that identifies an instance by the address of its datagrams.
+fn address_key(address: SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    address.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -93,10 +93,11 @@
     /// Returns the refusal of a request for which no server can be selected.
     pub fn unavailable(&self, ran: Ran, rank: PermitRank, excluded: &[InstanceId]) -> Refusal {
         let now = self.gateway.now();
-        let load_balancer = self.gateway.load_balancer.borrow();
-        let retry_after = load_balancer.limit_retry_after(now, &self.service, rank);
+        let mut load_balancer = self.gateway.load_balancer.borrow_mut();
+        let reason = load_balancer.unavailable_reason(now, &self.service, rank, excluded);
+        let retry_after = load_balancer.refuse_by_limits(now, &self.service, rank);
         Refusal {
-            reason: load_balancer.unavailable_reason(now, &self.service, rank, excluded),
+            reason,
             ran,
             retry_after: retry_after.unwrap_or(DEFAULT_RETRY_AFTER),
         }
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -261,7 +261,7 @@
         let PermitBody::Request { limit, rank } = body else {
             return;
         };
-        let outcome = load_balancer.on_permit_request(NOW, &limit, rank);
+        let outcome = load_balancer.on_permit_request(NOW, &limit, rank, 1);
         let server = limit.server;
         let body = PermitBody::Response {
             server,
--- a/crates/wagtailarch-wire/src/permit.rs
+++ b/crates/wagtailarch-wire/src/permit.rs
@@ -60,9 +60,13 @@
     Granted,
     /// The limit leaves no room.
     Denied {
-        /// Time in milliseconds until a permit is expected for this request and those denied
-        /// before it.
+        /// Time in milliseconds until a permit is expected for this request, after those that were
+        /// denied before it.
         next_ms: u32,
+        /// Time in milliseconds between two permits that the asking instance can expect.
+        spacing_ms: u32,
+        /// Time in milliseconds after which the instance may ask again.
+        ask_after_ms: u32,
     },
     /// Another instance coordinates the limit.
     NotCoordinator,
