--- a/crates/wagtailarch-dispatch/src/permit_bucket.rs
+++ b/crates/wagtailarch-dispatch/src/permit_bucket.rs
@@ -23,8 +23,9 @@
 
 /// Grants permits for requests to one server at the rate of its limit.
 ///
-/// In any time `t`, at most `rate * t` permits are granted, and `3 + rate / 2` more. A bucket starts without permits, so that a new coordinator does not grant again what the
-/// previous one has granted.
+/// In any time `t`, at most `rate * t` permits are granted, and `3 + rate / 2` more. A bucket starts
+/// without permits, so that a new coordinator does not grant again what the previous one has
+/// granted.
 #[derive(Debug, Default)]
 pub struct PermitBucket {
     permits: f64,
--- a/crates/wagtailarch-dispatch/src/permit_holder.rs
+++ b/crates/wagtailarch-dispatch/src/permit_holder.rs
@@ -22,7 +22,7 @@
 /// The permits of this instance for one server.
 ///
 /// While the coordinator of the limit does not respond, the instance uses its equal share of the
-/// limit. A coordinator grants only the shares of the instances that it can reach, so that the sum
+/// limit. A coordinator grants only the shares of the instances whose notes arrive, so that the sum
 /// stays within the limit.
 #[derive(Debug, Default)]
 pub struct PermitHolder {
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -254,14 +254,16 @@
     let (limit, rank) = (limit_report(0), PermitRank::Normal);
     let request = PermitMessage::new(1, PermitBody::Request { limit, rank }).encode();
     let request = request.map_err(CapacityError::measured_code)?;
+    let mut sender = 0;
     let cpu_us = cpu_us_per_call(2_000, || {
+        sender = (sender + 1) % u64::from(size);
         let Some(PermitMessage { number, body, .. }) = PermitMessage::decode(&request) else {
             return;
         };
         let PermitBody::Request { limit, rank } = body else {
             return;
         };
-        let outcome = load_balancer.on_permit_request(NOW, &limit, rank, 1);
+        let outcome = load_balancer.on_permit_request(NOW, &limit, rank, sender);
         let server = limit.server;
         let body = PermitBody::Response {
             server,
