Look up servers by their key in one place

Found on reading the change once more: engine_by_key repeated the lookup of backend_by_key, and the comment of on_permit_request claimed that a server that is not listed may be called, while the peer uses its equal share.

--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -381,8 +381,7 @@
     }
 
     fn engine_by_key(&mut self, key: u32) -> Option<&mut EngineState> {
-        let id = self.by_key.get(&key)?;
-        self.backends.get_mut(id)?.engine.as_mut()
+        self.backend_by_key(key)?.engine.as_mut()
     }
 
     /// Returns the available servers that are below their connection limit and whose rate limit
--- a/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
@@ -204,8 +204,8 @@
 
     /// Responds to the peer `sender` that asks for a permit.
     ///
-    /// A server that this instance does not know, or of which it knows that the limit was taken
-    /// back, may be called.
+    /// A server whose limit was taken back may be called. For a server that is not listed yet, the
+    /// peer uses its equal share.
     pub fn on_permit_request(
         &mut self,
         now: Duration,
@@ -289,7 +289,7 @@
         Some(retry_after)
     }
 
-    fn backend_by_key(&mut self, key: u32) -> Option<&mut Backend> {
+    pub(super) fn backend_by_key(&mut self, key: u32) -> Option<&mut Backend> {
         let id = self.by_key.get(&key)?;
         self.backends.get_mut(id)
     }
