--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     body_buffer::{BufferError, BufferedBody},
+    body_framing::BodyFraming,
     connection::{Driver, connect},
     guards::InFlightGuard,
     permits::Permit,
@@ -64,6 +65,8 @@
     pub parts: response::Parts,
     /// Body of the response.
     pub body: Incoming,
+    /// What marks the end of the body.
+    pub framing: BodyFraming,
     /// Keeps the connection open and the request counted as in flight.
     pub _guard: ResponseGuard,
 }
@@ -175,6 +178,7 @@
         Ok(Ok(response)) => response,
     };
     let (mut parts, body) = response.into_parts();
+    let framing = BodyFraming::of_response(&parts.headers);
     let facts = decode_response(&context.client.id, &mut parts);
     if let Some(load) = facts.load {
         let mut load_balancer = gateway.load_balancer.borrow_mut();
@@ -199,6 +203,7 @@
     Ok(BackendResponse {
         parts,
         body,
+        framing,
         _guard: ResponseGuard {
             _driver: connection.driver,
             _in_flight: in_flight,
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod backend_client;
 mod body_buffer;
+mod body_framing;
 mod connection;
 mod control;
 mod event_splitter;
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -13,6 +13,7 @@
 use crate::{
     attempts::Attempts,
     backend_client::{CallFailure, probe_for_crash},
+    body_framing::BodyFraming,
     event_splitter::{EventSplitter, EventTooLong},
     generation::{GenerationError, StartedGeneration, start},
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
@@ -39,6 +40,8 @@
     attempts: Attempts,
     /// Response of the current engine; `None` after its end.
     active: Option<StartedGeneration>,
+    /// Framing of the last engine's response.
+    framing: BodyFraming,
     splitter: EventSplitter,
     /// Id of the last event sent to the client.
     last_event: Option<u64>,
@@ -79,6 +82,7 @@
         head: started.response.take_head(),
         context,
         attempts,
+        framing: started.response.framing,
         active: Some(started),
         splitter: EventSplitter::default(),
         last_event,
@@ -134,7 +138,7 @@
                     let rest = self.splitter.take_rest();
                     let context = &self.context;
                     context.gateway.quarantine.on_completed(context.fingerprint);
-                    self.on_end("complete");
+                    self.on_end("complete", rest.len());
                     if !rest.is_empty() {
                         return Some(Ok(rest));
                     }
@@ -142,13 +146,13 @@
                 }
                 ReadOutcome::Failed(cause) => {
                     if let Err(failure) = self.resume(cause).await {
-                        self.on_end("broken off");
+                        self.on_end("broken off", 0);
                         return Some(Err(failure));
                     }
                 }
                 ReadOutcome::TimedOut => {
                     self.active = None;
-                    self.on_end("timed out");
+                    self.on_end("timed out", 0);
                     let refusal = Refusal {
                         reason: RefusalReason::DeadlineUnreachable,
                         ran: Ran::Unknown,
@@ -302,6 +306,7 @@
                     self.head = started.response.take_head();
                 }
                 self.progress_at = gateway.now();
+                self.framing = started.response.framing;
                 self.active = Some(started);
                 Ok(())
             }
@@ -317,11 +322,13 @@
         }
     }
 
-    fn on_end(&mut self, outcome: &'static str) {
+    /// Records the end of the stream; `rest_bytes` of it belong to no complete event.
+    fn on_end(&mut self, outcome: &'static str, rest_bytes: usize) {
         self.finished = true;
         let context = &self.context;
         debug!(context.gateway.log, "stream ended"; "request" => %context.client.id,
             "route" => %context.route.name, "outcome" => outcome, "events" => self.events,
+            "framing" => self.framing.as_str(), "rest_bytes" => rest_bytes,
             "first_event_ms" => self.first_event_ms,
             "longest_pause_ms" => self.longest_pause.as_millis() as u64,
             "age_ms" => context.age().as_millis() as u64);
