Break off streams that end inside an event

Cause: a response with neither a length nor chunks ends with its connection, so the HTTP library reports the end of a crashed server's stream as the end of the body. StreamRelay took every end of a body for the end of the stream and passed the rest of the half event on.

An end inside an event, or inside a line, is now a failed attempt like a broken connection, whatever the framing: the stream is resumed after the last whole event where its route allows it, and otherwise the client's response is broken off. It counts against the server and no longer clears the request in the quarantine.

--- a/crates/wagtailarch-gateway/src/event_splitter.rs
+++ b/crates/wagtailarch-gateway/src/event_splitter.rs
@@ -59,6 +59,14 @@
         Ok(Some(StreamEvent { bytes, id }))
     }
 
+    /// Returns whether a stream that ends here was broken off inside an event or a line.
+    ///
+    /// Must be called after all complete events have been taken.
+    pub fn is_inside_event(&self) -> bool {
+        let block = &self.buffer[self.block_start..];
+        !block.is_empty() && !(block.ends_with(b"\n") && only_comments(block))
+    }
+
     /// Takes the remaining bytes, which form no complete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -263,6 +263,9 @@
         };
         match read {
             Err(_) => ReadOutcome::TimedOut,
+            Ok(None) if self.splitter.is_inside_event() => {
+                ReadOutcome::Failed("ended inside an event")
+            }
             Ok(None) => ReadOutcome::End,
             Ok(Some(Err(_))) => ReadOutcome::Failed("connection failed"),
             Ok(Some(Ok(frame))) => ReadOutcome::Bytes(frame.into_data().unwrap_or_default()),
@@ -279,7 +282,7 @@
         probe_for_crash(&self.context, &active.call.server);
         let engine = active.call.server.id.clone();
         drop(active);
-        let _ = self.splitter.take_rest();
+        let rest_bytes = self.splitter.take_rest().len();
         let context = Rc::clone(&self.context);
         let gateway = &context.gateway;
         gateway
@@ -287,7 +290,8 @@
             .borrow_mut()
             .on_failure(gateway.now(), &engine);
         info!(gateway.log, "stream broken"; "request" => %context.client.id, "server" => %engine,
-            "cause" => cause, "last_event" => self.last_event, "events" => self.events,
+            "cause" => cause, "framing" => self.framing.as_str(), "rest_bytes" => rest_bytes,
+            "last_event" => self.last_event, "events" => self.events,
             "age_ms" => context.age().as_millis() as u64);
         let failure = CallFailure::CLOSED;
         let delivered = self.events > 0;
--- a/crates/wagtailarch-gateway/tests/event_splitter.rs
+++ b/crates/wagtailarch-gateway/tests/event_splitter.rs
@@ -40,6 +40,27 @@
     assert_eq!(&splitter.take_rest()[..], b"id: 8\ndata: ha");
 }
 
+/// Guards against a stream that counts as complete although it ends inside an event or a line.
+#[rstest]
+#[case("", false)]
+#[case("id: 1\ndata: a\n\n", false)]
+#[case("id: 1\r\ndata: a\r\n\r\n", false)]
+#[case("id: 1\ndata: a\n\n: wait\n\n", false)]
+#[case("id: 1\ndata: a\n\n: wait\n", false)]
+#[case("id: 1\ndata: a\n\nid: 2", true)]
+#[case("id: 1\ndata: a\n\nid: 2\n", true)]
+#[case("id: 1\ndata: a\n\nid: 2\ndata: b", true)]
+#[case("id: 1\ndata: a\n\nid: 2\ndata: b\n", true)]
+#[case("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r", true)]
+#[case("id: 1\ndata: a\n\n: wa", true)]
+#[case("id: 1\ndata: a\n\n: wait\n\nda", true)]
+fn an_end_inside_an_event_is_recognized(#[case] text: &str, #[case] inside: bool) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(text.as_bytes());
+    while splitter.next_event().expect("short events").is_some() {}
+    assert_eq!(splitter.is_inside_event(), inside);
+}
+
 /// Guards against comments that count as progress, and against comments that are dropped.
 #[test]
 fn comments_are_passed_on_with_the_event_after_them() {
