Take no connection that ends after its head for an empty response

A server that crashes after the head of a response without a length or chunks left the client with a complete, empty stream or body.

The end of such a connection before any event, or before any byte of a plain success, is now a failed attempt. A stream of comments alone counts as empty. With a length or chunks an empty response is declared and passed on.

--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -178,7 +178,7 @@
         Ok(Ok(response)) => response,
     };
     let (mut parts, body) = response.into_parts();
-    let framing = BodyFraming::of_response(&parts.headers);
+    let framing = BodyFraming::of_response(&parts.headers, &body);
     let facts = decode_response(&context.client.id, &mut parts);
     if let Some(load) = facts.load {
         let mut load_balancer = gateway.load_balancer.borrow_mut();
@@ -236,10 +236,22 @@
     limit: Duration,
 ) -> Result<BufferedBody, CallFailure> {
     let gateway = &context.gateway;
+    let may_be_empty =
+        response.framing != BodyFraming::Connection || !response.parts.status.is_success();
     let body = gateway
         .buffer_budget
         .read(response.body, max_body_bytes(&call.step));
     match timeout(limit, body).await {
+        // The end of a connection right after the head declares no empty body.
+        Ok(Ok(body)) if body.bytes.is_empty() && !may_be_empty => {
+            let now = gateway.now();
+            gateway
+                .load_balancer
+                .borrow_mut()
+                .on_failure(now, &call.server.id);
+            log_failure(context, call, CallFailure::CLOSED, "ended after its head");
+            Err(CallFailure::CLOSED)
+        }
         Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) => {
             // An exhausted buffer budget of this instance is no failure of the server.
--- a/crates/wagtailarch-gateway/src/body_framing.rs
+++ b/crates/wagtailarch-gateway/src/body_framing.rs
@@ -1,11 +1,12 @@
 //! Framing of response bodies.
 
 use http::{HeaderMap, header};
+use hyper::body::Body;
 
 /// What marks the end of a response body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyFraming {
-    /// The length that the head states.
+    /// The length that the head states, or that its status or method implies.
     Length,
     /// The last chunk.
     Chunked,
@@ -14,8 +15,11 @@
 }
 
 impl BodyFraming {
-    /// Returns the framing that the head of a response declares.
-    pub fn of_response(headers: &HeaderMap) -> Self {
+    /// Returns the framing that the head of a response declares; `body` has not been read.
+    pub fn of_response(headers: &HeaderMap, body: &impl Body) -> Self {
+        if body.is_end_stream() {
+            return Self::Length;
+        }
         let encoding = headers
             .get_all(header::TRANSFER_ENCODING)
             .iter()
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -42,6 +42,8 @@
     active: Option<StartedGeneration>,
     /// Framing of the last engine's response.
     framing: BodyFraming,
+    /// Whether the last engine has sent a complete event.
+    has_event: bool,
     splitter: EventSplitter,
     /// Id of the last event sent to the client.
     last_event: Option<u64>,
@@ -83,6 +85,7 @@
         context,
         attempts,
         framing: started.response.framing,
+        has_event: false,
         active: Some(started),
         splitter: EventSplitter::default(),
         last_event,
@@ -176,6 +179,7 @@
                 Ok(None) => break None,
                 Err(EventTooLong) => break Some("event too long"),
             };
+            self.has_event = true;
             // A resumed engine may send events again.
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
@@ -266,6 +270,9 @@
             Ok(None) if self.splitter.is_inside_event() => {
                 ReadOutcome::Failed("ended inside an event")
             }
+            Ok(None) if self.framing == BodyFraming::Connection && !self.has_event => {
+                ReadOutcome::Failed("ended without an event")
+            }
             Ok(None) => ReadOutcome::End,
             Ok(Some(Err(_))) => ReadOutcome::Failed("connection failed"),
             Ok(Some(Ok(frame))) => ReadOutcome::Bytes(frame.into_data().unwrap_or_default()),
@@ -311,6 +318,7 @@
                 }
                 self.progress_at = gateway.now();
                 self.framing = started.response.framing;
+                self.has_event = false;
                 self.active = Some(started);
                 Ok(())
             }
