Reset the connection of an HTTP/1.0 client whose stream is broken off

A client of HTTP/1.0 receives no chunks, so that the end of its connection is the end of a stream. Whatever broke the stream, the gateway closed the connection in order, and the client took what it had for a complete response: all cells of the table of endings in which a stream is broken off failed with such a client, with every framing of the server.

While such a response is incomplete the socket is set to reset when it is closed, so that a killed process, a panic or a client that stops reading shows as a break too. A complete response clears the setting before the connection is shut down.

--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -5,7 +5,7 @@
 use wagtailarch_dispatch::{PrefillNumber, PrefixLink, Urgency};
 use wagtailarch_types::InstanceId;
 
-use crate::{gateway::Gateway, stall_detector::StallDetector};
+use crate::{client_meter::ClientMeter, gateway::Gateway};
 
 /// Counts a request as in flight at a server until the response ends.
 #[derive(Debug)]
@@ -139,19 +139,29 @@
 
 /// Marks a client connection as serving until the response has been sent or dropped.
 #[derive(Debug)]
-pub struct ServingGuard(Rc<StallDetector>);
+pub struct ServingGuard(Rc<ClientMeter>);
 
 impl ServingGuard {
     /// Records that the head of a request is complete.
-    pub fn new(stall_detector: &Rc<StallDetector>) -> Self {
-        stall_detector.start_serving();
-        Self(Rc::clone(stall_detector))
+    pub fn new(meter: &Rc<ClientMeter>) -> Self {
+        meter.stall_detector.start_serving();
+        Self(Rc::clone(meter))
+    }
+
+    /// Records that the end of the connection will be the end of the response.
+    pub fn end_by_close(&self) {
+        self.0.set_ends_by_close(true);
+    }
+
+    /// Records that the whole response has been produced.
+    pub fn on_complete(&self) {
+        self.0.set_ends_by_close(false);
     }
 }
 
 impl Drop for ServingGuard {
     fn drop(&mut self) {
-        self.0.stop_serving();
+        self.0.stall_detector.stop_serving();
     }
 }
 
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod backend_client;
 mod body_buffer;
 mod body_framing;
+mod client_meter;
 mod connection;
 mod control;
 mod event_splitter;
--- a/crates/wagtailarch-gateway/src/metered_stream.rs
+++ b/crates/wagtailarch-gateway/src/metered_stream.rs
@@ -5,8 +5,11 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::Duration,
 };
 
+use socket2::SockRef;
+
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -17,6 +20,8 @@
 pub struct MeteredStream<M> {
     stream: TcpStream,
     meter: Rc<M>,
+    /// Whether closing the socket resets the connection, whichever way the process drops it.
+    resets_on_close: bool,
 }
 
 /// Observes, and may limit, the traffic of a connection.
@@ -31,16 +36,36 @@
 
     /// Records whether the last write is blocked because the other side does not read.
     fn on_write(&self, _blocked: bool) {}
+
+    /// Returns whether closing the connection must reset it.
+    fn resets_on_close(&self) -> bool {
+        false
+    }
 }
 
 impl<M> MeteredStream<M> {
     /// Wraps a connection.
     pub fn new(stream: TcpStream, meter: Rc<M>) -> Self {
-        Self { stream, meter }
+        Self {
+            stream,
+            meter,
+            resets_on_close: false,
+        }
     }
 }
 
 impl<M: Meter> MeteredStream<M> {
+    /// Applies to the socket whether closing it resets the connection.
+    fn apply_close_mode(&mut self) -> io::Result<()> {
+        let resets = self.meter.resets_on_close();
+        if resets == self.resets_on_close {
+            return Ok(());
+        }
+        SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO))?;
+        self.resets_on_close = resets;
+        Ok(())
+    }
+
     fn record_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.meter.on_write(result.is_pending());
         result
@@ -78,6 +103,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_close_mode()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
         self.record_write(result)
     }
@@ -87,6 +113,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.apply_close_mode()?;
+        if self.resets_on_close {
+            // The socket is reset when it is dropped.
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
@@ -99,6 +130,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_close_mode()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
         self.record_write(result)
     }
--- a/crates/wagtailarch-gateway/src/response_body.rs
+++ b/crates/wagtailarch-gateway/src/response_body.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream::LocalBoxStream};
+use http::Version;
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::{
@@ -24,7 +25,7 @@
     /// Counts the request as open until the body has been sent or dropped.
     _request_guard: Option<RequestGuard>,
     /// Marks the connection as serving until the body has been sent or dropped.
-    _serving_guard: Option<ServingGuard>,
+    serving_guard: Option<ServingGuard>,
 }
 
 enum Content {
@@ -56,7 +57,7 @@
             content: Content::Full(Some(bytes).filter(|bytes| !bytes.is_empty())),
             _reservation: None,
             _request_guard: None,
-            _serving_guard: None,
+            serving_guard: None,
         }
     }
 
@@ -74,7 +75,7 @@
             content: Content::Stream(stream),
             _reservation: None,
             _request_guard: None,
-            _serving_guard: None,
+            serving_guard: None,
         }
     }
 
@@ -85,8 +86,14 @@
     }
 
     /// Marks the connection as serving until the body has been sent, so that no next head is timed.
-    pub fn with_serving_guard(mut self, guard: ServingGuard) -> Self {
-        self._serving_guard = Some(guard);
+    ///
+    /// A client of HTTP/1.0 receives no chunks, so that the end of the connection is the end of a
+    /// stream.
+    pub fn with_serving_guard(mut self, guard: ServingGuard, version: Version) -> Self {
+        if version < Version::HTTP_11 && matches!(self.content, Content::Stream(_)) {
+            guard.end_by_close();
+        }
+        self.serving_guard = Some(guard);
         self
     }
 }
@@ -103,6 +110,9 @@
             Content::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Content::Stream(stream) => {
                 let chunk = stream.poll_next_unpin(cx);
+                if let (Poll::Ready(None), Some(guard)) = (&chunk, &self.serving_guard) {
+                    guard.on_complete();
+                }
                 chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     body_buffer::{BufferError, BufferedBody},
+    client_meter::ClientMeter,
     gateway::{Gateway, ShutdownState},
     generation,
     guards::{ConnectionGuard, RequestGuard, ServingGuard},
@@ -27,7 +28,7 @@
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
     response_body::ResponseBody,
-    stall_detector::{ClientStall, StallDetector},
+    stall_detector::ClientStall,
 };
 
 /// Pause after a failed accept, for instance when no file descriptors are left.
@@ -78,16 +79,17 @@
     }
     let limits = client_limits(&gateway);
     let mut shutdown = gateway.shutdown.subscribe();
-    let stall_detector = Rc::new(StallDetector::default());
-    let stream = MeteredStream::new(stream, Rc::clone(&stall_detector));
+    let meter = Rc::new(ClientMeter::default());
+    let stream = MeteredStream::new(stream, Rc::clone(&meter));
     let shared = Rc::clone(&gateway);
-    let request_detector = Rc::clone(&stall_detector);
-    let service = service_fn(move |request| {
+    let request_meter = Rc::clone(&meter);
+    let service = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&shared);
-        let serving_guard = ServingGuard::new(&request_detector);
+        let guard = ServingGuard::new(&request_meter);
+        let version = request.version();
         async move {
             let response = respond(gateway, request).await;
-            Ok::<_, Infallible>(response.map(|body| body.with_serving_guard(serving_guard)))
+            Ok::<_, Infallible>(response.map(|body| body.with_serving_guard(guard, version)))
         }
     });
     let connection = http1::Builder::new()
@@ -99,7 +101,7 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        stall = stall_detector.wait_for_stall(limits.head_timeout, limits.idle_timeout) => {
+        stall = meter.stall_detector.wait_for_stall(limits.head_timeout, limits.idle_timeout) => {
             match stall {
                 ClientStall::Head => {
                     gateway.metrics.outcomes.count_refusal(RefusalReason::HeadersTooSlow);
