Check whether a server crashed when only its connection ended a response

A process that crashes closes its connections in order.

After such an end the gateway opens a connection to the server. If it is refused, the response is a failed attempt: the stream is resumed or broken off, the plain call repeated where that is allowed and otherwise answered with 502. Responses with a length or chunks need no check. The price is one connection, of one round trip, for each response that only its connection ends; a server that leaves the moment after its last response is taken for a crashed one.

--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -236,23 +236,25 @@
     limit: Duration,
 ) -> Result<BufferedBody, CallFailure> {
     let gateway = &context.gateway;
-    let may_be_empty =
-        response.framing != BodyFraming::Connection || !response.parts.status.is_success();
+    let framing = response.framing;
+    let is_success = response.parts.status.is_success();
     let body = gateway
         .buffer_budget
         .read(response.body, max_body_bytes(&call.step));
     match timeout(limit, body).await {
-        // The end of a connection right after the head declares no empty body.
-        Ok(Ok(body)) if body.bytes.is_empty() && !may_be_empty => {
-            let now = gateway.now();
-            gateway
-                .load_balancer
-                .borrow_mut()
-                .on_failure(now, &call.server.id);
-            log_failure(context, call, CallFailure::CLOSED, "ended after its head");
-            Err(CallFailure::CLOSED)
+        Ok(Ok(body)) => {
+            let is_empty = body.bytes.is_empty();
+            if is_success && !is_declared_end(framing, is_empty, &call.server).await {
+                let now = gateway.now();
+                gateway
+                    .load_balancer
+                    .borrow_mut()
+                    .on_failure(now, &call.server.id);
+                log_failure(context, call, CallFailure::CLOSED, "undeclared end");
+                return Err(CallFailure::CLOSED);
+            }
+            Ok(body)
         }
-        Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) => {
             // An exhausted buffer budget of this instance is no failure of the server.
             if !matches!(error, BufferError::BudgetExhausted) {
@@ -277,6 +279,27 @@
     }
 }
 
+/// Returns whether the end of a response that the connection reported is the end that the server
+/// meant.
+///
+/// A length or a last chunk declares it. The end of a connection does so only after some content,
+/// and only if the server still accepts connections: a process that crashes closes its connections
+/// in order.
+pub async fn is_declared_end(
+    framing: BodyFraming,
+    is_empty: bool,
+    server: &ServerEndpoint,
+) -> bool {
+    match framing {
+        BodyFraming::Length | BodyFraming::Chunked => true,
+        BodyFraming::Connection if is_empty => false,
+        BodyFraming::Connection => match connect(server.address, CONNECT_LIMIT).await {
+            Ok(_) => true,
+            Err(error) => !error.is_refused(),
+        },
+    }
+}
+
 /// Returns the failure that a response stands for, if it cannot be passed on.
 fn response_failure(
     parts: &response::Parts,
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     attempts::Attempts,
-    backend_client::{CallFailure, probe_for_crash},
+    backend_client::{CallFailure, is_declared_end, probe_for_crash},
     body_framing::BodyFraming,
     event_splitter::{EventSplitter, EventTooLong},
     generation::{GenerationError, StartedGeneration, start},
@@ -270,8 +270,10 @@
             Ok(None) if self.splitter.is_inside_event() => {
                 ReadOutcome::Failed("ended inside an event")
             }
-            Ok(None) if self.framing == BodyFraming::Connection && !self.has_event => {
-                ReadOutcome::Failed("ended without an event")
+            Ok(None)
+                if !is_declared_end(self.framing, !self.has_event, &active.call.server).await =>
+            {
+                ReadOutcome::Failed("undeclared end")
             }
             Ok(None) => ReadOutcome::End,
             Ok(Some(Err(_))) => ReadOutcome::Failed("connection failed"),
