--- a/crates/wagtailarch-standin/src/link/tcp.rs
+++ b/crates/wagtailarch-standin/src/link/tcp.rs
@@ -20,7 +20,7 @@
     accept_loop(listener, |client| forward(client, Arc::clone(&link))).await;
 }
 
-/// Forwards a connection until both directions end or the link is reset.
+/// Forwards a connection until both directions end, or one end or the link is reset.
 async fn forward(client: TcpStream, link: Arc<Link>) {
     let Ok(source) = client.peer_addr() else {
         return;
@@ -57,7 +57,7 @@
             &link,
         );
         tokio::select! {
-            _ = async { tokio::join!(to_target, to_source) } => true,
+            ended = async { tokio::try_join!(to_target, to_source) } => ended.is_ok(),
             () = link.wait_for_reset() => false,
         }
     };
@@ -69,36 +69,49 @@
     }
 }
 
+/// The sender of a stream has reset its connection.
+struct SenderReset;
+
 /// Forwards one direction of a connection.
 async fn forward_direction(
     from: ReadHalf<'_>,
-    to: WriteHalf<'_>,
+    mut to: WriteHalf<'_>,
     source: SocketAddr,
     direction: Direction,
     link: &Link,
-) {
+) -> Result<(), SenderReset> {
     let (sender, receiver) = delay_channel();
-    tokio::join!(
+    let (read, ()) = tokio::join!(
         read_chunks(from, sender, link),
-        write_chunks(receiver, to, source, direction, link),
+        write_chunks(receiver, &mut to, source, direction, link),
     );
+    read?;
+    // The peer may have closed the connection already.
+    let _ = to.shutdown().await;
+    Ok(())
 }
 
 /// Reads a stream into the delay channel.
-async fn read_chunks(mut from: ReadHalf<'_>, channel: DelaySender, link: &Link) {
+async fn read_chunks(
+    mut from: ReadHalf<'_>,
+    channel: DelaySender,
+    link: &Link,
+) -> Result<(), SenderReset> {
     let mut buffer = vec![0; MAX_CHUNK_BYTES];
-    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+    loop {
+        let length = from.read(&mut buffer).await.map_err(|_| SenderReset)?;
         let chunk = Bytes::copy_from_slice(&buffer[..length]);
-        if !channel.send(link, chunk).await {
-            return;
+        if length == 0 || !channel.send(link, chunk).await {
+            return Ok(());
         }
     }
 }
 
-/// Writes the chunks of a stream and then its end; both stall while the direction is cut.
+/// Writes the chunks of a stream and waits until its end may be written; both stall while the
+/// direction is cut.
 async fn write_chunks(
     mut channel: DelayReceiver,
-    mut to: WriteHalf<'_>,
+    to: &mut WriteHalf<'_>,
     source: SocketAddr,
     direction: Direction,
     link: &Link,
@@ -111,6 +124,4 @@
         Link::increment(&link.forwarded);
     }
     link.wait_until_open(source, direction).await;
-    // The peer may have closed the connection already.
-    let _ = to.shutdown().await;
 }
