--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -4,7 +4,7 @@
 
 use http::{Response, StatusCode, header, response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use slog::info;
 use tokio::time::timeout;
 use wagtailarch_adapter::{
@@ -13,10 +13,10 @@
 };
 use wagtailarch_dispatch::ServerEndpoint;
 use wagtailarch_types::{Ran, RetryReason};
+use wagtailarch_wire::body_framing::BodyFraming;
 
 use crate::{
     body_buffer::{BufferError, BufferedBody},
-    body_framing::BodyFraming,
     connection::{Driver, connect},
     guards::InFlightGuard,
     permits::Permit,
@@ -178,7 +178,7 @@
         Ok(Ok(response)) => response,
     };
     let (mut parts, body) = response.into_parts();
-    let framing = BodyFraming::of_response(&parts.headers, &body);
+    let framing = BodyFraming::of_response(&parts.headers, body.is_end_stream());
     let facts = decode_response(&context.client.id, &mut parts);
     if let Some(load) = facts.load {
         let mut load_balancer = gateway.load_balancer.borrow_mut();
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -7,11 +7,9 @@
 mod attempts;
 mod backend_client;
 mod body_buffer;
-mod body_framing;
 mod client_meter;
 mod connection;
 mod control;
-mod event_splitter;
 mod gateway;
 mod generation;
 mod guards;
@@ -38,7 +36,6 @@
 mod stream_relay;
 mod traffic_view;
 
-pub use event_splitter::{EventSplitter, EventTooLong, StreamEvent};
 pub use panic_handling::{catch_panic, log_panics, restart_on_panic};
 pub use process::{StartError, run, run_until};
 pub use settings::{Settings, SettingsError, parse_settings};
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -9,12 +9,14 @@
 use slog::{debug, info};
 use tokio::{task::yield_now, time::timeout};
 use wagtailarch_types::{Ran, RefusalReason};
+use wagtailarch_wire::{
+    body_framing::BodyFraming,
+    event_splitter::{EventSplitter, EventTooLong},
+};
 
 use crate::{
     attempts::Attempts,
     backend_client::{CallFailure, is_declared_end, probe_for_crash},
-    body_framing::BodyFraming,
-    event_splitter::{EventSplitter, EventTooLong},
     generation::{GenerationError, StartedGeneration, start},
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
--- a/crates/wagtailarch-gateway/src/body_framing.rs
+++ b/crates/wagtailarch-wire/src/body_framing.rs
@@ -1,7 +1,6 @@
 //! Framing of response bodies.
 
 use http::{HeaderMap, header};
-use hyper::body::Body;
 
 /// What marks the end of a response body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,9 +14,10 @@
 }
 
 impl BodyFraming {
-    /// Returns the framing that the head of a response declares; `body` has not been read.
-    pub fn of_response(headers: &HeaderMap, body: &impl Body) -> Self {
-        if body.is_end_stream() {
+    /// Returns the framing that the head of a response declares; `has_no_body` states whether its
+    /// status or method excludes a body.
+    pub fn of_response(headers: &HeaderMap, has_no_body: bool) -> Self {
+        if has_no_body {
             return Self::Length;
         }
         let encoding = headers
--- a/crates/wagtailarch-wire/src/lib.rs
+++ b/crates/wagtailarch-wire/src/lib.rs
@@ -4,10 +4,12 @@
 //! services), [`platform`] (the platform protocol) and [`records`] (the objects that the system
 //! stores in the platform). The messages between instances are encoded with postcard: [`peer`],
 //! [`load_note`], [`permit`], and [`relay`] for requests to relays. [`connection_headers`] removes the headers
-//! that must not be forwarded.
+//! that must not be forwarded. [`body_framing`] and [`event_splitter`] show whether a response is whole.
 
+pub mod body_framing;
 pub mod connection_headers;
 pub mod engine;
+pub mod event_splitter;
 pub mod load_note;
 pub mod peer;
 pub mod permit;
--- a/crates/wagtailarch-gateway/tests/event_splitter.rs
+++ b/crates/wagtailarch-wire/tests/event_splitter.rs
@@ -1,7 +1,7 @@
 //! Splitting of server-sent event streams.
 
 use rstest::rstest;
-use wagtailarch_gateway::EventSplitter;
+use wagtailarch_wire::event_splitter::EventSplitter;
 
 /// Guards against events that are cut or joined when their bytes arrive in several parts.
 #[rstest]
