Take no undeclared end of a service's response for its completion in wagtail-entry

The body of a service's success is now checked at its end. A buffered response is a failed attempt, a forwarded one is broken off. The generations of wagtail-entry are not concerned: its engines declare the last frame.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -323,22 +323,10 @@
             .with_jitter(self.context.id)
     }
 
-    /// Connects to a server after a connection to it broke; returns whether the server seems to
-    /// have crashed, and records the crash.
-    ///
-    /// A refused connection indicates a crash, as does an accepted one that is closed immediately.
+    /// Checks a server after a connection to it broke; returns whether it seems to have crashed,
+    /// and records the crash.
     async fn probe_for_crash(&self, selection: &Selection) -> bool {
-        let connect = tokio::net::TcpStream::connect(selection.address.as_str());
-        let crashed = match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
-            Ok(Ok(stream)) => {
-                // A process that exits closes the connections of its requests before its listener,
-                // so this connection may be accepted and reset immediately.
-                let closed = tokio::time::timeout(PROBE_READ_TIMEOUT, stream.readable()).await;
-                closed.is_ok()
-            }
-            Ok(Err(_)) => true,
-            Err(_) => false,
-        };
+        let crashed = seems_crashed(&selection.address).await;
         if crashed {
             self.context.shared.on_crash(&selection.id);
         }
@@ -362,6 +350,23 @@
     }
 }
 
+/// Connects to a server; returns whether its process seems to have ended.
+///
+/// A refused connection indicates this, as does an accepted one that is closed immediately.
+pub async fn seems_crashed(address: &str) -> bool {
+    let connect = tokio::net::TcpStream::connect(address);
+    match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+        Ok(Ok(stream)) => {
+            // A process that exits closes the connections of its requests before its listener, so
+            // this connection may be accepted and reset immediately.
+            let closed = tokio::time::timeout(PROBE_READ_TIMEOUT, stream.readable()).await;
+            closed.is_ok()
+        }
+        Ok(Err(_)) => true,
+        Err(_) => false,
+    }
+}
+
 impl crate::shared::Shared {
     /// Records the crash of a backend server as a strike against each request in flight on it.
     pub fn on_crash(&self, server: &InstanceId) {
--- a/crates/wagtailarch-entry/src/proxy.rs
+++ b/crates/wagtailarch-entry/src/proxy.rs
@@ -194,6 +194,7 @@
         }
         Ok(buffer_response(
             response,
+            &selection.address,
             shared.settings.limits.response_buffer_bytes,
             response_timeout,
         )
--- a/crates/wagtailarch-entry/src/proxy_response.rs
+++ b/crates/wagtailarch-entry/src/proxy_response.rs
@@ -4,13 +4,20 @@
 use std::{any::Any, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use futures_util::{StreamExt, stream};
 use http::{Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::timeout;
 use wagtailarch_types::Ran;
+use wagtailarch_wire::{
+    body_framing::BodyFraming,
+    event_splitter::{EventSplitter, EventTooLong},
+};
 
 use crate::{
+    attempts::seems_crashed,
     body::{BodyError, ClientBody, full, with_guard},
     engine_client::{CallError, parse_ran_header},
     proxy_message::remove_unforwarded_headers,
@@ -30,7 +37,7 @@
     /// The whole body or its beginning.
     buffered: Bytes,
     /// Rest of a body that did not fit in the buffer.
-    rest: Option<Incoming>,
+    rest: Option<ServiceBody>,
     /// Value that is dropped once the response was sent.
     guard: Option<Box<dyn Any + Send>>,
 }
@@ -64,16 +71,26 @@
 /// Buffers the beginning of a response, or all of it if it fits in `buffer_bytes`.
 ///
 /// The call can be retried if the response breaks while it is being buffered. Event streams and
-/// larger bodies are forwarded without buffering.
+/// larger bodies are forwarded without buffering. `address` is that of the server.
 pub async fn buffer_response(
     response: Response<Incoming>,
+    address: &str,
     buffer_bytes: usize,
     time_limit: Duration,
 ) -> BufferResult {
     let (mut head, body) = response.into_parts();
+    let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
+    let mut body = ServiceBody {
+        body,
+        framing,
+        address: address.to_owned(),
+        events: is_event_stream(&head).then(EventSplitter::default),
+        is_empty: true,
+        is_success: head.status.is_success(),
+    };
     remove_unforwarded_headers(&mut head.headers);
-    let large = body.size_hint().lower() > buffer_bytes as u64;
-    if large || is_event_stream(&head) {
+    let large = body.body.size_hint().lower() > buffer_bytes as u64;
+    if large || body.events.is_some() {
         let buffered = Bytes::new();
         return BufferResult::Response(ServiceResponse {
             head,
@@ -82,15 +99,15 @@
             guard: None,
         });
     }
-    let read = timeout(time_limit, read_up_to(body, buffer_bytes)).await;
+    let read = timeout(time_limit, body.read_up_to(buffer_bytes)).await;
     match read {
-        Ok(Some((buffered, rest))) => BufferResult::Response(ServiceResponse {
+        Ok(Ok((buffered, ended))) => BufferResult::Response(ServiceResponse {
             head,
             buffered,
-            rest,
+            rest: (!ended).then_some(body),
             guard: None,
         }),
-        Ok(None) | Err(_) => BufferResult::Broken,
+        Ok(Err(_)) | Err(_) => BufferResult::Broken,
     }
 }
 
@@ -124,26 +141,111 @@
     content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
-/// Reads a body until its end or until more than `limit_bytes` were read.
-///
-/// Returns the bytes and the rest of the body, or `None` if the connection breaks.
-async fn read_up_to(mut body: Incoming, limit_bytes: usize) -> Option<(Bytes, Option<Incoming>)> {
-    let mut buffered = BytesMut::new();
-    while buffered.len() <= limit_bytes {
-        let Some(frame) = body.frame().await else {
-            return Some((buffered.freeze(), None));
-        };
-        if let Ok(data) = frame.ok()?.into_data() {
+/// The body of a service's response; an end that the server did not declare is an error.
+struct ServiceBody {
+    body: Incoming,
+    framing: BodyFraming,
+    /// Address of the server.
+    address: String,
+    /// Splits the body if it is an event stream.
+    events: Option<EventSplitter>,
+    /// Whether no content has been read: no byte, or no complete event of a stream.
+    is_empty: bool,
+    /// Whether the status is a success, whose body must be whole.
+    is_success: bool,
+}
+
+/// Why a body ends early.
+#[derive(Debug, Display)]
+enum ServiceBodyError {
+    /// the connection failed: {0}
+    Connection(hyper::Error),
+    /// an event is too long
+    EventTooLong,
+    /// the server did not declare the end of the body
+    UndeclaredEnd,
+}
+
+impl std::error::Error for ServiceBodyError {}
+
+impl ServiceBody {
+    /// Reads until the end or until more than `limit_bytes` were read.
+    ///
+    /// Returns the bytes and whether the body has ended.
+    async fn read_up_to(&mut self, limit_bytes: usize) -> Result<(Bytes, bool), ServiceBodyError> {
+        let mut buffered = BytesMut::new();
+        while buffered.len() <= limit_bytes {
+            let Some(data) = self.next().await? else {
+                return Ok((buffered.freeze(), true));
+            };
             buffered.extend_from_slice(&data);
         }
+        Ok((buffered.freeze(), false))
+    }
+
+    /// Returns the next bytes; `None` after the declared end.
+    async fn next(&mut self) -> Result<Option<Bytes>, ServiceBodyError> {
+        while let Some(frame) = self.body.frame().await {
+            let Ok(data) = frame.map_err(ServiceBodyError::Connection)?.into_data() else {
+                continue;
+            };
+            self.on_data(&data)?;
+            return Ok(Some(data));
+        }
+        match self.is_declared_end().await {
+            true => Ok(None),
+            false => Err(ServiceBodyError::UndeclaredEnd),
+        }
+    }
+
+    fn on_data(&mut self, data: &[u8]) -> Result<(), ServiceBodyError> {
+        let Some(events) = &mut self.events else {
+            self.is_empty &= data.is_empty();
+            return Ok(());
+        };
+        events.push(data);
+        loop {
+            match events.next_event() {
+                Ok(Some(_)) => self.is_empty = false,
+                Ok(None) => return Ok(()),
+                Err(EventTooLong) => return Err(ServiceBodyError::EventTooLong),
+            }
+        }
+    }
+
+    /// Returns whether the end of the body is the end that the server meant.
+    ///
+    /// A process that crashes closes its connections in order.
+    async fn is_declared_end(&self) -> bool {
+        if !self.is_success {
+            return true;
+        }
+        if self
+            .events
+            .as_ref()
+            .is_some_and(EventSplitter::is_inside_event)
+        {
+            return false;
+        }
+        match self.framing {
+            BodyFraming::Length | BodyFraming::Chunked => true,
+            BodyFraming::Connection => !self.is_empty && !seems_crashed(&self.address).await,
+        }
     }
-    Some((buffered.freeze(), Some(body)))
 }
 
 /// Creates a body that consists of `buffered` and `rest`.
-fn chain_body(buffered: Bytes, rest: Incoming) -> ClientBody {
-    let first = futures_util::stream::iter([Ok(Frame::data(buffered))]);
-    let rest = rest.map_err(|error| -> BodyError { error.into() });
-    let rest = http_body_util::BodyStream::new(rest);
-    BodyExt::boxed_unsync(StreamBody::new(futures_util::StreamExt::chain(first, rest)))
+fn chain_body(buffered: Bytes, rest: ServiceBody) -> ClientBody {
+    let first = stream::iter([Ok(Frame::data(buffered))]);
+    let rest = stream::try_unfold(rest, |mut rest| async move {
+        match rest.next().await {
+            Ok(data) => Ok(data.map(|data| (Frame::data(data), rest))),
+            Err(error) => {
+                // hyper discards pending writes when a body fails without yielding first.
+                tokio::task::yield_now().await;
+                Err(BodyError::from(error))
+            }
+        }
+    });
+    BodyExt::boxed_unsync(StreamBody::new(first.chain(rest)))
 }
