--- a/crates/wagtailarch-entry/src/body.rs
+++ b/crates/wagtailarch-entry/src/body.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use futures_util::stream;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::{Body, Incoming};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use wagtailarch_types::RefusalReason;
@@ -115,6 +116,18 @@
     }
 }
 
+/// Calls `completed` when the whole body was produced, and not if it fails or is dropped.
+pub fn on_complete(body: ClientBody, completed: impl FnOnce() + Send + 'static) -> ClientBody {
+    let frames = stream::try_unfold((body, completed), |(mut body, completed)| async {
+        let Some(frame) = body.frame().await else {
+            completed();
+            return Ok(None);
+        };
+        frame.map(|frame| Some((frame, (body, completed))))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(frames))
+}
+
 /// Attaches a guard that is dropped once the body was sent or dropped.
 pub fn with_guard(body: ClientBody, guard: impl Send + 'static) -> ClientBody {
     let body = body.map_frame(move |frame| {
--- a/crates/wagtailarch-entry/src/client_io.rs
+++ b/crates/wagtailarch-entry/src/client_io.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -36,6 +37,7 @@
             read_since_write: false,
             request_count: 0,
             encrypted: false,
+            resets_on_close: false,
         };
         let socket = Arc::new(ClientSocket(Mutex::new(state)));
         (
@@ -110,7 +112,12 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket.state().stream).poll_shutdown(cx)
+        let mut state = self.socket.state();
+        if state.resets_on_close {
+            // The socket is reset when it is dropped.
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut state.stream).poll_shutdown(cx)
     }
 }
 
@@ -129,6 +136,18 @@
         self.state().request_count > 0
     }
 
+    /// Sets whether closing the socket resets the connection, in whichever way it is closed.
+    ///
+    /// A client of HTTP/1.0 would take an orderly close for the end of a response that is
+    /// incomplete.
+    pub fn set_resets_on_close(&self, resets: bool) -> io::Result<()> {
+        let mut state = self.state();
+        let linger = resets.then_some(Duration::ZERO);
+        SockRef::from(&state.stream).set_linger(linger)?;
+        state.resets_on_close = resets;
+        Ok(())
+    }
+
     /// Marks the socket as encrypted. The number of bytes read then does not show whether the HTTP
     /// version is known.
     pub fn set_encrypted(&self) {
@@ -170,6 +189,8 @@
     read_since_write: bool,
     request_count: u64,
     encrypted: bool,
+    /// Whether closing the socket resets the connection.
+    resets_on_close: bool,
 }
 
 impl State {
--- a/crates/wagtailarch-entry/src/server.rs
+++ b/crates/wagtailarch-entry/src/server.rs
@@ -4,7 +4,10 @@
 
 use futures_util::FutureExt;
 use http::{HeaderValue, Method, Request, Response, Version, header};
-use hyper::{body::Incoming, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
@@ -18,7 +21,7 @@
 use wagtailarch_types::{RefusalReason, RequestId, format_request_id};
 
 use crate::{
-    body::ClientBody,
+    body::{ClientBody, on_complete},
     chat::{self, Api},
     client_io::{ClientIo, ClientSocket},
     client_tls::ClientAcceptor,
@@ -118,13 +121,21 @@
 async fn serve_connection(
     shared: &Arc<Shared>,
     io: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
-    socket: &ClientSocket,
+    socket: &Arc<ClientSocket>,
 ) {
     let timeouts = &shared.settings.timeouts;
     let service = service_fn(|request| {
         let shared = Arc::clone(shared);
+        let socket = Arc::clone(socket);
         socket.count_request();
-        async move { Ok::<_, Infallible>(handle_request(&shared, request).await) }
+        async move {
+            let version = request.version();
+            let response = handle_request(&shared, request).await;
+            Ok::<_, Infallible>(match version < Version::HTTP_11 {
+                true => end_by_close(&shared, socket, response),
+                false => response,
+            })
+        }
     });
     let builder = connection_builder(shared);
     let connection = builder.serve_connection(TokioIo::new(io), service);
@@ -152,6 +163,27 @@
     }
 }
 
+/// Resets the connection of an HTTP/1.0 client unless the whole response was produced: without
+/// chunks, the end of the connection is the end of a body of unknown length.
+fn end_by_close(
+    shared: &Shared,
+    socket: Arc<ClientSocket>,
+    response: Response<ClientBody>,
+) -> Response<ClientBody> {
+    if response.body().size_hint().exact().is_some() {
+        return response;
+    }
+    set_resets_on_close(&shared.log, &socket, true);
+    let log = shared.log.clone();
+    response.map(|body| on_complete(body, move || set_resets_on_close(&log, &socket, false)))
+}
+
+fn set_resets_on_close(log: &slog::Logger, socket: &ClientSocket, resets: bool) {
+    if let Err(error) = socket.set_resets_on_close(resets) {
+        slog::warn!(log, "socket_option_not_set"; "error" => %error);
+    }
+}
+
 /// Waits until a connection should accept no further requests.
 ///
 /// A graceful shutdown in hyper immediately closes a connection that has received no request. A
--- a/crates/wagtailarch-entry/tests/endings.rs
+++ b/crates/wagtailarch-entry/tests/endings.rs
@@ -111,7 +111,7 @@
     #[case] text: String,
     #[case] after: After,
     #[case] complete: bool,
-    #[values("1.1")] version: &str,
+    #[values("1.1", "1.0")] version: &str,
 ) {
     let service = service("text/event-stream", text, after).await;
     assert_eq!(call(service, version).await, (200, complete));
@@ -130,7 +130,7 @@
     #[case] text: String,
     #[case] after: After,
     #[case] complete: bool,
-    #[values("1.1")] version: &str,
+    #[values("1.1", "1.0")] version: &str,
 ) {
     let service = service("text/plain", text, after).await;
     let (status, _) = call(service, version).await;
