Satisfy the linter in the checks of endings

A boolean expression is split in two, and the rest of a service's body is boxed, which made BufferResult large. Behaviour is unchanged; the tests of both pass.

--- a/crates/wagtailarch-entry/src/proxy_response.rs
+++ b/crates/wagtailarch-entry/src/proxy_response.rs
@@ -37,7 +37,7 @@
     /// The whole body or its beginning.
     buffered: Bytes,
     /// Rest of a body that did not fit in the buffer.
-    rest: Option<ServiceBody>,
+    rest: Option<Box<ServiceBody>>,
     /// Value that is dropped once the response was sent.
     guard: Option<Box<dyn Any + Send>>,
 }
@@ -95,7 +95,7 @@
         return BufferResult::Response(ServiceResponse {
             head,
             buffered,
-            rest: Some(body),
+            rest: Some(Box::new(body)),
             guard: None,
         });
     }
@@ -104,7 +104,7 @@
         Ok(Ok((buffered, ended))) => BufferResult::Response(ServiceResponse {
             head,
             buffered,
-            rest: (!ended).then_some(body),
+            rest: (!ended).then(|| Box::new(body)),
             guard: None,
         }),
         Ok(Err(_)) | Err(_) => BufferResult::Broken,
@@ -235,7 +235,7 @@
 }
 
 /// Creates a body that consists of `buffered` and `rest`.
-fn chain_body(buffered: Bytes, rest: ServiceBody) -> ClientBody {
+fn chain_body(buffered: Bytes, rest: Box<ServiceBody>) -> ClientBody {
     let first = stream::iter([Ok(Frame::data(buffered))]);
     let rest = stream::try_unfold(rest, |mut rest| async move {
         match rest.next().await {
--- a/crates/wagtailarch-wire/src/event_splitter.rs
+++ b/crates/wagtailarch-wire/src/event_splitter.rs
@@ -64,7 +64,8 @@
     /// Must be called after all complete events have been taken.
     pub fn is_inside_event(&self) -> bool {
         let block = &self.buffer[self.block_start..];
-        !block.is_empty() && !(block.ends_with(b"\n") && only_comments(block))
+        let ends_line = block.is_empty() || block.ends_with(b"\n");
+        !ends_line || !only_comments(block)
     }
 
     /// Takes the remaining bytes, which form no complete event.
