Log which parts of prompts were being begun when a server crashed

'server crashed' names the server, the request, whether an event had arrived, and the parts that other prompts may share. Nothing else reads them.

--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -172,7 +172,7 @@
                 .borrow_mut()
                 .on_failure(gateway.now(), id);
             log_failure(context, call, CallFailure::CLOSED, &error.to_string());
-            probe_for_crash(context, &call.server);
+            probe_for_crash(context, &call.server, RunProgress::NotBegun);
             return Err(CallFailure::CLOSED);
         }
         Ok(Ok(response)) => response,
@@ -332,12 +332,23 @@
     )
 }
 
+/// How far the run of a request had come when its connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunProgress {
+    /// The server had sent no event of it.
+    NotBegun,
+    /// The server had sent an event.
+    Begun,
+}
+
 /// Records a strike against the request if its server refuses connections, as it does after a
 /// crash.
-pub fn probe_for_crash(context: &RequestContext, server: &ServerEndpoint) {
+pub fn probe_for_crash(context: &RequestContext, server: &ServerEndpoint, progress: RunProgress) {
     let gateway = std::rc::Rc::clone(&context.gateway);
     let server = server.clone();
     let fingerprint = context.fingerprint;
+    let request = context.client.id.clone();
+    let parts = shared_parts(context);
     tokio::task::spawn_local(async move {
         let Err(error) = connect(server.address, CRASH_PROBE_LIMIT).await else {
             return;
@@ -348,11 +359,26 @@
                 .load_balancer
                 .borrow_mut()
                 .on_unreachable(now, &server.id);
+            info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
+                "begun" => progress == RunProgress::Begun, "parts" => parts);
             gateway.record_strike(&server.id, fingerprint);
         }
     });
 }
 
+/// Returns the identifiers of the parts of a prompt that other prompts may share, for logs.
+fn shared_parts(context: &RequestContext) -> String {
+    let Some(prompt) = &context.client.prompt else {
+        return String::new();
+    };
+    let shared = prompt
+        .parts
+        .split_last()
+        .map_or(&[][..], |(_, shared)| shared);
+    let ids: Vec<_> = shared.iter().map(|part| part.id.as_str()).collect();
+    ids.join(",")
+}
+
 fn log_failure(context: &RequestContext, call: &Call, failure: CallFailure, cause: &str) {
     info!(context.gateway.log, "attempt failed"; "request" => %context.client.id,
         "route" => %context.route.name, "server" => %call.server.id,
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     attempts::Attempts,
-    backend_client::{CallFailure, is_declared_end, probe_for_crash},
+    backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
     generation::{GenerationError, StartedGeneration, start},
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
@@ -290,7 +290,11 @@
             let refusal = self.attempts.refusal(RefusalReason::NoBackend);
             return Err(GenerationError::Refused(refusal));
         };
-        probe_for_crash(&self.context, &active.call.server);
+        let progress = match self.has_event {
+            true => RunProgress::Begun,
+            false => RunProgress::NotBegun,
+        };
+        probe_for_crash(&self.context, &active.call.server, progress);
         let engine = active.call.server.id.clone();
         drop(active);
         let rest_bytes = self.splitter.take_rest().len();
