Refuse requests with parts of prompts that crash engines

Cause: the quarantine knows whole requests, by method, path and body, and no two of these were alike; what had crashed engines at one instance was not known at the others. Evidence: the requests whose run had not begun at a crash, one or two at all instances together, have one part in common; the quarantine suspected 286 requests, most of them sound streams.

PartEvidence records, for each crash, the parts of the requests that were being begun, and the parts that have generated output since, which are innocent of it. A part that is left as a candidate of three crashes, 0.4 s apart from the first, is blamed; of parts that always occur together only the deepest, so that requests that share a caller's first part are served. Crashes, outputs and verdicts travel in load notes, whichever way they arrive the verdict is the same; a designated instance repeats them. Requests are judged at their arrival and after each permit, so that retries, prefills and resumed streams are judged too. Suspects run apart from each other and on the engines with the fewest streams. After 15 s, then 45 s and so on, one request is tried by one instance.

--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -97,6 +97,16 @@
         }
     }
 
+    /// Returns whether a server is registered and not leaving.
+    pub fn is_listed(&self, id: &InstanceId) -> bool {
+        self.backends.contains_key(id)
+    }
+
+    /// Returns the instances that share evidence and rate limits.
+    pub fn members(&self) -> &LimitMembers {
+        &self.limit_members
+    }
+
     /// Sets the number of entry instances, including this one.
     pub fn set_instances(&mut self, instances: u32) {
         self.instances = instances;
--- /dev/null
+++ b/crates/wagtailarch-dispatch/src/part_evidence.rs
@@ -0,0 +1,529 @@
+//! Evidence about parts of prompts that crash the servers which begin to generate for them.
+
+use std::{cmp::Reverse, time::Duration};
+
+use indexmap::IndexMap;
+use wagtailarch_types::{InstanceId, rendezvous_weight};
+use wagtailarch_wire::part_report::{
+    BlameReport, CrashReport, OutputReport, PartKey, PartReports, ReportedPart,
+};
+
+use crate::LimitMembers;
+
+/// Number of crashes that a part must be a candidate for to be blamed.
+///
+/// Two are not enough: a sound request that was being begun beside a crashing one is retried on the
+/// server that the crashing one may reach next.
+const MIN_CRASHES: usize = 3;
+/// Number of crashes that an already blamed part does not explain, from which a part with
+/// `MIN_CRASHES` crashes is blamed besides.
+const MIN_UNEXPLAINED: usize = 2;
+/// Time from the first crash of a part to its verdict.
+///
+/// If several servers fail at once, sound parts that many requests share show their innocence
+/// within this time on other servers.
+const SETTLING_TIME: Duration = Duration::from_millis(400);
+/// Time within which crashes of several servers count as one: a guilty part ends servers one by one,
+/// while a common cause, or a peer that reports late, shows in many at once.
+const SIMULTANEOUS: Duration = Duration::from_millis(50);
+/// Time within which reports of a crash of one server mean the same crash; servers take longer to
+/// restart.
+const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
+/// Time after which a crash is forgotten.
+const CRASH_TTL: Duration = Duration::from_secs(60);
+/// Time after the last crash of a blamed part after which it is forgotten.
+const BLAME_TTL: Duration = Duration::from_secs(600);
+/// Time from the verdict until one request with the part is tried.
+const FIRST_TRIAL: Duration = Duration::from_secs(15);
+/// Factor between the time to a trial and the time to the next one.
+const TRIAL_BACKOFF: u32 = 3;
+/// Time for which a trial runs before the next one may begin.
+const TRIAL_TIME: Duration = Duration::from_secs(5);
+/// Interval at which verdicts are reported again, for instances that started or were out of reach.
+const BLAME_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which unexplained crashes are reported again.
+const CRASH_INTERVAL: Duration = Duration::from_secs(4);
+/// Number of intervals after which any instance reports again what the designated one has not.
+const MISSED_INTERVALS: u32 = 3;
+/// Maximum number of crashes that are kept.
+const MAX_CRASHES: usize = 24;
+/// Maximum number of candidate parts of a crash.
+const MAX_CRASH_PARTS: usize = 16;
+/// Maximum number of blamed parts; the one blamed first is evicted first.
+const MAX_BLAMES: usize = 64;
+/// Maximum number of parts whose last output is kept in each of two generations.
+const MAX_OUTPUTS: usize = 2_048;
+
+/// Evidence about the parts of prompts, and the verdicts that follow from it.
+///
+/// Exactly one part of one of the requests that a server was beginning is guilty of its crash,
+/// unless the crash has another cause. A part that generates output after a crash is innocent of
+/// it. Verdicts follow from the set of crashes and outputs, whatever the order of their arrival.
+#[derive(Debug, Default)]
+pub struct PartEvidence {
+    /// Crashes, in the order of their arrival; at most `MAX_CRASHES`.
+    crashes: Vec<Crash>,
+    outputs: Outputs,
+    /// Blamed parts; at most `MAX_BLAMES`.
+    blames: IndexMap<PartKey, Blame>,
+    /// Outputs of suspects that have not been reported.
+    new_outputs: IndexMap<PartKey, Duration>,
+    /// When a suspect may become blamed without further evidence.
+    settles_at: Option<Duration>,
+}
+
+/// A crash of a server.
+#[derive(Debug)]
+struct Crash {
+    /// `server_key` of the server.
+    server: u32,
+    at: Duration,
+    /// Parts of the requests that were being begun, with their largest depth; at most
+    /// `MAX_CRASH_PARTS`.
+    parts: IndexMap<PartKey, u8>,
+    /// When any instance last reported it; `None` while this instance has to.
+    reported_at: Option<Duration>,
+}
+
+/// The verdict on a part.
+#[derive(Debug, Clone, Copy)]
+struct Blame {
+    /// Time of the last crash that counts.
+    at: Duration,
+    /// Number of trials that ended in a crash.
+    trials: u8,
+    /// When this instance began its last trial.
+    trial_began_at: Option<Duration>,
+    reported_at: Option<Duration>,
+}
+
+/// Time of the last output by part, in two generations so that the memory is bounded.
+#[derive(Debug, Default)]
+struct Outputs {
+    current: IndexMap<PartKey, Duration>,
+    previous: IndexMap<PartKey, Duration>,
+}
+
+/// How a request with some parts is treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PartVerdict {
+    /// No part is a candidate for a crash.
+    Clear,
+    /// A part is a candidate for a crash; the request runs apart from others.
+    Suspect,
+    /// A part is blamed, and this request is the one that tests it; it runs apart from others.
+    Trial,
+    /// A part is blamed; the request is refused.
+    Blamed,
+}
+
+/// Candidate for a verdict.
+struct Candidate {
+    part: PartKey,
+    crashes: usize,
+    unexplained: usize,
+    depth: u8,
+    first: Duration,
+    last: Duration,
+}
+
+impl PartEvidence {
+    /// Records that `server` crashed while a request with `parts` was being begun.
+    pub fn on_crash(&mut self, now: Duration, server: u32, parts: &[ReportedPart]) {
+        if !parts.is_empty() {
+            self.add_crash(now, now, server, parts, None);
+            self.update(now);
+        }
+    }
+
+    /// Records that a request with `parts` has generated output; returns whether this has to be
+    /// reported.
+    pub fn on_output(&mut self, now: Duration, parts: &[ReportedPart]) -> bool {
+        let mut has_news = false;
+        for part in parts {
+            if self.is_suspect(part.key) || self.blames.contains_key(&part.key) {
+                self.new_outputs.insert(part.key, now);
+                has_news = true;
+            }
+            self.add_output(now, part.key);
+        }
+        has_news
+    }
+
+    /// Returns how a new request is treated; for [`PartVerdict::Trial`] a trial begins.
+    pub fn admit(
+        &mut self,
+        now: Duration,
+        parts: &[ReportedPart],
+        members: &LimitMembers,
+    ) -> PartVerdict {
+        let verdict = self.verdict(now, parts);
+        if verdict != PartVerdict::Blamed {
+            return verdict;
+        }
+        let blamed = || {
+            parts
+                .iter()
+                .filter(|part| self.blames.contains_key(&part.key))
+        };
+        let is_due = blamed().all(|part| self.blames[&part.key].is_trial_due(now));
+        let is_own = blamed().all(|part| is_designated(part.key, members));
+        if !is_due || !is_own {
+            return PartVerdict::Blamed;
+        }
+        for part in parts {
+            if let Some(blame) = self.blames.get_mut(&part.key) {
+                blame.trial_began_at = Some(now);
+            }
+        }
+        PartVerdict::Trial
+    }
+
+    /// Returns the verdict on a request with `parts`.
+    pub fn verdict(&mut self, now: Duration, parts: &[ReportedPart]) -> PartVerdict {
+        if self.crashes.is_empty() && self.blames.is_empty() {
+            return PartVerdict::Clear;
+        }
+        if self.settles_at.is_some_and(|at| at <= now) {
+            self.update(now);
+        }
+        let verdicts = parts.iter().map(|part| match self.blames.get(&part.key) {
+            Some(blame) if now < blame.at + BLAME_TTL => PartVerdict::Blamed,
+            _ if self.is_suspect(part.key) => PartVerdict::Suspect,
+            _ => PartVerdict::Clear,
+        });
+        verdicts.max().unwrap_or(PartVerdict::Clear)
+    }
+
+    /// Returns the blamed parts.
+    pub fn blamed(&self) -> impl Iterator<Item = PartKey> {
+        self.blames.keys().copied()
+    }
+
+    /// Returns whether there is evidence that no instance has reported yet.
+    pub fn has_news(&self) -> bool {
+        !self.new_outputs.is_empty()
+            || self.crashes.iter().any(|crash| crash.reported_at.is_none())
+            || self
+                .blames
+                .values()
+                .any(|blame| blame.reported_at.is_none())
+    }
+
+    /// Returns the evidence to report now.
+    ///
+    /// What is new is reported by the instance that found it, and again by a designated one.
+    pub fn take_reports(&mut self, now: Duration, members: &LimitMembers) -> PartReports {
+        if self.crashes.is_empty() && self.blames.is_empty() {
+            return PartReports::default();
+        }
+        self.update(now);
+        let is_due = |key: u64, reported: Option<Duration>, interval: Duration| {
+            let missed = interval * MISSED_INTERVALS;
+            reported.is_none_or(|at| {
+                now >= at + missed || (now >= at + interval && is_designated(key, members))
+            })
+        };
+        let mut reports = PartReports::default();
+        for index in 0..self.crashes.len() {
+            let crash = &self.crashes[index];
+            let (at, server, reported_at) = (crash.at, crash.server, crash.reported_at);
+            if !is_due(server.into(), reported_at, CRASH_INTERVAL)
+                || (reported_at.is_some() && self.is_explained(crash))
+            {
+                continue;
+            }
+            // Parts that were found innocent need no mention; a receiver may not know why.
+            let parts = crash
+                .parts
+                .iter()
+                .filter(|(part, _)| self.counts(crash, **part));
+            let parts: Vec<_> = parts
+                .map(|(&key, &depth)| ReportedPart { key, depth })
+                .collect();
+            self.crashes[index].reported_at = Some(now);
+            if !parts.is_empty() {
+                reports.crashes.push(CrashReport {
+                    server,
+                    age_ms: age_ms(now, at),
+                    parts,
+                });
+            }
+        }
+        for (&part, blame) in &mut self.blames {
+            if !is_due(part, blame.reported_at, BLAME_INTERVAL) {
+                continue;
+            }
+            blame.reported_at = Some(now);
+            reports.blames.push(BlameReport {
+                part,
+                age_ms: age_ms(now, blame.at),
+                trials: blame.trials,
+            });
+        }
+        reports.outputs = std::mem::take(&mut self.new_outputs)
+            .into_iter()
+            .map(|(part, at)| OutputReport {
+                part,
+                age_ms: age_ms(now, at),
+            })
+            .collect();
+        reports
+    }
+
+    /// Applies the reports of a peer.
+    pub fn apply(&mut self, now: Duration, reports: &PartReports) {
+        let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
+        for report in &reports.outputs {
+            self.add_output(time(report.age_ms), report.part);
+        }
+        for report in &reports.crashes {
+            let at = time(report.age_ms);
+            self.add_crash(now, at, report.server, &report.parts, Some(now));
+        }
+        for report in &reports.blames {
+            self.add_blame(now, time(report.age_ms), report);
+        }
+        if !reports.crashes.is_empty() {
+            self.update(now);
+        }
+    }
+
+    fn add_crash(
+        &mut self,
+        now: Duration,
+        at: Duration,
+        server: u32,
+        parts: &[ReportedPart],
+        reported_at: Option<Duration>,
+    ) {
+        let same = self
+            .crashes
+            .iter_mut()
+            .find(|crash| crash.server == server && crash.at.abs_diff(at) < SAME_CRASH_TIME);
+        let crash = match same {
+            Some(crash) => crash,
+            None => {
+                if self.crashes.len() >= MAX_CRASHES {
+                    // The first crashes show how long the evidence has settled, the last ones
+                    // narrow it.
+                    let explained = self.crashes.iter().position(|c| self.is_explained(c));
+                    self.crashes.remove(explained.unwrap_or(MAX_CRASHES / 2));
+                }
+                self.crashes.push(Crash {
+                    server,
+                    at,
+                    parts: IndexMap::new(),
+                    reported_at,
+                });
+                self.crashes.last_mut().expect("just added")
+            }
+        };
+        crash.at = crash.at.min(at);
+        let mut has_news = false;
+        for part in parts {
+            let is_new = !crash.parts.contains_key(&part.key);
+            if is_new && crash.parts.len() >= MAX_CRASH_PARTS {
+                continue;
+            }
+            let depth = crash.parts.entry(part.key).or_default();
+            *depth = part.depth.max(*depth);
+            has_news |= is_new;
+        }
+        if reported_at.is_some() {
+            crash.reported_at = Some(now);
+        } else if has_news {
+            crash.reported_at = None;
+        }
+        let at = crash.at;
+        for part in parts {
+            if let Some(blame) = self.blames.get_mut(&part.key) {
+                blame.on_crash(at);
+            }
+            // This instance may know of an output that those who reported the crash do not know.
+            if let Some(output) = self.outputs.get(part.key).filter(|output| *output > at) {
+                self.new_outputs.entry(part.key).or_insert(output);
+            }
+        }
+    }
+
+    fn add_output(&mut self, at: Duration, part: PartKey) {
+        self.outputs.insert(part, at);
+        let blame = self.blames.get(&part);
+        if blame.is_some_and(|blame| blame.at < at) {
+            self.blames.swap_remove(&part);
+        }
+    }
+
+    fn add_blame(&mut self, now: Duration, at: Duration, report: &BlameReport) {
+        let is_refuted = self
+            .outputs
+            .get(report.part)
+            .is_some_and(|output| output > at);
+        if is_refuted || now >= at + BLAME_TTL {
+            return;
+        }
+        let Some(known) = self.blames.get_mut(&report.part) else {
+            return self.insert_blame(report.part, at, report.trials, Some(now));
+        };
+        known.reported_at = Some(now);
+        match report.trials.cmp(&known.trials) {
+            std::cmp::Ordering::Less => {}
+            // The delay of reports makes them appear younger than they are.
+            std::cmp::Ordering::Equal => known.at = known.at.min(at),
+            std::cmp::Ordering::Greater => {
+                known.at = at;
+                known.trials = report.trials;
+            }
+        }
+    }
+
+    fn insert_blame(
+        &mut self,
+        part: PartKey,
+        at: Duration,
+        trials: u8,
+        reported_at: Option<Duration>,
+    ) {
+        if self.blames.len() >= MAX_BLAMES {
+            self.blames.shift_remove_index(0);
+        }
+        let blame = Blame {
+            at,
+            trials,
+            trial_began_at: None,
+            reported_at,
+        };
+        self.blames.insert(part, blame);
+    }
+
+    /// Forgets old evidence and draws the verdicts that follow from the rest.
+    fn update(&mut self, now: Duration) {
+        self.crashes.retain(|crash| now < crash.at + CRASH_TTL);
+        self.blames.retain(|_, blame| now < blame.at + BLAME_TTL);
+        self.settles_at = None;
+        for _ in 0..MAX_CRASHES {
+            let candidates = self.candidates();
+            let settled = candidates.iter().filter(|c| now >= c.first + SETTLING_TIME);
+            // The deepest of the parts that always occur together shuts out the fewest requests.
+            let guilty = settled.max_by_key(|c| (c.crashes, c.depth, Reverse(c.part)));
+            let Some(guilty) = guilty else {
+                let settling = candidates.iter().map(|c| c.first + SETTLING_TIME);
+                self.settles_at = settling.min();
+                return;
+            };
+            let (part, last) = (guilty.part, guilty.last);
+            self.insert_blame(part, last, 0, None);
+        }
+    }
+
+    /// Returns the parts with enough crashes to be blamed.
+    fn candidates(&self) -> Vec<Candidate> {
+        if self.crashes.len() < MIN_CRASHES {
+            return Vec::new();
+        }
+        let mut candidates: IndexMap<PartKey, Candidate> = IndexMap::new();
+        let mut crashes: Vec<_> = self.crashes.iter().collect();
+        crashes.sort_by_key(|crash| crash.at);
+        for crash in crashes {
+            let is_explained = self.is_explained(crash);
+            for (&part, &depth) in &crash.parts {
+                if !self.counts(crash, part) || self.blames.contains_key(&part) {
+                    continue;
+                }
+                let candidate = candidates.entry(part).or_insert(Candidate {
+                    part,
+                    crashes: 0,
+                    unexplained: 0,
+                    depth,
+                    first: crash.at,
+                    last: crash.at,
+                });
+                candidate.depth = candidate.depth.max(depth);
+                if candidate.crashes > 0 && crash.at < candidate.last + SIMULTANEOUS {
+                    continue;
+                }
+                candidate.crashes += 1;
+                candidate.unexplained += usize::from(!is_explained);
+                candidate.last = crash.at;
+            }
+        }
+        candidates.retain(|_, c| c.crashes >= MIN_CRASHES && c.unexplained >= MIN_UNEXPLAINED);
+        candidates.into_values().collect()
+    }
+
+    /// Returns whether a crash counts against one of its parts: it has generated nothing since.
+    fn counts(&self, crash: &Crash, part: PartKey) -> bool {
+        self.outputs
+            .get(part)
+            .is_none_or(|output| output <= crash.at)
+    }
+
+    /// Returns whether a blamed part was a candidate for a crash.
+    fn is_explained(&self, crash: &Crash) -> bool {
+        crash
+            .parts
+            .keys()
+            .any(|part| self.blames.contains_key(part))
+    }
+
+    /// Returns whether an unexplained crash counts against a part.
+    fn is_suspect(&self, part: PartKey) -> bool {
+        self.crashes.iter().any(|crash| {
+            crash.parts.contains_key(&part) && self.counts(crash, part) && !self.is_explained(crash)
+        })
+    }
+}
+
+impl Blame {
+    fn is_trial_due(&self, now: Duration) -> bool {
+        let backoff = TRIAL_BACKOFF.saturating_pow(self.trials.into());
+        let due_at = self.at + FIRST_TRIAL.saturating_mul(backoff).min(BLAME_TTL);
+        let is_idle = self
+            .trial_began_at
+            .is_none_or(|began| now >= began + TRIAL_TIME);
+        now >= due_at && is_idle
+    }
+
+    /// Records a crash with the part; one that is not simultaneous with the verdict is a trial.
+    fn on_crash(&mut self, at: Duration) {
+        if at >= self.at + FIRST_TRIAL / 2 {
+            self.at = at;
+            self.trials = self.trials.saturating_add(1);
+            self.reported_at = None;
+        }
+    }
+}
+
+impl Outputs {
+    fn get(&self, part: PartKey) -> Option<Duration> {
+        let current = self.current.get(&part);
+        current.or_else(|| self.previous.get(&part)).copied()
+    }
+
+    /// Records an output unless a later one is known.
+    fn insert(&mut self, part: PartKey, at: Duration) {
+        let latest = self.get(part).map_or(at, |known| known.max(at));
+        if self.current.len() >= MAX_OUTPUTS && !self.current.contains_key(&part) {
+            self.previous = std::mem::take(&mut self.current);
+        }
+        self.current.insert(part, latest);
+    }
+}
+
+/// Returns whether this instance tests a part, or repeats a report, on behalf of all; instances with
+/// the same live members select the same one.
+fn is_designated(key: u64, members: &LimitMembers) -> bool {
+    let Some(own) = &members.own else {
+        return false;
+    };
+    let weight = |member: &InstanceId| rendezvous_weight(key, member);
+    members
+        .live
+        .iter()
+        .all(|member| weight(member) < weight(own))
+}
+
+fn age_ms(now: Duration, at: Duration) -> u32 {
+    u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -36,6 +36,8 @@
 const DELAYED_STREAM_WEIGHT: f64 = 0.15;
 /// Cost of a decode engine for each request that runs on it, since requests slow each other down.
 const RUNNING_REQUEST_MS: f64 = 1.0;
+/// The same for a request that may crash the engine and so break the others off.
+const ISOLATED_RUNNING_REQUEST_MS: f64 = 50.0;
 /// Cost for each position of an engine below the first in the preference order of the prompt's
 /// prefix.
 const AFFINITY_RANK_MS: f64 = 4.0;
@@ -81,6 +83,8 @@
     pub zone: &'a ZoneName,
     /// Rank among the requests to rate-limited engines.
     pub rank: PermitRank,
+    /// Whether the request is to run beside few others, since it may crash its engine.
+    pub isolated: bool,
 }
 
 /// Engine that prefills the prompt.
@@ -186,7 +190,11 @@
     if running >= state.properties.slots {
         return None;
     }
-    let cost_ms = f64::from(running) * RUNNING_REQUEST_MS
+    let running_ms = match request.isolated {
+        true => ISOLATED_RUNNING_REQUEST_MS,
+        false => RUNNING_REQUEST_MS,
+    };
+    let cost_ms = f64::from(running) * running_ms
         + rank as f64 * AFFINITY_RANK_MS
         + zone_cost_ms(&decode_engine.server.zone, request.zone)
         + decode_engine.failure_cost(now);
--- a/crates/wagtailarch-dispatch/src/request.rs
+++ b/crates/wagtailarch-dispatch/src/request.rs
@@ -2,6 +2,7 @@
 
 use smol_str::SmolStr;
 use wagtailarch_types::ModelName;
+use wagtailarch_wire::part_report::ReportedPart;
 
 /// The kind of a request, which determines whether it may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -85,4 +86,19 @@
         }
         links
     }
+
+    /// Returns the parts that other prompts may share: all but the last one.
+    pub fn shared_parts(&self) -> Vec<ReportedPart> {
+        let model = xxhash_rust::xxh3::xxh3_64(self.model.as_bytes());
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let parts = shared.iter().enumerate();
+        let parts = parts.map(|(depth, part)| ReportedPart {
+            key: xxhash_rust::xxh3::xxh3_64_with_seed(part.id.as_bytes(), model),
+            depth: u8::try_from(depth).unwrap_or(u8::MAX),
+        });
+        parts.collect()
+    }
 }
--- a/crates/wagtailarch-dispatch/tests/common/mod.rs
+++ b/crates/wagtailarch-dispatch/tests/common/mod.rs
@@ -87,5 +87,6 @@
         client_timeout_left: Duration::from_millis(2_400),
         zone,
         rank: PermitRank::Normal,
+        isolated: false,
     }
 }
--- a/crates/wagtailarch-dispatch/tests/load_note.rs
+++ b/crates/wagtailarch-dispatch/tests/load_note.rs
@@ -7,7 +7,10 @@
 use common::{ENGINES, config, engine};
 use wagtailarch_dispatch::{LoadBalancer, Urgency};
 use wagtailarch_types::{InstanceId, Role, ServiceName};
-use wagtailarch_wire::load_note::{LoadNote, OpenPrefill, StoreVersions, server_key};
+use wagtailarch_wire::{
+    load_note::{LoadNote, OpenPrefill, StoreVersions, server_key},
+    part_report::PartReports,
+};
 
 fn note(sender: &str, prefills: &[(&str, u32)], running: &[(&str, u32)]) -> LoadNote {
     let open_prefill = |&(engine, number): &(&str, u32)| OpenPrefill {
@@ -29,6 +32,7 @@
         running: running.collect(),
         strikes: Vec::new(),
         limits: Vec::new(),
+        parts: PartReports::default(),
     }
 }
 
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -172,7 +172,11 @@
                 .borrow_mut()
                 .on_failure(gateway.now(), id);
             log_failure(context, call, CallFailure::CLOSED, &error.to_string());
-            probe_for_crash(context, &call.server, RunProgress::NotBegun);
+            let progress = match call.step {
+                CallStep::Prefill => RunProgress::Prefill,
+                CallStep::Whole | CallStep::Decode(_) => RunProgress::NotBegun,
+            };
+            probe_for_crash(context, &call.server, progress);
             return Err(CallFailure::CLOSED);
         }
         Ok(Ok(response)) => response,
@@ -335,6 +339,8 @@
 /// How far the run of a request had come when its connection broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunProgress {
+    /// The call only requested a prefill, which generates nothing.
+    Prefill,
     /// The server had sent no event of it.
     NotBegun,
     /// The server had sent an event.
@@ -348,7 +354,8 @@
     let server = server.clone();
     let fingerprint = context.fingerprint;
     let request = context.client.id.clone();
-    let parts = shared_parts(context);
+    let part_ids = shared_part_ids(context);
+    let parts = context.parts.clone();
     tokio::task::spawn_local(async move {
         let Err(error) = connect(server.address, CRASH_PROBE_LIMIT).await else {
             return;
@@ -360,14 +367,17 @@
                 .borrow_mut()
                 .on_unreachable(now, &server.id);
             info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
-                "begun" => progress == RunProgress::Begun, "parts" => parts);
+                "progress" => ?progress, "parts" => part_ids);
+            if progress == RunProgress::NotBegun {
+                gateway.record_part_crash(&server.id, &parts);
+            }
             gateway.record_strike(&server.id, fingerprint);
         }
     });
 }
 
 /// Returns the identifiers of the parts of a prompt that other prompts may share, for logs.
-fn shared_parts(context: &RequestContext) -> String {
+fn shared_part_ids(context: &RequestContext) -> String {
     let Some(prompt) = &context.client.prompt else {
         return String::new();
     };
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -7,15 +7,18 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use slog::{Logger, info};
 use tokio::{net::UdpSocket, sync::watch};
 use wagtailarch_dispatch::{
-    LimitChange, LoadBalancer, NamedLimit, RateLimit, RetryWindow, SharedRetryBudget,
+    LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, SharedRetryBudget,
 };
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{InstanceId, ServiceName};
-use wagtailarch_wire::load_note::{LimitReport, SentPrefixes, StrikeNote};
+use wagtailarch_wire::{
+    load_note::{LimitReport, SentPrefixes, StrikeNote, server_key},
+    part_report::{PartReports, ReportedPart},
+};
 
 use crate::{
     body_buffer::BufferBudget,
@@ -42,6 +45,10 @@
     pub load_balancer: RefCell<LoadBalancer>,
     /// Requests suspected of crashing servers.
     pub quarantine: Quarantine,
+    /// Evidence about parts of prompts that crash servers.
+    pub part_evidence: RefCell<PartEvidence>,
+    /// Number of suspects that each engine is beginning for this instance.
+    pub suspect_runs: RefCell<IndexMap<InstanceId, u32>>,
     /// Updates for peers that have not been sent yet.
     pub outbox: Outbox,
     /// Socket for datagrams of other instances.
@@ -91,6 +98,8 @@
             traffic,
             load_balancer: RefCell::default(),
             quarantine: Quarantine::new(),
+            part_evidence: RefCell::default(),
+            suspect_runs: RefCell::default(),
             outbox: Outbox::default(),
             peer_socket,
             pending_permits: PendingPermits::default(),
@@ -241,6 +250,56 @@
         }
     }
 
+    /// Records that a server crashed while it was beginning a request with the given parts.
+    pub fn record_part_crash(&self, server: &InstanceId, parts: &[ReportedPart]) {
+        // A server that leaves or was removed ends by itself.
+        if !self.load_balancer.borrow().is_listed(server) {
+            return;
+        }
+        let now = self.now();
+        self.change_part_evidence("crash", |evidence| {
+            evidence.on_crash(now, server_key(server), parts);
+        });
+    }
+
+    /// Records that a server generates output for a request with the given parts.
+    pub fn record_part_output(&self, parts: &[ReportedPart]) {
+        let now = self.now();
+        let mut evidence = self.part_evidence.borrow_mut();
+        if evidence.on_output(now, parts) {
+            drop(evidence);
+            self.schedule_load_note();
+        }
+    }
+
+    /// Applies the evidence that a peer reports.
+    pub fn on_peer_parts(&self, reports: &PartReports) {
+        if reports.is_empty() {
+            return;
+        }
+        let now = self.now();
+        self.change_part_evidence("peer", |evidence| evidence.apply(now, reports));
+    }
+
+    /// Changes the evidence about parts, logs the verdicts that follow, and reports news to peers.
+    fn change_part_evidence(&self, source: &'static str, change: impl FnOnce(&mut PartEvidence)) {
+        let mut evidence = self.part_evidence.borrow_mut();
+        let before: IndexSet<_> = evidence.blamed().collect();
+        change(&mut evidence);
+        let after: IndexSet<_> = evidence.blamed().collect();
+        for part in after.difference(&before) {
+            info!(self.log, "part blamed"; "part" => format!("{part:016x}"), "source" => source);
+        }
+        for part in before.difference(&after) {
+            info!(self.log, "part acquitted"; "part" => format!("{part:016x}"),
+                "source" => source);
+        }
+        if evidence.has_news() {
+            drop(evidence);
+            self.schedule_load_note();
+        }
+    }
+
     /// Applies a strike that a peer reported.
     pub fn on_peer_strike(&self, strike: StrikeNote) {
         let event = StrikeEvent {
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -6,14 +6,16 @@
 use http::{Response, StatusCode};
 use slog::{debug, info};
 use wagtailarch_adapter::{CallStep, KvSource, PriorityClass, decode_prefill_response};
-use wagtailarch_dispatch::{GenerationPlan, Placement, PrefillPlan, ServerEndpoint, Urgency};
+use wagtailarch_dispatch::{
+    GenerationPlan, GenerationRequest, Placement, PrefillPlan, ServerEndpoint, Urgency,
+};
 use wagtailarch_types::{InstanceId, RefusalReason, RetryReason};
 use wagtailarch_wire::permit::PermitRank;
 
 use crate::{
     attempts::{Attempts, MAX_CALLS},
     backend_client::{BackendResponse, Call, CallFailure, collect_body, send},
-    guards::{DecodeGuard, PrefillGuard},
+    guards::{DecodeGuard, PrefillGuard, SuspectGuard},
     permits::{self, Permit},
     refusal::Refusal,
     request_context::RequestContext,
@@ -40,6 +42,8 @@
     pub call: Call,
     /// Counts the generation as running on the decode engine.
     pub _decode_guard: DecodeGuard,
+    /// Keeps other suspects away from the decode engine until the first event.
+    pub suspect: Option<SuspectGuard>,
     /// The open prefill, while the decode engine does it itself.
     pub prefill: Option<PrefillGuard>,
 }
@@ -53,6 +57,12 @@
     ErrorResponse(Box<Response<ResponseBody>>),
 }
 
+impl From<Refusal> for GenerationError {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
 /// Serves a generation.
 pub async fn serve(context: Rc<RequestContext>) -> Response<ResponseBody> {
     let mut attempts = Attempts::default();
@@ -82,7 +92,8 @@
         false => context.rank(),
     };
     loop {
-        let plan = plan(context, attempts, rank).map_err(GenerationError::Refused)?;
+        let isolated = context.judge_parts(attempts.ran())?;
+        let plan = plan(context, attempts, rank, isolated).map_err(GenerationError::Refused)?;
         // A prefill without a permit for the decode step would be wasted.
         let gateway = &context.gateway;
         let Some(decode_permit) = permits::acquire(gateway, &plan.decode.id, rank).await else {
@@ -113,8 +124,11 @@
                 false => context.time_left(),
             },
         };
+        // Evidence may have arrived during the prefill or while a permit was awaited.
+        context.judge_parts(attempts.ran())?;
         attempts.calls += 1;
         let decode_guard = DecodeGuard::new(gateway, &decode_engine.id);
+        let suspect = isolated.then(|| SuspectGuard::new(gateway, &decode_engine.id));
         let prefill = prefill_engine
             .is_none()
             .then(|| start_prefill(context, &decode_engine, plan.urgency));
@@ -125,6 +139,7 @@
                     response,
                     call,
                     _decode_guard: decode_guard,
+                    suspect,
                     prefill,
                 });
             }
@@ -191,16 +206,29 @@
     context: &RequestContext,
     attempts: &Attempts,
     rank: PermitRank,
+    isolated: bool,
 ) -> Result<GenerationPlan, Refusal> {
     let gateway = &context.gateway;
-    let request = context.generation_request(rank);
+    let request = GenerationRequest {
+        isolated,
+        ..context.generation_request(rank)
+    };
     let excluded = &attempts.excluded_engines;
-    let placement = gateway.load_balancer.borrow().place_generation(
-        gateway.now(),
-        &context.service,
-        &request,
-        excluded,
-    );
+    let load_balancer = gateway.load_balancer.borrow();
+    let place = |excluded: &[InstanceId]| {
+        let now = gateway.now();
+        load_balancer.place_generation(now, &context.service, &request, excluded)
+    };
+    let mut placement = Placement::NoEngine;
+    if isolated {
+        let suspects = gateway.suspect_runs.borrow();
+        let apart: Vec<_> = excluded.iter().chain(suspects.keys()).cloned().collect();
+        placement = place(&apart);
+    }
+    if !matches!(placement, Placement::Use(_)) {
+        placement = place(excluded);
+    }
+    drop(load_balancer);
     match placement {
         Placement::Use(plan) => {
             debug!(gateway.log, "placed"; "request" => %context.client.id, "route" => %context.route.name,
@@ -255,6 +283,9 @@
         attempts.excluded_engines.push(prefill_engine.id.clone());
         return Err(PrefillError::Replan);
     };
+    context
+        .judge_parts(attempts.ran())
+        .map_err(PrefillError::Refused)?;
     // Once a prefill has reached an engine, each further one takes a retry from the budget. It is
     // counted as a failed import, whatever made the earlier prefill or its decode fail.
     if attempts.prefills > 0 {
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -109,6 +109,38 @@
     }
 }
 
+/// Marks an engine as beginning a request with a part that is suspected of crashing engines.
+#[derive(Debug)]
+pub struct SuspectGuard {
+    gateway: Rc<Gateway>,
+    engine: InstanceId,
+}
+
+impl SuspectGuard {
+    /// Marks an engine.
+    pub fn new(gateway: &Rc<Gateway>, engine: &InstanceId) -> Self {
+        let mut suspect_runs = gateway.suspect_runs.borrow_mut();
+        *suspect_runs.entry(engine.clone()).or_default() += 1;
+        Self {
+            gateway: Rc::clone(gateway),
+            engine: engine.clone(),
+        }
+    }
+}
+
+impl Drop for SuspectGuard {
+    fn drop(&mut self) {
+        let mut suspect_runs = self.gateway.suspect_runs.borrow_mut();
+        let Some(count) = suspect_runs.get_mut(&self.engine) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            suspect_runs.swap_remove(&self.engine);
+        }
+    }
+}
+
 /// Counts an open client connection.
 #[derive(Debug)]
 pub struct ConnectionGuard {
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -224,6 +224,7 @@
         gateway.traffic.on_note(now, &note);
         gateway.load_balancer.borrow_mut().on_load_note(now, &note);
         gateway.on_peer_limits(now, &note.limits);
+        gateway.on_peer_parts(&note.parts);
         for strike in &note.strikes {
             gateway.on_peer_strike(strike.clone());
         }
@@ -264,6 +265,7 @@
         let gateway = &self.gateway;
         let snapshot = gateway.snapshot();
         let mut load_balancer = gateway.load_balancer.borrow_mut();
+        let members = load_balancer.members().clone();
         LoadNote {
             sender: gateway.settings.instance.clone(),
             zone: gateway.settings.zone.clone(),
@@ -276,6 +278,10 @@
             running: load_balancer.own_running(),
             strikes: pending.strikes,
             limits: load_balancer.take_limit_reports(gateway.now()),
+            parts: gateway
+                .part_evidence
+                .borrow_mut()
+                .take_reports(gateway.now(), &members),
         }
     }
 }
--- a/crates/wagtailarch-gateway/src/refusal.rs
+++ b/crates/wagtailarch-gateway/src/refusal.rs
@@ -25,15 +25,6 @@
 }
 
 impl Refusal {
-    /// Creates the refusal of a request that has not run.
-    pub const fn not_run(reason: RefusalReason, retry_after: Duration) -> Self {
-        Self {
-            reason,
-            ran: Ran::No,
-            retry_after,
-        }
-    }
-
     /// Returns the status; 503 promises that the request has not run and never will.
     fn status(&self) -> StatusCode {
         if self.ran == Ran::No {
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -1,11 +1,14 @@
 //! Context of a client's request.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use wagtailarch_adapter::ClientRequest;
-use wagtailarch_dispatch::{GenerationRequest, PrefixLink, Route, RoutingConfig};
-use wagtailarch_types::{Fingerprint, InstanceId, Ran, ServiceName, fingerprint};
-use wagtailarch_wire::permit::PermitRank;
+use wagtailarch_dispatch::{
+    GenerationRequest, PartVerdict, PrefixLink, Prompt, Route, RoutingConfig,
+};
+use wagtailarch_traffic::Verdict;
+use wagtailarch_types::{Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, fingerprint};
+use wagtailarch_wire::{part_report::ReportedPart, permit::PermitRank};
 
 use crate::{
     body_buffer::BufferedBody,
@@ -15,6 +18,8 @@
 
 /// Output tokens assumed for a generation whose client states no limit.
 const DEFAULT_OUTPUT_TOKENS: u32 = 4_096;
+/// Time after which a client may retry a request that is quarantined.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// Events of a stream that carry no output token, such as its end.
 const NON_TOKEN_EVENTS: u64 = 64;
 
@@ -37,6 +42,10 @@
     pub arrived: Duration,
     /// Prefixes of the prompt.
     pub prefixes: Vec<PrefixLink>,
+    /// Parts of the prompt that other prompts may share.
+    pub parts: Vec<ReportedPart>,
+    /// Whether this request tests a part that is blamed for crashes.
+    pub is_trial: Cell<bool>,
     /// Hash of method, path and body, which identifies a repeated request.
     pub fingerprint: Fingerprint,
 }
@@ -53,6 +62,7 @@
     ) -> Self {
         let service = route.target(&client.id).clone();
         let prefixes = client.prompt.as_ref().map(|prompt| prompt.prefixes());
+        let parts = client.prompt.as_ref().map(Prompt::shared_parts);
         let target = client.uri.path_and_query().map_or("", |path| path.as_str());
         let fields = [
             client.method.as_str().as_bytes(),
@@ -63,6 +73,8 @@
         Self {
             gateway: Rc::clone(gateway),
             prefixes: prefixes.unwrap_or_default(),
+            parts: parts.unwrap_or_default(),
+            is_trial: Cell::new(false),
             client,
             body,
             route,
@@ -73,6 +85,51 @@
         }
     }
 
+    /// Decides whether the request may be served, since it or a part of its prompt may have crashed
+    /// servers.
+    pub fn admit(&self) -> Result<(), Refusal> {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let load_balancer = gateway.load_balancer.borrow();
+        let mut evidence = gateway.part_evidence.borrow_mut();
+        match evidence.admit(now, &self.parts, load_balancer.members()) {
+            PartVerdict::Blamed => return Err(self.quarantined(Ran::No)),
+            PartVerdict::Trial => self.is_trial.set(true),
+            PartVerdict::Clear | PartVerdict::Suspect => {}
+        }
+        match gateway.quarantine.check(now, self.fingerprint) {
+            Verdict::Quarantined => Err(self.quarantined(Ran::No)),
+            Verdict::Clear | Verdict::Suspect => Ok(()),
+        }
+    }
+
+    /// Judges the parts of the prompt again, immediately before a call; `ran` states whether the
+    /// request may have run. Returns whether the call is to run apart from others.
+    pub fn judge_parts(&self, ran: Ran) -> Result<bool, Refusal> {
+        let now = self.gateway.now();
+        let verdict = self
+            .gateway
+            .part_evidence
+            .borrow_mut()
+            .verdict(now, &self.parts);
+        match verdict {
+            PartVerdict::Clear => Ok(false),
+            // A trial is over with its first run.
+            PartVerdict::Blamed if !self.is_trial.get() || ran != Ran::No => {
+                Err(self.quarantined(ran))
+            }
+            PartVerdict::Suspect | PartVerdict::Trial | PartVerdict::Blamed => Ok(true),
+        }
+    }
+
+    fn quarantined(&self, ran: Ran) -> Refusal {
+        Refusal {
+            reason: RefusalReason::Quarantined,
+            ran,
+            retry_after: QUARANTINE_RETRY_AFTER,
+        }
+    }
+
     /// Returns the time since the arrival.
     pub fn age(&self) -> Duration {
         self.gateway.now().saturating_sub(self.arrived)
@@ -113,6 +170,7 @@
             client_timeout_left: self.client_timeout_left(),
             zone: &self.gateway.settings.zone,
             rank,
+            isolated: false,
         }
     }
 
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -13,7 +13,6 @@
 };
 use wagtailarch_adapter::{ClientRequest, decode_client_request, encode_refusal};
 use wagtailarch_dispatch::ClientLimits;
-use wagtailarch_traffic::Verdict;
 use wagtailarch_types::{Ran, RefusalReason};
 
 use crate::{
@@ -42,8 +41,6 @@
 ///
 /// Half of the 4,100 file descriptors of the smallest machines are left for calls to servers.
 const MAX_CLIENT_CONNECTIONS: usize = 2_000;
-/// Time after which a client may retry a request that is quarantined.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// Accepts client connections until the shutdown reaches [`ShutdownState::Finishing`].
 ///
@@ -177,8 +174,8 @@
     let context = RequestContext::new(gateway, client, body, route, config, arrived);
     gateway.count_request(&context.service);
     let context = Rc::new(context);
-    let response = if is_quarantined(&context) {
-        Refusal::not_run(RefusalReason::Quarantined, QUARANTINE_RETRY_AFTER).respond(&context)
+    let response = if let Err(refusal) = context.admit() {
+        refusal.respond(&context)
     } else if context.route.kind.is_stream() {
         generation::serve(context).await
     } else {
@@ -187,12 +184,6 @@
     response.map(|body| body.with_request_guard(request_guard))
 }
 
-/// Returns whether the request is quarantined because it crashed servers before.
-fn is_quarantined(context: &RequestContext) -> bool {
-    let gateway = &context.gateway;
-    gateway.quarantine.check(gateway.now(), context.fingerprint) == Verdict::Quarantined
-}
-
 /// Buffers the whole body of a request.
 async fn read_body(
     gateway: &Gateway,
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -46,6 +46,8 @@
     framing: BodyFraming,
     /// Whether the last engine has sent a complete event.
     has_event: bool,
+    /// Whether an event of the last engine has been recorded as output of the prompt's parts.
+    output_recorded: bool,
     splitter: EventSplitter,
     /// Id of the last event sent to the client.
     last_event: Option<u64>,
@@ -88,6 +90,7 @@
         attempts,
         framing: started.response.framing,
         has_event: false,
+        output_recorded: false,
         active: Some(started),
         splitter: EventSplitter::default(),
         last_event,
@@ -205,6 +208,12 @@
     }
 
     fn on_events(&mut self) {
+        if let Some(active) = &mut self.active {
+            active.suspect = None;
+            if !std::mem::replace(&mut self.output_recorded, true) {
+                self.context.gateway.record_part_output(&self.context.parts);
+            }
+        }
         // The first event shows that the prefill is done.
         let prefill = self
             .active
@@ -327,6 +336,7 @@
                 self.progress_at = gateway.now();
                 self.framing = started.response.framing;
                 self.has_event = false;
+                self.output_recorded = false;
                 self.active = Some(started);
                 Ok(())
             }
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -11,6 +11,7 @@
 use wagtailarch_types::{Role, ServiceName, ZoneName};
 use wagtailarch_wire::{
     load_note::{LimitReport, LoadNote, NoteBundle, OpenPrefill, StoreVersions, server_key},
+    part_report::PartReports,
     permit::{PermitBody, PermitMessage, PermitRank},
 };
 
@@ -170,6 +171,7 @@
             .collect(),
         strikes: Vec::new(),
         limits: Vec::new(),
+        parts: PartReports::default(),
     }
 }
 
@@ -195,6 +197,7 @@
             client_timeout_left: Duration::from_millis(2_400),
             zone: &zone,
             rank: PermitRank::Normal,
+            isolated: false,
         };
         drop(load_balancer.place_generation(NOW, &service, &request, &[]));
     });
--- a/crates/wagtailarch-wire/src/load_note.rs
+++ b/crates/wagtailarch-wire/src/load_note.rs
@@ -10,8 +10,10 @@
     BootId, Fingerprint, Generation, InstanceId, ObjectVersion, Urgency, ZoneName,
 };
 
+use crate::part_report::PartReports;
+
 /// Version of the encoding; notes of other versions are ignored.
-pub const LOAD_NOTE_VERSION: u8 = 6;
+pub const LOAD_NOTE_VERSION: u8 = 7;
 
 /// Maximum number of prompts whose prefixes are kept when notes are merged; the oldest ones are
 /// dropped.
@@ -57,6 +59,8 @@
     pub strikes: Vec<StrikeNote>,
     /// Rate limits that servers have named to the sender.
     pub limits: Vec<LimitReport>,
+    /// Evidence about parts of prompts that crash servers.
+    pub parts: PartReports,
 }
 
 /// The rate limit that a server named in a response to the sender.
@@ -120,6 +124,7 @@
     pub fn merge_older(&mut self, older: Self) {
         self.sent_prefixes.splice(0..0, older.sent_prefixes);
         self.strikes.splice(0..0, older.strikes);
+        self.parts.merge_older(older.parts);
         let excess = self.sent_prefixes.len().saturating_sub(MAX_MERGED_PREFIXES);
         self.sent_prefixes.drain(..excess);
         for report in older.limits {
@@ -142,6 +147,7 @@
             + self.running.len() * 10
             + self.limits.len() * 14
             + strikes
+            + self.parts.estimated_bytes()
     }
 }
 
