Blame no part of a prompt while no server can show its innocence

A verdict now needs three requests without the part that have begun well at the same instance since the first crash. Verdicts that are drawn at a request are logged and reported at once, as those after crashes are.

crashes_of_all_servers_blame_no_part failed before (Blamed at 5 s) and passes; the trials in virtual time pass.

--- a/crates/wagtailarch-dispatch/src/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/part_evidence.rs
@@ -1,6 +1,6 @@
 //! Evidence about parts of prompts that crash the servers which begin to generate for them.
 
-use std::{cmp::Reverse, time::Duration};
+use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
 use indexmap::IndexMap;
 use wagtailarch_types::{InstanceId, rendezvous_weight};
@@ -23,6 +23,11 @@
 /// If several servers fail at once, sound parts that many requests share show their innocence
 /// within this time on other servers.
 const SETTLING_TIME: Duration = Duration::from_millis(400);
+/// Number of other requests that begin well at this instance between the first crash of a part and
+/// its verdict.
+///
+/// While no server is left that could begin any request, no part can show its innocence.
+const MIN_OTHER_OUTPUTS: usize = 3;
 /// Time within which crashes of several servers count as one: a guilty part ends servers one by one,
 /// while a common cause, or a peer that reports late, shows in many at once.
 const SIMULTANEOUS: Duration = Duration::from_millis(50);
@@ -68,7 +73,9 @@
     blames: IndexMap<PartKey, Blame>,
     /// Outputs of suspects that have not been reported.
     new_outputs: IndexMap<PartKey, Duration>,
-    /// When a suspect may become blamed without further evidence.
+    /// Times of the last requests that began well at this instance; at most `MIN_OTHER_OUTPUTS`.
+    own_outputs: VecDeque<Duration>,
+    /// When a suspect may become blamed without a further crash.
     settles_at: Option<Duration>,
 }
 
@@ -136,18 +143,18 @@
         }
     }
 
-    /// Records that a request with `parts` has generated output; returns whether this has to be
-    /// reported.
-    pub fn on_output(&mut self, now: Duration, parts: &[ReportedPart]) -> bool {
-        let mut has_news = false;
+    /// Records that a request with `parts` has generated output.
+    pub fn on_output(&mut self, now: Duration, parts: &[ReportedPart]) {
+        if self.own_outputs.len() >= MIN_OTHER_OUTPUTS {
+            self.own_outputs.pop_front();
+        }
+        self.own_outputs.push_back(now);
         for part in parts {
             if self.is_suspect(part.key) || self.blames.contains_key(&part.key) {
                 self.new_outputs.insert(part.key, now);
-                has_news = true;
             }
             self.add_output(now, part.key);
         }
-        has_news
     }
 
     /// Returns how a new request is treated; for [`PartVerdict::Trial`] a trial begins.
@@ -200,7 +207,7 @@
         self.blames.keys().copied()
     }
 
-    /// Returns whether there is evidence that no instance has reported yet.
+    /// Returns whether there is evidence that this instance is the first to report.
     pub fn has_news(&self) -> bool {
         !self.new_outputs.is_empty()
             || self.crashes.iter().any(|crash| crash.reported_at.is_none())
@@ -404,7 +411,11 @@
         self.settles_at = None;
         for _ in 0..MAX_CRASHES {
             let candidates = self.candidates();
-            let settled = candidates.iter().filter(|c| now >= c.first + SETTLING_TIME);
+            let settled = candidates.iter().filter(|c| {
+                now >= c.first + SETTLING_TIME
+                    && self.own_outputs.len() >= MIN_OTHER_OUTPUTS
+                    && self.own_outputs.iter().all(|output| *output > c.first)
+            });
             // The deepest of the parts that always occur together shuts out the fewest requests.
             let guilty = settled.max_by_key(|c| (c.crashes, c.depth, Reverse(c.part)));
             let Some(guilty) = guilty else {
--- a/crates/wagtailarch-dispatch/tests/part_evidence/main.rs
+++ b/crates/wagtailarch-dispatch/tests/part_evidence/main.rs
@@ -29,6 +29,13 @@
     Duration::from_millis(ms)
 }
 
+/// Records requests that begin well.
+fn begin_others(evidence: &mut PartEvidence, at: Duration) {
+    for _ in 0..3 {
+        evidence.on_output(at, &parts(&[500]));
+    }
+}
+
 fn alone() -> LimitMembers {
     LimitMembers {
         own: Some("front-0".into()),
@@ -103,6 +110,7 @@
         for note in &notes {
             evidence.apply(ms(400), note);
         }
+        begin_others(&mut evidence, ms(400));
         let verdict = |evidence: &mut PartEvidence, numbers: &[i64]| {
             evidence.verdict(ms(900), &parts(numbers))
         };
@@ -144,6 +152,7 @@
         evidence.on_crash(ms(u64::from(server) * 200), server, &guilty);
         evidence.on_output(ms(u64::from(server) * 200 + 50), &parts(&[1]));
     }
+    begin_others(&mut evidence, ms(800));
     assert_eq!(
         evidence.admit(ms(1_000), &guilty, &alone()),
         PartVerdict::Blamed
@@ -183,8 +192,28 @@
     for server in 1..=3 {
         evidence.on_crash(ms(u64::from(server) * 200), server, &parts(&[77]));
     }
+    begin_others(&mut evidence, ms(800));
     evidence.take_reports(ms(1_000), &alone());
     let mut late = PartEvidence::default();
     late.apply(ms(500), &evidence.take_reports(ms(3_500), &alone()));
     assert_eq!(late.verdict(ms(600), &parts(&[77])), PartVerdict::Blamed);
 }
+
+/// Guards against a sound part that is blamed since no server is left to show its innocence.
+#[test]
+fn crashes_of_all_servers_blame_no_part() {
+    let mut evidence = PartEvidence::default();
+    for server in 1..=6 {
+        evidence.on_crash(ms(u64::from(server) * 100), server, &parts(&[1, 101]));
+    }
+    assert_eq!(
+        evidence.verdict(ms(5_000), &parts(&[1])),
+        PartVerdict::Suspect
+    );
+    evidence.on_output(ms(5_100), &parts(&[1, 101]));
+    begin_others(&mut evidence, ms(5_200));
+    assert_eq!(
+        evidence.verdict(ms(5_300), &parts(&[1, 101])),
+        PartVerdict::Clear
+    );
+}
--- a/crates/wagtailarch-dispatch/tests/part_evidence/simulation.rs
+++ b/crates/wagtailarch-dispatch/tests/part_evidence/simulation.rs
@@ -383,9 +383,8 @@
             return self.crash(server);
         }
         let run = begins.remove(index);
-        if self.evidence[run.instance].on_output(self.now, &run.parts) {
-            self.wake(run.instance);
-        }
+        self.evidence[run.instance].on_output(self.now, &run.parts);
+        self.wake(run.instance);
     }
 
     fn crash(&mut self, server: usize) {
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -46,7 +46,7 @@
     /// Requests suspected of crashing servers.
     pub quarantine: Quarantine,
     /// Evidence about parts of prompts that crash servers.
-    pub part_evidence: RefCell<PartEvidence>,
+    part_evidence: RefCell<PartEvidence>,
     /// Number of suspects that each engine is beginning for this instance.
     pub suspect_runs: RefCell<IndexMap<InstanceId, u32>>,
     /// Updates for peers that have not been sent yet.
@@ -257,7 +257,7 @@
             return;
         }
         let now = self.now();
-        self.change_part_evidence("crash", |evidence| {
+        self.with_part_evidence("crash", |evidence| {
             evidence.on_crash(now, server_key(server), parts);
         });
     }
@@ -265,11 +265,14 @@
     /// Records that a server generates output for a request with the given parts.
     pub fn record_part_output(&self, parts: &[ReportedPart]) {
         let now = self.now();
+        self.with_part_evidence("output", |evidence| evidence.on_output(now, parts));
+    }
+
+    /// Takes the evidence to report in a load note.
+    pub fn take_part_reports(&self) -> PartReports {
+        let load_balancer = self.load_balancer.borrow();
         let mut evidence = self.part_evidence.borrow_mut();
-        if evidence.on_output(now, parts) {
-            drop(evidence);
-            self.schedule_load_note();
-        }
+        evidence.take_reports(self.now(), load_balancer.members())
     }
 
     /// Applies the evidence that a peer reports.
@@ -278,14 +281,18 @@
             return;
         }
         let now = self.now();
-        self.change_part_evidence("peer", |evidence| evidence.apply(now, reports));
+        self.with_part_evidence("peer", |evidence| evidence.apply(now, reports));
     }
 
-    /// Changes the evidence about parts, logs the verdicts that follow, and reports news to peers.
-    fn change_part_evidence(&self, source: &'static str, change: impl FnOnce(&mut PartEvidence)) {
+    /// Uses the evidence about parts, logs the verdicts that follow, and reports news to peers.
+    pub fn with_part_evidence<T>(
+        &self,
+        source: &'static str,
+        operation: impl FnOnce(&mut PartEvidence) -> T,
+    ) -> T {
         let mut evidence = self.part_evidence.borrow_mut();
         let before: IndexSet<_> = evidence.blamed().collect();
-        change(&mut evidence);
+        let result = operation(&mut evidence);
         let after: IndexSet<_> = evidence.blamed().collect();
         for part in after.difference(&before) {
             info!(self.log, "part blamed"; "part" => format!("{part:016x}"), "source" => source);
@@ -298,6 +305,7 @@
             drop(evidence);
             self.schedule_load_note();
         }
+        result
     }
 
     /// Applies a strike that a peer reported.
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -264,8 +264,8 @@
         self.sequence.set(sequence);
         let gateway = &self.gateway;
         let snapshot = gateway.snapshot();
+        let parts = gateway.take_part_reports();
         let mut load_balancer = gateway.load_balancer.borrow_mut();
-        let members = load_balancer.members().clone();
         LoadNote {
             sender: gateway.settings.instance.clone(),
             zone: gateway.settings.zone.clone(),
@@ -278,10 +278,7 @@
             running: load_balancer.own_running(),
             strikes: pending.strikes,
             limits: load_balancer.take_limit_reports(gateway.now()),
-            parts: gateway
-                .part_evidence
-                .borrow_mut()
-                .take_reports(gateway.now(), &members),
+            parts,
         }
     }
 }
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -90,9 +90,11 @@
     pub fn admit(&self) -> Result<(), Refusal> {
         let gateway = &self.gateway;
         let now = gateway.now();
-        let load_balancer = gateway.load_balancer.borrow();
-        let mut evidence = gateway.part_evidence.borrow_mut();
-        match evidence.admit(now, &self.parts, load_balancer.members()) {
+        let verdict = gateway.with_part_evidence("request", |evidence| {
+            let load_balancer = gateway.load_balancer.borrow();
+            evidence.admit(now, &self.parts, load_balancer.members())
+        });
+        match verdict {
             PartVerdict::Blamed => return Err(self.quarantined(Ran::No)),
             PartVerdict::Trial => self.is_trial.set(true),
             PartVerdict::Clear | PartVerdict::Suspect => {}
@@ -109,9 +111,7 @@
         let now = self.gateway.now();
         let verdict = self
             .gateway
-            .part_evidence
-            .borrow_mut()
-            .verdict(now, &self.parts);
+            .with_part_evidence("request", |evidence| evidence.verdict(now, &self.parts));
         match verdict {
             PartVerdict::Clear => Ok(false),
             // A trial is over with its first run.
