Split the verdict and the outputs off the evidence about parts

One type a file: Blame and PartOutputs. has_news becomes has_unreported, and the log line of a verdict that ends 'part cleared'.

--- a/crates/wagtailarch-dispatch/src/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/part_evidence.rs
@@ -8,7 +8,11 @@
     BlameReport, CrashReport, OutputReport, PartKey, PartReports, ReportedPart,
 };
 
-use crate::LimitMembers;
+use crate::{
+    LimitMembers,
+    part_blame::{BLAME_TTL, Blame},
+    part_outputs::PartOutputs,
+};
 
 /// Number of crashes that a part must be a candidate for to be blamed.
 ///
@@ -36,14 +40,6 @@
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 /// Time after which a crash is forgotten.
 const CRASH_TTL: Duration = Duration::from_secs(60);
-/// Time after the last crash of a blamed part after which it is forgotten.
-const BLAME_TTL: Duration = Duration::from_secs(600);
-/// Time from the verdict until one request with the part is tried.
-const FIRST_TRIAL: Duration = Duration::from_secs(15);
-/// Factor between the time to a trial and the time to the next one.
-const TRIAL_BACKOFF: u32 = 3;
-/// Time for which a trial runs before the next one may begin.
-const TRIAL_TIME: Duration = Duration::from_secs(5);
 /// Interval at which verdicts are reported again, for instances that started or were out of reach.
 const BLAME_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which unexplained crashes are reported again.
@@ -56,8 +52,6 @@
 const MAX_CRASH_PARTS: usize = 16;
 /// Maximum number of blamed parts; the one blamed first is evicted first.
 const MAX_BLAMES: usize = 64;
-/// Maximum number of parts whose last output is kept in each of two generations.
-const MAX_OUTPUTS: usize = 2_048;
 
 /// Evidence about the parts of prompts, and the verdicts that follow from it.
 ///
@@ -68,7 +62,7 @@
 pub struct PartEvidence {
     /// Crashes, in the order of their arrival; at most `MAX_CRASHES`.
     crashes: Vec<Crash>,
-    outputs: Outputs,
+    outputs: PartOutputs,
     /// Blamed parts; at most `MAX_BLAMES`.
     blames: IndexMap<PartKey, Blame>,
     /// Outputs of suspects that have not been reported.
@@ -92,25 +86,6 @@
     reported_at: Option<Duration>,
 }
 
-/// The verdict on a part.
-#[derive(Debug, Clone, Copy)]
-struct Blame {
-    /// Time of the last crash that counts.
-    at: Duration,
-    /// Number of trials that ended in a crash.
-    trials: u8,
-    /// When this instance began its last trial.
-    trial_began_at: Option<Duration>,
-    reported_at: Option<Duration>,
-}
-
-/// Time of the last output by part, in two generations so that the memory is bounded.
-#[derive(Debug, Default)]
-struct Outputs {
-    current: IndexMap<PartKey, Duration>,
-    previous: IndexMap<PartKey, Duration>,
-}
-
 /// How a request with some parts is treated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PartVerdict {
@@ -195,7 +170,7 @@
             self.update(now);
         }
         let verdicts = parts.iter().map(|part| match self.blames.get(&part.key) {
-            Some(blame) if now < blame.at + BLAME_TTL => PartVerdict::Blamed,
+            Some(blame) if !blame.is_expired(now) => PartVerdict::Blamed,
             _ if self.is_suspect(part.key) => PartVerdict::Suspect,
             _ => PartVerdict::Clear,
         });
@@ -208,7 +183,7 @@
     }
 
     /// Returns whether there is evidence that this instance is the first to report.
-    pub fn has_news(&self) -> bool {
+    pub fn has_unreported(&self) -> bool {
         !self.new_outputs.is_empty()
             || self.crashes.iter().any(|crash| crash.reported_at.is_none())
             || self
@@ -327,7 +302,7 @@
             }
         };
         crash.at = crash.at.min(at);
-        let mut has_news = false;
+        let mut has_unreported = false;
         for part in parts {
             let is_new = !crash.parts.contains_key(&part.key);
             if is_new && crash.parts.len() >= MAX_CRASH_PARTS {
@@ -335,11 +310,11 @@
             }
             let depth = crash.parts.entry(part.key).or_default();
             *depth = part.depth.max(*depth);
-            has_news |= is_new;
+            has_unreported |= is_new;
         }
         if reported_at.is_some() {
             crash.reported_at = Some(now);
-        } else if has_news {
+        } else if has_unreported {
             crash.reported_at = None;
         }
         let at = crash.at;
@@ -404,10 +379,10 @@
         self.blames.insert(part, blame);
     }
 
-    /// Forgets old evidence and draws the verdicts that follow from the rest.
+    /// Removes expired evidence and draws the verdicts that follow from the rest.
     fn update(&mut self, now: Duration) {
         self.crashes.retain(|crash| now < crash.at + CRASH_TTL);
-        self.blames.retain(|_, blame| now < blame.at + BLAME_TTL);
+        self.blames.retain(|_, blame| !blame.is_expired(now));
         self.settles_at = None;
         for _ in 0..MAX_CRASHES {
             let candidates = self.candidates();
@@ -486,42 +461,6 @@
     }
 }
 
-impl Blame {
-    fn is_trial_due(&self, now: Duration) -> bool {
-        let backoff = TRIAL_BACKOFF.saturating_pow(self.trials.into());
-        let due_at = self.at + FIRST_TRIAL.saturating_mul(backoff).min(BLAME_TTL);
-        let is_idle = self
-            .trial_began_at
-            .is_none_or(|began| now >= began + TRIAL_TIME);
-        now >= due_at && is_idle
-    }
-
-    /// Records a crash with the part; one that is not simultaneous with the verdict is a trial.
-    fn on_crash(&mut self, at: Duration) {
-        if at >= self.at + FIRST_TRIAL / 2 {
-            self.at = at;
-            self.trials = self.trials.saturating_add(1);
-            self.reported_at = None;
-        }
-    }
-}
-
-impl Outputs {
-    fn get(&self, part: PartKey) -> Option<Duration> {
-        let current = self.current.get(&part);
-        current.or_else(|| self.previous.get(&part)).copied()
-    }
-
-    /// Records an output unless a later one is known.
-    fn insert(&mut self, part: PartKey, at: Duration) {
-        let latest = self.get(part).map_or(at, |known| known.max(at));
-        if self.current.len() >= MAX_OUTPUTS && !self.current.contains_key(&part) {
-            self.previous = std::mem::take(&mut self.current);
-        }
-        self.current.insert(part, latest);
-    }
-}
-
 /// Returns whether this instance tests a part, or repeats a report, on behalf of all; instances with
 /// the same live members select the same one.
 fn is_designated(key: u64, members: &LimitMembers) -> bool {
--- a/crates/wagtailarch-dispatch/tests/part_evidence/simulation.rs
+++ b/crates/wagtailarch-dispatch/tests/part_evidence/simulation.rs
@@ -404,7 +404,7 @@
     }
 
     fn wake(&mut self, instance: usize) {
-        if self.evidence[instance].has_news() {
+        if self.evidence[instance].has_unreported() {
             let delay = Duration::from_millis(3);
             self.after(
                 delay,
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -284,7 +284,7 @@
         self.with_part_evidence("peer", |evidence| evidence.apply(now, reports));
     }
 
-    /// Uses the evidence about parts, logs the verdicts that follow, and reports news to peers.
+    /// Uses the evidence about parts, logs the verdicts that follow, and wakes the task that reports new evidence to peers.
     pub fn with_part_evidence<T>(
         &self,
         source: &'static str,
@@ -298,10 +298,10 @@
             info!(self.log, "part blamed"; "part" => format!("{part:016x}"), "source" => source);
         }
         for part in before.difference(&after) {
-            info!(self.log, "part acquitted"; "part" => format!("{part:016x}"),
+            info!(self.log, "part cleared"; "part" => format!("{part:016x}"),
                 "source" => source);
         }
-        if evidence.has_news() {
+        if evidence.has_unreported() {
             drop(evidence);
             self.schedule_load_note();
         }
