Report the candidates of a crash that a peer's report lacks

Found on reading: a peer's report of a crash counted as the report of everything that this instance knew of it, so that candidates that only this instance had seen reached the others 4 s later, if it was the designated one, and otherwise after 12 s. With a crash that several instances see at once this is the usual case.

a_report_of_a_peer_replaces_only_what_it_contains failed before and passes.

--- a/crates/wagtailarch-dispatch/src/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/part_evidence.rs
@@ -312,10 +312,14 @@
             *depth = part.depth.max(*depth);
             has_unreported |= is_new;
         }
-        if reported_at.is_some() {
-            crash.reported_at = Some(now);
-        } else if has_unreported {
-            crash.reported_at = None;
+        let is_known = |part: &PartKey| parts.iter().any(|reported| reported.key == *part);
+        match reported_at {
+            // What this instance has not reported itself, the peer may not know.
+            Some(_) if crash.reported_at.is_some() || crash.parts.keys().all(is_known) => {
+                crash.reported_at = Some(now);
+            }
+            None if has_unreported => crash.reported_at = None,
+            Some(_) | None => {}
         }
         let at = crash.at;
         for part in parts {
--- a/crates/wagtailarch-dispatch/tests/part_evidence/main.rs
+++ b/crates/wagtailarch-dispatch/tests/part_evidence/main.rs
@@ -217,3 +217,17 @@
         PartVerdict::Clear
     );
 }
+
+/// Guards against candidates that are never reported, since a peer's report of the same crash
+/// arrives first.
+#[test]
+fn a_report_of_a_peer_replaces_only_what_it_contains() {
+    let (mut own, mut peer) = (PartEvidence::default(), PartEvidence::default());
+    own.on_crash(ms(100), 1, &parts(&[77]));
+    peer.on_crash(ms(100), 1, &parts(&[5]));
+    own.apply(ms(102), &peer.take_reports(ms(101), &alone()));
+    let reports = own.take_reports(ms(103), &alone());
+    let keys = reports.crashes.iter().flat_map(|crash| &crash.parts);
+    let keys: Vec<_> = keys.map(|part| part.key).collect();
+    assert!(keys.contains(&77), "{keys:?}");
+}
