Report a trial that ends well when no other evidence is left

Found on reading: the output of a blamed part removes the verdict, and with no crash left from the last 60 s there was nothing that take_reports looked at, so that the other instances went on refusing requests with the part for up to ten minutes.

a_trial_that_ends_well_is_reported failed before (Blamed at the peer) and passes.

--- a/crates/wagtailarch-dispatch/src/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/part_evidence.rs
@@ -196,7 +196,7 @@
     ///
     /// What is new is reported by the instance that found it, and again by a designated one.
     pub fn take_reports(&mut self, now: Duration, members: &LimitMembers) -> PartReports {
-        if self.crashes.is_empty() && self.blames.is_empty() {
+        if self.crashes.is_empty() && self.blames.is_empty() && self.new_outputs.is_empty() {
             return PartReports::default();
         }
         self.update(now);
--- a/crates/wagtailarch-dispatch/tests/part_evidence/main.rs
+++ b/crates/wagtailarch-dispatch/tests/part_evidence/main.rs
@@ -231,3 +231,32 @@
     let keys: Vec<_> = keys.map(|part| part.key).collect();
     assert!(keys.contains(&77), "{keys:?}");
 }
+
+/// Guards against a trial that ends well and of which the other instances receive nothing.
+#[test]
+fn a_trial_that_ends_well_is_reported() {
+    let mut evidence = PartEvidence::default();
+    for server in 1..=3 {
+        evidence.on_crash(ms(u64::from(server) * 200), server, &parts(&[77]));
+    }
+    begin_others(&mut evidence, ms(800));
+    let mut peer = PartEvidence::default();
+    peer.apply(ms(1_000), &evidence.take_reports(ms(1_000), &alone()));
+    // All crashes have expired.
+    let later = ms(100_000);
+    assert_eq!(peer.verdict(later, &parts(&[77])), PartVerdict::Blamed);
+    let admitted = evidence.admit(later, &parts(&[77]), &alone());
+    assert_eq!(admitted, PartVerdict::Trial);
+    evidence.take_reports(later, &alone());
+    evidence.on_output(later + ms(100), &parts(&[77]));
+    assert!(evidence.has_unreported());
+    peer.apply(
+        later + ms(120),
+        &evidence.take_reports(later + ms(110), &alone()),
+    );
+    assert_eq!(
+        peer.verdict(later + ms(130), &parts(&[77])),
+        PartVerdict::Clear
+    );
+    assert!(!evidence.has_unreported());
+}
