--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -284,7 +284,8 @@
         self.with_part_evidence("peer", |evidence| evidence.apply(now, reports));
     }
 
-    /// Uses the evidence about parts, logs the verdicts that follow, and wakes the task that reports new evidence to peers.
+    /// Uses the evidence about parts, logs the verdicts that follow, and wakes the task that reports
+    /// new evidence to peers.
     pub fn with_part_evidence<T>(
         &self,
         source: &'static str,
