Select the instance that repeats evidence as the coordinator of its key

Found on reading the change: is_designated repeated the rendezvous hashing of LimitMembers::coordinator. is_coordinator now serves rate limits and evidence. The selection is the same but for equal weights.

--- a/crates/wagtailarch-dispatch/src/limit_members.rs
+++ b/crates/wagtailarch-dispatch/src/limit_members.rs
@@ -14,16 +14,23 @@
 }
 
 impl LimitMembers {
-    /// Returns the instance that coordinates the limit of the server with this key.
+    /// Returns the instance that coordinates the limit of a server, or the evidence on a part, with
+    /// this key.
     ///
     /// Instances with the same live members select the same one.
-    pub fn coordinator(&self, server_key: u32) -> Option<&InstanceId> {
+    pub fn coordinator(&self, key: impl Into<u64>) -> Option<&InstanceId> {
+        let key = key.into();
         let members = self.live.iter().chain(&self.own);
-        let weight = |member: &&InstanceId| rendezvous_weight(server_key.into(), member);
+        let weight = |member: &&InstanceId| rendezvous_weight(key, member);
         self.own.as_ref()?;
         members.max_by_key(weight)
     }
 
+    /// Returns whether this instance is the coordinator for a key.
+    pub fn is_coordinator(&self, key: impl Into<u64>) -> bool {
+        self.own.is_some() && self.coordinator(key) == self.own.as_ref()
+    }
+
     /// Returns the part of a limit that this instance may grant as coordinator: the equal shares of
     /// the instances whose notes arrive, since the others use theirs.
     pub fn reachable_share(&self) -> f64 {
--- a/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
@@ -214,7 +214,7 @@
         sender: u64,
     ) -> PermitOutcome {
         let members = &self.limit_members;
-        if members.own.is_none() || members.coordinator(report.server) != members.own.as_ref() {
+        if !members.is_coordinator(report.server) {
             return PermitOutcome::NotCoordinator;
         }
         self.on_limit_report(now, report);
--- a/crates/wagtailarch-dispatch/src/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/part_evidence.rs
@@ -3,7 +3,6 @@
 use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
 use indexmap::IndexMap;
-use wagtailarch_types::{InstanceId, rendezvous_weight};
 use wagtailarch_wire::part_report::{
     BlameReport, CrashReport, OutputReport, PartKey, PartReports, ReportedPart,
 };
@@ -149,7 +148,7 @@
                 .filter(|part| self.blames.contains_key(&part.key))
         };
         let is_due = blamed().all(|part| self.blames[&part.key].is_trial_due(now));
-        let is_own = blamed().all(|part| is_designated(part.key, members));
+        let is_own = blamed().all(|part| members.is_coordinator(part.key));
         if !is_due || !is_own {
             return PartVerdict::Blamed;
         }
@@ -203,7 +202,7 @@
         let is_due = |key: u64, reported: Option<Duration>, interval: Duration| {
             let missed = interval * MISSED_INTERVALS;
             reported.is_none_or(|at| {
-                now >= at + missed || (now >= at + interval && is_designated(key, members))
+                now >= at + missed || (now >= at + interval && members.is_coordinator(key))
             })
         };
         let mut reports = PartReports::default();
@@ -465,19 +464,6 @@
     }
 }
 
-/// Returns whether this instance tests a part, or repeats a report, on behalf of all; instances with
-/// the same live members select the same one.
-fn is_designated(key: u64, members: &LimitMembers) -> bool {
-    let Some(own) = &members.own else {
-        return false;
-    };
-    let weight = |member: &InstanceId| rendezvous_weight(key, member);
-    members
-        .live
-        .iter()
-        .all(|member| weight(member) < weight(own))
-}
-
 fn age_ms(now: Duration, at: Duration) -> u32 {
     u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX)
 }
