Log from whom a configuration came and which reads failed before it

The lines of an instance did not tell which link between the store and it was late. The line for a new configuration states the source, the time since the last response of any source, and the reads that failed in between. Nothing else reads the record.

--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: reads the configuration, the servers and the peers from the store.
 
 mod instances;
+mod read_trail;
 mod relay;
 mod roles;
 mod routing;
--- a/crates/wagtailarch-gateway/src/control/routing.rs
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -10,6 +10,7 @@
 use crate::{
     control::{
         ControlContext, publish,
+        read_trail::ReadTrail,
         sources::Sources,
         watcher::{WatchUpdate, Watcher},
     },
@@ -31,7 +32,7 @@
             WatchUpdate::StoreLost => continue,
         };
         for object in &objects {
-            apply_config(&context, &publisher, object);
+            apply_config(&context, &publisher, object, watcher.trail());
         }
         let newest_change = watcher.newest_change();
         if publisher.borrow().store_versions.routing != newest_change {
@@ -47,6 +48,7 @@
     context: &ControlContext,
     publisher: &watch::Sender<Arc<Snapshot>>,
     object: &StoreObject,
+    trail: &ReadTrail,
 ) {
     let config = match decode_routing(&object.content) {
         Ok(config) => config,
@@ -62,7 +64,8 @@
         return;
     }
     info!(context.log, "configuration taken over"; "generation" => generation,
-        "before" => in_force, "version" => object.version, "routes" => config.routes().len());
+        "before" => in_force, "version" => object.version, "routes" => config.routes().len(),
+        "source" => trail.source(), "gap_ms" => trail.gap_ms(), "tried" => trail.tried());
     context.metrics.set_generation(generation);
     publish(publisher, |snapshot| {
         snapshot.config = Some(Arc::new(config))
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
+use smol_str::SmolStr;
 use tokio::{
     sync::watch,
     time::{Instant, sleep, sleep_until},
@@ -18,6 +19,7 @@
 use crate::{
     control::{
         ControlContext,
+        read_trail::ReadTrail,
         sources::{RelayError, RelayReader, RelayUpdate, Sources},
         store_error::StoreError,
     },
@@ -25,6 +27,8 @@
     metrics::StoreCall,
 };
 
+/// Name of the store as a source in logs.
+const STORE: &str = "store";
 /// Timeout for a call that does not wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time beyond the wait of a watch within which the response must arrive.
@@ -77,6 +81,8 @@
     catching_up: bool,
     /// Store versions reported by peers.
     peer_versions: watch::Receiver<StoreVersions>,
+    /// Reads that led to the newest update.
+    trail: ReadTrail,
 }
 
 /// Result of one step of a [`Watcher`].
@@ -113,6 +119,7 @@
             listed: false,
             catching_up: false,
             peer_versions,
+            trail: ReadTrail::default(),
         }
     }
 
@@ -121,6 +128,11 @@
         self.newest_change
     }
 
+    /// Returns the reads that led to the newest update.
+    pub fn trail(&self) -> &ReadTrail {
+        &self.trail
+    }
+
     /// Waits for the next update; its list of changes may be empty.
     pub async fn next(&mut self) -> WatchUpdate {
         loop {
@@ -140,15 +152,17 @@
             };
             match step {
                 Ok(update) => {
-                    self.on_response();
+                    self.on_response(STORE.into());
                     return update;
                 }
                 Err(StoreError::Response(StoreResponseError::HistoryExpired)) => {
                     info!(self.log(), "store history expired"; "kind" => self.kind.as_str(),
                         "version" => self.version);
+                    self.trail.on_failure(STORE, "history expired");
                     self.version = None;
                 }
                 Err(error) => {
+                    self.trail.on_failure(STORE, &error);
                     self.list_next = true;
                     self.relay_reader.suspend_relaying();
                     if self.on_failure(&error) {
@@ -216,6 +230,7 @@
             () = wait_until_stale(&mut self.peer_versions, kind, version) => {
                 // An abandoned call closes its connection.
                 self.catching_up = true;
+                self.trail.on_failure(STORE, "stale");
                 info!(self.log(), "watch renewed"; "kind" => kind.as_str(), "version" => version,
                     "cause" => "peers report newer versions");
                 return Ok(WatchUpdate::Changed(Vec::new()));
@@ -252,6 +267,7 @@
             () = wait_until_stale(&mut self.peer_versions, self.kind, version) => {
                 info!(self.log(), "relay stale"; "kind" => self.kind.as_str(), "peer" => %relay,
                     "version" => version);
+                self.trail.on_failure(relay, "stale");
                 self.relay_reader.on_stale(relay);
                 self.catching_up = true;
                 return None;
@@ -260,14 +276,29 @@
         match response {
             Ok(update) => {
                 self.list_next = false;
-                self.on_response();
+                self.on_response(relay.clone());
                 Some(self.apply_relay_update(update))
             }
-            Err(RelayError::TooLarge) => {
+            Err(error) => {
+                self.trail.on_failure(relay, &error);
+                self.on_relay_error(relay, error).await
+            }
+        }
+    }
+
+    /// Reacts to a failed read from a relay; returns the loss of the store if the relay reports it
+    /// first.
+    async fn on_relay_error(
+        &mut self,
+        relay: &InstanceId,
+        error: RelayError,
+    ) -> Option<WatchUpdate> {
+        match error {
+            RelayError::TooLarge => {
                 self.catching_up = self.version.is_some();
                 None
             }
-            Err(RelayError::Unknown) => {
+            RelayError::Unknown => {
                 sleep(RELAY_RETRY_DELAY).await;
                 // Servers may be missing when the store returns, as after a failed call to it.
                 let first = !std::mem::replace(&mut self.store_lost, true);
@@ -277,7 +308,7 @@
                 }
                 first.then_some(WatchUpdate::StoreLost)
             }
-            Err(error) => {
+            error => {
                 info!(self.log(), "relay not asked"; "kind" => self.kind.as_str(),
                     "peer" => %relay, "cause" => %error);
                 None
@@ -315,7 +346,8 @@
         )
     }
 
-    fn on_response(&mut self) {
+    fn on_response(&mut self, source: SmolStr) {
+        self.trail.on_response(source);
         self.context
             .metrics
             .set_last_store_response(self.kind.as_str());
