List the store at once after its history has expired

Cause: an instance whose relays have no data asks the store once in four seconds. That pause also followed a response that the history has expired, although this response shows that the store can be read, and the list that has to follow waited for it.

Change: a response of any kind ends the pause, and the store is read next. The pause after a call that failed is the bound on applying changes in place of four seconds, a call that does not wait fails after half of it, and a relay that reads nothing is left at once unless this instance starts.

--- a/crates/wagtailarch-dispatch/src/relay_plan.rs
+++ b/crates/wagtailarch-dispatch/src/relay_plan.rs
@@ -11,6 +11,8 @@
 use indexmap::IndexMap;
 use wagtailarch_types::{InstanceId, rendezvous_weight};
 
+use crate::ReadLimits;
+
 /// Number of members of a zone for each relay, which bounds the requests that a relay serves.
 const MEMBERS_PER_RELAY: usize = 30;
 /// Minimum number of relays of a zone, so that one is left if another fails.
@@ -20,27 +22,22 @@
 /// Time for which a relay without data is not asked again. It is short, since a relay detects soon
 /// that the store is available again.
 const NO_DATA_BACKOFF: Duration = Duration::from_millis(500);
-/// Time since the first response without data for which relays without data are still asked. They
-/// may be starting, as all relays do after a power failure.
+/// Time since the first response without data for which an instance without objects still asks
+/// relays without data. They may be starting, as all relays do after a power failure.
 const STARTUP_GRACE: Duration = Duration::from_millis(700);
 /// Time after the start for which an instance that knows no member of its zone waits before it asks
 /// the store.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(2_200);
-/// Interval between calls to a store that is unavailable according to the relays.
-///
-/// Calls are billed even if the store is down, and relays detect its return within a second. While
-/// the store is unstable, the bounds on applying changes are extended by five seconds or more,
-/// which is longer than this interval.
-const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(4);
-
 /// Selects the source of updates for the objects of a kind.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RelayPlan {
+    limits: ReadLimits,
     /// Relays that failed or had no data, with the time until which they are not asked.
     backoffs: IndexMap<InstanceId, Duration>,
     /// Time of the first response without data since the last successful response.
     no_data_since: Option<Duration>,
-    /// Time at which the store was last asked because no relay could be.
+    /// Time at which the store was last asked because no relay could be; absent once any source has
+    /// responded.
     store_asked_at: Option<Duration>,
 }
 
@@ -56,6 +53,16 @@
 }
 
 impl RelayPlan {
+    /// Creates the plan of an instance that has asked no source yet.
+    pub fn new(limits: ReadLimits) -> Self {
+        Self {
+            limits,
+            backoffs: IndexMap::new(),
+            no_data_since: None,
+            store_asked_at: None,
+        }
+    }
+
     /// Returns the source that the instance `own` asks next.
     ///
     /// `others` are the members of its zone, which may include `own`; `age` is the time since its
@@ -84,7 +91,8 @@
         if let Some(relay) = preferred {
             return UpdateSource::Relay((*relay).clone());
         }
-        let retry_is_due = |asked_at| now.saturating_sub(asked_at) >= STORE_RETRY_INTERVAL;
+        let interval = self.limits.store_retry_interval();
+        let retry_is_due = |asked_at| now.saturating_sub(asked_at) >= interval;
         if self.no_data_since.is_some() && !self.store_asked_at.is_none_or(retry_is_due) {
             return UpdateSource::Wait;
         }
@@ -98,7 +106,7 @@
         relays(own, others, MEMBERS_PER_RELAY).first() == Some(&own)
     }
 
-    /// Records a successful response of a relay or the store.
+    /// Records a response that shows that a relay or the store can be read.
     pub fn on_response(&mut self) {
         self.no_data_since = None;
         self.store_asked_at = None;
@@ -110,9 +118,12 @@
     }
 
     /// Records that a relay has no data: it is starting, or the store does not respond to it.
-    pub fn on_no_data(&mut self, now: Duration, relay: &InstanceId) {
+    ///
+    /// `has_objects` states whether this instance has read objects before. While it has none, it
+    /// is not ready, and relays that start get time to read them.
+    pub fn on_no_data(&mut self, now: Duration, relay: &InstanceId, has_objects: bool) {
         let since = *self.no_data_since.get_or_insert(now);
-        if now.saturating_sub(since) >= STARTUP_GRACE {
+        if has_objects || now.saturating_sub(since) >= STARTUP_GRACE {
             self.backoffs.insert(relay.clone(), now + NO_DATA_BACKOFF);
         }
     }
--- a/crates/wagtailarch-dispatch/tests/relay.rs
+++ b/crates/wagtailarch-dispatch/tests/relay.rs
@@ -3,10 +3,16 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailarch_dispatch::{RelayChange, RelayLog, RelayPlan, RelayView, UpdateSource};
+use wagtailarch_dispatch::{ReadLimits, RelayChange, RelayLog, RelayPlan, RelayView, UpdateSource};
 use wagtailarch_types::InstanceId;
 
 const LATER: Duration = Duration::from_secs(60);
+/// Time within which changes must be applied.
+const BOUND: Duration = Duration::from_secs(2);
+
+fn new_plan() -> RelayPlan {
+    RelayPlan::new(ReadLimits::new(BOUND))
+}
 
 fn zone(members: usize) -> Vec<InstanceId> {
     (0..members).map(|n| format!("front-{n}").into()).collect()
@@ -17,10 +23,19 @@
     zone.iter().filter(|name| *name != own).cloned().collect()
 }
 
+/// Returns a member that is no relay, and the other members.
+fn non_relay(zone: &[InstanceId]) -> (InstanceId, Vec<InstanceId>) {
+    let sources = sources(zone);
+    let index = sources.iter().position(|s| *s != UpdateSource::Store);
+    let own = zone[index.expect("most are no relays")].clone();
+    let others = others(zone, &own);
+    (own, others)
+}
+
 /// Returns the source that each member asks.
 fn sources(zone: &[InstanceId]) -> Vec<UpdateSource> {
     let sources = zone.iter().map(|own| {
-        let mut plan = RelayPlan::default();
+        let mut plan = new_plan();
         plan.source(LATER, LATER, own, &others(zone, own))
     });
     sources.collect()
@@ -65,7 +80,7 @@
     let is_first_relay = |own: &&InstanceId| RelayPlan::is_first_relay(own, &others(&zone, own));
     let first_relays: Vec<_> = zone.iter().filter(is_first_relay).collect();
     assert_eq!(first_relays.len(), 1);
-    let mut plan = RelayPlan::default();
+    let mut plan = new_plan();
     let source = plan.source(
         LATER,
         LATER,
@@ -80,11 +95,11 @@
 #[test]
 fn the_store_is_asked_when_all_relays_fail() {
     let zone = zone(40);
-    let mut plan = RelayPlan::default();
+    let mut plan = new_plan();
     let own = zone
         .iter()
         .find(|own| {
-            let source = RelayPlan::default().source(LATER, LATER, own, &others(&zone, own));
+            let source = new_plan().source(LATER, LATER, own, &others(&zone, own));
             source != UpdateSource::Store
         })
         .expect("most are no relays");
@@ -113,25 +128,65 @@
     let non_relay = sources.iter().position(|s| *s != UpdateSource::Store);
     let own = &zone[non_relay.expect("most are no relays")];
     let others = others(&zone, own);
-    let mut plan = RelayPlan::default();
+    let mut plan = new_plan();
     let mut calls = 0;
     for step in 0..100 {
         let now = LATER + Duration::from_millis(100) * step;
         match plan.source(now, LATER, own, &others) {
             UpdateSource::Store => calls += 1,
-            UpdateSource::Relay(relay) => plan.on_no_data(now, &relay),
+            UpdateSource::Relay(relay) => plan.on_no_data(now, &relay, true),
             UpdateSource::Wait => {}
         }
     }
     assert!((2..=6).contains(&calls), "{calls} calls in 10 s");
 }
 
+/// Guards against an instance that waits for a store which has responded, while its relays do not
+/// read the store.
+#[test]
+fn a_store_that_responds_is_read_without_a_pause() {
+    let (own, others) = non_relay(&zone(40));
+    let mut plan = new_plan();
+    let mut now = LATER;
+    for _ in 0..3 {
+        while let UpdateSource::Relay(relay) = plan.source(now, LATER, &own, &others) {
+            plan.on_no_data(now, &relay, true);
+        }
+        assert_eq!(plan.source(now, LATER, &own, &others), UpdateSource::Wait);
+        plan.on_response();
+        assert_eq!(plan.source(now, LATER, &own, &others), UpdateSource::Store);
+        now += BOUND;
+    }
+}
+
+/// Guards against an instance with objects that keeps asking relays which do not read the store,
+/// and against a starting one that asks the store while its relays start.
+#[rstest]
+#[case(true, 2)]
+#[case(false, 16)]
+fn relays_without_data_are_left_soon_by_instances_with_objects(
+    #[case] has_objects: bool,
+    #[case] limit: u32,
+) {
+    let (own, others) = non_relay(&zone(40));
+    let mut plan = new_plan();
+    let mut calls = 0;
+    let mut now = LATER;
+    while let UpdateSource::Relay(relay) = plan.source(now, LATER, &own, &others) {
+        plan.on_no_data(now, &relay, has_objects);
+        now += Duration::from_millis(100);
+        calls += 1;
+    }
+    assert!(calls <= limit, "{calls} calls");
+    assert!(has_objects || calls >= 7, "{calls} calls");
+}
+
 /// Guards against 300 instances that list all objects at the same time when a fleet starts: they
 /// wait a short time to discover each other.
 #[test]
 fn a_starting_instance_waits_to_discover_others() {
     let own = "front-1".into();
-    let mut plan = RelayPlan::default();
+    let mut plan = new_plan();
     let early = Duration::from_millis(500);
     assert_eq!(plan.source(early, early, &own, &[]), UpdateSource::Wait);
     let late = Duration::from_millis(2_300);
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -11,7 +11,7 @@
     ObjectKind, PutOutcome, StoreObject, create_request, decode_delete, decode_list, decode_put,
     delete_request, list_request, replace_request,
 };
-use wagtailarch_dispatch::{RegistrationTracker, UpdateSource, is_designated};
+use wagtailarch_dispatch::{ReadLimits, RegistrationTracker, UpdateSource, is_designated};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::relay::RelayKind;
 
@@ -190,9 +190,10 @@
 
 impl InstanceReader {
     fn new(sources: Sources) -> Self {
+        let limits = ReadLimits::new(sources.context.config_bound);
         Self {
             context: sources.context.clone(),
-            relay_reader: RelayReader::new(RelayKind::Instances, sources),
+            relay_reader: RelayReader::new(RelayKind::Instances, limits, sources),
             known_version: None,
             stored_objects: Vec::new(),
             verify_with_store: true,
--- a/crates/wagtailarch-gateway/src/control/sources.rs
+++ b/crates/wagtailarch-gateway/src/control/sources.rs
@@ -10,7 +10,7 @@
 use displaydoc::Display;
 use http::{Method, Request, StatusCode};
 use wagtailarch_adapter::StoreObject;
-use wagtailarch_dispatch::{RelayPlan, UpdateSource};
+use wagtailarch_dispatch::{ReadLimits, RelayPlan, UpdateSource};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::relay::{
     RELAY_PATH, RELAY_VERSION, RelayKind, RelayRequest, RelayResponse, RelayedObject, decode,
@@ -129,11 +129,11 @@
 
 impl RelayReader {
     /// Creates a reader for one kind of objects.
-    pub fn new(kind: RelayKind, sources: Sources) -> Self {
+    pub fn new(kind: RelayKind, limits: ReadLimits, sources: Sources) -> Self {
         Self {
             kind,
             sources,
-            plan: RelayPlan::default(),
+            plan: RelayPlan::new(limits),
             client: None,
             store_next: false,
         }
@@ -176,7 +176,7 @@
         let now = self.sources.context.epoch.elapsed();
         match &response {
             Ok(_) => self.plan.on_response(),
-            Err(RelayError::Unknown) => self.plan.on_no_data(now, relay),
+            Err(RelayError::Unknown) => self.plan.on_no_data(now, relay, have.is_some()),
             Err(RelayError::TooLarge) => self.store_next = true,
             Err(_) => self.plan.on_failure(now, relay),
         }
@@ -191,6 +191,13 @@
         self.client = None;
     }
 
+    /// Records that the store responded, but no longer has the history that was asked for; the store
+    /// is read next.
+    pub fn on_history_expired(&mut self) {
+        self.plan.on_response();
+        self.store_next = true;
+    }
+
     /// Records a complete list from the store and relays it to other instances.
     pub fn on_store_list(&mut self, version: ObjectVersion, objects: &[StoreObject]) {
         self.plan.on_response();
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -12,7 +12,7 @@
     ObjectKind, StoreObject, StoreResponseError, decode_list, decode_watch, list_request,
     watch_request,
 };
-use wagtailarch_dispatch::{UpdateSource, watch_timeout};
+use wagtailarch_dispatch::{ReadLimits, UpdateSource, watch_timeout};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::{load_note::StoreVersions, relay::RelayKind};
 
@@ -29,8 +29,6 @@
 
 /// Name of the store as a source in logs.
 const STORE: &str = "store";
-/// Timeout for a call that does not wait.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time beyond the wait of a watch within which the response must arrive.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
 /// Divisor of the bound on applying changes that gives the pause after a change.
@@ -50,8 +48,6 @@
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// First delay after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
-/// Maximum delay after failed calls; each call is charged, also while the store is down.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
 /// Watches all objects of a kind: a list first, then watches, and another list after each failure.
 #[derive(Debug)]
@@ -63,6 +59,7 @@
     relay_reader: RelayReader,
     /// Time within which changes must be applied.
     bound: Duration,
+    limits: ReadLimits,
     /// Version from which the next watch continues; `None` before a list.
     version: Option<ObjectVersion>,
     backoff: Duration,
@@ -104,12 +101,14 @@
     pub fn new(kind: ObjectKind, relay_kind: RelayKind, bound: Duration, sources: Sources) -> Self {
         let context = sources.context.clone();
         let peer_versions = context.traffic.peer_versions();
+        let limits = ReadLimits::new(bound);
         Self {
             kind,
             client: HttpClient::new(context.store_address),
             context,
-            relay_reader: RelayReader::new(relay_kind, sources),
+            relay_reader: RelayReader::new(relay_kind, limits, sources),
             bound,
+            limits,
             version: None,
             backoff: MIN_BACKOFF,
             store_lost: false,
@@ -159,6 +158,7 @@
                     info!(self.log(), "store history expired"; "kind" => self.kind.as_str(),
                         "version" => self.version);
                     self.trail.on_failure(STORE, "history expired");
+                    self.relay_reader.on_history_expired();
                     self.version = None;
                 }
                 Err(error) => {
@@ -169,7 +169,7 @@
                         return WatchUpdate::StoreLost;
                     }
                     sleep(self.backoff).await;
-                    self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+                    self.backoff = (self.backoff * 2).min(self.limits.max_backoff());
                 }
             }
         }
@@ -186,7 +186,7 @@
         loop {
             let request = list_request(self.kind, after.as_deref(), false);
             self.context.metrics.count_store_call(StoreCall::List);
-            let (status, body) = self.client.call(request, CALL_TIMEOUT).await?;
+            let (status, body) = self.client.call(request, self.limits.call_limit()).await?;
             let page = decode_list(status, &body)?;
             objects.extend(page.objects);
             // A watch from the version of the first page misses no change between two pages.
