Rely on a relay only while it proves that its objects are current

Cause: an instance waited for its relay for up to 15.6 s. The only other sign of a change, the versions in notes of peers, mostly comes over the same machine, because relays of notes and relays of the store are selected by the same order. A relay whose own watch was silent, or that was behind, responded without changes for up to 20 s, which counted as current. Class: a chain whose links have no proof of being current and no common bound.

Change: each response of a relay states the store version and the age of the read behind it. Freshness keeps the newest proof of an instance; a relay that is silent, slow, behind or outdated is left, and the store is asked before the proof is older than three quarters of the bound.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -8,7 +8,9 @@
 //! `wagtailarch-control` instead.
 
 mod backend;
+mod designation;
 mod engine_state;
+mod freshness;
 mod limit_members;
 mod limit_statement;
 mod load_balancer;
@@ -37,9 +39,10 @@
 mod server_health;
 mod shutdown;
 mod urgent_utilization;
-mod watch_plan;
 
+pub use designation::is_designated;
 pub use engine_state::EngineState;
+pub use freshness::{Freshness, StoreRead};
 pub use limit_members::LimitMembers;
 pub use limit_statement::LimitStatement;
 pub use load_balancer::{LimitChange, LoadBalancer, PermitStep, ServerLoad};
@@ -69,4 +72,3 @@
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
 pub use urgent_utilization::UrgentUtilization;
 pub use wagtailarch_types::Urgency;
-pub use watch_plan::{is_designated, watch_timeout};
--- a/crates/wagtailarch-dispatch/src/read_limits.rs
+++ b/crates/wagtailarch-dispatch/src/read_limits.rs
@@ -18,6 +18,49 @@
         Self { bound }
     }
 
+    /// Returns the time for which a watch of the store waits for a change.
+    ///
+    /// A watch does not end when the store becomes unresponsive, so that each response is a proof
+    /// that the objects are current.
+    pub fn watch_wait(&self) -> Duration {
+        self.bound / 3
+    }
+
+    /// Returns the pause after a change, after which one call reads all changes in quick
+    /// succession.
+    pub fn change_pause(&self) -> Duration {
+        self.bound / 4
+    }
+
+    /// Returns the time for which a request to a relay waits for a change; a relay that does not
+    /// respond after it counts as failed.
+    pub fn relay_wait(&self) -> Duration {
+        self.bound / 4
+    }
+
+    /// Returns the time beyond the wait of a call within which its response must arrive.
+    pub fn response_margin(&self) -> Duration {
+        self.bound / 5
+    }
+
+    /// Returns the timeout for opening a connection to the store or to a relay.
+    ///
+    /// Both respond within milliseconds, and a lost packet is retransmitted only after a second.
+    pub fn connect_limit(&self) -> Duration {
+        self.bound / 5
+    }
+
+    /// Returns the time for which peers may report newer versions than those of this instance,
+    /// before another source is asked.
+    pub fn stale_after(&self) -> Duration {
+        self.bound / 4
+    }
+
+    /// Returns the age of the newest proof from which another source is asked.
+    pub fn max_age(&self) -> Duration {
+        self.bound * 3 / 4
+    }
+
     /// Returns the timeout of a call to the store that does not wait for a change.
     pub fn call_limit(&self) -> Duration {
         self.bound / 2
--- a/crates/wagtailarch-dispatch/src/relay_log.rs
+++ b/crates/wagtailarch-dispatch/src/relay_log.rs
@@ -6,6 +6,8 @@
 use smol_str::SmolStr;
 use wagtailarch_types::ObjectVersion;
 
+use crate::StoreRead;
+
 /// Number of changes that are kept; an instance that needs older ones receives all objects.
 const MAX_CHANGES: usize = 512;
 
@@ -18,8 +20,8 @@
     changes: VecDeque<(ObjectVersion, RelayChange<T>)>,
     /// Version after which all changes are kept.
     history_start: ObjectVersion,
-    /// Store version of `objects`; absent if they were not last read from the store.
-    version: Option<ObjectVersion>,
+    /// Newest read of `objects`; absent if they were not last read from the store.
+    read: Option<StoreRead>,
 }
 
 /// A change of one object.
@@ -39,12 +41,13 @@
     /// The updates are unknown: this instance does not read from the store, or the store is
     /// unavailable.
     Unknown,
-    /// There are no updates.
-    Unchanged,
-    /// All objects at a store version.
-    All(ObjectVersion, Vec<(SmolStr, T)>),
-    /// The changes up to a store version.
-    Changes(ObjectVersion, Vec<RelayChange<T>>),
+    /// There are no updates up to the version of the newest read, which may be below that of the
+    /// instance.
+    Unchanged(StoreRead),
+    /// All objects.
+    All(StoreRead, Vec<(SmolStr, T)>),
+    /// The changes up to the version of the newest read.
+    Changes(StoreRead, Vec<RelayChange<T>>),
 }
 
 impl<T> Default for RelayLog<T> {
@@ -53,22 +56,23 @@
             objects: IndexMap::new(),
             changes: VecDeque::new(),
             history_start: 0,
-            version: None,
+            read: None,
         }
     }
 }
 
 impl<T: Clone> RelayLog<T> {
-    /// Replaces all objects by a complete list that was read from the store at `version`.
-    pub fn on_list(&mut self, version: ObjectVersion, objects: Vec<(SmolStr, T)>) {
+    /// Replaces all objects by a complete list that was read from the store.
+    pub fn on_list(&mut self, read: StoreRead, objects: Vec<(SmolStr, T)>) {
         self.objects = objects.into_iter().collect();
         self.changes.clear();
-        self.history_start = version;
-        self.version = Some(version);
+        self.history_start = read.version;
+        self.read = Some(read);
     }
 
-    /// Applies changes that were read from the store up to `version`.
-    pub fn on_changes(&mut self, version: ObjectVersion, changes: Vec<RelayChange<T>>) {
+    /// Applies changes that were read from the store.
+    pub fn on_changes(&mut self, read: StoreRead, changes: Vec<RelayChange<T>>) {
+        let version = read.version;
         for change in changes {
             match change.deleted {
                 true => self.objects.shift_remove(&change.name),
@@ -84,17 +88,17 @@
                 .pop_front()
                 .map_or(version, |(change_version, _)| change_version);
         }
-        self.version = Some(version);
+        self.read = Some(read);
     }
 
     /// Records that the store is unavailable, or that updates come from another instance instead.
     pub fn on_store_lost(&mut self) {
-        self.version = None;
+        self.read = None;
     }
 
     /// Returns the updates for an instance that has all objects up to `known_version`.
     pub fn view(&self, known_version: Option<ObjectVersion>) -> RelayView<T> {
-        let Some(version) = self.version else {
+        let Some(read) = self.read else {
             return RelayView::Unknown;
         };
         let Some(known_version) =
@@ -102,7 +106,7 @@
         else {
             let objects = self.objects.iter();
             let objects = objects.map(|(name, object)| (name.clone(), object.clone()));
-            return RelayView::All(version, objects.collect());
+            return RelayView::All(read, objects.collect());
         };
         let newer = self
             .changes
@@ -110,8 +114,8 @@
             .filter(|(change_version, _)| *change_version > known_version);
         let newer: Vec<_> = newer.map(|(_, change)| change.clone()).collect();
         match newer.is_empty() {
-            true => RelayView::Unchanged,
-            false => RelayView::Changes(version, newer),
+            true => RelayView::Unchanged(read),
+            false => RelayView::Changes(read, newer),
         }
     }
 }
--- a/crates/wagtailarch-dispatch/src/relay_plan.rs
+++ b/crates/wagtailarch-dispatch/src/relay_plan.rs
@@ -100,12 +100,6 @@
         UpdateSource::Store
     }
 
-    /// Returns whether `own` is the first relay of its zone. Its watches have a short timeout, so
-    /// that one instance detects early that the store is unresponsive.
-    pub fn is_first_relay(own: &InstanceId, others: &[InstanceId]) -> bool {
-        relays(own, others, MEMBERS_PER_RELAY).first() == Some(&own)
-    }
-
     /// Records a response that shows that a relay or the store can be read.
     pub fn on_response(&mut self) {
         self.no_data_since = None;
--- a/crates/wagtailarch-dispatch/tests/relay.rs
+++ b/crates/wagtailarch-dispatch/tests/relay.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use wagtailarch_dispatch::{ReadLimits, RelayChange, RelayLog, RelayPlan, RelayView, UpdateSource};
+use wagtailarch_dispatch::{
+    ReadLimits, RelayChange, RelayLog, RelayPlan, RelayView, StoreRead, UpdateSource,
+};
 use wagtailarch_types::InstanceId;
 
 const LATER: Duration = Duration::from_secs(60);
@@ -68,28 +70,6 @@
     }
 }
 
-/// Guards against a zone whose relays all have long watch timeouts, so that an unresponsive store
-/// is detected late. The member with short timeouts must be one that reads from the store.
-#[rstest]
-#[case(1)]
-#[case(3)]
-#[case(25)]
-#[case(70)]
-fn one_relay_of_a_zone_has_short_watch_timeouts(#[case] members: usize) {
-    let zone = zone(members);
-    let is_first_relay = |own: &&InstanceId| RelayPlan::is_first_relay(own, &others(&zone, own));
-    let first_relays: Vec<_> = zone.iter().filter(is_first_relay).collect();
-    assert_eq!(first_relays.len(), 1);
-    let mut plan = new_plan();
-    let source = plan.source(
-        LATER,
-        LATER,
-        first_relays[0],
-        &others(&zone, first_relays[0]),
-    );
-    assert_eq!(source, UpdateSource::Store);
-}
-
 /// Guards against an instance without updates because its relays are dead, stale or partitioned,
 /// and against one that never returns to them.
 #[test]
@@ -193,6 +173,14 @@
     assert_eq!(plan.source(late, late, &own, &[]), UpdateSource::Store);
 }
 
+/// Returns a read of the store at a version.
+fn read(version: u64) -> StoreRead {
+    StoreRead {
+        version,
+        at: Duration::from_millis(version),
+    }
+}
+
 /// Returns a change of an object.
 fn change(name: &str, object: u32, deleted: bool) -> RelayChange<u32> {
     RelayChange {
@@ -208,20 +196,23 @@
 fn a_relay_returns_the_missing_updates() {
     let mut log = RelayLog::default();
     assert_eq!(log.view(None), RelayView::Unknown);
-    log.on_list(10, vec![("a".into(), 1), ("b".into(), 1)]);
+    log.on_list(read(10), vec![("a".into(), 1), ("b".into(), 1)]);
     let all = vec![("a".into(), 1), ("b".into(), 1)];
-    assert_eq!(log.view(None), RelayView::All(10, all.clone()));
-    assert_eq!(log.view(Some(9)), RelayView::All(10, all));
-    assert_eq!(log.view(Some(10)), RelayView::Unchanged);
-    log.on_changes(12, vec![change("a", 2, false)]);
-    log.on_changes(15, vec![change("b", 1, true)]);
+    assert_eq!(log.view(None), RelayView::All(read(10), all.clone()));
+    assert_eq!(log.view(Some(9)), RelayView::All(read(10), all));
+    assert_eq!(log.view(Some(10)), RelayView::Unchanged(read(10)));
+    log.on_changes(read(12), vec![change("a", 2, false)]);
+    log.on_changes(read(15), vec![change("b", 1, true)]);
     let both = vec![change("a", 2, false), change("b", 1, true)];
-    assert_eq!(log.view(Some(10)), RelayView::Changes(15, both));
+    assert_eq!(log.view(Some(10)), RelayView::Changes(read(15), both));
     let second = vec![change("b", 1, true)];
-    assert_eq!(log.view(Some(12)), RelayView::Changes(15, second));
-    assert_eq!(log.view(None), RelayView::All(15, vec![("a".into(), 2)]));
+    assert_eq!(log.view(Some(12)), RelayView::Changes(read(15), second));
+    assert_eq!(
+        log.view(None),
+        RelayView::All(read(15), vec![("a".into(), 2)])
+    );
     // An instance may have received more than its relay.
-    assert_eq!(log.view(Some(20)), RelayView::Unchanged);
+    assert_eq!(log.view(Some(20)), RelayView::Unchanged(read(15)));
     log.on_store_lost();
     assert_eq!(log.view(Some(10)), RelayView::Unknown);
 }
@@ -231,12 +222,12 @@
 #[test]
 fn an_instance_that_needs_dropped_changes_receives_all_objects() {
     let mut log = RelayLog::default();
-    log.on_list(1, Vec::new());
+    log.on_list(read(1), Vec::new());
     for version in 2..2_000 {
-        log.on_changes(version, vec![change("a", version as u32, false)]);
+        log.on_changes(read(version), vec![change("a", version as u32, false)]);
     }
     let all = vec![("a".into(), 1_999)];
-    assert_eq!(log.view(Some(2)), RelayView::All(1_999, all));
+    assert_eq!(log.view(Some(2)), RelayView::All(read(1_999), all));
     let last = vec![change("a", 1_999, false)];
-    assert_eq!(log.view(Some(1_998)), RelayView::Changes(1_999, last));
+    assert_eq!(log.view(Some(1_998)), RelayView::Changes(read(1_999), last));
 }
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -11,7 +11,9 @@
     ObjectKind, PutOutcome, StoreObject, create_request, decode_delete, decode_list, decode_put,
     delete_request, list_request, replace_request,
 };
-use wagtailarch_dispatch::{ReadLimits, RegistrationTracker, UpdateSource, is_designated};
+use wagtailarch_dispatch::{
+    ReadLimits, RegistrationTracker, StoreRead, UpdateSource, is_designated,
+};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::relay::RelayKind;
 
@@ -21,7 +23,7 @@
         sources::{RelayReader, RelayUpdate, Sources},
         store_error::StoreError,
     },
-    http_client::HttpClient,
+    http_client::{CONNECT_LIMIT, HttpClient},
     metrics::StoreCall,
     snapshot::{Peer, Snapshot},
 };
@@ -47,7 +49,7 @@
 /// Keeps this instance registered, publishes the other instances and removes expired ones.
 pub async fn maintain_registration(sources: Sources, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
     let context = sources.context.clone();
-    let mut client = HttpClient::new(context.store_address);
+    let mut client = HttpClient::new(context.store_address, CONNECT_LIMIT);
     loop {
         match register(&context, &mut client).await {
             Ok(new) => {
@@ -215,8 +217,8 @@
                     .read(&relay, self.known_version, Duration::ZERO)
                     .await
                 {
-                    Ok(RelayUpdate::All(version, objects)) => {
-                        self.known_version = Some(version);
+                    Ok(RelayUpdate::All(read, objects)) => {
+                        self.known_version = Some(read.version);
                         // A relay's list may be older than this instance's own registration.
                         let own = &self.context.instance;
                         self.verify_with_store = !objects.iter().any(|object| object.name == *own);
@@ -261,9 +263,11 @@
             self.stored_objects.clone_from(&objects);
             self.known_version = Some(version);
         }
-        let known_version = self.known_version.unwrap_or(version);
-        self.relay_reader
-            .on_store_list(known_version, &self.stored_objects);
+        let read = StoreRead {
+            version: self.known_version.unwrap_or(version),
+            at: self.context.epoch.elapsed(),
+        };
+        self.relay_reader.on_store_list(read, &self.stored_objects);
         Ok(objects)
     }
 }
--- a/crates/wagtailarch-gateway/src/control/relay.rs
+++ b/crates/wagtailarch-gateway/src/control/relay.rs
@@ -1,6 +1,12 @@
 //! Relays objects that this instance reads from the store to other instances of its zone.
 
-use std::{cell::RefCell, convert::Infallible, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    convert::Infallible,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -15,11 +21,10 @@
     time::{sleep, timeout},
 };
 use wagtailarch_adapter::StoreObject;
-use wagtailarch_dispatch::{RelayChange, RelayLog, RelayView};
-use wagtailarch_types::ObjectVersion;
+use wagtailarch_dispatch::{RelayChange, RelayLog, RelayView, StoreRead};
 use wagtailarch_wire::relay::{
-    RELAY_PATH, RELAY_VERSION, RelayKind, RelayRequest, RelayResponse, RelayedObject, decode,
-    encode,
+    RELAY_PATH, RELAY_VERSION, RelayKind, RelayRequest, RelayResponse, RelayedObject, RelayedRead,
+    decode, encode,
 };
 
 /// Maximum number of connections; each instance uses one for each kind of objects.
@@ -44,37 +49,35 @@
     logs: Rc<RefCell<IndexMap<RelayKind, RelayLog<StoreObject>>>>,
     /// Notified after each change of a log.
     changed: watch::Sender<()>,
+    /// Start of the process.
+    epoch: Instant,
 }
 
 impl Relay {
     /// Creates a relay without objects.
-    pub fn new() -> Self {
+    pub fn new(epoch: Instant) -> Self {
         Self {
             logs: Rc::default(),
             changed: watch::Sender::new(()),
+            epoch,
         }
     }
 
     /// Records a complete list from the store.
-    pub fn on_list(&self, kind: RelayKind, version: ObjectVersion, objects: &[StoreObject]) {
+    pub fn on_list(&self, kind: RelayKind, read: StoreRead, objects: &[StoreObject]) {
         let objects = objects.iter();
         let objects = objects.map(|object| (object.name.clone(), object.clone()));
-        self.change(kind, |log| log.on_list(version, objects.collect()));
+        self.change(kind, |log| log.on_list(read, objects.collect()));
     }
 
     /// Records changes from the store.
-    pub fn on_changes(
-        &self,
-        kind: RelayKind,
-        version: ObjectVersion,
-        changes: &[(StoreObject, bool)],
-    ) {
+    pub fn on_changes(&self, kind: RelayKind, read: StoreRead, changes: &[(StoreObject, bool)]) {
         let changes = changes.iter().map(|(object, deleted)| RelayChange {
             name: object.name.clone(),
             object: object.clone(),
             deleted: *deleted,
         });
-        self.change(kind, |log| log.on_changes(version, changes.collect()));
+        self.change(kind, |log| log.on_changes(read, changes.collect()));
     }
 
     /// Marks the objects as outdated while this instance does not read them from the store itself.
@@ -94,7 +97,7 @@
         let update = async {
             loop {
                 let response = self.current_response(&request);
-                if response != RelayResponse::Unchanged {
+                if !matches!(response, RelayResponse::Unchanged(_)) {
                     return response;
                 }
                 if changed.changed().await.is_err() {
@@ -102,9 +105,10 @@
                 }
             }
         };
-        timeout(wait, update)
-            .await
-            .unwrap_or(RelayResponse::Unchanged)
+        match timeout(wait, update).await {
+            Ok(response) => response,
+            Err(_) => self.current_response(&request),
+        }
     }
 
     fn current_response(&self, request: &RelayRequest) -> RelayResponse {
@@ -112,8 +116,8 @@
         let log = logs.get(&request.kind);
         match log.map_or(RelayView::Unknown, |log| log.view(request.have)) {
             RelayView::Unknown => RelayResponse::Unknown,
-            RelayView::Unchanged => RelayResponse::Unchanged,
-            RelayView::All(version, objects) => {
+            RelayView::Unchanged(read) => RelayResponse::Unchanged(self.relayed(read)),
+            RelayView::All(read, objects) => {
                 let objects: Vec<_> = objects
                     .iter()
                     .map(|(_, object)| encode_object(object))
@@ -121,9 +125,9 @@
                 if too_large(objects.iter()) {
                     return RelayResponse::TooLarge;
                 }
-                RelayResponse::All(version, objects)
+                RelayResponse::All(self.relayed(read), objects)
             }
-            RelayView::Changes(version, changes) => {
+            RelayView::Changes(read, changes) => {
                 let changes = changes.iter();
                 let changes: Vec<_> = changes
                     .map(|change| (encode_object(&change.object), change.deleted))
@@ -131,10 +135,19 @@
                 if too_large(changes.iter().map(|(object, _)| object)) {
                     return RelayResponse::TooLarge;
                 }
-                RelayResponse::Changes(version, changes)
+                RelayResponse::Changes(self.relayed(read), changes)
             }
         }
     }
+
+    /// Returns a read with its present age.
+    fn relayed(&self, read: StoreRead) -> RelayedRead {
+        let age = self.epoch.elapsed().saturating_sub(read.at);
+        RelayedRead {
+            version: read.version,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
 }
 
 fn encode_object(object: &StoreObject) -> RelayedObject {
--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     control::{ControlContext, store_error::StoreError},
-    http_client::{CallError, HttpClient},
+    http_client::{CONNECT_LIMIT, CallError, HttpClient},
     metrics::StoreCall,
     snapshot::Snapshot,
 };
@@ -182,7 +182,7 @@
     role: Role,
 ) -> Result<OrderResponse, OrderError> {
     let report = report_request(&engine.id);
-    let response = HttpClient::new(engine.address)
+    let response = HttpClient::new(engine.address, CONNECT_LIMIT)
         .call(report, CALL_TIMEOUT)
         .await;
     let (status, body) = response.map_err(OrderError::Engine)?;
@@ -207,7 +207,7 @@
     }
     // A connection of its own, so that a second response to the report cannot pass for the response
     // to the order.
-    let response = HttpClient::new(engine.address)
+    let response = HttpClient::new(engine.address, CONNECT_LIMIT)
         .call(request, CALL_TIMEOUT)
         .await;
     let (status, _) = response.map_err(OrderError::Engine)?;
@@ -219,7 +219,7 @@
     context: &ControlContext,
     engine: &BackendServer,
 ) -> Result<(u64, Duration), OrderError> {
-    let mut store = HttpClient::new(context.store_address);
+    let mut store = HttpClient::new(context.store_address, CONNECT_LIMIT);
     let mut claim = OrderClaim::new(context.instance.clone());
     loop {
         let found = read_claim(context, &mut store, engine).await?;
--- a/crates/wagtailarch-gateway/src/control/sources.rs
+++ b/crates/wagtailarch-gateway/src/control/sources.rs
@@ -10,11 +10,11 @@
 use displaydoc::Display;
 use http::{Method, Request, StatusCode};
 use wagtailarch_adapter::StoreObject;
-use wagtailarch_dispatch::{ReadLimits, RelayPlan, UpdateSource};
+use wagtailarch_dispatch::{ReadLimits, RelayPlan, StoreRead, UpdateSource};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::relay::{
-    RELAY_PATH, RELAY_VERSION, RelayKind, RelayRequest, RelayResponse, RelayedObject, decode,
-    encode,
+    RELAY_PATH, RELAY_VERSION, RelayKind, RelayRequest, RelayResponse, RelayedObject, RelayedRead,
+    decode, encode,
 };
 
 use crate::{
@@ -27,8 +27,6 @@
     snapshot::Peer,
 };
 
-/// Time beyond the wait of a request within which the response must arrive.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(600);
 /// Time after the start for which a new member reads only the list of instances, while the other
 /// members of a new fleet register.
 const REGISTRATION_TIME: Duration = Duration::from_millis(1_500);
@@ -51,6 +49,7 @@
 #[derive(Debug)]
 pub struct RelayReader {
     kind: RelayKind,
+    limits: ReadLimits,
     sources: Sources,
     plan: RelayPlan,
     /// Connection to the last relay that was called.
@@ -63,11 +62,11 @@
 #[derive(Debug)]
 pub enum RelayUpdate {
     /// Nothing has changed.
-    Unchanged,
-    /// All objects at a version of the store.
-    All(ObjectVersion, Vec<StoreObject>),
-    /// Changed objects up to a version of the store, each with whether it was deleted.
-    Changes(ObjectVersion, Vec<(StoreObject, bool)>),
+    Unchanged(StoreRead),
+    /// All objects.
+    All(StoreRead, Vec<StoreObject>),
+    /// Changed objects, each with whether it was deleted.
+    Changes(StoreRead, Vec<(StoreObject, bool)>),
 }
 
 /// Why a relay returned no objects.
@@ -91,8 +90,8 @@
     /// Creates the sources of an instance that has listed no members yet.
     pub fn new(context: ControlContext) -> Self {
         Self {
+            relay: Relay::new(context.epoch),
             context,
-            relay: Relay::new(),
             members: Rc::default(),
             new_member: Rc::default(),
         }
@@ -132,6 +131,7 @@
     pub fn new(kind: RelayKind, limits: ReadLimits, sources: Sources) -> Self {
         Self {
             kind,
+            limits,
             sources,
             plan: RelayPlan::new(limits),
             client: None,
@@ -154,14 +154,6 @@
             .source(age, age, &context.instance, &relay_candidates)
     }
 
-    /// Returns whether this instance is the first relay of its zone, which uses short watches.
-    pub fn is_first_relay(&self) -> bool {
-        RelayPlan::is_first_relay(
-            &self.sources.context.instance,
-            &self.sources.relay_candidates(),
-        )
-    }
-
     /// Requests the changes after version `have` from a relay, which may wait for a change.
     ///
     /// A relay that failed is not asked again for some time; after [`RelayError::TooLarge`], the
@@ -185,12 +177,17 @@
 
     /// Records that a relay lags behind the versions that peers report; the store is read next.
     pub fn on_stale(&mut self, relay: &InstanceId) {
-        let now = self.sources.context.epoch.elapsed();
-        self.plan.on_failure(now, relay);
+        self.on_outdated(relay);
         self.store_next = true;
         self.client = None;
     }
 
+    /// Records that a relay responds, but has not proved for too long that its objects are current.
+    pub fn on_outdated(&mut self, relay: &InstanceId) {
+        let now = self.sources.context.epoch.elapsed();
+        self.plan.on_failure(now, relay);
+    }
+
     /// Records that the store responded, but no longer has the history that was asked for; the store
     /// is read next.
     pub fn on_history_expired(&mut self) {
@@ -199,15 +196,15 @@
     }
 
     /// Records a complete list from the store and relays it to other instances.
-    pub fn on_store_list(&mut self, version: ObjectVersion, objects: &[StoreObject]) {
+    pub fn on_store_list(&mut self, read: StoreRead, objects: &[StoreObject]) {
         self.plan.on_response();
-        self.sources.relay.on_list(self.kind, version, objects);
+        self.sources.relay.on_list(self.kind, read, objects);
     }
 
     /// Records changes from the store and relays them to other instances.
-    pub fn on_store_changes(&mut self, version: ObjectVersion, changes: &[(StoreObject, bool)]) {
+    pub fn on_store_changes(&mut self, read: StoreRead, changes: &[(StoreObject, bool)]) {
         self.plan.on_response();
-        self.sources.relay.on_changes(self.kind, version, changes);
+        self.sources.relay.on_changes(self.kind, read, changes);
     }
 
     /// Stops relaying while this instance does not read from the store itself.
@@ -232,25 +229,37 @@
         ));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(RELAY_PATH);
+        let limit = wait + self.limits.response_margin();
+        let epoch = self.sources.context.epoch;
+        let sent_at = epoch.elapsed();
         let client = self.client(relay)?;
-        let response = client.call(request, wait + RESPONSE_MARGIN).await;
+        let response = client.call(request, limit).await;
         let (status, body) = response.map_err(RelayError::Call)?;
         if status != StatusCode::OK {
             return Err(RelayError::Status(status));
         }
+        // A relay responds to a request without updates when the wait is over, and to any other one
+        // at an unknown time after it was sent.
+        let unchanged_at = epoch.elapsed().min(sent_at + wait);
+        let read = |relayed: RelayedRead, responded_at: Duration| StoreRead {
+            version: relayed.version,
+            at: responded_at.saturating_sub(Duration::from_millis(relayed.age_ms.into())),
+        };
         match decode(&body).map_err(RelayError::Message)? {
             RelayResponse::Unknown => Err(RelayError::Unknown),
             RelayResponse::TooLarge => Err(RelayError::TooLarge),
-            RelayResponse::Unchanged => Ok(RelayUpdate::Unchanged),
-            RelayResponse::All(version, objects) => {
+            RelayResponse::Unchanged(relayed) => {
+                Ok(RelayUpdate::Unchanged(read(relayed, unchanged_at)))
+            }
+            RelayResponse::All(relayed, objects) => {
                 let objects = objects.into_iter().map(object).collect::<Result<_, _>>()?;
-                Ok(RelayUpdate::All(version, objects))
+                Ok(RelayUpdate::All(read(relayed, sent_at), objects))
             }
-            RelayResponse::Changes(version, changes) => {
+            RelayResponse::Changes(relayed, changes) => {
                 let changes = changes.into_iter();
                 let changes = changes.map(|(changed, deleted)| Ok((object(changed)?, deleted)));
                 Ok(RelayUpdate::Changes(
-                    version,
+                    read(relayed, sent_at),
                     changes.collect::<Result<_, _>>()?,
                 ))
             }
@@ -263,7 +272,10 @@
             let members = self.sources.members.borrow();
             let peer = members.iter().find(|peer| peer.name == *relay);
             let address = peer.ok_or(RelayError::Unknown)?.address;
-            self.client = Some((relay.clone(), HttpClient::new(address)));
+            self.client = Some((
+                relay.clone(),
+                HttpClient::new(address, self.limits.connect_limit()),
+            ));
         }
         let client = self.client.as_mut().map(|(_, client)| client);
         client.ok_or(RelayError::Unknown)
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -12,7 +12,7 @@
     ObjectKind, StoreObject, StoreResponseError, decode_list, decode_watch, list_request,
     watch_request,
 };
-use wagtailarch_dispatch::{ReadLimits, UpdateSource, watch_timeout};
+use wagtailarch_dispatch::{Freshness, ReadLimits, StoreRead, UpdateSource};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::{load_note::StoreVersions, relay::RelayKind};
 
@@ -29,20 +29,9 @@
 
 /// Name of the store as a source in logs.
 const STORE: &str = "store";
-/// Time beyond the wait of a watch within which the response must arrive.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
-/// Divisor of the bound on applying changes that gives the pause after a change.
-///
-/// The pause lets one call read changes in quick succession; the rest of the bound is left for slow
-/// responses.
-const CHANGE_PAUSE_DIVISOR: u32 = 2;
-/// Time for which peers may report versions beyond that of this watch before it counts as stale.
-const STALE_AFTER: Duration = Duration::from_millis(1_000);
 /// Wait of a watch that only has to reach the versions reported by peers; its response carries the
 /// store's version.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(50);
-/// Time for which a request to a relay waits for a change.
-const RELAY_WAIT: Duration = Duration::from_secs(15);
 /// Delay before a relay that does not read from the store is called again, and while there is no
 /// source to read from.
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -57,11 +46,9 @@
     context: ControlContext,
     /// Reads from relays, and relays what this instance reads.
     relay_reader: RelayReader,
-    /// Time within which changes must be applied.
-    bound: Duration,
     limits: ReadLimits,
-    /// Version from which the next watch continues; `None` before a list.
-    version: Option<ObjectVersion>,
+    /// Version from which the next watch continues, and the newest proof that it is current.
+    freshness: Freshness,
     backoff: Duration,
     store_lost: bool,
     /// Earliest start of the next watch.
@@ -104,12 +91,11 @@
         let limits = ReadLimits::new(bound);
         Self {
             kind,
-            client: HttpClient::new(context.store_address),
+            client: HttpClient::new(context.store_address, limits.connect_limit()),
             context,
             relay_reader: RelayReader::new(relay_kind, limits, sources),
-            bound,
             limits,
-            version: None,
+            freshness: Freshness::default(),
             backoff: MIN_BACKOFF,
             store_lost: false,
             not_before: None,
@@ -144,7 +130,7 @@
                     Some(update) => return update,
                     None => continue,
                 },
-                UpdateSource::Store => match self.version.filter(|_| !self.list_next) {
+                UpdateSource::Store => match self.freshness.version().filter(|_| !self.list_next) {
                     None => self.list().await,
                     Some(version) => self.watch(version).await,
                 },
@@ -156,10 +142,10 @@
                 }
                 Err(StoreError::Response(StoreResponseError::HistoryExpired)) => {
                     info!(self.log(), "store history expired"; "kind" => self.kind.as_str(),
-                        "version" => self.version);
+                        "version" => self.freshness.version());
                     self.trail.on_failure(STORE, "history expired");
                     self.relay_reader.on_history_expired();
-                    self.version = None;
+                    self.freshness.reset();
                 }
                 Err(error) => {
                     self.trail.on_failure(STORE, &error);
@@ -183,6 +169,7 @@
         let mut objects = Vec::new();
         let mut after = None;
         let mut version = None;
+        let sent_at = self.now();
         loop {
             let request = list_request(self.kind, after.as_deref(), false);
             self.context.metrics.count_store_call(StoreCall::List);
@@ -193,10 +180,14 @@
             let oldest = *version.get_or_insert(page.store_version);
             after = page.next_after;
             if after.is_none() {
-                self.version = Some(oldest);
+                let read = StoreRead {
+                    version: oldest,
+                    at: sent_at,
+                };
+                self.freshness.on_store_read(read);
                 self.list_next = false;
                 self.on_list(&objects);
-                self.relay_reader.on_store_list(oldest, &objects);
+                self.relay_reader.on_store_list(read, &objects);
                 return Ok(WatchUpdate::Listed(objects));
             }
         }
@@ -210,7 +201,7 @@
     fn on_list(&mut self, objects: &[StoreObject]) {
         let newest = objects.iter().map(|object| object.version).max();
         let newest_change = match self.listed {
-            true => self.version,
+            true => self.freshness.version(),
             false => newest,
         };
         self.newest_change = self.newest_change.max(newest_change.unwrap_or(0));
@@ -218,16 +209,24 @@
     }
 
     async fn watch(&mut self, version: ObjectVersion) -> Result<WatchUpdate, StoreError> {
+        let mut wait = self.limits.watch_wait();
         if let Some(time) = self.not_before.take() {
             sleep_until(time).await;
+            wait = wait.saturating_sub(self.limits.change_pause());
+        }
+        let mut limit = wait + self.limits.response_margin();
+        if std::mem::take(&mut self.catching_up) {
+            // The response may carry objects that are too large for a relay.
+            wait = CATCH_UP_WAIT;
+            limit = self.limits.call_limit();
         }
-        let wait = self.wait();
         let request = watch_request(self.kind, version, wait);
         self.context.metrics.count_store_call(StoreCall::Watch);
         let kind = self.kind;
+        let sent_at = self.now();
         let response = tokio::select! {
-            response = self.client.call(request, wait + RESPONSE_MARGIN) => response,
-            () = wait_until_stale(&mut self.peer_versions, kind, version) => {
+            response = self.client.call(request, limit) => response,
+            () = wait_until_stale(&mut self.peer_versions, kind, version, self.limits.stale_after()) => {
                 // An abandoned call closes its connection.
                 self.catching_up = true;
                 self.trail.on_failure(STORE, "stale");
@@ -238,11 +237,18 @@
         };
         let (status, body) = response?;
         let page = decode_watch(status, &body)?;
-        self.version = Some(page.store_version);
-        self.relay_reader
-            .on_store_changes(page.store_version, &page.changes);
+        let read = StoreRead {
+            version: page.store_version,
+            // The store responds when the wait is over, or at an unknown time if there is a change.
+            at: match page.changes.is_empty() {
+                true => self.now().min(sent_at + wait),
+                false => sent_at,
+            },
+        };
+        self.freshness.on_store_read(read);
+        self.relay_reader.on_store_changes(read, &page.changes);
         if !page.changes.is_empty() {
-            self.not_before = Some(Instant::now() + self.bound / CHANGE_PAUSE_DIVISOR);
+            self.not_before = Some(Instant::now() + self.limits.change_pause());
         }
         self.on_changes(&page.changes);
         Ok(WatchUpdate::Changed(page.changes))
@@ -257,14 +263,20 @@
     /// Reads from a relay; returns `None` if another source has to be tried.
     async fn read_relay(&mut self, relay: &InstanceId) -> Option<WatchUpdate> {
         self.relay_reader.suspend_relaying();
-        let wait = match self.version {
-            Some(_) => RELAY_WAIT,
+        let have = self.freshness.version();
+        let wait = match have {
+            Some(_) => {
+                let time_left = self.freshness.time_left(self.now(), &self.limits);
+                self.limits.relay_wait().min(time_left)
+            }
             None => Duration::ZERO,
         };
-        let version = self.version.unwrap_or(ObjectVersion::MAX);
+        let version = have.unwrap_or(ObjectVersion::MAX);
         let response = tokio::select! {
-            response = self.relay_reader.read(relay, self.version, wait) => response,
-            () = wait_until_stale(&mut self.peer_versions, self.kind, version) => {
+            response = self.relay_reader.read(relay, have, wait) => response,
+            () = wait_until_stale(
+                &mut self.peer_versions, self.kind, version, self.limits.stale_after(),
+            ) => {
                 info!(self.log(), "relay stale"; "kind" => self.kind.as_str(), "peer" => %relay,
                     "version" => version);
                 self.trail.on_failure(relay, "stale");
@@ -275,9 +287,21 @@
         };
         match response {
             Ok(update) => {
-                self.list_next = false;
-                self.on_response(relay.clone());
-                Some(self.apply_relay_update(update))
+                let update = self.apply_relay_update(update);
+                if update.is_some() {
+                    self.on_response(relay.clone());
+                }
+                let now = self.now();
+                if self.freshness.is_overdue(now, &self.limits) {
+                    let age_ms = self.freshness.age(now).as_millis();
+                    info!(self.log(), "relay outdated"; "kind" => self.kind.as_str(),
+                        "peer" => %relay, "version" => self.freshness.version(),
+                        "age_ms" => age_ms as u64);
+                    self.trail
+                        .on_failure(relay, format_args!("outdated by {age_ms} ms"));
+                    self.relay_reader.on_outdated(relay);
+                }
+                update
             }
             Err(error) => {
                 self.trail.on_failure(relay, &error);
@@ -295,7 +319,7 @@
     ) -> Option<WatchUpdate> {
         match error {
             RelayError::TooLarge => {
-                self.catching_up = self.version.is_some();
+                self.catching_up = self.freshness.version().is_some();
                 None
             }
             RelayError::Unknown => {
@@ -316,34 +340,35 @@
         }
     }
 
-    /// Applies an update from a relay, whose versions are those of the store.
-    fn apply_relay_update(&mut self, update: RelayUpdate) -> WatchUpdate {
-        match update {
-            RelayUpdate::Unchanged => WatchUpdate::Changed(Vec::new()),
-            RelayUpdate::All(version, objects) => {
-                self.version = Some(version);
+    /// Applies an update from a relay, whose versions are those of the store; returns `None` if its
+    /// content is not to be used.
+    fn apply_relay_update(&mut self, update: RelayUpdate) -> Option<WatchUpdate> {
+        let now = self.now();
+        let read = match &update {
+            RelayUpdate::Unchanged(read)
+            | RelayUpdate::All(read, _)
+            | RelayUpdate::Changes(read, _) => *read,
+        };
+        if !self.freshness.on_relayed_read(now, read, &self.limits) {
+            return None;
+        }
+        self.list_next = false;
+        Some(match update {
+            RelayUpdate::Unchanged(_) => WatchUpdate::Changed(Vec::new()),
+            RelayUpdate::All(_, objects) => {
                 self.on_list(&objects);
                 WatchUpdate::Listed(objects)
             }
-            RelayUpdate::Changes(version, changes) => {
-                self.version = Some(version);
+            RelayUpdate::Changes(_, changes) => {
                 self.on_changes(&changes);
                 WatchUpdate::Changed(changes)
             }
-        }
+        })
     }
 
-    /// Returns the time for which the next watch waits.
-    fn wait(&mut self) -> Duration {
-        if std::mem::take(&mut self.catching_up) {
-            return CATCH_UP_WAIT;
-        }
-        // A member designated for another duty may not read from the store itself, so the first
-        // relay uses short watches.
-        watch_timeout(
-            self.relay_reader.is_first_relay(),
-            !self.context.live_peers().is_empty(),
-        )
+    /// Returns the time since the start of the process.
+    fn now(&self) -> Duration {
+        self.context.epoch.elapsed()
     }
 
     fn on_response(&mut self, source: SmolStr) {
@@ -369,11 +394,12 @@
     }
 }
 
-/// Waits until peers have reported a version beyond `version` for `STALE_AFTER`.
+/// Waits until peers have reported a version beyond `version` for the time `stale_after`.
 async fn wait_until_stale(
     peer_versions: &mut watch::Receiver<StoreVersions>,
     kind: ObjectKind,
     version: ObjectVersion,
+    stale_after: Duration,
 ) {
     let newest_change = |versions: &StoreVersions| match kind {
         ObjectKind::Config => versions.routing,
@@ -387,5 +413,5 @@
     {
         std::future::pending::<()>().await;
     }
-    sleep(STALE_AFTER).await;
+    sleep(stale_after).await;
 }
--- a/crates/wagtailarch-gateway/src/http_client.rs
+++ b/crates/wagtailarch-gateway/src/http_client.rs
@@ -10,8 +10,8 @@
 
 use crate::connection::{ConnectError, Connection, MAX_HEAD_BYTES, connect};
 
-/// Timeout for opening a connection.
-const CONNECT_LIMIT: Duration = Duration::from_millis(800);
+/// Timeout for opening a connection where no bound on applying changes demands a shorter one.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(800);
 /// Maximum size of a response; a page of a list has about 1 MB.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub struct HttpClient {
     address: SocketAddr,
+    /// Timeout for opening a connection.
+    connect_limit: Duration,
     connection: Option<Connection>,
 }
 
@@ -35,9 +37,10 @@
 
 impl HttpClient {
     /// Creates a client; the connection is opened at the first call.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, connect_limit: Duration) -> Self {
         Self {
             address,
+            connect_limit,
             connection: None,
         }
     }
@@ -53,7 +56,7 @@
     ) -> Result<(StatusCode, Bytes), CallError> {
         let mut connection = match self.connection.take() {
             Some(connection) if !connection.sender.is_closed() => connection,
-            _ => connect(self.address, CONNECT_LIMIT)
+            _ => connect(self.address, self.connect_limit)
                 .await
                 .map_err(CallError::Connect)?,
         };
--- a/crates/wagtailarch-wire/src/relay.rs
+++ b/crates/wagtailarch-wire/src/relay.rs
@@ -5,7 +5,7 @@
 use wagtailarch_types::ObjectVersion;
 
 /// Version of the encoding; requests of other versions are rejected.
-pub const RELAY_VERSION: u8 = 1;
+pub const RELAY_VERSION: u8 = 2;
 /// Path of the requests.
 pub const RELAY_PATH: &str = "/relay";
 
@@ -39,15 +39,24 @@
     /// The instance does not read from the store, or the store does not respond to it.
     Unknown,
     /// There are no updates.
-    Unchanged,
-    /// All objects at a store version.
-    All(ObjectVersion, Vec<RelayedObject>),
-    /// The changes up to a store version, each with whether the object was deleted.
-    Changes(ObjectVersion, Vec<(RelayedObject, bool)>),
+    Unchanged(RelayedRead),
+    /// All objects.
+    All(RelayedRead, Vec<RelayedObject>),
+    /// The changes up to the version of the read, each with whether the object was deleted.
+    Changes(RelayedRead, Vec<(RelayedObject, bool)>),
     /// The updates are too large to be relayed; the store has to be asked.
     TooLarge,
 }
 
+/// The newest read of the store by the relay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedRead {
+    /// Version up to which the read shows all changes.
+    pub version: ObjectVersion,
+    /// Time in milliseconds since the store had no further changes.
+    pub age_ms: u32,
+}
+
 /// An object of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayedObject {
