Log software versions of engines and take-ups of streams

The lines of an instance did not tell whether a stream got its second version inside one response or from a take-up by its client. BackendServer carries the software version of its registration, which is required as its other fields are, and placed and stream resumed state it. stream taken up states the attempt that the client names as the origin.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -67,7 +67,7 @@
 pub use routing::{
     ClientLimits, EngineProperties, Route, RouteTarget, RoutingConfig, ServiceConfig,
 };
-pub use server::{BackendServer, ServerEndpoint};
+pub use server::{BackendServer, ServerEndpoint, version_key};
 pub use server_health::ServerHealth;
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
 pub use urgent_utilization::UrgentUtilization;
--- a/crates/wagtailarch-dispatch/src/server.rs
+++ b/crates/wagtailarch-dispatch/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use wagtailarch_types::{InstanceId, Role, ServiceName, ZoneName};
+use wagtailarch_types::{InstanceId, Role, ServiceName, SoftwareVersion, VersionKey, ZoneName};
 
 /// A backend server, as described by its registration.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,6 +21,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: ZoneName,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Number of requests that the server runs at the same time.
     pub slots: u32,
     /// Whether the server has announced that it leaves.
@@ -36,6 +38,16 @@
     pub id: InstanceId,
     /// Address for requests.
     pub address: SocketAddr,
+    /// Version of its software.
+    pub version: SoftwareVersion,
+}
+
+/// Returns the key of a software version of a service.
+pub fn version_key(service: &str, version: &str) -> VersionKey {
+    xxhash_rust::xxh3::xxh3_64_with_seed(
+        version.as_bytes(),
+        xxhash_rust::xxh3::xxh3_64(service.as_bytes()),
+    )
 }
 
 impl BackendServer {
@@ -44,9 +56,15 @@
         ServerEndpoint {
             id: self.id.clone(),
             address: self.address,
+            version: self.version.clone(),
         }
     }
 
+    /// Returns the key of the software version of the server's service.
+    pub fn version_key(&self) -> VersionKey {
+        version_key(&self.service, &self.version)
+    }
+
     /// Returns whether `other` describes the same server without a restart in between, at the same
     /// address.
     pub fn same_process(&self, other: &Self) -> bool {
@@ -54,5 +72,6 @@
             && self.started_unix_ms == other.started_unix_ms
             && self.address == other.address
             && self.service == other.service
+            && self.version == other.version
     }
 }
--- a/crates/wagtailarch-dispatch/tests/common/mod.rs
+++ b/crates/wagtailarch-dispatch/tests/common/mod.rs
@@ -57,6 +57,7 @@
         service: PLAIN.into(),
         address: ([10, 0, 0, last], 8_000).into(),
         zone: zone.into(),
+        version: "v1".into(),
         slots: 6,
         leaving: false,
         role: None,
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -66,6 +66,10 @@
 /// Serves a generation.
 pub async fn serve(context: Rc<RequestContext>) -> Response<ResponseBody> {
     let mut attempts = Attempts::default();
+    if let Some(last_event) = context.client.resume_after {
+        info!(context.gateway.log, "stream taken up"; "request" => %context.client.id,
+            "origin" => context.client.origin.as_deref(), "last_event" => last_event);
+    }
     let response = match start(&context, &mut attempts, context.client.resume_after).await {
         Ok(started) => stream_relay::respond(Rc::clone(&context), attempts, started).await,
         Err(failure) => Err(failure),
@@ -238,7 +242,7 @@
                     PrefillPlan::Split(prefill_engine) => prefill_engine.id.as_str(),
                 },
                 "first_event_ms" => plan.first_event.as_millis() as u64,
-                "urgency" => ?plan.urgency, "age_ms" => context.age().as_millis() as u64);
+                "urgency" => ?plan.urgency, "version" => %plan.decode.version, "age_ms" => context.age().as_millis() as u64);
             Ok(plan)
         }
         Placement::Refuse {
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -329,7 +329,8 @@
         match resumed {
             Ok(mut started) => {
                 info!(gateway.log, "stream resumed"; "request" => %context.client.id,
-                    "server" => %started.call.server.id, "last_event" => self.last_event);
+                    "server" => %started.call.server.id, "last_event" => self.last_event,
+                    "version" => %started.call.server.version);
                 if !delivered {
                     self.head = started.response.take_head();
                 }
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -94,6 +94,7 @@
         service: SERVICE.into(),
         address: ([10, 1, (number / 250) as u8, (number % 250) as u8], 8_000).into(),
         zone: format_smolstr!("zone-{}", number % ZONES),
+        version: "v1".into(),
         slots: 64,
         leaving: false,
         role: Some(match number % 3 {
--- a/crates/wagtailarch-types/src/id.rs
+++ b/crates/wagtailarch-types/src/id.rs
@@ -23,6 +23,12 @@
 /// Name of an adapter of a model.
 pub type AdapterName = SmolStr;
 
+/// Version of the software of a backend server, not of the weights of a model.
+pub type SoftwareVersion = SmolStr;
+
+/// Hash of a service and a software version, which identifies both in messages and tables.
+pub type VersionKey = u64;
+
 /// Name of a team; rate limits and fair shares apply per team.
 pub type TeamName = SmolStr;
 
--- a/crates/wagtailarch-types/src/lib.rs
+++ b/crates/wagtailarch-types/src/lib.rs
@@ -10,8 +10,9 @@
 
 pub use id::{
     AdapterName, AttemptNo, BootId, FencingNumber, Fingerprint, Generation, GroupName, HashedKey,
-    InstanceId, ModelName, Nonce, ObjectVersion, RequestId, ServiceName, TeamName, VersionName,
-    ZoneName, fingerprint, format_request_id, hash_key, parse_request_id, rendezvous_weight,
+    InstanceId, ModelName, Nonce, ObjectVersion, RequestId, ServiceName, SoftwareVersion, TeamName,
+    VersionKey, VersionName, ZoneName, fingerprint, format_request_id, hash_key, parse_request_id,
+    rendezvous_weight,
 };
 pub use outcome::{Ran, RefusalReason, RetryReason};
 pub use role::{Assignment, BackendKind, BackendState, Phase, Priority, Role};
