Resume a stream only at servers of the software version that began it

Cause: nothing bound a stream to the version of the server that sent its first event. A prompt could also be read by a server of one version and decoded by one of another, which servers do not check either.

Change: the first event that reaches the client binds the request to the version of its server, and all further placing keeps to it. The engines of one generation have one version. A stream whose server is back under its id with another version is broken off, since it is not known which of the two sent the events. New streams choose among the candidates of all versions, as before.

--- a/crates/wagtailarch-dispatch/src/backend.rs
+++ b/crates/wagtailarch-dispatch/src/backend.rs
@@ -1,6 +1,6 @@
 //! The state of a backend server in the traffic thread.
 
-use wagtailarch_types::InstanceId;
+use wagtailarch_types::{InstanceId, VersionKey};
 
 use crate::{BackendServer, EngineState, LimitStatement, PermitBucket, PermitHolder, ServerHealth};
 
@@ -12,6 +12,8 @@
 #[derive(Debug)]
 pub(crate) struct Backend {
     pub server: BackendServer,
+    /// Key of the server's software version.
+    pub version_key: VersionKey,
     pub health: ServerHealth,
     /// Requests of this instance that were sent and have no complete response.
     pub in_flight: u32,
--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -8,7 +8,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use indexmap::{IndexMap, IndexSet};
-use wagtailarch_types::{InstanceId, RefusalReason, Role, ServiceName, ZoneName};
+use wagtailarch_types::{InstanceId, RefusalReason, Role, ServiceName, VersionKey, ZoneName};
 use wagtailarch_wire::{
     load_note::{LoadNote, OpenPrefill, SentPrefixes, server_key},
     permit::PermitRank,
@@ -130,6 +130,9 @@
     }
 
     /// Places a generation on engines of a service that are not in `excluded`.
+    ///
+    /// The engines of a generation have one software version, since what two versions write does not
+    /// fit together.
     pub fn place_generation(
         &self,
         now: Duration,
@@ -138,7 +141,11 @@
         excluded: &[InstanceId],
     ) -> Placement {
         let usable = self.usable(now, service, request.rank, excluded);
-        placement::place(now, request, usable)
+        placement::place(
+            now,
+            request,
+            usable.filter(|backend| request.accepts(backend)),
+        )
     }
 
     /// Selects the decode engine for a prompt that `prefill_engine` has prefilled.
@@ -157,9 +164,15 @@
         let zone =
             prefill_engine.map_or(request.zone, |prefill_engine| &prefill_engine.server.zone);
         let usable = self.usable(now, service, request.rank, excluded);
+        let usable = usable.filter(|backend| request.accepts(backend));
         placement::place_decode(now, request, zone, usable)
     }
 
+    /// Returns the software version of a listed server.
+    pub fn version_of(&self, id: &InstanceId) -> Option<VersionKey> {
+        self.backends.get(id).map(|backend| backend.version_key)
+    }
+
     /// Returns whether a server may still be called.
     pub fn is_available(&self, now: Duration, id: &InstanceId) -> bool {
         let backend = self.backends.get(id);
@@ -435,6 +448,7 @@
     let role = server.role.unwrap_or(Role::Mixed);
     let mut backend = existing.unwrap_or_else(|| Backend {
         server: server.clone(),
+        version_key: server.version_key(),
         health: Default::default(),
         in_flight: 0,
         max_connections: 0,
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -4,7 +4,7 @@
 use std::{cmp::Reverse, time::Duration};
 
 use indexmap::IndexMap;
-use wagtailarch_types::{Role, Urgency, ZoneName, rendezvous_weight};
+use wagtailarch_types::{Role, Urgency, VersionKey, ZoneName, rendezvous_weight};
 use wagtailarch_wire::permit::PermitRank;
 
 #[cfg(doc)]
@@ -85,6 +85,16 @@
     pub rank: PermitRank,
     /// Whether the request is to run beside few others, since it may crash its engine.
     pub isolated: bool,
+    /// Software version that the engines must have; absent for a stream without events.
+    pub version: Option<VersionKey>,
+}
+
+impl GenerationRequest<'_> {
+    /// Returns whether an engine has the required software version.
+    pub(crate) fn accepts(&self, engine: &Backend) -> bool {
+        self.version
+            .is_none_or(|version| version == engine.version_key)
+    }
 }
 
 /// Engine that prefills the prompt.
@@ -220,24 +230,33 @@
     request: &GenerationRequest<'_>,
     engines: impl Iterator<Item = &'a Backend>,
 ) -> Placement {
-    let engines: Vec<_> = engines.collect();
-    let preferred = place_among(now, request, &engines, MAX_CANDIDATES);
+    let mut versions: IndexMap<VersionKey, Vec<&Backend>> = IndexMap::new();
+    for engine in engines {
+        versions.entry(engine.version_key).or_default().push(engine);
+    }
+    let versions: Vec<_> = versions.into_values().collect();
+    let preferred = place_among(now, request, &versions, MAX_CANDIDATES);
+    let most = versions.iter().map(Vec::len).max().unwrap_or(0);
     match &preferred {
         Placement::Use(plan) if plan.urgency == Urgency::OnTime => preferred,
-        _ if engines.len() <= MAX_CANDIDATES => preferred,
-        _ => place_among(now, request, &engines, engines.len()),
+        _ if most <= MAX_CANDIDATES => preferred,
+        _ => place_among(now, request, &versions, most),
     }
 }
 
-/// Places a generation on the `limit` engines of each role that its prompt prefers.
+/// Places a generation on the `limit` engines of each software version and role that its prompt
+/// prefers.
 fn place_among(
     now: Duration,
     request: &GenerationRequest<'_>,
-    engines: &[&Backend],
+    versions: &[Vec<&Backend>],
     limit: usize,
 ) -> Placement {
     for urgency in [Urgency::OnTime, Urgency::Near, Urgency::Late] {
-        let candidates = candidates(now, request, engines, limit, urgency);
+        let engines = versions.iter();
+        let candidates =
+            engines.flat_map(|engines| candidates(now, request, engines, limit, urgency));
+        let candidates = without_stalls(candidates.collect());
         if candidates.is_empty() {
             return Placement::NoEngine;
         }
@@ -287,11 +306,7 @@
 ///
 /// The cost of a split generation is a sum of the costs of its prefill engine, its decode engine
 /// and the transfer between their zones. Only the best decode engine of each zone is therefore
-/// combined with each prefill engine.
-///
-/// While a prefill engine is available, candidates that stall running streams are excluded, even at
-/// a peak of long prompts: every event of all streams of the engine would be late, and each stream
-/// would occupy its slot for longer.
+/// combined with each prefill engine. All engines have the same software version.
 fn candidates<'a>(
     now: Duration,
     request: &GenerationRequest<'_>,
@@ -363,6 +378,13 @@
             });
         }
     }
+    candidates
+}
+
+/// Excludes candidates that stall running streams while a prefill engine is available, even at a
+/// peak of long prompts: every event of all streams of the engine would be late, and each stream
+/// would occupy its slot for longer.
+fn without_stalls(mut candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
     if candidates
         .iter()
         .any(|candidate| candidate.prefill_engine.is_some())
--- a/crates/wagtailarch-dispatch/src/server.rs
+++ b/crates/wagtailarch-dispatch/src/server.rs
@@ -40,6 +40,8 @@
     pub address: SocketAddr,
     /// Version of its software.
     pub version: SoftwareVersion,
+    /// Key of that version.
+    pub version_key: VersionKey,
 }
 
 /// Returns the key of a software version of a service.
@@ -57,6 +59,7 @@
             id: self.id.clone(),
             address: self.address,
             version: self.version.clone(),
+            version_key: self.version_key(),
         }
     }
 
--- a/crates/wagtailarch-dispatch/tests/common/mod.rs
+++ b/crates/wagtailarch-dispatch/tests/common/mod.rs
@@ -89,5 +89,6 @@
         zone,
         rank: PermitRank::Normal,
         isolated: false,
+        version: None,
     }
 }
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -9,7 +9,7 @@
 use wagtailarch_dispatch::{
     GenerationPlan, GenerationRequest, Placement, PrefillPlan, ServerEndpoint, Urgency,
 };
-use wagtailarch_types::{InstanceId, RefusalReason, RetryReason};
+use wagtailarch_types::{InstanceId, RefusalReason, RetryReason, VersionKey};
 use wagtailarch_wire::permit::PermitRank;
 
 use crate::{
@@ -114,9 +114,12 @@
             Some(_) if is_reserved(context, &plan.decode.id, &decode_permit) => {
                 (plan.decode.clone(), decode_permit)
             }
-            Some(prefill_engine) => select_decode_engine(context, attempts, prefill_engine, rank)
-                .await
-                .map_err(GenerationError::Refused)?,
+            Some(prefill_engine) => {
+                let version = plan.decode.version_key;
+                select_decode_engine(context, attempts, prefill_engine, version, rank)
+                    .await
+                    .map_err(GenerationError::Refused)?
+            }
         };
         let call = Call {
             server: decode_engine.clone(),
@@ -179,19 +182,25 @@
     permit.is_reserved() && load_balancer.is_available(gateway.now(), engine)
 }
 
-/// Selects the decode engine for a finished prefill and takes its permit.
+/// Selects the decode engine for a finished prefill, of the software version of the prefill engine,
+/// and takes its permit.
 async fn select_decode_engine(
     context: &RequestContext,
     attempts: &mut Attempts,
     prefill_engine: &InstanceId,
+    version: VersionKey,
     rank: PermitRank,
 ) -> Result<(ServerEndpoint, Permit), Refusal> {
     let gateway = &context.gateway;
+    let request = GenerationRequest {
+        version: Some(version),
+        ..context.generation_request(rank)
+    };
     loop {
         let engine = gateway.load_balancer.borrow().place_decode(
             gateway.now(),
             &context.service,
-            &context.generation_request(rank),
+            &request,
             prefill_engine,
             &attempts.excluded_engines,
         );
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -7,7 +7,9 @@
     GenerationRequest, PartVerdict, PrefixLink, Prompt, Route, RoutingConfig,
 };
 use wagtailarch_traffic::Verdict;
-use wagtailarch_types::{Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, fingerprint};
+use wagtailarch_types::{
+    Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, VersionKey, fingerprint,
+};
 use wagtailarch_wire::{part_report::ReportedPart, permit::PermitRank};
 
 use crate::{
@@ -46,6 +48,8 @@
     pub parts: Vec<ReportedPart>,
     /// Whether this request tests a part that is blamed for crashes.
     pub is_trial: Cell<bool>,
+    /// Software version at which the stream of the request must go on; absent before its first event.
+    pub version: Cell<Option<VersionKey>>,
     /// Hash of method, path and body, which identifies a repeated request.
     pub fingerprint: Fingerprint,
 }
@@ -75,6 +79,7 @@
             prefixes: prefixes.unwrap_or_default(),
             parts: parts.unwrap_or_default(),
             is_trial: Cell::new(false),
+            version: Cell::new(None),
             client,
             body,
             route,
@@ -171,6 +176,7 @@
             zone: &self.gateway.settings.zone,
             rank,
             isolated: false,
+            version: self.version.get(),
         }
     }
 
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -210,6 +210,9 @@
     fn on_events(&mut self) {
         if let Some(active) = &mut self.active {
             active.suspect = None;
+            // A run that sends no event to the client binds the stream to no version.
+            let version = &self.context.version;
+            version.set(version.get().or(Some(active.call.server.version_key)));
             if !std::mem::replace(&mut self.output_recorded, true) {
                 self.context.gateway.record_part_output(&self.context.parts);
             }
@@ -305,6 +308,7 @@
         };
         probe_for_crash(&self.context, &active.call.server, progress);
         let engine = active.call.server.id.clone();
+        let version_key = active.call.server.version_key;
         drop(active);
         let rest_bytes = self.splitter.take_rest().len();
         let context = Rc::clone(&self.context);
@@ -322,7 +326,14 @@
         let decision = self
             .attempts
             .on_failure(&context, &engine, failure, delivered);
+        // The engine may have been started again with another version before this call reached it.
+        let listed_version = gateway.load_balancer.borrow().version_of(&engine);
+        let is_uncertain = listed_version.is_some_and(|listed| listed != version_key);
         let resumed = match decision {
+            Ok(()) if delivered && is_uncertain => {
+                let refusal = self.attempts.refusal(RefusalReason::BackendFailedMidway);
+                Err(GenerationError::Refused(refusal))
+            }
             Ok(()) => start(&context, &mut self.attempts, self.last_event).await,
             Err(refusal) => Err(GenerationError::Refused(refusal)),
         };
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -199,6 +199,7 @@
             zone: &zone,
             rank: PermitRank::Normal,
             isolated: false,
+            version: None,
         };
         drop(load_balancer.place_generation(NOW, &service, &request, &[]));
     });
