Let clients take streams up only at the software version that began them

Cause: a take-up went to any server. The instance that receives it did not know at which version the stream began: that was known, if at all, to the instance that served the first event, which had often failed.

Change: each instance records at which version its streams begin (StreamOrigins). A take-up of an unknown origin is refused at once with the advice to begin anew, unless the service is proven to have one version alone: by an instance that has seen all changes for the lifetime of a stream, or by the record in the store of versions whose last server left before the instance started. That record is written only when versions change, and read with the first take-up that needs it. Take-ups have the rank and the priority of streams that instances resume.

--- a/crates/wagtailarch-dispatch/tests/load_note.rs
+++ b/crates/wagtailarch-dispatch/tests/load_note.rs
@@ -33,6 +33,7 @@
         strikes: Vec::new(),
         limits: Vec::new(),
         parts: PartReports::default(),
+        versions: Vec::new(),
     }
 }
 
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -8,6 +8,7 @@
 mod servers;
 mod sources;
 mod store_error;
+mod versions;
 mod watcher;
 
 use std::{
@@ -96,6 +97,10 @@
                     instances::maintain_registration(sources, publisher)
                 };
                 let roles = || roles::manage_roles(context.clone(), publisher.subscribe());
+                let versions = || {
+                    let (_, publisher) = shared();
+                    versions::maintain_version_record(context.clone(), publisher)
+                };
                 let listener = Rc::new(listener);
                 let relay =
                     || relay::serve_relay(sources.relay.clone(), Rc::clone(&listener), log.clone());
@@ -105,6 +110,7 @@
                     restart_on_panic(log, "watch of the servers", servers),
                     restart_on_panic(log, "list of instances", instances),
                     restart_on_panic(log, "roles", roles),
+                    restart_on_panic(log, "record of software versions", versions),
                 );
             });
         })?;
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -1,6 +1,6 @@
 //! Watches the registrations of backend servers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use slog::{debug, info, warn};
 use tokio::{sync::watch, time::sleep};
@@ -24,6 +24,7 @@
     let bound = context.leaving_bound;
     let mut watcher = Watcher::new(ObjectKind::Servers, RelayKind::Servers, bound, sources);
     let mut membership = Membership::default();
+    let mut listed_at = None;
     loop {
         let newest_change = watcher.newest_change();
         let update = {
@@ -39,12 +40,36 @@
                 }
             }
         };
+        publish_since(&context, &publisher, &update, &mut listed_at);
         if apply_update(&context, &mut membership, update) {
             publish_servers(&publisher, &membership, watcher.newest_change());
         }
     }
 }
 
+/// Publishes since when all changes of the servers are known.
+///
+/// A list does not show servers that came and left before it; changes continue from the version of
+/// the last read, also after a loss of the store.
+fn publish_since(
+    context: &ControlContext,
+    publisher: &watch::Sender<Arc<Snapshot>>,
+    update: &WatchUpdate,
+    listed_at: &mut Option<Duration>,
+) {
+    let since = match update {
+        WatchUpdate::StoreLost => None,
+        WatchUpdate::Listed(_) => {
+            *listed_at = Some(context.epoch.elapsed());
+            *listed_at
+        }
+        WatchUpdate::Changed(_) => *listed_at,
+    };
+    if publisher.borrow().servers_since != since {
+        publish(publisher, |snapshot| snapshot.servers_since = since);
+    }
+}
+
 /// Applies an update of the watch; returns whether the servers have to be published.
 fn apply_update(
     context: &ControlContext,
--- /dev/null
+++ b/crates/wagtailarch-gateway/src/control/versions.rs
@@ -0,0 +1,229 @@
+//! Records in the store of which software versions streams may be open.
+//!
+//! An instance that starts lists the servers of today. The record tells it of versions whose last
+//! server left before, so that it does not take the only version that it lists for that of a stream
+//! which a client takes up. Nothing is written while the versions of a service do not change.
+
+use std::{sync::Arc, time::Duration};
+
+use displaydoc::Display;
+use indexmap::{IndexMap, IndexSet};
+use serde_json::{Value, json};
+use slog::{info, warn};
+use smol_str::SmolStr;
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
+use wagtailarch_adapter::{
+    ObjectKind, PutOutcome, StoreObject, create_request, decode_list, decode_put, list_request,
+    replace_request,
+};
+use wagtailarch_dispatch::{STREAM_LIFETIME, is_designated};
+use wagtailarch_types::{ObjectVersion, ServiceName, SoftwareVersion};
+
+use crate::{
+    control::{ControlContext, publish, store_error::StoreError},
+    http_client::{CONNECT_LIMIT, HttpClient},
+    metrics::StoreCall,
+    snapshot::{Snapshot, VersionRecord},
+};
+
+/// Interval between two comparisons of the record with the servers.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between the start and the first comparison; load notes of peers arrive before, so that few
+/// instances compare at the same time.
+const START_DELAY: Duration = Duration::from_millis(1_500);
+/// Delay after a failed call to the store.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Timeout for a call to the store.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Why the record could not be written.
+#[derive(Debug, Display)]
+enum RecordError {
+    /// {0}
+    Store(StoreError),
+    /// another instance changed the record at the same time
+    Conflict,
+}
+
+impl<E: Into<StoreError>> From<E> for RecordError {
+    fn from(error: E) -> Self {
+        Self::Store(error.into())
+    }
+}
+
+/// The recorded versions of one service.
+#[derive(Debug, Clone, Default)]
+struct RecordedService {
+    /// Version of the object; absent before it exists.
+    object_version: Option<ObjectVersion>,
+    versions: IndexSet<SoftwareVersion>,
+    /// Recorded versions without a server, with the time since when.
+    unused_since: IndexMap<SoftwareVersion, Instant>,
+}
+
+/// Keeps the record up to date while this instance is designated for it, and reads it for the
+/// traffic thread on request.
+pub async fn maintain_version_record(
+    context: ControlContext,
+    publisher: Arc<watch::Sender<Arc<Snapshot>>>,
+) {
+    tokio::join!(
+        read_on_request(&context, &publisher),
+        write_record(&context, &publisher),
+    );
+}
+
+async fn read_on_request(context: &ControlContext, publisher: &watch::Sender<Arc<Snapshot>>) {
+    let mut client = HttpClient::new(context.store_address, CONNECT_LIMIT);
+    loop {
+        context.traffic.version_record_requested().await;
+        let read_at = context.epoch.elapsed();
+        match list(context, &mut client).await {
+            Ok(objects) => {
+                let services = objects.iter().map(|object| {
+                    let versions = versions(object).into_iter().collect();
+                    (object.name.clone(), versions)
+                });
+                let services: IndexMap<_, _> = services.collect();
+                info!(context.log, "recorded versions read"; "services" => services.len());
+                let record = Arc::new(VersionRecord { read_at, services });
+                publish(publisher, |snapshot| snapshot.version_record = Some(record));
+            }
+            Err(error) => {
+                warn!(context.log, "recorded versions not read"; "cause" => %error);
+            }
+        }
+    }
+}
+
+async fn write_record(context: &ControlContext, publisher: &watch::Sender<Arc<Snapshot>>) {
+    let mut client = HttpClient::new(context.store_address, CONNECT_LIMIT);
+    let mut record: Option<IndexMap<ServiceName, RecordedService>> = None;
+    sleep(START_DELAY).await;
+    loop {
+        let snapshot = Arc::clone(&publisher.borrow());
+        let peers = context.live_peers();
+        let peers = peers.iter().map(|(name, _)| name);
+        let duty = ObjectKind::ServiceVersions.as_str();
+        if snapshot.servers_since.is_none() || !is_designated(duty, &context.instance, peers) {
+            record = None;
+            sleep(CHECK_INTERVAL).await;
+            continue;
+        }
+        let result = match &mut record {
+            Some(record) => update(context, &mut client, record, &snapshot).await,
+            None => match list(context, &mut client).await {
+                Ok(objects) => {
+                    record = Some(objects.iter().map(recorded_service).collect());
+                    Ok(())
+                }
+                Err(error) => Err(RecordError::Store(error)),
+            },
+        };
+        if let Err(error) = result {
+            warn!(context.log, "software versions not recorded"; "cause" => %error);
+            record = None;
+            sleep(RETRY_DELAY).await;
+        } else {
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
+
+fn recorded_service(object: &StoreObject) -> (ServiceName, RecordedService) {
+    let service = RecordedService {
+        object_version: Some(object.version),
+        versions: versions(object),
+        unused_since: IndexMap::new(),
+    };
+    (object.name.clone(), service)
+}
+
+/// Returns the versions in an object; one that cannot be read holds none.
+fn versions(object: &StoreObject) -> IndexSet<SoftwareVersion> {
+    let versions = object.content.get("versions").and_then(Value::as_array);
+    let versions = versions.into_iter().flatten().filter_map(Value::as_str);
+    versions.map(SmolStr::from).collect()
+}
+
+/// Writes the services whose versions have changed.
+async fn update(
+    context: &ControlContext,
+    client: &mut HttpClient,
+    record: &mut IndexMap<ServiceName, RecordedService>,
+    snapshot: &Snapshot,
+) -> Result<(), RecordError> {
+    let mut current: IndexMap<&ServiceName, IndexSet<SoftwareVersion>> = IndexMap::new();
+    for server in snapshot.servers.iter() {
+        let versions = current.entry(&server.service).or_default();
+        versions.insert(server.version.clone());
+    }
+    for (service, in_service) in current {
+        let recorded = record.entry(service.clone()).or_default();
+        let mut versions: IndexSet<_> = recorded.versions.union(&in_service).cloned().collect();
+        recorded
+            .unused_since
+            .retain(|version, _| !in_service.contains(version));
+        let now = Instant::now();
+        for version in recorded.versions.difference(&in_service) {
+            let since = *recorded.unused_since.entry(version.clone()).or_insert(now);
+            if now.saturating_duration_since(since) >= STREAM_LIFETIME {
+                versions.shift_remove(version);
+            }
+        }
+        if versions == recorded.versions {
+            continue;
+        }
+        let object_version = write(context, client, service, recorded.object_version, &versions);
+        recorded.object_version = Some(object_version.await?);
+        info!(context.log, "software versions recorded"; "service" => %service,
+            "versions" => versions.iter().map(SmolStr::as_str).collect::<Vec<_>>().join(","));
+        recorded.versions = versions;
+    }
+    Ok(())
+}
+
+async fn write(
+    context: &ControlContext,
+    client: &mut HttpClient,
+    service: &ServiceName,
+    object_version: Option<ObjectVersion>,
+    versions: &IndexSet<SoftwareVersion>,
+) -> Result<ObjectVersion, RecordError> {
+    let versions: Vec<_> = versions.iter().map(SmolStr::as_str).collect();
+    let content = json!({ "versions": versions });
+    let kind = ObjectKind::ServiceVersions;
+    let request = match object_version {
+        None => create_request(kind, service, &content),
+        Some(version) => replace_request(kind, service, &content, Some(version)),
+    };
+    context.metrics.count_store_call(StoreCall::Write);
+    let (status, body) = client.call(request, CALL_TIMEOUT).await?;
+    match decode_put(status, &body)? {
+        PutOutcome::Done(version) => Ok(version),
+        PutOutcome::Conflict(_) | PutOutcome::Missing => Err(RecordError::Conflict),
+    }
+}
+
+/// Lists the recorded services.
+async fn list(
+    context: &ControlContext,
+    client: &mut HttpClient,
+) -> Result<Vec<StoreObject>, StoreError> {
+    let mut objects = Vec::new();
+    let mut after: Option<SmolStr> = None;
+    loop {
+        context.metrics.count_store_call(StoreCall::List);
+        let request = list_request(ObjectKind::ServiceVersions, after.as_deref(), false);
+        let (status, body) = client.call(request, CALL_TIMEOUT).await?;
+        let page = decode_list(status, &body)?;
+        objects.extend(page.objects);
+        after = page.next_after;
+        if after.is_none() {
+            return Ok(objects);
+        }
+    }
+}
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::{
     body_buffer::BufferBudget,
     metrics::Metrics,
+    origins::{self, Origins},
     outbox::Outbox,
     permits::PendingPermits,
     settings::{ReloadableSettings, Settings},
@@ -55,6 +56,8 @@
     pub peer_socket: UdpSocket,
     /// Requests for permits that wait for a response.
     pub pending_permits: PendingPermits,
+    /// Software versions at which streams began.
+    pub origins: Origins,
     /// Memory limit for buffered bodies.
     pub buffer_budget: Rc<BufferBudget>,
     /// Number of requests without a complete response.
@@ -103,6 +106,7 @@
             outbox: Outbox::default(),
             peer_socket,
             pending_permits: PendingPermits::default(),
+            origins: Origins::default(),
             buffer_budget: Rc::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
@@ -135,15 +139,17 @@
             let was_ready = self.ready();
             let versions_changed = snapshot.store_versions != self.snapshot.borrow().store_versions;
             let instances = u32::try_from(snapshot.peers.len() + 1).unwrap_or(u32::MAX);
-            let mut load_balancer = self.load_balancer.borrow_mut();
-            load_balancer.set_instances(instances);
-            if let Some(config) = &snapshot.config {
-                load_balancer.apply(&snapshot.servers, config);
+            {
+                let mut load_balancer = self.load_balancer.borrow_mut();
+                load_balancer.set_instances(instances);
+                if let Some(config) = &snapshot.config {
+                    load_balancer.apply(&snapshot.servers, config);
+                }
             }
-            drop(load_balancer);
             self.metrics
                 .set_members(snapshot.servers.len(), snapshot.peers.len());
-            *self.snapshot.borrow_mut() = snapshot;
+            let before = self.snapshot.replace(Arc::clone(&snapshot));
+            origins::on_snapshot(&self, &snapshot, &before).await;
             if !was_ready && self.ready() {
                 info!(self.log, "ready");
             }
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -16,6 +16,7 @@
     attempts::{Attempts, MAX_CALLS},
     backend_client::{BackendResponse, Call, CallFailure, collect_body, send},
     guards::{DecodeGuard, PrefillGuard, SuspectGuard},
+    origins,
     permits::{self, Permit},
     refusal::Refusal,
     request_context::RequestContext,
@@ -23,8 +24,8 @@
     stream_relay,
 };
 
-/// Priority class of a stream that this instance resumes after an engine failed, since its client
-/// has received a part.
+/// Priority class of a stream that this instance or its client resumes, since the client has
+/// received a part.
 const RESUMED_PRIORITY: PriorityClass = 0;
 /// Priority class of the most urgent route; each lower priority adds one.
 const FIRST_ON_TIME_PRIORITY: PriorityClass = 1;
@@ -66,9 +67,11 @@
 /// Serves a generation.
 pub async fn serve(context: Rc<RequestContext>) -> Response<ResponseBody> {
     let mut attempts = Attempts::default();
-    if let Some(last_event) = context.client.resume_after {
-        info!(context.gateway.log, "stream taken up"; "request" => %context.client.id,
-            "origin" => context.client.origin.as_deref(), "last_event" => last_event);
+    if context.client.resume_after.is_some() {
+        match origins::take_up(&context).await {
+            Ok(version) => context.version.set(Some(version)),
+            Err(refusal) => return refusal.respond(&context),
+        }
     }
     let response = match start(&context, &mut attempts, context.client.resume_after).await {
         Ok(started) => stream_relay::respond(Rc::clone(&context), attempts, started).await,
@@ -91,7 +94,8 @@
     resume_after: Option<u64>,
 ) -> Result<StartedGeneration, GenerationError> {
     let interrupted = resume_after != context.client.resume_after;
-    let rank = match interrupted {
+    let has_events = resume_after.is_some();
+    let rank = match has_events {
         true => PermitRank::Urgent,
         false => context.rank(),
     };
@@ -124,7 +128,7 @@
         let call = Call {
             server: decode_engine.clone(),
             step,
-            priority: Some(priority_class(context, plan.urgency, interrupted)),
+            priority: Some(priority_class(context, plan.urgency, has_events)),
             resume_after,
             head_limit: match attempts.can_fail_over(context, &decode_engine.id) {
                 true => plan.attempt_timeout(context.client_timeout_left()),
@@ -416,9 +420,9 @@
 }
 
 /// Returns the priority class of a generation at its engines.
-fn priority_class(context: &RequestContext, urgency: Urgency, interrupted: bool) -> PriorityClass {
+fn priority_class(context: &RequestContext, urgency: Urgency, has_events: bool) -> PriorityClass {
     match urgency {
-        _ if interrupted => RESUMED_PRIORITY,
+        _ if has_events => RESUMED_PRIORITY,
         Urgency::OnTime => (FIRST_ON_TIME_PRIORITY + context.route.priority).min(NEAR_PRIORITY - 1),
         Urgency::Near => NEAR_PRIORITY,
         Urgency::Late => LATE_PRIORITY,
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod http_client;
 mod metered_stream;
 mod metrics;
+mod origins;
 mod outbox;
 mod panic_handling;
 mod peers;
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -14,15 +14,16 @@
 use wagtailarch_types::{BootId, InstanceId, ZoneName};
 use wagtailarch_wire::{
     load_note::{LoadNote, NoteBundle},
+    origin::OriginMessage,
     permit::PermitMessage,
 };
 
 use crate::{
     gateway::Gateway,
+    origins,
     outbox::{LIVENESS_GRACE, NOTE_INTERVAL, PendingUpdates, batch_delay},
     pending_notes::PendingNotes,
     permits,
-    snapshot::Snapshot,
 };
 
 /// Interval between reports of the engines' demand to the control thread.
@@ -110,9 +111,9 @@
         self.set_limit_members(&peers, &live);
         let routes = NoteRoutes::new(&gateway.settings.instance, zone, &peers, &live);
         Routes {
-            own_receivers: addresses(&snapshot, &routes.own_receivers),
-            member_receivers: addresses(&snapshot, &routes.member_receivers),
-            cross_zone_receivers: addresses(&snapshot, &routes.cross_zone_receivers),
+            own_receivers: snapshot.peer_addresses(&routes.own_receivers),
+            member_receivers: snapshot.peer_addresses(&routes.member_receivers),
+            cross_zone_receivers: snapshot.peer_addresses(&routes.cross_zone_receivers),
         }
     }
 
@@ -192,18 +193,22 @@
                 permits::on_message(&self.gateway, message, from).await;
                 continue;
             }
+            if let Some(message) = OriginMessage::decode(datagram) {
+                origins::on_message(&self.gateway, message, from).await;
+                continue;
+            }
             let Some(bundle) = NoteBundle::decode(datagram) else {
                 debug!(log, "notes ignored"; "from" => %from);
                 continue;
             };
             for note in bundle.notes {
-                self.on_note(&mut last_received, note, from);
+                self.on_note(&mut last_received, note, from).await;
             }
         }
     }
 
     /// Applies one note unless a newer one of the same instance arrived before.
-    fn on_note(
+    async fn on_note(
         &self,
         last_received: &mut HashMap<InstanceId, (BootId, u32)>,
         note: LoadNote,
@@ -225,6 +230,7 @@
         gateway.load_balancer.borrow_mut().on_load_note(now, &note);
         gateway.on_peer_limits(now, &note.limits);
         gateway.on_peer_parts(&note.parts);
+        origins::on_peer_versions(gateway, &note.versions).await;
         for strike in &note.strikes {
             gateway.on_peer_strike(strike.clone());
         }
@@ -279,17 +285,11 @@
             strikes: pending.strikes,
             limits: load_balancer.take_limit_reports(gateway.now()),
             parts,
+            versions: gateway.origins.report(),
         }
     }
 }
 
-/// Returns the addresses of the named instances.
-fn addresses(snapshot: &Snapshot, names: &[InstanceId]) -> Vec<SocketAddr> {
-    let peers = snapshot.peers.iter();
-    let named = peers.filter(|peer| names.contains(&peer.name));
-    named.map(|peer| peer.address).collect()
-}
-
 /// Reports the engines' demand to the control thread until the process ends.
 pub async fn report_demand(gateway: Rc<Gateway>) {
     loop {
@@ -301,5 +301,6 @@
         gateway
             .traffic
             .set_limited_servers(load_balancer.limited_servers());
+        gateway.origins.expire(gateway.now());
     }
 }
--- a/crates/wagtailarch-gateway/src/refusal.rs
+++ b/crates/wagtailarch-gateway/src/refusal.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use slog::info;
-use wagtailarch_adapter::encode_refusal;
+use wagtailarch_adapter::{BEGIN_ANEW, encode_refusal};
 use wagtailarch_types::{Ran, RefusalReason};
 
 use crate::{request_context::RequestContext, response_body::ResponseBody};
@@ -57,6 +57,10 @@
         let status = self.status();
         let not_run_status = status == StatusCode::SERVICE_UNAVAILABLE;
         let response = encode_refusal(status, not_run_status.then_some(self.retry_after));
-        response.map(|()| ResponseBody::full(Bytes::new()))
+        let text = match self.reason {
+            RefusalReason::OriginUnknown | RefusalReason::VersionGone => BEGIN_ANEW,
+            _ => "",
+        };
+        response.map(|()| ResponseBody::full(Bytes::from_static(text.as_bytes())))
     }
 }
--- a/crates/wagtailarch-gateway/src/snapshot.rs
+++ b/crates/wagtailarch-gateway/src/snapshot.rs
@@ -1,9 +1,10 @@
 //! State that the control thread publishes to the traffic thread.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use indexmap::IndexMap;
 use wagtailarch_dispatch::{BackendServer, RoutingConfig};
-use wagtailarch_types::{InstanceId, ZoneName};
+use wagtailarch_types::{InstanceId, ServiceName, SoftwareVersion, ZoneName};
 use wagtailarch_wire::load_note::StoreVersions;
 
 /// The newest state of the control thread; it never goes back to an older one.
@@ -13,6 +14,10 @@
     pub config: Option<Arc<RoutingConfig>>,
     /// Servers that may receive requests.
     pub servers: Arc<Vec<BackendServer>>,
+    /// Time since which all changes of the servers are known; absent while they cannot be read.
+    pub servers_since: Option<Duration>,
+    /// Software versions recorded in the store; absent until they were read.
+    pub version_record: Option<Arc<VersionRecord>>,
     /// Whether the servers have been listed.
     pub servers_listed: bool,
     /// Versions of the newest changes in the store, for peers.
@@ -21,6 +26,15 @@
     pub peers: Arc<Vec<Peer>>,
 }
 
+/// Software versions of which streams may be open, as recorded in the store.
+#[derive(Debug)]
+pub struct VersionRecord {
+    /// When the record was requested from the store.
+    pub read_at: Duration,
+    /// Versions of each service.
+    pub services: IndexMap<ServiceName, Vec<SoftwareVersion>>,
+}
+
 /// Another entry instance.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Peer {
@@ -33,6 +47,12 @@
 }
 
 impl Snapshot {
+    /// Returns the addresses of the named peers.
+    pub fn peer_addresses(&self, names: &[InstanceId]) -> Vec<SocketAddr> {
+        let named = self.peers.iter().filter(|peer| names.contains(&peer.name));
+        named.map(|peer| peer.address).collect()
+    }
+
     /// Returns whether the state suffices to serve requests.
     pub fn is_complete(&self) -> bool {
         self.config.is_some() && self.servers_listed
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -18,6 +18,7 @@
     attempts::Attempts,
     backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
     generation::{GenerationError, StartedGeneration, start},
+    origins,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
     response_body::{BodyError, ResponseBody},
@@ -146,6 +147,7 @@
                     let rest = self.splitter.take_rest();
                     let context = &self.context;
                     context.gateway.quarantine.on_completed(context.fingerprint);
+                    origins::on_completed(context);
                     self.on_end("complete", rest.len());
                     if !rest.is_empty() {
                         return Some(Ok(rest));
@@ -213,6 +215,9 @@
             // A run that sends no event to the client binds the stream to no version.
             let version = &self.context.version;
             version.set(version.get().or(Some(active.call.server.version_key)));
+            if self.first_event_ms.is_none() {
+                origins::on_begun(&self.context, &active.call.server);
+            }
             if !std::mem::replace(&mut self.output_recorded, true) {
                 self.context.gateway.record_part_output(&self.context.parts);
             }
--- a/crates/wagtailarch-gateway/src/traffic_view.rs
+++ b/crates/wagtailarch-gateway/src/traffic_view.rs
@@ -7,7 +7,7 @@
 };
 
 use indexmap::IndexMap;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use wagtailarch_dispatch::RoleDemand;
 use wagtailarch_types::{InstanceId, ServiceName, ZoneName};
 use wagtailarch_wire::load_note::{LoadNote, StoreVersions};
@@ -23,6 +23,8 @@
     state: Mutex<State>,
     /// Newest store versions that any peer has reported.
     peer_versions: watch::Sender<StoreVersions>,
+    /// Notified when the software versions recorded in the store are needed.
+    version_record_request: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -69,6 +71,16 @@
         self.peer_versions.subscribe()
     }
 
+    /// Requests the software versions recorded in the store for the next snapshot.
+    pub fn request_version_record(&self) {
+        self.version_record_request.notify_one();
+    }
+
+    /// Waits until the software versions recorded in the store are requested.
+    pub async fn version_record_requested(&self) {
+        self.version_record_request.notified().await;
+    }
+
     /// Replaces the demand for engines.
     pub fn set_demand(&self, demand: IndexMap<ServiceName, RoleDemand>) {
         self.lock().demand = demand;
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -173,6 +173,7 @@
         strikes: Vec::new(),
         limits: Vec::new(),
         parts: PartReports::default(),
+        versions: Vec::new(),
     }
 }
 
--- a/crates/wagtailarch-types/src/outcome.rs
+++ b/crates/wagtailarch-types/src/outcome.rs
@@ -82,6 +82,10 @@
         ServerRateLimited = "server_rate_limited",
         /// No backend server can serve the request.
         NoBackend = "no_backend",
+        /// A stream cannot be taken up, since it is not known at which software version it began.
+        OriginUnknown = "origin_unknown",
+        /// A stream cannot be taken up, since the software version at which it began has left.
+        VersionGone = "version_gone",
         /// The request is quarantined, since backend servers have crashed while running it.
         Quarantined = "quarantined",
         /// The idempotency key cannot be claimed, since the claim log cannot be written.
@@ -120,6 +124,8 @@
             | Self::Overloaded
             | Self::NoBackend
             | Self::ServerRateLimited
+            | Self::OriginUnknown
+            | Self::VersionGone
             | Self::ClaimsUnavailable
             | Self::RetryBudgetExhausted
             | Self::Draining
--- a/crates/wagtailarch-wire/src/load_note.rs
+++ b/crates/wagtailarch-wire/src/load_note.rs
@@ -7,13 +7,13 @@
 
 use serde::{Deserialize, Serialize};
 use wagtailarch_types::{
-    BootId, Fingerprint, Generation, InstanceId, ObjectVersion, Urgency, ZoneName,
+    BootId, Fingerprint, Generation, InstanceId, ObjectVersion, Urgency, VersionKey, ZoneName,
 };
 
 use crate::part_report::PartReports;
 
 /// Version of the encoding; notes of other versions are ignored.
-pub const LOAD_NOTE_VERSION: u8 = 7;
+pub const LOAD_NOTE_VERSION: u8 = 8;
 
 /// Maximum number of prompts whose prefixes are kept when notes are merged; the oldest ones are
 /// dropped.
@@ -61,6 +61,9 @@
     pub limits: Vec<LimitReport>,
     /// Evidence about parts of prompts that crash servers.
     pub parts: PartReports,
+    /// Software versions of which streams may be open, of the services with more than one, each
+    /// with a hash of the service.
+    pub versions: Vec<(u64, VersionKey)>,
 }
 
 /// The rate limit that a server named in a response to the sender.
@@ -147,6 +150,7 @@
             + self.running.len() * 10
             + self.limits.len() * 14
             + strikes
+            + self.versions.len() * 20
             + self.parts.estimated_bytes()
     }
 }
