--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -331,6 +331,7 @@
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
             | StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
     )
