Decode entries of foreign lists one by one

Callers could see: instances that follow no change, or never become ready, while one entry among the registrations is nested too deeply or holds a number out of range (a report of other operators).

Cause: a page was decoded at one go, so that an entry which the JSON library refuses took the page with it. The same held for the list of instances that wagtail-entry reads.

Each ignored registration is logged once. HttpPlatform does the same for its list of instances.

--- a/crates/wagtailarch-entry/src/instance.rs
+++ b/crates/wagtailarch-entry/src/instance.rs
@@ -60,9 +60,14 @@
     pub async fn start(settings: Settings, log: Logger) -> Result<Self, StartError> {
         let address = settings.platform_address.ok_or(StartError::NoPlatform)?;
         let new_client = || -> Arc<dyn Platform> {
-            Arc::new(HttpPlatform::new(HttpPlatformConfig::new(address)))
+            let config = HttpPlatformConfig {
+                log: log.clone(),
+                ..HttpPlatformConfig::new(address)
+            };
+            Arc::new(HttpPlatform::new(config))
         };
-        Self::start_with(settings, log, new_client(), new_client()).await
+        let (control, traffic) = (new_client(), new_client());
+        Self::start_with(settings, log, control, traffic).await
     }
 
     /// Starts with the given platform clients: one for the control thread and one for the traffic
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -175,7 +175,8 @@
     context.metrics.count_store_call(StoreCall::Write);
     let response = client.call(request, CALL_TIMEOUT).await;
     let (status, body) = response.map_err(|error| RegisterError::Store(error.into()))?;
-    decode_put(status, &body).map_err(|error| RegisterError::Store(error.into()))
+    decode_put(ObjectKind::Instances, status, &body)
+        .map_err(|error| RegisterError::Store(error.into()))
 }
 
 /// Reads the list of instances from the store or from a relay.
@@ -250,7 +251,7 @@
             self.context.metrics.count_store_call(StoreCall::StaleList);
             let request = list_request(ObjectKind::Instances, after.as_deref(), true);
             let (status, body) = client.call(request, CALL_TIMEOUT).await?;
-            let page = decode_list(status, &body)?;
+            let page = decode_list(ObjectKind::Instances, status, &body)?;
             objects.extend(page.objects);
             version = page.store_version.max(version);
             after = page.next_after;
--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -246,7 +246,7 @@
     context.metrics.count_store_call(StoreCall::Get);
     let request = get_request(ObjectKind::OrderClaims, &engine.id);
     let (status, body) = store.call(request, CALL_TIMEOUT).await?;
-    let Some(object) = decode_get(status, &body)? else {
+    let Some(object) = decode_get(ObjectKind::OrderClaims, status, &body)? else {
         return Ok(None);
     };
     let content = ClaimContent::deserialize(&object.content).map_err(OrderError::Claim)?;
@@ -269,5 +269,5 @@
         }
     };
     let (status, body) = store.call(request, CALL_TIMEOUT).await?;
-    Ok(decode_put(status, &body)?)
+    Ok(decode_put(ObjectKind::OrderClaims, status, &body)?)
 }
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -1,6 +1,6 @@
 //! Watches the registrations of backend servers.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use slog::{debug, info, warn};
 use tokio::{sync::watch, time::sleep};
@@ -18,12 +18,16 @@
     snapshot::Snapshot,
 };
 
+/// Maximum number of invalid registrations whose names are kept.
+const MAX_IGNORED: usize = 1_024;
+
 /// Watches the registrations and publishes the usable servers after each change.
 pub async fn watch_servers(sources: Sources, publisher: Arc<watch::Sender<Arc<Snapshot>>>) {
     let context = sources.context.clone();
     let bound = context.leaving_bound;
     let mut watcher = Watcher::new(ObjectKind::Servers, RelayKind::Servers, bound, sources);
     let mut membership = Membership::default();
+    let mut ignored = IgnoredRegistrations::default();
     let mut listed_at = None;
     loop {
         let newest_change = watcher.newest_change();
@@ -41,7 +45,7 @@
             }
         };
         publish_since(&context, &publisher, &update, &mut listed_at);
-        if apply_update(&context, &mut membership, update) {
+        if apply_update(&context, &mut membership, &mut ignored, update) {
             publish_servers(&publisher, &membership, watcher.newest_change());
         }
     }
@@ -74,6 +78,7 @@
 fn apply_update(
     context: &ControlContext,
     membership: &mut Membership,
+    ignored: &mut IgnoredRegistrations,
     update: WatchUpdate,
 ) -> bool {
     let now = context.epoch.elapsed();
@@ -83,7 +88,9 @@
             false
         }
         WatchUpdate::Listed(objects) => {
-            let servers = objects.iter().filter_map(|object| decode(context, object));
+            let servers = objects
+                .iter()
+                .filter_map(|object| ignored.decode(context, object));
             for (id, change) in membership.on_list(now, servers.collect()) {
                 log_change(context, &id, change);
             }
@@ -94,7 +101,7 @@
             for (object, deleted) in changes {
                 let server = match deleted {
                     true => None,
-                    false => decode(context, &object),
+                    false => ignored.decode(context, &object),
                 };
                 let change = match server {
                     Some(server) => membership.on_registered(server),
@@ -135,14 +142,30 @@
     });
 }
 
-/// Decodes a registration; an invalid one is ignored.
-fn decode(context: &ControlContext, object: &StoreObject) -> Option<BackendServer> {
-    match decode_server(&object.name, &object.content) {
-        Ok(server) => Some(server),
-        Err(error) => {
-            warn!(context.log, "registration ignored"; "server" => %object.name,
-                "version" => object.version, "cause" => %error);
-            None
+/// Registrations that cannot be decoded, of which each is logged once.
+#[derive(Debug, Default)]
+struct IgnoredRegistrations {
+    names: HashSet<InstanceId>,
+}
+
+impl IgnoredRegistrations {
+    /// Decodes a registration; an invalid one is ignored.
+    fn decode(&mut self, context: &ControlContext, object: &StoreObject) -> Option<BackendServer> {
+        match decode_server(&object.name, &object.content) {
+            Ok(server) => {
+                self.names.remove(&object.name);
+                Some(server)
+            }
+            Err(error) => {
+                if self.names.len() >= MAX_IGNORED {
+                    self.names.clear();
+                }
+                if self.names.insert(object.name.clone()) {
+                    warn!(context.log, "registration ignored"; "server" => %object.name,
+                        "version" => object.version, "cause" => %error);
+                }
+                None
+            }
         }
     }
 }
--- a/crates/wagtailarch-gateway/src/control/versions.rs
+++ b/crates/wagtailarch-gateway/src/control/versions.rs
@@ -202,7 +202,7 @@
     };
     context.metrics.count_store_call(StoreCall::Write);
     let (status, body) = client.call(request, CALL_TIMEOUT).await?;
-    match decode_put(status, &body)? {
+    match decode_put(kind, status, &body)? {
         PutOutcome::Done(version) => Ok(version),
         PutOutcome::Conflict(_) | PutOutcome::Missing => Err(RecordError::Conflict),
     }
@@ -219,7 +219,7 @@
         context.metrics.count_store_call(StoreCall::List);
         let request = list_request(ObjectKind::ServiceVersions, after.as_deref(), false);
         let (status, body) = client.call(request, CALL_TIMEOUT).await?;
-        let page = decode_list(status, &body)?;
+        let page = decode_list(ObjectKind::ServiceVersions, status, &body)?;
         objects.extend(page.objects);
         after = page.next_after;
         if after.is_none() {
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -174,7 +174,7 @@
             let request = list_request(self.kind, after.as_deref(), false);
             self.context.metrics.count_store_call(StoreCall::List);
             let (status, body) = self.client.call(request, self.limits.call_limit()).await?;
-            let page = decode_list(status, &body)?;
+            let page = decode_list(self.kind, status, &body)?;
             objects.extend(page.objects);
             // A watch from the version of the first page misses no change between two pages.
             let oldest = *version.get_or_insert(page.store_version);
@@ -236,7 +236,7 @@
             }
         };
         let (status, body) = response?;
-        let page = decode_watch(status, &body)?;
+        let page = decode_watch(kind, status, &body)?;
         let read = StoreRead {
             version: page.store_version,
             // The store responds when the wait is over, or at an unknown time if there is a change.
--- a/crates/wagtailarch-platform/src/http.rs
+++ b/crates/wagtailarch-platform/src/http.rs
@@ -1,7 +1,9 @@
 //! Platform client that uses HTTP/1.1.
 
+use std::collections::HashSet;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -14,11 +16,14 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+use slog::{Discard, Logger, warn};
 use wagtailarch_types::ObjectVersion;
 use wagtailarch_wire::platform::{
-    INSTANCES_PATH, InstanceList, LIST_PATH, ListResponse, MAX_VALUE_BYTES, OBJECTS_PATH_PREFIX,
-    WATCH_PATH, WatchResponse,
+    INSTANCES_PATH, InstanceList, LIST_PATH, ListResponse, ListedInstance, MAX_VALUE_BYTES,
+    OBJECTS_PATH_PREFIX, WATCH_PATH, WatchResponse,
 };
 
 use crate::{
@@ -33,6 +38,10 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum retry delay that is accepted from `Retry-After`.
 const MAX_RETRY_AFTER_S: f64 = 60.0;
+/// Maximum number of characters of an invalid entry that are logged.
+const MAX_LOGGED_CHARS: usize = 200;
+/// Maximum number of invalid entries that are kept, so that each is logged once.
+const MAX_IGNORED: usize = 256;
 /// Characters that are escaped in keys; the slash is not, since it separates path segments.
 const KEY_ESCAPES: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
@@ -46,6 +55,8 @@
 pub struct HttpPlatform {
     client: Client<HttpConnector, Full<Bytes>>,
     config: HttpPlatformConfig,
+    /// Invalid entries of the list of instances.
+    ignored: Arc<Mutex<HashSet<String>>>,
 }
 
 /// Configuration of an [`HttpPlatform`].
@@ -59,6 +70,8 @@
     pub call_timeout: Duration,
     /// Maximum number of idle connections that are kept open.
     pub max_idle_connections: usize,
+    /// Logger of entries that cannot be decoded.
+    pub log: Logger,
 }
 
 impl HttpPlatformConfig {
@@ -69,6 +82,7 @@
             connect_timeout: Duration::from_secs(1),
             call_timeout: Duration::from_secs(2),
             max_idle_connections: 16,
+            log: Logger::root(Discard, slog::o!()),
         }
     }
 
@@ -109,7 +123,11 @@
             .pool_idle_timeout(Duration::from_secs(30))
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client, config }
+        Self {
+            client,
+            config,
+            ignored: Arc::default(),
+        }
     }
 
     async fn call(
@@ -173,7 +191,8 @@
         if response.status != StatusCode::OK {
             return Err(status_error(CallKind::Read, &response));
         }
-        serde_json::from_slice(&response.body)
+        // Entries of other writers may contain invalid UTF-8.
+        serde_json::from_str(&String::from_utf8_lossy(&response.body))
             .map_err(|error| PlatformError::Protocol(error.to_string()))
     }
 
@@ -190,6 +209,23 @@
             .map_err(|error| PlatformError::Protocol(error.to_string()))
     }
 
+    /// Decodes an entry of the list of instances; an invalid one is ignored and logged once.
+    fn listed_instance(&self, item: &RawValue) -> Option<ListedInstance> {
+        let error = match serde_json::from_str(item.get()) {
+            Ok(instance) => return Some(instance),
+            Err(error) => error,
+        };
+        let entry: String = item.get().chars().take(MAX_LOGGED_CHARS).collect();
+        let mut ignored = self.ignored.lock().unwrap_or_else(PoisonError::into_inner);
+        if ignored.len() >= MAX_IGNORED {
+            ignored.clear();
+        }
+        if ignored.insert(entry.clone()) {
+            warn!(self.config.log, "instance_ignored"; "entry" => entry, "error" => %error);
+        }
+        None
+    }
+
     async fn get_object(&self, key: &str) -> PlatformResult<Option<Versioned>> {
         let request = self.request(Method::GET, &object_path(key), Bytes::new())?;
         let response = self
@@ -326,10 +362,27 @@
     }
 
     fn instances(&self) -> PlatformFuture<'_, InstanceList> {
-        Box::pin(self.read_json(INSTANCES_PATH, Duration::ZERO))
+        Box::pin(async move {
+            let list: RawInstanceList = self.read_json(INSTANCES_PATH, Duration::ZERO).await?;
+            let items = list
+                .items
+                .iter()
+                .filter_map(|item| self.listed_instance(item));
+            Ok(InstanceList {
+                revision: list.revision,
+                items: items.collect(),
+            })
+        })
     }
 }
 
+/// A list whose entries are decoded one by one, since they may come from other writers.
+#[derive(Deserialize)]
+struct RawInstanceList {
+    revision: u64,
+    items: Vec<Box<RawValue>>,
+}
+
 /// Returns an error if a value exceeds the maximum size, so that it is not sent.
 pub(crate) fn check_size(value: &Bytes) -> PlatformResult<()> {
     if value.len() > MAX_VALUE_BYTES {
--- a/crates/wagtailarch-platform/tests/http.rs
+++ b/crates/wagtailarch-platform/tests/http.rs
@@ -169,3 +169,31 @@
         "{request}"
     );
 }
+
+/// Guards against one odd entry of another writer that hides the list of instances.
+#[tokio::test]
+async fn an_odd_entry_does_not_hide_the_other_instances() {
+    let good = |id: &str| {
+        format!(
+            r#"{{"id":"{id}","kind":"engine","zone":"a","address":"10.0.0.1:80","state":"live"}}"#
+        )
+    };
+    let nested = "[".repeat(10_000) + &"]".repeat(10_000);
+    let odd = [
+        nested,
+        r#"{"id":"odd","kind":"engine","zone":1e999}"#.to_owned(),
+        r#"{"id":"odd","kind":"unknown"}"#.to_owned(),
+        "null".to_owned(),
+    ];
+    let items = [good("first"), odd.join(","), good("last")].join(",");
+    let body = format!(r#"{{"revision":4,"items":[{items}]}}"#);
+    let response = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let (address, _requests) = serve(response.leak()).await;
+    let list = client(address).instances().await.expect("a usable list");
+    let ids: Vec<_> = list.items.iter().map(|item| item.id.as_str()).collect();
+    assert_eq!(ids, ["first", "last"]);
+    assert_eq!(list.revision, 4);
+}
