Take only a service's own record as a proof of its versions

A list of records without the service counted as a proof that the service has one version, so that a take-up could be guessed right after the first start of a fleet, before the record is written. A take-up no longer waits for the record while the store is known to be lost. The line for a new configuration states the age of the read behind it. stream_versions covers both cases of the record.

--- a/crates/wagtailarch-dispatch/src/service_versions.rs
+++ b/crates/wagtailarch-dispatch/src/service_versions.rs
@@ -20,8 +20,8 @@
     /// Since when this instance has seen all changes of the registrations; absent while it does not
     /// read them.
     observed_since: Option<Duration>,
-    /// When the recorded versions were read.
-    record_read_at: Option<Duration>,
+    /// When the recorded versions of each service were read.
+    records_read_at: IndexMap<ServiceName, Duration>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -60,16 +60,22 @@
         self.newly_mixed(&mixed_before)
     }
 
-    /// Applies the versions of a service that are recorded in the store.
-    pub fn on_record(&mut self, now: Duration, service: &ServiceName, versions: &[VersionKey]) {
+    /// Applies the versions of a service that are recorded in the store, as read at `read_at`;
+    /// returns whether the service has more than one version now, but had not before.
+    ///
+    /// A service without a record proves nothing.
+    pub fn on_record(
+        &mut self,
+        read_at: Duration,
+        service: &ServiceName,
+        versions: &[VersionKey],
+    ) -> bool {
+        let was_mixed = self.is_mixed(service);
         for version in versions {
-            self.add_unused(now, service, *version, true);
+            self.add_unused(read_at, service, *version, true);
         }
-    }
-
-    /// Records that the recorded versions of all services were read.
-    pub fn on_record_read(&mut self, read_at: Duration) {
-        self.record_read_at = Some(read_at);
+        self.records_read_at.insert(service.clone(), read_at);
+        self.is_mixed(service) && !was_mixed
     }
 
     /// Applies versions that a peer reports, by [`service_key`]; returns the services that have more
@@ -114,16 +120,17 @@
     pub fn only_version(&self, now: Duration, service: &ServiceName) -> Option<VersionKey> {
         let versions = self.services.get(service)?;
         let (version, _) = versions.first().filter(|_| versions.len() == 1)?;
-        self.is_history_known(now).then_some(*version)
+        self.is_history_known(now, service).then_some(*version)
     }
 
-    /// Returns whether this instance knows all versions of the time before.
-    pub fn is_history_known(&self, now: Duration) -> bool {
+    /// Returns whether this instance knows all versions of which streams may be open.
+    fn is_history_known(&self, now: Duration, service: &ServiceName) -> bool {
         let Some(since) = self.observed_since else {
             return false;
         };
+        let record_read_at = self.records_read_at.get(service);
         now.saturating_sub(since) >= STREAM_LIFETIME
-            || self.record_read_at.is_some_and(|read_at| read_at >= since)
+            || record_read_at.is_some_and(|read_at| *read_at >= since)
     }
 
     fn add_unused(
--- a/crates/wagtailarch-dispatch/tests/stream_versions.rs
+++ b/crates/wagtailarch-dispatch/tests/stream_versions.rs
@@ -66,14 +66,15 @@
     versions.on_servers(s(1), &engines(&[OLD]), Some(s(1)));
     let recorded: Vec<_> = recorded.iter().map(|version| key(version)).collect();
     versions.on_record(s(2), &service(), &recorded);
-    versions.on_record_read(s(2));
     assert_eq!(versions.only_version(s(3), &service()), expected);
     versions.on_servers(s(4), &engines(&[OLD]), None);
     assert_eq!(versions.only_version(s(5), &service()), None);
     // A list after a loss does not show the servers that came and left before it.
     versions.on_servers(s(6), &engines(&[OLD]), Some(s(6)));
     assert_eq!(versions.only_version(s(7), &service()), None);
-    versions.on_record_read(s(7));
+    versions.on_record(s(7), &"other".into(), &[]);
+    assert_eq!(versions.only_version(s(7), &service()), None);
+    versions.on_record(s(7), &service(), &recorded);
     assert_eq!(versions.only_version(s(8), &service()), expected);
 }
 
--- a/crates/wagtailarch-gateway/src/control/routing.rs
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -10,7 +10,6 @@
 use crate::{
     control::{
         ControlContext, publish,
-        read_trail::ReadTrail,
         sources::Sources,
         watcher::{WatchUpdate, Watcher},
     },
@@ -32,7 +31,7 @@
             WatchUpdate::StoreLost => continue,
         };
         for object in &objects {
-            apply_config(&context, &publisher, object, watcher.trail());
+            apply_config(&context, &publisher, object, &watcher);
         }
         let newest_change = watcher.newest_change();
         if publisher.borrow().store_versions.routing != newest_change {
@@ -48,7 +47,7 @@
     context: &ControlContext,
     publisher: &watch::Sender<Arc<Snapshot>>,
     object: &StoreObject,
-    trail: &ReadTrail,
+    watcher: &Watcher,
 ) {
     let config = match decode_routing(&object.content) {
         Ok(config) => config,
@@ -63,9 +62,10 @@
     if in_force.is_some_and(|in_force| in_force >= generation) {
         return;
     }
+    let trail = watcher.trail();
     info!(context.log, "configuration taken over"; "generation" => generation,
         "before" => in_force, "version" => object.version, "routes" => config.routes().len(),
-        "source" => trail.source(), "gap_ms" => trail.gap_ms(), "tried" => trail.tried());
+        "source" => trail.source(), "age_ms" => watcher.age().as_millis() as u64, "gap_ms" => trail.gap_ms(), "tried" => trail.tried());
     context.metrics.set_generation(generation);
     publish(publisher, |snapshot| {
         snapshot.config = Some(Arc::new(config))
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -118,6 +118,11 @@
         &self.trail
     }
 
+    /// Returns the age of the newest proof that the objects are current.
+    pub fn age(&self) -> Duration {
+        self.freshness.age(self.now())
+    }
+
     /// Waits for the next update; its list of changes may be empty.
     pub async fn next(&mut self) -> WatchUpdate {
         loop {
--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -102,10 +102,11 @@
         {
             for (service, names) in &record.services {
                 let names = names.iter().map(|name| version_key(service, name));
-                versions.on_record(now, service, &names.collect::<Vec<_>>());
+                let names: Vec<_> = names.collect();
+                if versions.on_record(record.read_at, service, &names) {
+                    mixed.push(service.clone());
+                }
             }
-            versions.on_record_read(record.read_at);
-            mixed.extend(versions.on_servers(now, &snapshot.servers, snapshot.servers_since));
         }
         mixed
     };
@@ -258,13 +259,15 @@
     }
 }
 
-/// Reads the versions that are recorded in the store.
+/// Reads the versions that are recorded in the store, unless the store is known to be lost.
 async fn read_record(gateway: &Gateway) {
-    let origins = &gateway.origins;
+    if gateway.snapshot().servers_since.is_none() {
+        return;
+    }
+    let asked_at = gateway.now();
     gateway.traffic.request_version_record();
-    let deadline = gateway.now() + RECORD_LIMIT;
-    while gateway.now() < deadline {
-        if origins.versions.borrow().is_history_known(gateway.now()) {
+    while gateway.now() < asked_at + RECORD_LIMIT {
+        if gateway.origins.record_read_at.get() >= Some(asked_at) {
             return;
         }
         sleep(RECORD_POLL_INTERVAL).await;
