Continue a stream only at the process of the server's registration

Callers could see: a stream that goes on at another software version, when a server is back under its identifier and address with another version and its new registration has not been read: the instance was paused, had lost the store, or paused its watch after a change.

Cause: the version of a server is that of its registration, and a call names the identifier only.

The report is asked for after the head of the response has arrived, so that the process which sends the stream is the one that reports: an earlier one would have broken the connection. New streams are not checked.

--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -103,7 +103,7 @@
     /// The decode engine prefills the prompt itself.
     Direct,
     /// A separate engine prefills the prompt and transfers its KV cache to the decode engine.
-    Split(ServerEndpoint),
+    Split(Box<ServerEndpoint>),
 }
 
 /// The engines of a generation and the predictions for it.
@@ -287,7 +287,7 @@
 impl Candidate<'_> {
     fn plan(&self, urgency: Urgency) -> GenerationPlan {
         let prefill = match self.prefill_engine {
-            Some(prefill_engine) => PrefillPlan::Split(prefill_engine.server.endpoint()),
+            Some(prefill_engine) => PrefillPlan::Split(Box::new(prefill_engine.server.endpoint())),
             None => PrefillPlan::Direct,
         };
         GenerationPlan {
--- a/crates/wagtailarch-dispatch/src/server.rs
+++ b/crates/wagtailarch-dispatch/src/server.rs
@@ -42,6 +42,8 @@
     pub version: SoftwareVersion,
     /// Key of that version.
     pub version_key: VersionKey,
+    /// Start time of the process with that version; see [`BackendServer::started_unix_ms`].
+    pub started_unix_ms: u64,
 }
 
 /// Returns the key of a software version of a service.
@@ -60,6 +62,7 @@
             address: self.address,
             version: self.version.clone(),
             version_key: self.version_key(),
+            started_unix_ms: self.started_unix_ms,
         }
     }
 
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -145,6 +145,13 @@
             .then(|| start_prefill(context, &decode_engine, plan.urgency));
         gateway.schedule_load_note();
         let failure = match send(context, &call, permit).await {
+            Ok(response)
+                if response.parts.status == StatusCode::OK
+                    && !origins::is_listed_process(context, &call.server).await =>
+            {
+                drop(response);
+                CallFailure::CLOSED
+            }
             Ok(response) if response.parts.status == StatusCode::OK => {
                 return Ok(StartedGeneration {
                     response,
@@ -312,7 +319,7 @@
     attempts.calls += 1;
     let prefill = start_prefill(context, prefill_engine, plan.urgency);
     let call = Call {
-        server: prefill_engine.clone(),
+        server: ServerEndpoint::clone(prefill_engine),
         step: CallStep::Prefill,
         priority: Some(priority_class(context, plan.urgency, false)),
         resume_after: None,
--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -9,12 +9,14 @@
     time::Duration,
 };
 
+use http::StatusCode;
 use indexmap::IndexMap;
 use slog::{debug, info};
 use tokio::{
     sync::mpsc,
     time::{Instant, sleep, timeout_at},
 };
+use wagtailarch_adapter::{decode_report, report_request};
 use wagtailarch_dispatch::{
     ServerEndpoint, ServiceVersions, StreamOrigins, asked_keepers, origin_keepers, version_key,
 };
@@ -26,6 +28,7 @@
 
 use crate::{
     gateway::Gateway,
+    http_client::HttpClient,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
     snapshot::Snapshot,
@@ -38,8 +41,10 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(100);
 /// Time limit for reading the versions that are recorded in the store.
 const RECORD_LIMIT: Duration = Duration::from_millis(300);
-/// Interval between two looks at a read of the recorded versions.
-const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time limit for the report of a server at which a stream goes on.
+const REPORT_LIMIT: Duration = Duration::from_millis(200);
+/// Interval between two looks at the reads of the control thread.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// What this instance knows about the origins of streams.
 #[derive(Debug, Default)]
@@ -227,6 +232,37 @@
     }
 }
 
+/// Returns whether the server at which a stream goes on is the process of its registration.
+///
+/// A server may be back under its identifier and address with another software version, before its
+/// new registration has been read. Only streams that are bound to one of several versions are
+/// checked, since each check is a call to the server.
+pub async fn is_listed_process(context: &RequestContext, server: &ServerEndpoint) -> bool {
+    let gateway = &context.gateway;
+    let is_bound = context.version.get().is_some();
+    if !is_bound || !gateway.origins.versions.borrow().is_mixed(&context.service) {
+        return true;
+    }
+    let response = HttpClient::new(server.address, REPORT_LIMIT)
+        .call(report_request(&server.id), REPORT_LIMIT)
+        .await;
+    let report = match response {
+        Ok((status, body)) if status == StatusCode::OK => decode_report(&body).ok(),
+        Ok(_) | Err(_) => None,
+    };
+    // A server that states no start time cannot be told from its earlier process.
+    let is_listed = report.is_some_and(|report| {
+        let started = report.started_unix_ms;
+        started.is_none_or(|started| started == server.started_unix_ms)
+    });
+    if !is_listed {
+        info!(gateway.log, "stream not continued"; "request" => %context.client.id,
+            "server" => %server.id, "version" => %server.version,
+            "cause" => "not the process of the registration, or no report");
+    }
+    is_listed
+}
+
 /// Returns the version at which a stream began, if it is known, and from where.
 async fn origin(context: &RequestContext) -> (Option<VersionKey>, &'static str) {
     let gateway = &context.gateway;
@@ -270,7 +306,7 @@
         if gateway.origins.record_read_at.get() >= Some(asked_at) {
             return;
         }
-        sleep(RECORD_POLL_INTERVAL).await;
+        sleep(POLL_INTERVAL).await;
     }
     info!(gateway.log, "recorded versions not read"; "limit_ms" => RECORD_LIMIT.as_millis() as u64);
 }
