Check the process of a server also where a second version may be unknown

The report of the server is asked for as well while the registrations cannot be read, and if another instance has told the origin. Left out are streams of instances that read the registrations and know of one version: a first release under an identifier in use can be missed until its registration arrives.

--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -235,12 +235,15 @@
 /// Returns whether the server at which a stream goes on is the process of its registration.
 ///
 /// A server may be back under its identifier and address with another software version, before its
-/// new registration has been read. Only streams that are bound to one of several versions are
-/// checked, since each check is a call to the server.
+/// new registration has been read. Each check is a call to the server, so that none is made while
+/// the registrations are read and no instance is known to have seen a second version.
 pub async fn is_listed_process(context: &RequestContext, server: &ServerEndpoint) -> bool {
     let gateway = &context.gateway;
     let is_bound = context.version.get().is_some();
-    if !is_bound || !gateway.origins.versions.borrow().is_mixed(&context.service) {
+    let may_differ = gateway.snapshot().servers_since.is_none()
+        || context.is_version_shared.get()
+        || gateway.origins.versions.borrow().is_mixed(&context.service);
+    if !is_bound || !may_differ {
         return true;
     }
     let response = HttpClient::new(server.address, REPORT_LIMIT)
@@ -290,7 +293,10 @@
         return (None, "no origin named");
     };
     match ask_keepers(gateway, key).await {
-        Some(version) => (Some(version), "keeper"),
+        Some(version) => {
+            context.is_version_shared.set(true);
+            (Some(version), "keeper")
+        }
         None => (None, "no record"),
     }
 }
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -50,6 +50,8 @@
     pub is_trial: Cell<bool>,
     /// Software version at which the stream of the request must go on; absent before its first event.
     pub version: Cell<Option<VersionKey>>,
+    /// Whether another instance has told that version, which so knows of several.
+    pub is_version_shared: Cell<bool>,
     /// Hash of method, path and body, which identifies a repeated request.
     pub fingerprint: Fingerprint,
 }
@@ -80,6 +82,7 @@
             parts: parts.unwrap_or_default(),
             is_trial: Cell::new(false),
             version: Cell::new(None),
+            is_version_shared: Cell::new(false),
             client,
             body,
             route,
