--- a/crates/wagtailarch-dispatch/src/freshness.rs
+++ b/crates/wagtailarch-dispatch/src/freshness.rs
@@ -18,7 +18,7 @@
 /// The newest proof that the objects of an instance are current.
 ///
 /// A response without changes is a proof only with the store version and the time that it refers
-/// to: a relay that no longer hears from the store, or that reads more slowly than the asking
+/// to: a relay that no longer receives responses from the store, or that reads more slowly than the asking
 /// instance, has no changes to report either.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Freshness {
@@ -34,7 +34,7 @@
         self.version
     }
 
-    /// Forgets the objects, of which all have to be read anew.
+    /// Drops the version of the objects, of which all have to be read anew.
     pub fn reset(&mut self) {
         self.version = None;
     }
--- a/crates/wagtailarch-dispatch/src/service_versions.rs
+++ b/crates/wagtailarch-dispatch/src/service_versions.rs
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Forgets versions whose streams have all ended.
+    /// Drops versions whose streams have all ended.
     pub fn forget_unused(&mut self, now: Duration) {
         for versions in self.services.values_mut() {
             versions.retain(|_, version| {
--- a/crates/wagtailarch-dispatch/tests/read_limits.rs
+++ b/crates/wagtailarch-dispatch/tests/read_limits.rs
@@ -40,7 +40,7 @@
     let silent_relay = limits.relay_wait() + limits.response_margin();
     let second_silent_relay = limits.connect_limit();
     assert!(silent_relay + second_silent_relay + STORE_CALL < bound);
-    // A relay whose store is silent reports it when its watch fails.
+    // A relay whose store is unresponsive reports it when its watch fails.
     let silent_store = limits.watch_wait() + limits.response_margin();
     assert!(silent_store + second_silent_relay + STORE_CALL < bound);
     // A change during the pause after another one.
--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -77,7 +77,7 @@
         self.versions.borrow().report()
     }
 
-    /// Forgets versions whose streams have all ended.
+    /// Drops versions whose streams have all ended.
     pub fn expire(&self, now: Duration) {
         self.versions.borrow_mut().forget_unused(now);
     }
@@ -253,7 +253,7 @@
         Ok((status, body)) if status == StatusCode::OK => decode_report(&body).ok(),
         Ok(_) | Err(_) => None,
     };
-    // A server that states no start time cannot be told from its earlier process.
+    // A server that states no start time cannot be distinguished from its earlier process.
     let is_listed = report.is_some_and(|report| {
         let started = report.started_unix_ms;
         started.is_none_or(|started| started == server.started_unix_ms)
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -50,7 +50,7 @@
     pub is_trial: Cell<bool>,
     /// Software version at which the stream of the request must go on; absent before its first event.
     pub version: Cell<Option<VersionKey>>,
-    /// Whether another instance has told that version, which so knows of several.
+    /// Whether that version comes from another instance, which therefore knows of several.
     pub is_version_shared: Cell<bool>,
     /// Hash of method, path and body, which identifies a repeated request.
     pub fingerprint: Fingerprint,
--- a/crates/wagtailarch-wire/src/origin.rs
+++ b/crates/wagtailarch-wire/src/origin.rs
@@ -55,7 +55,7 @@
     Unknown,
     /// The stream began at this version.
     Version(VersionKey),
-    /// It cannot be told at which of several versions the stream began.
+    /// The stream began at one of several versions.
     Ambiguous,
 }
 
@@ -64,7 +64,7 @@
 pub struct OriginRecord {
     /// Hash of the identifier of the client attempt that received the first event.
     pub key: OriginKey,
-    /// Version at which the stream began; absent if that cannot be told any longer.
+    /// Version at which the stream began; absent if it is no longer known.
     pub version: Option<VersionKey>,
 }
 
