--- a/crates/wagtailarch-dispatch/src/freshness.rs
+++ b/crates/wagtailarch-dispatch/src/freshness.rs
@@ -18,8 +18,8 @@
 /// The newest proof that the objects of an instance are current.
 ///
 /// A response without changes is a proof only with the store version and the time that it refers
-/// to: a relay that no longer receives responses from the store, or that reads more slowly than the asking
-/// instance, has no changes to report either.
+/// to: a relay that no longer receives responses from the store, or that reads more slowly than the
+/// asking instance, has no changes to report either.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Freshness {
     /// Version up to which the instance has all changes; absent without objects.
--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -173,6 +173,12 @@
         self.backends.get(id).map(|backend| backend.version_key)
     }
 
+    /// Returns whether a server of a service with a software version is listed.
+    pub fn serves_version(&self, service: &ServiceName, version: VersionKey) -> bool {
+        let mut backends = self.backends.values();
+        backends.any(|backend| backend.version_key == version && backend.server.service == *service)
+    }
+
     /// Returns whether a server may still be called.
     pub fn is_available(&self, now: Duration, id: &InstanceId) -> bool {
         let backend = self.backends.get(id);
--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -214,13 +214,8 @@
     };
     let (origin, source) = origin(context).await;
     let served = origin.filter(|version| {
-        let snapshot = gateway.snapshot();
-        let of_service = snapshot
-            .servers
-            .iter()
-            .filter(|s| s.service == context.service);
-        let mut versions = of_service.map(|server| server.version_key());
-        versions.any(|served| served == *version)
+        let load_balancer = gateway.load_balancer.borrow();
+        load_balancer.serves_version(&context.service, *version)
     });
     info!(gateway.log, "stream taken up"; "request" => %context.client.id,
         "origin" => context.client.origin.as_deref(), "last_event" => context.client.resume_after,
