Keep connections of calls open while their servers are silent

Callers saw a response end midway, or a 502, when the server fell silent for about a second and went on: the first probe is sent 1 s after the last data, the user timeout of 2 s also decides when probes give up, and so a silence of 1 s that began just before a probe ended the connection. Requests that run once at most, and streams that cannot be resumed, have no other server to go on at.

A connection of a call now outlasts the time left of its request, which the request's own limits end. Probes are still sent, so that a server that has started again resets the connection. Calls of the process itself (store, relays, orders, reports, probes for a crash) keep the short limit.

The log line of a failed call and of a broken stream names the source of the error, which tells a connection that TCP has given up (timed out) from a reset.

--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     body_buffer::{BufferError, BufferedBody},
-    connection::{Driver, connect},
+    connection::{Driver, SilenceLimit, connect, describe},
     guards::InFlightGuard,
     permits::Permit,
     request_context::RequestContext,
@@ -131,7 +131,9 @@
     let gateway = &context.gateway;
     let id = &call.server.id;
     let in_flight = InFlightGuard::new(gateway, id);
-    let opened = connect(call.server.address, CONNECT_LIMIT.min(call.head_limit)).await;
+    let silence = SilenceLimit::AtLeast(context.time_left());
+    let connect_limit = CONNECT_LIMIT.min(call.head_limit);
+    let opened = connect(call.server.address, connect_limit, silence).await;
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(error) => {
@@ -171,7 +173,7 @@
                 .load_balancer
                 .borrow_mut()
                 .on_failure(gateway.now(), id);
-            log_failure(context, call, CallFailure::CLOSED, &error.to_string());
+            log_failure(context, call, CallFailure::CLOSED, &describe(&error));
             let progress = match call.step {
                 CallStep::Prefill => RunProgress::Prefill,
                 CallStep::Whole | CallStep::Decode(_) => RunProgress::NotBegun,
@@ -268,7 +270,11 @@
                     .borrow_mut()
                     .on_failure(now, &call.server.id);
             }
-            log_failure(context, call, CallFailure::CLOSED, &error.to_string());
+            let cause = match error {
+                BufferError::Connection(error) => describe(&error),
+                error => error.to_string(),
+            };
+            log_failure(context, call, CallFailure::CLOSED, &cause);
             Err(CallFailure::CLOSED)
         }
         Err(_) => {
@@ -297,10 +303,12 @@
     match framing {
         BodyFraming::Length | BodyFraming::Chunked => true,
         BodyFraming::Connection if is_empty => false,
-        BodyFraming::Connection => match connect(server.address, CONNECT_LIMIT).await {
-            Ok(_) => true,
-            Err(error) => !error.is_refused(),
-        },
+        BodyFraming::Connection => {
+            match connect(server.address, CONNECT_LIMIT, SilenceLimit::Probe).await {
+                Ok(_) => true,
+                Err(error) => !error.is_refused(),
+            }
+        }
     }
 }
 
@@ -358,7 +366,8 @@
     let part_ids = shared_part_ids(context);
     let parts = context.parts.clone();
     tokio::task::spawn_local(async move {
-        let Err(error) = connect(server.address, CRASH_PROBE_LIMIT).await else {
+        let opened = connect(server.address, CRASH_PROBE_LIMIT, SilenceLimit::Probe).await;
+        let Err(error) = opened else {
             return;
         };
         if error.is_refused() {
--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -1,6 +1,6 @@
 //! Connections to backend servers, relays and the store.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{error::Error, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -12,13 +12,14 @@
 
 use crate::{metered_stream::MeteredStream, read_allowance::ReadAllowance};
 
-/// Idle time before the first keepalive probe and between probes, since a connection may break
-/// without a reset.
+/// Idle time before the first keepalive probe, since a connection may break without a reset.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time without an acknowledgement after which a connection is broken.
+/// Time without an acknowledgement after which a connection of the process itself is broken.
 ///
-/// Together with `KEEPALIVE_INTERVAL` this detects a broken connection within 3 seconds.
+/// A silence of `ACK_TIMEOUT - KEEPALIVE_INTERVAL` suffices if it begins just before a probe.
 const ACK_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Maximum number of keepalive probes on Linux.
+const MAX_PROBES: u32 = 127;
 
 /// Bytes that may be read before the head of a response is complete, including interim responses.
 ///
@@ -42,6 +43,17 @@
 #[derive(Debug)]
 pub struct Driver(JoinHandle<()>);
 
+/// How long the other side of a connection may be silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SilenceLimit {
+    /// Until a probe has no response, for calls of the process that can be repeated elsewhere.
+    Probe,
+    /// At least this long, since a client waits for the response and a silent server may go on.
+    ///
+    /// Probes are still sent: a server that has started again resets the connection.
+    AtLeast(Duration),
+}
+
 /// Why a connection could not be opened; nothing was sent.
 #[derive(Debug, Display)]
 pub enum ConnectError {
@@ -67,12 +79,16 @@
 }
 
 /// Opens a connection within `limit`; must be called on a local task set.
-pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, ConnectError> {
+pub async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+    silence: SilenceLimit,
+) -> Result<Connection, ConnectError> {
     let opened = timeout(limit, TcpStream::connect(address)).await;
     let stream = opened
         .map_err(|_| ConnectError::TimedOut(limit))?
         .map_err(ConnectError::Io)?;
-    set_options(&stream).map_err(ConnectError::Io)?;
+    set_options(&stream, silence).map_err(ConnectError::Io)?;
     let allowance = Rc::new(ReadAllowance::new(MAX_HEAD_BYTES));
     let stream = MeteredStream::new(stream, Rc::clone(&allowance));
     let handshake = http1::Builder::new()
@@ -91,14 +107,31 @@
     })
 }
 
-/// Sets the socket options by which an unresponsive connection is detected.
-pub fn set_options(stream: &TcpStream) -> io::Result<()> {
+/// Returns an error with its sources, which tell a connection that TCP has given up from one that
+/// the other side has reset.
+pub fn describe(error: &dyn Error) -> String {
+    let sources = std::iter::successors(error.source(), |error| (*error).source());
+    sources.fold(error.to_string(), |text, source| {
+        format!("{text}: {source}")
+    })
+}
+
+/// Sets the socket options by which a broken connection is detected.
+fn set_options(stream: &TcpStream, silence: SilenceLimit) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
+    let probes = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
+    match silence {
+        SilenceLimit::Probe => {
+            let probes = probes.with_interval(KEEPALIVE_INTERVAL).with_retries(2);
+            socket.set_tcp_keepalive(&probes)?;
+            socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
+        }
+        SilenceLimit::AtLeast(limit) => {
+            let interval_s = limit.as_secs() / u64::from(MAX_PROBES) + 1;
+            let interval = Duration::from_secs(interval_s);
+            let probes = probes.with_interval(interval).with_retries(MAX_PROBES);
+            socket.set_tcp_keepalive(&probes)
+        }
+    }
 }
--- a/crates/wagtailarch-gateway/src/http_client.rs
+++ b/crates/wagtailarch-gateway/src/http_client.rs
@@ -8,7 +8,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
-use crate::connection::{ConnectError, Connection, MAX_HEAD_BYTES, connect};
+use crate::connection::{
+    ConnectError, Connection, MAX_HEAD_BYTES, SilenceLimit, connect, describe,
+};
 
 /// Timeout for opening a connection where no bound on applying changes demands a shorter one.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(800);
@@ -56,7 +58,7 @@
     ) -> Result<(StatusCode, Bytes), CallError> {
         let mut connection = match self.connection.take() {
             Some(connection) if !connection.sender.is_closed() => connection,
-            _ => connect(self.address, self.connect_limit)
+            _ => connect(self.address, self.connect_limit, SilenceLimit::Probe)
                 .await
                 .map_err(CallError::Connect)?,
         };
@@ -64,7 +66,7 @@
             request.headers_mut().insert(header::HOST, host);
         }
         let exchange = async {
-            let connection_error = |error: hyper::Error| CallError::Connection(error.to_string());
+            let connection_error = |error: hyper::Error| CallError::Connection(describe(&error));
             connection.sender.ready().await.map_err(connection_error)?;
             connection
                 .allowance
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -1,6 +1,6 @@
 //! Relays the events of a stream to the client and resumes it at another engine after a failure.
 
-use std::{rc::Rc, time::Duration};
+use std::{borrow::Cow, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
@@ -17,6 +17,7 @@
 use crate::{
     attempts::Attempts,
     backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
+    connection::describe,
     generation::{GenerationError, StartedGeneration, start},
     origins,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
@@ -70,7 +71,7 @@
 enum ReadOutcome {
     Bytes(Bytes),
     End,
-    Failed(&'static str),
+    Failed(Cow<'static, str>),
     TimedOut,
 }
 
@@ -138,7 +139,7 @@
             let next = match self.take_events() {
                 Ok(Some(chunk)) => return Some(Ok(chunk)),
                 Ok(None) => self.read().await,
-                Err(cause) => ReadOutcome::Failed(cause),
+                Err(cause) => ReadOutcome::Failed(cause.into()),
             };
             match next {
                 ReadOutcome::Bytes(bytes) => self.splitter.push(&bytes),
@@ -155,7 +156,7 @@
                     return None;
                 }
                 ReadOutcome::Failed(cause) => {
-                    if let Err(failure) = self.resume(cause).await {
+                    if let Err(failure) = self.resume(&cause).await {
                         self.on_end("broken off", 0);
                         return Some(Err(failure));
                     }
@@ -280,28 +281,28 @@
                     .attempts
                     .can_fail_over(&self.context, &active.call.server.id) =>
             {
-                return ReadOutcome::Failed("silent");
+                return ReadOutcome::Failed("silent".into());
             }
             Err(_) => timeout(self.context.time_left(), frame).await,
         };
         match read {
             Err(_) => ReadOutcome::TimedOut,
             Ok(None) if self.splitter.is_inside_event() => {
-                ReadOutcome::Failed("ended inside an event")
+                ReadOutcome::Failed("ended inside an event".into())
             }
             Ok(None)
                 if !is_declared_end(self.framing, !self.has_event, &active.call.server).await =>
             {
-                ReadOutcome::Failed("undeclared end")
+                ReadOutcome::Failed("undeclared end".into())
             }
             Ok(None) => ReadOutcome::End,
-            Ok(Some(Err(_))) => ReadOutcome::Failed("connection failed"),
+            Ok(Some(Err(error))) => ReadOutcome::Failed(describe(&error).into()),
             Ok(Some(Ok(frame))) => ReadOutcome::Bytes(frame.into_data().unwrap_or_default()),
         }
     }
 
     /// Resumes the stream at another engine after the last event, if that is allowed.
-    async fn resume(&mut self, cause: &'static str) -> Result<(), GenerationError> {
+    async fn resume(&mut self, cause: &str) -> Result<(), GenerationError> {
         // The first engine must stop before another one continues.
         let Some(active) = self.active.take() else {
             let refusal = self.attempts.refusal(RefusalReason::NoBackend);
