Leave a silent engine only for one that responds

Callers of resumable streams received a part of their response when all engines fell silent for a second or so: after 0.6 of the client timeout the stream left its engine, the others did not respond either, and the resumption was refused. The engine that it had left went on soon after.

A stream now leaves a silent engine when the engines of its new plan have sent their report, and goes on waiting otherwise; an event of the first engine ends the search. Engines that sent no report are not selected for this request again. The check of a resumed stream's process also asks a silent engine again, for as long as the request has time left, in place of giving up after 200 ms.

--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -1,20 +1,26 @@
 //! The calls made for one generation, and whether another one may follow.
 
-use wagtailarch_dispatch::Placement;
+use std::{iter, time::Duration};
+
+use tokio::time::sleep;
+use wagtailarch_dispatch::{GenerationPlan, Placement, PrefillPlan, ServerEndpoint};
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
 
 use crate::{
     backend_client::CallFailure,
+    engine_report::{ReportOutcome, fetch_report},
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
 };
 
 /// Maximum number of calls for one request, including those that did not run it.
 pub const MAX_CALLS: u32 = 6;
+/// Delay before engines are selected again for a generation whose engine is silent.
+const FAIL_OVER_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// The calls made so far for one generation.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Attempts {
     /// Engines that failed or have no permit for this request, which are not selected again.
     pub excluded_engines: Vec<InstanceId>,
@@ -86,13 +92,56 @@
     /// A slow engine alone is no reason to stop: without an alternative the response is awaited up
     /// to the request's timeout.
     pub fn can_fail_over(&self, context: &RequestContext, engine: &InstanceId) -> bool {
+        self.fail_over_plan(context, engine).is_some()
+    }
+
+    /// Waits until the generation could continue at engines that respond, and returns the others
+    /// that were found not to.
+    ///
+    /// Without them, leaving a silent `engine` would end a response that it may still complete.
+    pub async fn wait_for_fail_over(
+        &self,
+        context: &RequestContext,
+        engine: &InstanceId,
+    ) -> Vec<InstanceId> {
+        let mut attempts = self.clone();
+        let known = self.excluded_engines.len();
+        loop {
+            let Some(plan) = attempts.fail_over_plan(context, engine) else {
+                sleep(FAIL_OVER_RETRY_DELAY).await;
+                attempts.excluded_engines.truncate(known);
+                continue;
+            };
+            let prefill_engine = match &plan.prefill {
+                PrefillPlan::Direct => None,
+                PrefillPlan::Split(engine) => Some(ServerEndpoint::clone(engine)),
+            };
+            let mut responds = true;
+            for engine in iter::once(plan.decode).chain(prefill_engine) {
+                if !matches!(fetch_report(&engine).await, ReportOutcome::Received(_)) {
+                    attempts.excluded_engines.push(engine.id);
+                    responds = false;
+                }
+            }
+            if responds {
+                return attempts.excluded_engines.split_off(known);
+            }
+        }
+    }
+
+    /// Returns the engines at which the generation could continue instead of `engine`.
+    fn fail_over_plan(
+        &self,
+        context: &RequestContext,
+        engine: &InstanceId,
+    ) -> Option<GenerationPlan> {
         let gateway = &context.gateway;
         if !context.route.kind.repeatable()
             || self.possible_runs + 1 >= context.route.max_attempts
             || self.calls + 1 >= MAX_CALLS
             || !gateway.may_retry(&context.service)
         {
-            return false;
+            return None;
         }
         let mut excluded = self.excluded_engines.clone();
         excluded.push(engine.clone());
@@ -104,7 +153,10 @@
             &context.generation_request(context.rank()),
             &excluded,
         );
-        matches!(placement, Placement::Use(_))
+        match placement {
+            Placement::Use(plan) => Some(plan),
+            Placement::Refuse { .. } | Placement::NoEngine => None,
+        }
     }
 
     /// Records a failed prefill, which may be repeated in any case.
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod client_meter;
 mod connection;
 mod control;
+mod engine_report;
 mod gateway;
 mod generation;
 mod guards;
--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -9,14 +9,12 @@
     time::Duration,
 };
 
-use http::StatusCode;
 use indexmap::IndexMap;
 use slog::{debug, info};
 use tokio::{
     sync::mpsc,
     time::{Instant, sleep, timeout_at},
 };
-use wagtailarch_adapter::{decode_report, report_request};
 use wagtailarch_dispatch::{
     ServerEndpoint, ServiceVersions, StreamOrigins, asked_keepers, origin_keepers, version_key,
 };
@@ -27,8 +25,8 @@
 };
 
 use crate::{
+    engine_report::{ReportOutcome, fetch_report},
     gateway::Gateway,
-    http_client::HttpClient,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
     snapshot::Snapshot,
@@ -41,8 +39,6 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(100);
 /// Time limit for reading the versions that are recorded in the store.
 const RECORD_LIMIT: Duration = Duration::from_millis(300);
-/// Time limit for the report of a server at which a stream goes on.
-const REPORT_LIMIT: Duration = Duration::from_millis(200);
 /// Interval between two looks at the reads of the control thread.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -241,12 +237,13 @@
     if !is_bound || !may_differ {
         return true;
     }
-    let response = HttpClient::new(server.address, REPORT_LIMIT)
-        .call(report_request(&server.id), REPORT_LIMIT)
-        .await;
-    let report = match response {
-        Ok((status, body)) if status == StatusCode::OK => decode_report(&body).ok(),
-        Ok(_) | Err(_) => None,
+    let report = loop {
+        match fetch_report(server).await {
+            ReportOutcome::Received(report) => break Some(report),
+            // A silent server may go on, as its response may.
+            ReportOutcome::Silent if !context.time_left().is_zero() => {}
+            ReportOutcome::Silent | ReportOutcome::Failed => break None,
+        }
     };
     // A server that states no start time cannot be distinguished from its earlier process.
     let is_listed = report.is_some_and(|report| {
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -3,12 +3,12 @@
 use std::{borrow::Cow, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::{StreamExt, stream};
+use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
 use http::Response;
 use http_body_util::BodyExt;
 use slog::{debug, info};
 use tokio::{task::yield_now, time::timeout};
-use wagtailarch_types::{Ran, RefusalReason};
+use wagtailarch_types::{InstanceId, Ran, RefusalReason};
 use wagtailarch_wire::{
     body_framing::BodyFraming,
     event_splitter::{EventSplitter, EventTooLong},
@@ -61,6 +61,8 @@
     longest_pause: Duration,
     /// When the current engine last sent a complete event, or resumed the stream.
     progress_at: Duration,
+    /// Waits until other engines respond while the current one is silent.
+    fail_over: Option<LocalBoxFuture<'static, Vec<InstanceId>>>,
     /// Error in the data that the engine sent after the last event, reported once the valid events
     /// are sent.
     data_error: Option<&'static str>,
@@ -101,6 +103,7 @@
         last_event_at: None,
         longest_pause: Duration::ZERO,
         progress_at,
+        fail_over: None,
         data_error: None,
         finished: false,
     };
@@ -235,6 +238,7 @@
         let gateway = &context.gateway;
         let now = gateway.now();
         self.progress_at = now;
+        self.fail_over = None;
         if let Some(last_event_at) = self.last_event_at.replace(now) {
             self.longest_pause = self.longest_pause.max(now.saturating_sub(last_event_at));
         }
@@ -276,14 +280,23 @@
             Ok(read) => Ok(read),
             // If the whole process was delayed, the connection's task has not read the data yet.
             Err(_) if self.context.time_left().is_zero() => timeout(LATE_READ_LIMIT, frame).await,
-            Err(_)
-                if self
-                    .attempts
-                    .can_fail_over(&self.context, &active.call.server.id) =>
-            {
-                return ReadOutcome::Failed("silent".into());
+            Err(_) => {
+                let fail_over = self.fail_over.get_or_insert_with(|| {
+                    let context = Rc::clone(&self.context);
+                    let attempts = self.attempts.clone();
+                    let engine = active.call.server.id.clone();
+                    async move { attempts.wait_for_fail_over(&context, &engine).await }
+                        .boxed_local()
+                });
+                tokio::select! {
+                    biased;
+                    read = timeout(self.context.time_left(), frame) => read,
+                    silent = fail_over => {
+                        self.attempts.excluded_engines.extend(silent);
+                        return ReadOutcome::Failed("silent".into());
+                    }
+                }
             }
-            Err(_) => timeout(self.context.time_left(), frame).await,
         };
         match read {
             Err(_) => ReadOutcome::TimedOut,
@@ -303,6 +316,7 @@
 
     /// Resumes the stream at another engine after the last event, if that is allowed.
     async fn resume(&mut self, cause: &str) -> Result<(), GenerationError> {
+        self.fail_over = None;
         // The first engine must stop before another one continues.
         let Some(active) = self.active.take() else {
             let refusal = self.attempts.refusal(RefusalReason::NoBackend);
