Send only events of the same stream after its first event

Clients found other text in the middle of a stream that an instance resumed, or a stream that ended as if it were complete. The next engine's body was split at empty lines and each block passed on: the head of an error, its text, an event of no stream. Blocks without an identifier were never compared with the last one. An answer without any event, such as an empty success, was a declared end and completed the stream.

An event without an identifier now fails the attempt once the stream has one, as do another media type than that of events and an end before any event of the stream. A stream whose events have no identifiers is not resumed, since the next engine would begin anew: its events came twice.

--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use http::Response;
+use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt;
 use slog::{debug, info};
 use tokio::{task::yield_now, time::timeout};
@@ -35,6 +35,9 @@
 /// out.
 const LATE_READ_LIMIT: Duration = Duration::from_millis(20);
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A stream that is relayed to the client.
 struct StreamRelay {
     /// Head for the client, from the engine that sends the first event.
@@ -191,6 +194,9 @@
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
+            if event.id.is_none() && self.last_event.is_some() {
+                break Some("event of no stream");
+            }
             if self.events >= self.context.max_events() {
                 break Some("too many events");
             }
@@ -289,6 +295,11 @@
             Ok(None) if self.splitter.is_inside_event() => {
                 ReadOutcome::Failed("ended inside an event")
             }
+            // Whether the stream had already sent its last event cannot be told from an answer
+            // without any.
+            Ok(None) if self.events > 0 && !self.has_event => {
+                ReadOutcome::Failed("no event of the stream")
+            }
             Ok(None)
                 if !is_declared_end(self.framing, !self.has_event, &active.call.server).await =>
             {
@@ -335,7 +346,8 @@
         let listed_version = gateway.load_balancer.borrow().version_of(&engine);
         let is_uncertain = listed_version.is_some_and(|listed| listed != version_key);
         let resumed = match decision {
-            Ok(()) if delivered && is_uncertain => {
+            // Without the identifier of an event, the next engine would begin anew.
+            Ok(()) if delivered && (is_uncertain || self.last_event.is_none()) => {
                 let refusal = self.attempts.refusal(RefusalReason::BackendFailedMidway);
                 Err(GenerationError::Refused(refusal))
             }
@@ -354,6 +366,9 @@
                 self.framing = started.response.framing;
                 self.has_event = false;
                 self.output_recorded = false;
+                if delivered && !may_hold_events(&started.response.parts.headers) {
+                    self.data_error = Some("other media type");
+                }
                 self.active = Some(started);
                 Ok(())
             }
@@ -382,6 +397,12 @@
     }
 }
 
+/// Returns whether a body is a stream of events, as far as the head of its response tells.
+fn may_hold_events(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(header::CONTENT_TYPE);
+    media_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM))
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if self.finished {
