Take a switch of protocols for no response

A server that answered with status 101, which no call asks for, had that status and its head passed on to clients of plain routes as the response. Interim responses before it are skipped by the HTTP library; this one is returned as a final one and was neither a success nor a promise, so that nothing rejected it. It is now a response that does not belong to the request: another attempt where the route allows it, otherwise 502.

an_interim_status_is_no_response failed for the plain route before (101 instead of 502); it passes now.

--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -313,6 +313,10 @@
     if facts.request_id_match == RequestIdMatch::Other {
         return Some(CallFailure::WRONG_RESPONSE);
     }
+    // A switch to another protocol, which no call asks for, is the only one that hyper returns.
+    if parts.status.is_informational() {
+        return Some(CallFailure::WRONG_RESPONSE);
+    }
     if facts.not_run && !parts.status.is_success() {
         return Some(CallFailure::NOT_RUN);
     }
