Prove the only software version after a take-up has arrived

Streams that had begun at servers of a new version, through other instances, broke and were taken up at an instance that was cut off or stood still while these servers joined. It knew one version, had seen all changes for long as far as it could tell, took that version for the only one and went on at a server of it: clients got a text of two versions.

Since when an instance knows all changes was lost only with a failed call to the store, which a hanging watch or a stopped process has not noticed yet. An age limit would not help: the clock may have stood still too.

The only proof that doesn't depend on a clock is a response to a call that was sent after the take-up arrived. Such a take-up now waits for a watch of the servers from the version up to which they were applied, which returns at once; the versions in it count like those of the record. One read serves all take-ups that wait. The record itself is read only while this instance has observed the servers for less than the lifetime of a stream. Take-ups with a record of their own, or of a keeper, and services known to have two versions are as before.

--- a/crates/wagtailarch-dispatch/src/service_versions.rs
+++ b/crates/wagtailarch-dispatch/src/service_versions.rs
@@ -13,7 +13,9 @@
 /// A list of servers with one version proves nothing about the time before it. That a service has
 /// one version alone is therefore stated only by an instance that has seen all changes of the
 /// registrations for the lifetime of a stream, or that has read the versions that an earlier
-/// instance recorded in the store.
+/// instance recorded in the store. For a take-up, the registrations must also have been read since
+/// it arrived: an instance that stood still or was cut off does not know the versions that came
+/// meanwhile, and its clocks may not show it.
 #[derive(Debug, Default)]
 pub struct ServiceVersions {
     services: IndexMap<ServiceName, IndexMap<VersionKey, VersionUse>>,
@@ -22,6 +24,8 @@
     observed_since: Option<Duration>,
     /// When the recorded versions of each service were read.
     records_read_at: IndexMap<ServiceName, Duration>,
+    /// When the store was last asked for changes that all are known.
+    current_at: Option<Duration>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -78,6 +82,22 @@
         self.is_mixed(service) && !was_mixed
     }
 
+    /// Applies the versions of servers that changed lately, which with the registrations applied
+    /// before are all changes until the store was asked at `asked_at`; returns the services that
+    /// have more than one version now, but had not before.
+    pub fn on_current(
+        &mut self,
+        asked_at: Duration,
+        changed: &[(ServiceName, VersionKey)],
+    ) -> Vec<ServiceName> {
+        let mixed_before = self.mixed_services();
+        for (service, version) in changed {
+            self.add_unused(asked_at, service, *version, true);
+        }
+        self.current_at = self.current_at.max(Some(asked_at));
+        self.newly_mixed(&mixed_before)
+    }
+
     /// Applies versions that a peer reports, by [`service_key`]; returns the services that have more
     /// than one version now, but had not before.
     pub fn on_peer(&mut self, now: Duration, reported: &[(u64, VersionKey)]) -> Vec<ServiceName> {
@@ -116,8 +136,17 @@
             .is_some_and(|versions| versions.len() > 1)
     }
 
-    /// Returns the only version of which streams can be open, if that is proven.
-    pub fn only_version(&self, now: Duration, service: &ServiceName) -> Option<VersionKey> {
+    /// Returns the only version of which streams can be open that began before `asked_at`, if that
+    /// is proven.
+    pub fn only_version(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        asked_at: Duration,
+    ) -> Option<VersionKey> {
+        if self.current_at < Some(asked_at) {
+            return None;
+        }
         let versions = self.services.get(service)?;
         let (version, _) = versions.first().filter(|_| versions.len() == 1)?;
         self.is_history_known(now, service).then_some(*version)
--- a/crates/wagtailarch-dispatch/tests/stream_versions.rs
+++ b/crates/wagtailarch-dispatch/tests/stream_versions.rs
@@ -40,16 +40,46 @@
     engines.collect()
 }
 
+/// Returns the only version for a take-up at `now`, for which the store shows no changes.
+fn only_version(versions: &mut ServiceVersions, now: Duration) -> Option<VersionKey> {
+    versions.on_current(now, &[]);
+    versions.only_version(now, &service(), now)
+}
+
+/// Guards against an instance that was cut off or stood still and takes a version for the only one,
+/// also if its clock stood still as well: a read that was sent before the take-up proves nothing.
+#[rstest]
+#[case::not_read(None, None)]
+#[case::read_before(Some((9, OLD)), None)]
+#[case::read_after(Some((10, OLD)), Some(OLD))]
+#[case::other_version(Some((10, NEW)), None)]
+fn the_only_version_is_proven_by_a_read_after_the_take_up(
+    #[case] read: Option<(u64, &str)>,
+    #[case] expected: Option<&str>,
+) {
+    let mut versions = ServiceVersions::default();
+    versions.on_servers(s(1), &engines(&[OLD]), Some(s(1)));
+    versions.on_record(s(2), &service(), &[key(OLD)]);
+    if let Some((asked_at, version)) = read {
+        let newly_mixed = versions.on_current(s(asked_at), &[(service(), key(version))]);
+        assert_eq!(newly_mixed.is_empty(), version == OLD);
+    }
+    assert_eq!(
+        versions.only_version(s(10), &service(), s(10)),
+        expected.map(key)
+    );
+}
+
 /// Guards against an instance that takes the only version that it lists for that of a stream which
 /// began before it started.
 #[test]
 fn a_list_with_one_version_proves_nothing_about_the_time_before() {
     let mut versions = ServiceVersions::default();
     versions.on_servers(s(1), &engines(&[OLD, OLD]), Some(s(1)));
-    assert_eq!(versions.only_version(s(10), &service()), None);
+    assert_eq!(only_version(&mut versions, s(10)), None);
     // An instance that has seen all changes for the lifetime of a stream knows.
     let later = s(1) + STREAM_LIFETIME;
-    assert_eq!(versions.only_version(later, &service()), Some(key(OLD)));
+    assert_eq!(only_version(&mut versions, later), Some(key(OLD)));
 }
 
 /// Guards against an instance that trusts a record which was read before it lost the store.
@@ -66,16 +96,16 @@
     versions.on_servers(s(1), &engines(&[OLD]), Some(s(1)));
     let recorded: Vec<_> = recorded.iter().map(|version| key(version)).collect();
     versions.on_record(s(2), &service(), &recorded);
-    assert_eq!(versions.only_version(s(3), &service()), expected);
+    assert_eq!(only_version(&mut versions, s(3)), expected);
     versions.on_servers(s(4), &engines(&[OLD]), None);
-    assert_eq!(versions.only_version(s(5), &service()), None);
+    assert_eq!(only_version(&mut versions, s(5)), None);
     // A list after a loss does not show the servers that came and left before it.
     versions.on_servers(s(6), &engines(&[OLD]), Some(s(6)));
-    assert_eq!(versions.only_version(s(7), &service()), None);
+    assert_eq!(only_version(&mut versions, s(7)), None);
     versions.on_record(s(7), &"other".into(), &[]);
-    assert_eq!(versions.only_version(s(7), &service()), None);
+    assert_eq!(only_version(&mut versions, s(7)), None);
     versions.on_record(s(7), &service(), &recorded);
-    assert_eq!(versions.only_version(s(8), &service()), expected);
+    assert_eq!(only_version(&mut versions, s(8)), expected);
 }
 
 /// Guards against a version that is forgotten while its streams may be taken up, and against one
@@ -96,9 +126,9 @@
     versions.forget_unused(s(300) + STREAM_LIFETIME - s(1));
     assert!(versions.is_mixed(&service()));
     versions.forget_unused(s(300) + STREAM_LIFETIME);
-    assert_eq!(versions.only_version(s(500), &service()), Some(key(NEW)));
+    assert_eq!(only_version(&mut versions, s(500)), Some(key(NEW)));
     versions.on_servers(s(500), &engines(&[OLD]), Some(s(0)));
-    assert_eq!(versions.only_version(s(501), &service()), None);
+    assert_eq!(only_version(&mut versions, s(501)), None);
 }
 
 /// Guards against an instance that does not know of a version which only its peers have seen, and
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -48,6 +48,11 @@
         if apply_update(&context, &mut membership, &mut ignored, update) {
             publish_servers(&publisher, &membership, watcher.newest_change());
         }
+        publisher.send_if_modified(|snapshot| {
+            Arc::make_mut(snapshot).servers_read = watcher.read_version();
+            // Only the control thread uses it, with the servers that are published already.
+            false
+        });
     }
 }
 
--- a/crates/wagtailarch-gateway/src/control/versions.rs
+++ b/crates/wagtailarch-gateway/src/control/versions.rs
@@ -16,11 +16,11 @@
     time::{Instant, sleep},
 };
 use wagtailarch_adapter::{
-    ObjectKind, PutOutcome, StoreObject, create_request, decode_list, decode_put, list_request,
-    replace_request,
+    ObjectKind, PutOutcome, StoreObject, create_request, decode_list, decode_put, decode_server,
+    decode_watch, list_request, replace_request, watch_request,
 };
 use wagtailarch_dispatch::{STREAM_LIFETIME, is_designated};
-use wagtailarch_types::{ObjectVersion, ServiceName, SoftwareVersion};
+use wagtailarch_types::{InstanceId, ObjectVersion, ServiceName, SoftwareVersion};
 
 use crate::{
     control::{ControlContext, publish, store_error::StoreError},
@@ -39,6 +39,28 @@
 /// Timeout for a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Wait of a watch that returns the changes until now.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+/// Pause between two reads, which serve all take-ups that wait for them.
+const READ_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why the versions of which streams may be open could not be read.
+#[derive(Debug, Display)]
+enum ReadError {
+    /// {0}
+    Store(StoreError),
+    /// the servers have not been read
+    NoServers,
+    /// server {0} came and left since the last read
+    UnknownServer(InstanceId),
+}
+
+impl<E: Into<StoreError>> From<E> for ReadError {
+    fn from(error: E) -> Self {
+        Self::Store(error.into())
+    }
+}
+
 /// Why the record could not be written.
 #[derive(Debug, Display)]
 enum RecordError {
@@ -80,23 +102,79 @@
     let mut client = HttpClient::new(context.store_address, CONNECT_LIMIT);
     loop {
         context.traffic.version_record_requested().await;
-        let read_at = context.epoch.elapsed();
-        match list(context, &mut client).await {
-            Ok(objects) => {
-                let services = objects.iter().map(|object| {
-                    let versions = versions(object).into_iter().collect();
-                    (object.name.clone(), versions)
-                });
-                let services: IndexMap<_, _> = services.collect();
-                info!(context.log, "recorded versions read"; "services" => services.len());
-                let record = Arc::new(VersionRecord { read_at, services });
+        let snapshot = Arc::clone(&publisher.borrow());
+        match read(context, &mut client, &snapshot).await {
+            Ok(record) => {
+                info!(context.log, "recorded versions read"; "services" => record.services.len(),
+                    "changed" => record.changed.len());
+                let record = Arc::new(record);
                 publish(publisher, |snapshot| snapshot.version_record = Some(record));
             }
             Err(error) => {
                 warn!(context.log, "recorded versions not read"; "cause" => %error);
             }
         }
+        sleep(READ_PAUSE).await;
+    }
+}
+
+/// Reads the versions of which streams may be open now.
+///
+/// A response to a call that is sent now is the only proof that the servers of the snapshot are
+/// current: the clocks of an instance that stood still may not show it.
+async fn read(
+    context: &ControlContext,
+    client: &mut HttpClient,
+    snapshot: &Snapshot,
+) -> Result<VersionRecord, ReadError> {
+    let read_at = context.epoch.elapsed();
+    let since = snapshot.servers_since;
+    let is_recorded = since.is_none_or(|since| read_at.saturating_sub(since) < STREAM_LIFETIME);
+    let services = match is_recorded {
+        true => list(context, client).await?,
+        // The record names no version that this instance has not seen.
+        false => Vec::new(),
+    };
+    let services = services.iter().map(|object| {
+        let versions = versions(object).into_iter().collect();
+        (object.name.clone(), versions)
+    });
+    Ok(VersionRecord {
+        read_at,
+        services: services.collect(),
+        changed: read_changes(context, client, snapshot).await?,
+    })
+}
+
+/// Reads the versions of servers that have changed since the snapshot.
+async fn read_changes(
+    context: &ControlContext,
+    client: &mut HttpClient,
+    snapshot: &Snapshot,
+) -> Result<Vec<(ServiceName, SoftwareVersion)>, ReadError> {
+    let kind = ObjectKind::Servers;
+    let after = snapshot.servers_read.ok_or(ReadError::NoServers)?;
+    context.metrics.count_store_call(StoreCall::Watch);
+    let request = watch_request(kind, after, MIN_WAIT);
+    let (status, body) = client.call(request, CALL_TIMEOUT).await?;
+    let mut changed: IndexMap<InstanceId, (ServiceName, SoftwareVersion)> = IndexMap::new();
+    for (object, deleted) in decode_watch(kind, status, &body)?.changes {
+        let is_listed = || {
+            snapshot
+                .servers
+                .iter()
+                .any(|server| server.id == object.name)
+        };
+        if !deleted {
+            // The watch of the servers logs registrations that cannot be decoded.
+            if let Ok(server) = decode_server(&object.name, &object.content) {
+                changed.insert(object.name, (server.service, server.version));
+            }
+        } else if !changed.contains_key(&object.name) && !is_listed() {
+            return Err(ReadError::UnknownServer(object.name));
+        }
     }
+    Ok(changed.into_values().collect())
 }
 
 async fn write_record(context: &ControlContext, publisher: &watch::Sender<Arc<Snapshot>>) {
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -113,6 +113,11 @@
         self.newest_change
     }
 
+    /// Returns the version of the store up to which this instance has all changes.
+    pub fn read_version(&self) -> Option<ObjectVersion> {
+        self.freshness.version()
+    }
+
     /// Returns the reads that led to the newest update.
     pub fn trail(&self) -> &ReadTrail {
         &self.trail
--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -112,6 +112,10 @@
                     mixed.push(service.clone());
                 }
             }
+            let changed = record.changed.iter();
+            let changed = changed.map(|(name, version)| (name.clone(), version_key(name, version)));
+            let changed: Vec<_> = changed.collect();
+            mixed.extend(versions.on_current(record.read_at, &changed));
         }
         mixed
     };
@@ -272,15 +276,12 @@
         Some(Origin::Ambiguous) => return (None, "ambiguous record"),
         Some(Origin::Unknown) | None => {}
     }
-    let only = || {
-        let versions = origins.versions.borrow();
-        versions.only_version(gateway.now(), &context.service)
-    };
     if !origins.versions.borrow().is_mixed(&context.service) {
-        if only().is_none() {
-            read_record(gateway).await;
-        }
-        if let Some(version) = only() {
+        let asked_at = gateway.now();
+        read_record(gateway, asked_at).await;
+        let versions = origins.versions.borrow();
+        let only = versions.only_version(gateway.now(), &context.service, asked_at);
+        if let Some(version) = only {
             return (Some(version), "only version");
         }
     }
@@ -296,12 +297,11 @@
     }
 }
 
-/// Reads the versions that are recorded in the store, unless the store is known to be lost.
-async fn read_record(gateway: &Gateway) {
+/// Reads the versions in the store after `asked_at`, unless the store is known to be lost.
+async fn read_record(gateway: &Gateway, asked_at: Duration) {
     if gateway.snapshot().servers_since.is_none() {
         return;
     }
-    let asked_at = gateway.now();
     gateway.traffic.request_version_record();
     while gateway.now() < asked_at + RECORD_LIMIT {
         if gateway.origins.record_read_at.get() >= Some(asked_at) {
--- a/crates/wagtailarch-gateway/src/snapshot.rs
+++ b/crates/wagtailarch-gateway/src/snapshot.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use wagtailarch_dispatch::{BackendServer, RoutingConfig};
-use wagtailarch_types::{InstanceId, ServiceName, SoftwareVersion, ZoneName};
+use wagtailarch_types::{InstanceId, ObjectVersion, ServiceName, SoftwareVersion, ZoneName};
 use wagtailarch_wire::load_note::StoreVersions;
 
 /// The newest state of the control thread; it never goes back to an older one.
@@ -16,7 +16,9 @@
     pub servers: Arc<Vec<BackendServer>>,
     /// Time since which all changes of the servers are known; absent while they cannot be read.
     pub servers_since: Option<Duration>,
-    /// Software versions recorded in the store; absent until they were read.
+    /// Version of the store up to which all changes of the servers are known.
+    pub servers_read: Option<ObjectVersion>,
+    /// Software versions read from the store for take-ups; absent until they were read.
     pub version_record: Option<Arc<VersionRecord>>,
     /// Whether the servers have been listed.
     pub servers_listed: bool,
@@ -26,13 +28,15 @@
     pub peers: Arc<Vec<Peer>>,
 }
 
-/// Software versions of which streams may be open, as recorded in the store.
+/// Software versions of which streams may be open, as read from the store.
 #[derive(Debug)]
 pub struct VersionRecord {
-    /// When the record was requested from the store.
+    /// When the store was asked; the record shows all changes until then.
     pub read_at: Duration,
-    /// Versions of each service.
+    /// Recorded versions of each service.
     pub services: IndexMap<ServiceName, Vec<SoftwareVersion>>,
+    /// Versions of servers that changed after `Snapshot::servers_read`.
+    pub changed: Vec<(ServiceName, SoftwareVersion)>,
 }
 
 /// Another entry instance.
