Test other responses after the first token of a generation

Guards wagtail-entry against text of another response in the middle of a stream: an empty success, a plain body, a head, JSON of no frame, a frame of another attempt and an error status. It doesn't fail on the current code: only frames that name the request and the attempt are taken, and only one with a finish reason ends the response. 12 cases.

--- a/crates/wagtailarch-entry/tests/streams.rs
+++ b/crates/wagtailarch-entry/tests/streams.rs
@@ -109,6 +109,28 @@
     );
 }
 
+/// Guards against text of another response in a stream that had begun, and against a stream that
+/// such a response ends.
+#[rstest]
+#[case::empty(Script::Lines(Vec::new()))]
+#[case::plain(Script::Lines(vec!["whole body\n".into()]))]
+#[case::head(Script::Lines(vec!["HTTP/1.1 500 Error\r\n\r\nerror\n".into()]))]
+#[case::json(Script::Lines(vec!["{\"error\": \"failed\"}\n".into()]))]
+#[case::of_another_attempt(Script::Lines(vec![token_line("REQUEST", 1, 2, true)]))]
+#[case::error(Script::Refuse { status: 500, code: "internal", not_run: false })]
+#[tokio::test]
+async fn another_response_adds_nothing_to_a_stream_that_had_begun(
+    #[case] next: Script,
+    #[values(false, true)] stream: bool,
+) {
+    let (engines, instance) = fixture(1).await;
+    engines[0].add_script(Script::BreakAt { index: 2 });
+    engines[0].add_script(next);
+    engines[0].add_script(COMPLETE);
+    assert_eq!(chat_text(&instance, stream).await, (200, text(8)));
+    assert_eq!(calls(&engines).len(), 3);
+}
+
 /// Guards against responses that include frames of other requests or attempts, duplicates, or
 /// frames after the last one.
 #[tokio::test]
