Test heads that end early at each byte

It doesn't fail on the current code: the HTTP library returns a response only after the empty line that ends its head, so that a shorter one is a failed call.

--- a/crates/wagtailarch-entry/tests/endings.rs
+++ b/crates/wagtailarch-entry/tests/endings.rs
@@ -28,6 +28,16 @@
 
 /// Starts a service that sends one text for each call.
 async fn service(content_type: &'static str, text: String, after: After) -> SocketAddr {
+    cut_service(content_type, text, after, None).await
+}
+
+/// Starts a service that sends the first bytes of one text for each call.
+async fn cut_service(
+    content_type: &'static str,
+    text: String,
+    after: After,
+    cut_at: Option<usize>,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
@@ -48,7 +58,8 @@
             if after == After::Crash {
                 listener = None;
             }
-            let text = format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n{text}");
+            let mut text = format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n{text}");
+            text.truncate(cut_at.unwrap_or(text.len()));
             stream.write_all(text.as_bytes()).await.expect("sent");
             tokio::time::sleep(Duration::from_millis(50)).await;
             if after == After::Reset {
@@ -136,3 +147,26 @@
     let (status, _) = call(service, version).await;
     assert_eq!(status == 200, complete, "status {status}");
 }
+
+/// Guards against a head that ends early, at any byte, and that a client receives as a success.
+#[rstest]
+#[case::plain("text/plain")]
+#[case::events("text/event-stream")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_ends_early_is_no_success(
+    #[case] content_type: &'static str,
+    #[values(After::Close, After::Reset)] after: After,
+    #[values("content-length: 30\r\n", "transfer-encoding: chunked\r\n", "")] framing: &str,
+) {
+    let text = format!("{framing}\r\n{EVENTS}");
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n{framing}\r\n");
+    let mut calls = tokio::task::JoinSet::new();
+    for cut_at in 0..head.len() {
+        let service = cut_service(content_type, text.clone(), after, Some(cut_at)).await;
+        let version = if cut_at % 2 == 0 { "1.1" } else { "1.0" };
+        calls.spawn(async move { (cut_at, call(service, version).await.0) });
+    }
+    for (cut_at, status) in calls.join_all().await {
+        assert!(status >= 500, "offset {cut_at}: status {status}");
+    }
+}
