--- /dev/null
+++ b/crates/wagtailarch-wire/tests/forward.rs
@@ -0,0 +1,67 @@
+//! Encoding of calls between instances.
+
+use http::{HeaderMap, HeaderValue};
+use rstest::rstest;
+use wagtailarch_types::Ran;
+use wagtailarch_wire::forward::{
+    ForwardCall, ForwardOutcome, ForwardResume, NotTaken, StreamEnd, decode, encode,
+};
+
+fn call() -> ForwardCall {
+    ForwardCall {
+        sender: "front-a-1".into(),
+        boot: u64::MAX,
+        generation: 7,
+        age_ms: 120,
+        possible_runs: 1,
+        is_counted: true,
+        takes_retry: false,
+        resume: Some(ForwardResume {
+            after: 3,
+            version: 9,
+        }),
+    }
+}
+
+#[rstest]
+fn a_call_is_decoded_as_it_was_sent() {
+    let value = encode(5, &call()).expect("encoded");
+    assert_eq!(decode(&value), Some((5, Some(call()))));
+}
+
+#[rstest]
+#[case(ForwardOutcome::NotTaken(NotTaken::Leaving))]
+#[case(ForwardOutcome::Refused { reason: "no_backend".into(), ran: Ran::Unknown, retry_after_ms: 500 })]
+#[case(ForwardOutcome::Response { possible_runs: 2, version: Some(1) })]
+fn an_outcome_is_decoded_as_it_was_sent(#[case] outcome: ForwardOutcome) {
+    let value = encode(5, &outcome).expect("encoded");
+    assert_eq!(decode(&value), Some((5, Some(outcome))));
+}
+
+/// Guards against a refusal by an instance of another version that cannot name the call.
+#[rstest]
+#[case::another_version("2 5 00ff", Some(5))]
+#[case::no_hexadecimal_digits("1 5 zz", Some(5))]
+#[case::odd_digits("1 5 0", Some(5))]
+#[case::not_ascii_digits("1 5 +1", Some(5))]
+#[case::no_message("1 5", Some(5))]
+#[case::no_number("1 x 00", None)]
+#[case::empty("", None)]
+fn malformed_calls_are_not_decoded(#[case] text: &str, #[case] number: Option<u64>) {
+    let value = HeaderValue::from_str(text).expect("a value");
+    let decoded = decode::<ForwardCall>(&value);
+    assert_eq!(decoded, number.map(|number| (number, None)));
+}
+
+/// Guards against a broken stream that looks complete at the sender.
+#[rstest]
+fn only_a_stated_end_is_an_end() {
+    for end in [
+        StreamEnd::Complete,
+        StreamEnd::BrokenOff,
+        StreamEnd::TimedOut,
+    ] {
+        assert_eq!(StreamEnd::from_trailers(&end.trailers()), Some(end));
+    }
+    assert_eq!(StreamEnd::from_trailers(&HeaderMap::new()), None);
+}
