--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! `wagtailarch-control` instead.
 
 mod backend;
+mod call_numbers;
 mod designation;
 mod engine_state;
 mod freshness;
@@ -43,6 +44,7 @@
 mod stream_origins;
 mod urgent_utilization;
 
+pub use call_numbers::CallNumbers;
 pub use designation::is_designated;
 pub use engine_state::EngineState;
 pub use freshness::{Freshness, StoreRead};
