Publish the address for requests that go through an instance

The new setting forward_address is published with the instance's entry in the store. The field is optional there, so that an instance of an earlier version is no target.

--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -38,6 +38,8 @@
     pub zone: ZoneName,
     /// Address at which peers reach this instance.
     pub peer_address: SocketAddr,
+    /// Address for clients' requests that peers send through this instance.
+    pub forward_address: SocketAddr,
     /// Address of the store.
     pub store_address: SocketAddr,
     /// Time within which a new configuration must be in force.
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -152,6 +152,7 @@
 ) -> Result<bool, RegisterError> {
     let content = json!({
         "peer_address": context.peer_address.to_string(),
+        "forward_address": context.forward_address.to_string(),
         "zone": context.zone,
     });
     let create = create_request(ObjectKind::Instances, &context.instance, &content);
@@ -275,9 +276,12 @@
 
 fn peer(object: &StoreObject) -> Option<Peer> {
     let content = &object.content;
+    let address = |field: &str| content.get(field)?.as_str()?.parse().ok();
     Some(Peer {
         name: object.name.clone(),
         zone: content.get("zone")?.as_str()?.into(),
-        address: content.get("peer_address")?.as_str()?.parse().ok()?,
+        address: address("peer_address")?,
+        // Instances of earlier versions take no requests of others.
+        forward_address: address("forward_address"),
     })
 }
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -105,6 +105,7 @@
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
         peer_address: settings.peer_address,
+        forward_address: settings.forward_address,
         store_address: settings.store_address,
         config_bound: settings.config_bound(),
         leaving_bound: settings.leaving_bound(),
--- a/crates/wagtailarch-gateway/src/settings.rs
+++ b/crates/wagtailarch-gateway/src/settings.rs
@@ -21,6 +21,8 @@
     pub ready_address: SocketAddr,
     /// Address for datagrams and relay requests of other instances.
     pub peer_address: SocketAddr,
+    /// Address for clients' requests that other instances send through this one.
+    pub forward_address: SocketAddr,
     /// Address for scrapes of the metrics.
     pub metrics_address: SocketAddr,
     /// Address of the store.
--- a/crates/wagtailarch-gateway/src/snapshot.rs
+++ b/crates/wagtailarch-gateway/src/snapshot.rs
@@ -44,6 +44,8 @@
     pub zone: ZoneName,
     /// Address for datagrams and relay requests.
     pub address: SocketAddr,
+    /// Address for clients' requests that go through the instance; absent if it takes none.
+    pub forward_address: Option<SocketAddr>,
 }
 
 impl Snapshot {
