Name the interface for requests of an instance without a path

The calls by which the carrier of forwarded requests asks for another instance are named; none is ever chosen yet, so that behaviour stays as it is. Checked with cargo check only; the functions have no callers yet.

--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod origins;
 mod outbox;
 mod panic_handling;
+mod paths;
 mod peers;
 mod pending_notes;
 mod permits;
