--- a/crates/wagtailarch-dispatch/src/call_numbers.rs
+++ b/crates/wagtailarch-dispatch/src/call_numbers.rs
@@ -7,6 +7,8 @@
 
 /// Numbers that are remembered for each start of a sender; older ones count as received.
 const REMEMBERED_NUMBERS: usize = 1024;
+/// Senders that are remembered; the largest fleet has 370 instances.
+const REMEMBERED_SENDERS: usize = 1024;
 /// Starts of one sender that are remembered.
 const REMEMBERED_STARTS: usize = 4;
 
@@ -31,6 +33,9 @@
 impl CallNumbers {
     /// Records a call; returns whether it is received for the first time. Numbers begin at 1.
     pub fn on_call(&mut self, sender: &InstanceId, boot: BootId, number: u64) -> bool {
+        if self.senders.len() == REMEMBERED_SENDERS && !self.senders.contains_key(sender) {
+            self.senders.shift_remove_index(0);
+        }
         let starts = self.senders.entry(sender.clone()).or_default();
         let known = starts.iter().position(|(known, _)| *known == boot);
         let index = known.unwrap_or_else(|| {
@@ -42,11 +47,6 @@
         });
         starts[index].1.insert(number)
     }
-
-    /// Forgets the senders that are no longer listed.
-    pub fn retain(&mut self, is_listed: impl Fn(&InstanceId) -> bool) {
-        self.senders.retain(|sender, _| is_listed(sender));
-    }
 }
 
 impl ReceivedNumbers {
--- a/crates/wagtailarch-wire/src/forward.rs
+++ b/crates/wagtailarch-wire/src/forward.rs
@@ -5,7 +5,7 @@
 //! response. The end of a streamed response states in the trailer [`END_TRAILER`] whether the stream
 //! is complete.
 
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::SmolStr;
 use wagtailarch_types::{BootId, Generation, InstanceId, Ran, VersionKey};
@@ -16,6 +16,8 @@
 pub const CALL_HEADER: HeaderName = HeaderName::from_static("wagtail-call");
 /// Header with the encoded [`ForwardOutcome`].
 pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("wagtail-outcome");
+/// Status of the response to a call that was not taken, in all versions of the encoding.
+pub const NOT_TAKEN_STATUS: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 /// Trailer with the [`StreamEnd`]; a streamed response without it is not complete.
 pub const END_TRAILER: HeaderName = HeaderName::from_static("wagtail-end");
 
