Send requests through another instance without a path to the servers

Such an instance sends the whole request to another one, which serves it like that of a client. The receiver refuses calls of others than listed instances, repeated calls, calls with a newer configuration than its own, and those for which it has no room or is shutting down; it names the call, which then has not run. A link that breaks after the call was written is unknown: an at-most-once request gets 502 or 504, another one goes to a second instance within the attempts of its route. The end of a stream is stated in a trailer, so that a broken link never looks complete. Requests and retries are counted at the instance that places them.

Which instance takes a request is decided elsewhere; as long as none is chosen, nothing is sent.

--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -18,8 +18,12 @@
 pub struct Attempts {
     /// Engines that failed or have no permit for this request, which are not selected again.
     pub excluded_engines: Vec<InstanceId>,
-    /// Number of calls that may have run the request.
-    possible_runs: u32,
+    /// Instances that failed or did not take the request.
+    pub excluded_instances: Vec<InstanceId>,
+    /// Whether the next call is a retry that no instance has taken from its budget yet.
+    pub owes_retry: bool,
+    /// Whether the last call could not open a connection, or went to another instance.
+    pub is_unreachable: bool,
     /// Number of all calls.
     pub calls: u32,
     /// Number of separate prefill calls that reached an engine.
@@ -43,22 +47,14 @@
         delivered: bool,
     ) -> Result<(), Refusal> {
         self.excluded_engines.push(engine.clone());
+        self.is_unreachable = failure.is_unreachable();
         if failure.ran != Ran::No {
-            self.possible_runs += 1;
+            context.possible_runs.update(|runs| runs + 1);
         }
-        let traits = RequestTraits {
-            idempotent: context.route.kind.repeatable(),
-            resumable: context.route.kind.repeatable(),
-            delivered,
-            attempts: self.possible_runs,
-            attempt_limit: context.route.max_attempts,
-            ran_before: self.ran(),
-        };
-        self.ran = Some(RetryPolicy::combine(self.ran(), failure.ran));
         let attempt_failure = AttemptFailure {
             reason: failure.reason,
         };
-        let decision = RetryPolicy::evaluate(&attempt_failure, &traits);
+        let decision = self.evaluate(context, failure, delivered);
         let reason = match decision {
             _ if context.time_left().is_zero() => RefusalReason::DeadlineUnreachable,
             RetryDecision::Refuse(reason, _) => reason,
@@ -72,6 +68,51 @@
         Err(self.refusal(reason))
     }
 
+    /// Records that the connection to another instance broke after the request was sent; returns the
+    /// refusal if no further call may follow.
+    ///
+    /// `runs` is the number of calls that may have run the request, with those of that instance.
+    pub fn on_instance_lost(
+        &mut self,
+        context: &RequestContext,
+        instance: &InstanceId,
+        failure: CallFailure,
+        runs: u32,
+        delivered: bool,
+    ) -> Result<(), Refusal> {
+        self.excluded_instances.push(instance.clone());
+        context.possible_runs.set(runs);
+        let reason = match self.evaluate(context, failure, delivered) {
+            _ if context.time_left().is_zero() => RefusalReason::DeadlineUnreachable,
+            RetryDecision::Refuse(reason, _) => reason,
+            RetryDecision::Retry(_) => {
+                self.owes_retry = true;
+                return Ok(());
+            }
+        };
+        Err(self.refusal(reason))
+    }
+
+    /// Records whether a failed call may have run the request, and decides about another one.
+    fn evaluate(
+        &mut self,
+        context: &RequestContext,
+        failure: CallFailure,
+        delivered: bool,
+    ) -> RetryDecision {
+        let traits = RequestTraits {
+            idempotent: context.route.kind.repeatable(),
+            resumable: context.route.kind.repeatable(),
+            delivered,
+            attempts: context.possible_runs.get(),
+            attempt_limit: context.route.max_attempts,
+            ran_before: self.ran(),
+        };
+        self.ran = Some(RetryPolicy::combine(self.ran(), failure.ran));
+        let reason = failure.reason;
+        RetryPolicy::evaluate(&AttemptFailure { reason }, &traits)
+    }
+
     /// Records that an engine responded with an HTTP error; returns whether another engine is
     /// tried instead of passing that response on.
     pub fn on_http_error(&mut self, context: &RequestContext, engine: &InstanceId) -> bool {
@@ -88,7 +129,7 @@
     pub fn can_fail_over(&self, context: &RequestContext, engine: &InstanceId) -> bool {
         let gateway = &context.gateway;
         if !context.route.kind.repeatable()
-            || self.possible_runs + 1 >= context.route.max_attempts
+            || context.possible_runs.get() + 1 >= context.route.max_attempts
             || self.calls + 1 >= MAX_CALLS
             || !gateway.may_retry(&context.service)
         {
@@ -118,6 +159,7 @@
         if (AttemptFailure { reason }).reached_server() {
             self.prefills += 1;
         }
+        self.is_unreachable = failure.is_unreachable();
         self.excluded_engines.push(engine.clone());
         context.gateway.metrics.outcomes.count_retry(reason);
     }
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -18,7 +18,7 @@
 use crate::{
     body_buffer::{BufferError, BufferedBody},
     connection::{Driver, connect},
-    guards::InFlightGuard,
+    guards::{ForwardGuard, InFlightGuard},
     permits::Permit,
     request_context::RequestContext,
 };
@@ -30,7 +30,7 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Maximum size of a response body that is buffered whole, so that an incomplete one can be
 /// replaced.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum size of the response to a prefill call; it has about a hundred bytes.
 const MAX_PREFILL_RESPONSE_BYTES: usize = 16 * 1024;
 /// Bytes on the wire for each byte of a body; the framing of small chunks takes as much as their
@@ -75,7 +75,26 @@
 #[derive(Debug)]
 pub struct ResponseGuard {
     _driver: Driver,
-    _in_flight: InFlightGuard,
+    _counted: CountedCall,
+}
+
+/// Counts a call until its response ends.
+#[derive(Debug)]
+enum CountedCall {
+    /// A call to a backend server.
+    Server { _in_flight: InFlightGuard },
+    /// A call to another instance.
+    Instance { _guard: ForwardGuard },
+}
+
+impl ResponseGuard {
+    /// Keeps a connection to another instance open.
+    pub fn of_instance(driver: Driver, guard: ForwardGuard) -> Self {
+        Self {
+            _driver: driver,
+            _counted: CountedCall::Instance { _guard: guard },
+        }
+    }
 }
 
 /// Why a call has no usable response.
@@ -114,6 +133,11 @@
     /// The response did not begin in time.
     pub const TIMED_OUT: Self = Self::new(RetryReason::FirstTokenTimeout, Ran::Unknown);
 
+    /// Returns whether no connection could be opened.
+    pub fn is_unreachable(self) -> bool {
+        self.reason == RetryReason::ConnectFailed
+    }
+
     const fn new(reason: RetryReason, ran: Ran) -> Self {
         Self { reason, ran }
     }
@@ -210,13 +234,15 @@
         framing,
         _guard: ResponseGuard {
             _driver: connection.driver,
-            _in_flight: in_flight,
+            _counted: CountedCall::Server {
+                _in_flight: in_flight,
+            },
         },
     })
 }
 
 /// Returns the number of bytes that the rest of a response may have on the wire.
-fn body_allowance(context: &RequestContext, step: &CallStep) -> usize {
+pub fn body_allowance(context: &RequestContext, step: &CallStep) -> usize {
     if context.route.kind.is_stream() && *step != CallStep::Prefill {
         let tokens = context.max_events().min(u64::from(u16::MAX)) as usize;
         return STREAM_OVERHEAD_BYTES + tokens * STREAM_BYTES_PER_TOKEN;
--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -20,6 +20,11 @@
 /// Together with `KEEPALIVE_INTERVAL` this detects a broken connection within 3 seconds.
 const ACK_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Like `ACK_TIMEOUT`, for connections between instances.
+///
+/// An instance that pauses for one or two seconds still works on its requests.
+const INSTANCE_ACK_TIMEOUT: Duration = Duration::from_millis(4_000);
+
 /// Bytes that may be read before the head of a response is complete, including interim responses.
 ///
 /// Heads have a few hundred bytes; the rest is for data that is read along with the head.
@@ -68,11 +73,27 @@
 
 /// Opens a connection within `limit`; must be called on a local task set.
 pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, ConnectError> {
+    open(address, limit, ACK_TIMEOUT).await
+}
+
+/// Opens a connection to another instance within `limit`; must be called on a local task set.
+pub async fn connect_instance(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<Connection, ConnectError> {
+    open(address, limit, INSTANCE_ACK_TIMEOUT).await
+}
+
+async fn open(
+    address: SocketAddr,
+    limit: Duration,
+    ack_timeout: Duration,
+) -> Result<Connection, ConnectError> {
     let opened = timeout(limit, TcpStream::connect(address)).await;
     let stream = opened
         .map_err(|_| ConnectError::TimedOut(limit))?
         .map_err(ConnectError::Io)?;
-    set_options(&stream).map_err(ConnectError::Io)?;
+    set_options(&stream, ack_timeout).map_err(ConnectError::Io)?;
     let allowance = Rc::new(ReadAllowance::new(MAX_HEAD_BYTES));
     let stream = MeteredStream::new(stream, Rc::clone(&allowance));
     let handshake = http1::Builder::new()
@@ -91,8 +112,13 @@
     })
 }
 
+/// Sets the socket options by which an unresponsive connection of another instance is detected.
+pub fn set_instance_options(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream, INSTANCE_ACK_TIMEOUT)
+}
+
 /// Sets the socket options by which an unresponsive connection is detected.
-pub fn set_options(stream: &TcpStream) -> io::Result<()> {
+fn set_options(stream: &TcpStream, ack_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
@@ -100,5 +126,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(2);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(ack_timeout))
 }
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -14,7 +14,7 @@
     LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, SharedRetryBudget,
 };
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
-use wagtailarch_types::{InstanceId, ServiceName};
+use wagtailarch_types::{BootId, InstanceId, ServiceName};
 use wagtailarch_wire::{
     load_note::{LimitReport, SentPrefixes, StrikeNote, server_key},
     part_report::{PartReports, ReportedPart},
@@ -22,6 +22,7 @@
 
 use crate::{
     body_buffer::BufferBudget,
+    forward::ForwardState,
     metrics::Metrics,
     origins::{self, Origins},
     outbox::Outbox,
@@ -58,6 +59,8 @@
     pub pending_permits: PendingPermits,
     /// Software versions at which streams began.
     pub origins: Origins,
+    /// Calls to and from other instances.
+    pub forwarding: ForwardState,
     /// Memory limit for buffered bodies.
     pub buffer_budget: Rc<BufferBudget>,
     /// Number of requests without a complete response.
@@ -92,6 +95,7 @@
         traffic: Arc<TrafficView>,
         peer_socket: UdpSocket,
         epoch: Instant,
+        boot: BootId,
     ) -> Self {
         Self {
             reloadable_settings: Cell::new(settings.reloadable()),
@@ -107,6 +111,7 @@
             peer_socket,
             pending_permits: PendingPermits::default(),
             origins: Origins::default(),
+            forwarding: ForwardState::new(boot),
             buffer_budget: Rc::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -15,6 +15,7 @@
 use crate::{
     attempts::{Attempts, MAX_CALLS},
     backend_client::{BackendResponse, Call, CallFailure, collect_body, send},
+    forward::client::{Condition, start_stream},
     guards::{DecodeGuard, PrefillGuard, SuspectGuard},
     origins,
     permits::{self, Permit},
@@ -37,8 +38,31 @@
 /// A generation whose response has begun.
 #[derive(Debug)]
 pub struct StartedGeneration {
-    /// Response of the decode engine.
+    /// Response of the decode engine or of another instance.
     pub response: BackendResponse,
+    /// Where the generation runs.
+    pub place: GenerationPlace,
+}
+
+/// Where a generation runs.
+#[derive(Debug)]
+pub enum GenerationPlace {
+    /// At an engine that this instance calls.
+    Engine(Box<EngineRun>),
+    /// Behind another instance.
+    Instance {
+        /// Name of the instance.
+        name: InstanceId,
+        /// Number of calls to servers that may have run the request when the response began.
+        possible_runs: u32,
+        /// Software version of the engine that began the stream.
+        version: Option<VersionKey>,
+    },
+}
+
+/// A generation at an engine.
+#[derive(Debug)]
+pub struct EngineRun {
     /// The call that was answered.
     pub call: Call,
     /// Counts the generation as running on the decode engine.
@@ -49,6 +73,24 @@
     pub prefill: Option<PrefillGuard>,
 }
 
+impl GenerationPlace {
+    /// Returns the name of the engine or instance, for logs.
+    pub fn name(&self) -> &InstanceId {
+        match self {
+            Self::Engine(run) => &run.call.server.id,
+            Self::Instance { name, .. } => name,
+        }
+    }
+
+    /// Returns the software version at which the stream runs; `None` if it is not known.
+    pub fn version_key(&self) -> Option<VersionKey> {
+        match self {
+            Self::Engine(run) => Some(run.call.server.version_key),
+            Self::Instance { version, .. } => *version,
+        }
+    }
+}
+
 /// Why a generation could not start or continue.
 #[derive(Debug)]
 pub enum GenerationError {
@@ -58,6 +100,16 @@
     ErrorResponse(Box<Response<ResponseBody>>),
 }
 
+impl GenerationError {
+    /// Returns the response to the client.
+    pub fn respond(self, context: &RequestContext) -> Response<ResponseBody> {
+        match self {
+            Self::Refused(refusal) => refusal.respond(context),
+            Self::ErrorResponse(response) => *response,
+        }
+    }
+}
+
 impl From<Refusal> for GenerationError {
     fn from(refusal: Refusal) -> Self {
         Self::Refused(refusal)
@@ -67,7 +119,8 @@
 /// Serves a generation.
 pub async fn serve(context: Rc<RequestContext>) -> Response<ResponseBody> {
     let mut attempts = Attempts::default();
-    if context.client.resume_after.is_some() {
+    // A stream that another instance began is already bound to its version.
+    if context.client.resume_after.is_some() && context.version.get().is_none() {
         match origins::take_up(&context).await {
             Ok(version) => context.version.set(Some(version)),
             Err(refusal) => return refusal.respond(&context),
@@ -77,23 +130,46 @@
         Ok(started) => stream_relay::respond(Rc::clone(&context), attempts, started).await,
         Err(failure) => Err(failure),
     };
-    match response {
-        Ok(response) => response,
-        Err(GenerationError::Refused(refusal)) => refusal.respond(&context),
-        Err(GenerationError::ErrorResponse(response)) => *response,
-    }
+    response.unwrap_or_else(|failure| failure.respond(&context))
 }
 
 /// Starts a generation, or resumes one after the event `resume_after`.
 ///
-/// The generation counts as interrupted if `resume_after` is not the event from which the client
-/// itself resumes.
+/// It goes through another instance if this one reaches no engine. The generation counts as
+/// interrupted if `resume_after` is not the event from which the client itself resumes.
 pub async fn start(
     context: &Rc<RequestContext>,
     attempts: &mut Attempts,
     resume_after: Option<u64>,
 ) -> Result<StartedGeneration, GenerationError> {
     let interrupted = resume_after != context.client.resume_after;
+    if interrupted
+        && let Some(started) =
+            start_stream(context, attempts, Condition::PathLost, resume_after).await
+    {
+        return started;
+    }
+    let started = start_here(context, attempts, resume_after).await;
+    if attempts.is_unreachable
+        && matches!(started, Err(GenerationError::Refused(_)))
+        && let Some(started) =
+            start_stream(context, attempts, Condition::Unreachable, resume_after).await
+    {
+        return started;
+    }
+    started
+}
+
+/// Starts or resumes a generation at the engines that this instance reaches.
+async fn start_here(
+    context: &Rc<RequestContext>,
+    attempts: &mut Attempts,
+    resume_after: Option<u64>,
+) -> Result<StartedGeneration, GenerationError> {
+    let interrupted = resume_after != context.client.resume_after;
+    if std::mem::take(&mut attempts.owes_retry) {
+        attempts.take_retry(context, RetryReason::ClosedBeforeResponse)?;
+    }
     let has_events = resume_after.is_some();
     let rank = match has_events {
         true => PermitRank::Urgent,
@@ -153,12 +229,15 @@
                 CallFailure::CLOSED
             }
             Ok(response) if response.parts.status == StatusCode::OK => {
-                return Ok(StartedGeneration {
-                    response,
+                let run = EngineRun {
                     call,
                     _decode_guard: decode_guard,
                     suspect,
                     prefill,
+                };
+                return Ok(StartedGeneration {
+                    response,
+                    place: GenerationPlace::Engine(Box::new(run)),
                 });
             }
             Ok(response) => match read_error_response(context, &call, response).await {
@@ -182,6 +261,12 @@
         attempts
             .on_failure(context, &call.server.id, failure, interrupted)
             .map_err(GenerationError::Refused)?;
+        if attempts.is_unreachable
+            && let Some(started) =
+                start_stream(context, attempts, Condition::PathLost, resume_after).await
+        {
+            return started;
+        }
     }
 }
 
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 
 use wagtailarch_dispatch::{PrefillNumber, PrefixLink, Urgency};
-use wagtailarch_types::InstanceId;
+use wagtailarch_types::{InstanceId, ServiceName};
 
-use crate::{client_meter::ClientMeter, gateway::Gateway};
+use crate::{client_meter::ClientMeter, gateway::Gateway, paths::ForwardResult};
 
 /// Counts a request as in flight at a server until the response ends.
 #[derive(Debug)]
@@ -109,6 +109,59 @@
     }
 }
 
+/// Counts a request as sent to another instance until the response ends.
+#[derive(Debug)]
+pub struct ForwardGuard {
+    gateway: Rc<Gateway>,
+    service: ServiceName,
+    peer: InstanceId,
+    /// How the request ended there; `None` while the instance has not responded.
+    result: Option<ForwardResult>,
+}
+
+impl ForwardGuard {
+    /// Counts a request as sent to an instance.
+    pub fn new(gateway: &Rc<Gateway>, service: &ServiceName, peer: &InstanceId) -> Self {
+        gateway.on_forward_started(peer);
+        Self {
+            gateway: Rc::clone(gateway),
+            service: service.clone(),
+            peer: peer.clone(),
+            result: None,
+        }
+    }
+
+    /// Records how the request ended at the instance.
+    pub fn set_result(&mut self, result: ForwardResult) {
+        self.result = Some(result);
+    }
+}
+
+impl Drop for ForwardGuard {
+    fn drop(&mut self) {
+        self.gateway
+            .on_forward_ended(&self.service, &self.peer, self.result);
+    }
+}
+
+/// Holds a place for a request of another instance until its response ends.
+#[derive(Debug)]
+pub struct PeerRequestGuard(Rc<Gateway>);
+
+impl PeerRequestGuard {
+    /// Takes a place; returns `None` if there is none.
+    pub fn new(gateway: &Rc<Gateway>) -> Option<Self> {
+        let has_room = gateway.start_serving_for_peer();
+        has_room.then(|| Self(Rc::clone(gateway)))
+    }
+}
+
+impl Drop for PeerRequestGuard {
+    fn drop(&mut self) {
+        self.0.stop_serving_for_peer();
+    }
+}
+
 /// Marks an engine as beginning a request with a part that is suspected of crashing engines.
 #[derive(Debug)]
 pub struct SuspectGuard {
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod client_meter;
 mod connection;
 mod control;
+mod forward;
 mod gateway;
 mod generation;
 mod guards;
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -75,6 +75,41 @@
     }
 }
 
+/// What happened to clients' requests that go through another instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardEvent {
+    /// A request was sent to another instance.
+    Sent,
+    /// The other instance did not take the request, or was not reached.
+    NotTaken,
+    /// The connection to the other instance broke after the request was sent.
+    Lost,
+    /// A request of another instance was taken.
+    Received,
+    /// A request of another instance was not taken.
+    Declined,
+}
+
+impl ForwardEvent {
+    const ALL: [Self; 5] = [
+        Self::Sent,
+        Self::NotTaken,
+        Self::Lost,
+        Self::Received,
+        Self::Declined,
+    ];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::NotTaken => "not_taken",
+            Self::Lost => "lost",
+            Self::Received => "received",
+            Self::Declined => "declined",
+        }
+    }
+}
+
 /// Numbers of open requests and connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OpenCounts {
@@ -96,6 +131,7 @@
     store_calls: LabeledCounters,
     store_failures: Counter,
     permits: LabeledCounters,
+    forwards: LabeledCounters,
     requests: LabeledCounters,
     client_gone: Counter,
     open_requests: Gauge,
@@ -128,6 +164,9 @@
         let results = PermitResult::ALL.map(PermitResult::as_str);
         let help = "Requests for permits to call rate-limited servers";
         let permits = register_counters(r, "permits", help, "result", &results);
+        let events = ForwardEvent::ALL.map(ForwardEvent::as_str);
+        let help = "Requests that go through another instance";
+        let forwards = register_counters(r, "forwards", help, "event", &events);
         let kinds = ["idempotent", "at_most_once", "stream", "resumable_stream"];
         let requests = register_counters(r, "requests", "Requests received", "kind", &kinds);
         let store_failures = Counter::default();
@@ -177,6 +216,7 @@
             store_calls,
             store_failures,
             permits,
+            forwards,
             requests,
             client_gone,
             open_requests,
@@ -220,6 +260,13 @@
             .inc();
     }
 
+    /// Counts an event of a request that goes through another instance.
+    pub fn count_forward(&self, event: ForwardEvent) {
+        self.forwards
+            .get_or_create(&[("event", event.as_str())])
+            .inc();
+    }
+
     /// Counts a call to the store that had no result.
     pub fn count_store_failure(&self) {
         self.store_failures.inc();
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     backend_client::{Call, CallFailure, collect_body, send},
+    forward::client::{Condition, serve_plain},
     permits::{self, Permit},
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
@@ -27,7 +28,7 @@
     // Servers that were called or have no permit for this request.
     let mut excluded: Vec<InstanceId> = Vec::new();
     let mut calls = 0;
-    let mut possible_runs = 0;
+    let mut is_unreachable = false;
     let mut ran = Ran::No;
     // The error response of a server, passed on if no other server succeeds.
     let mut error_response = None;
@@ -41,7 +42,10 @@
         );
         let Some(selected) = selected else {
             let refusal = context.unavailable(ran, context.rank(), &excluded);
-            return error_response.unwrap_or_else(|| refusal.respond(&context));
+            return match error_response {
+                Some(response) => response,
+                None => refuse(&context, refusal, is_unreachable).await,
+            };
         };
         excluded.push(selected.id.clone());
         let Some(permit) = permits::acquire(gateway, &selected.id, context.rank()).await else {
@@ -49,7 +53,7 @@
         };
         calls += 1;
         let call = Call {
-            head_limit: head_limit(&context, possible_runs, calls, &excluded),
+            head_limit: head_limit(&context, calls, &excluded),
             server: selected,
             step: CallStep::Whole,
             priority: None,
@@ -64,13 +68,19 @@
             Err(failure) => failure,
         };
         if failure.ran != Ran::No {
-            possible_runs += 1;
+            context.possible_runs.update(|runs| runs + 1);
+        }
+        is_unreachable = failure.is_unreachable();
+        if is_unreachable
+            && let Some(response) = serve_plain(&context, Condition::PathLost, ran).await
+        {
+            return response;
         }
         let traits = RequestTraits {
             idempotent: context.route.kind.repeatable(),
             resumable: false,
             delivered: false,
-            attempts: possible_runs,
+            attempts: context.possible_runs.get(),
             attempt_limit: context.route.max_attempts,
             ran_before: ran,
         };
@@ -100,24 +110,36 @@
             ran,
             retry_after: DEFAULT_RETRY_AFTER,
         };
-        return error_response.unwrap_or_else(|| refusal.respond(&context));
+        return match error_response {
+            Some(response) => response,
+            None => refuse(&context, refusal, is_unreachable).await,
+        };
+    }
+}
+
+/// Refuses a request, unless its last server was not reached and another instance takes it.
+async fn refuse(
+    context: &Rc<RequestContext>,
+    refusal: Refusal,
+    is_unreachable: bool,
+) -> Response<ResponseBody> {
+    if is_unreachable
+        && let Some(response) = serve_plain(context, Condition::Unreachable, refusal.ran).await
+    {
+        return response;
     }
+    refusal.respond(context)
 }
 
 /// Returns the time within which the head of a response must arrive.
 ///
 /// A repeatable request leaves an unresponsive server while another one can still meet the
 /// objective. Without an alternative the response is awaited up to the request's timeout.
-fn head_limit(
-    context: &RequestContext,
-    possible_runs: u32,
-    calls: usize,
-    excluded: &[InstanceId],
-) -> Duration {
+fn head_limit(context: &RequestContext, calls: usize, excluded: &[InstanceId]) -> Duration {
     let left = context.time_left();
     let gateway = &context.gateway;
     let can_fail_over = context.route.kind.repeatable()
-        && possible_runs + 1 < context.route.max_attempts
+        && context.possible_runs.get() + 1 < context.route.max_attempts
         && calls < MAX_SERVERS
         && gateway.may_retry(&context.service);
     let zone = &gateway.settings.zone;
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     control::{self, ControlContext},
+    forward::server::serve_instances,
     gateway::{Gateway, ShutdownState},
     metrics::Metrics,
     panic_handling::{catch_panic, restart_on_panic},
@@ -99,6 +100,7 @@
     let clients = listen(settings.client_address).await?;
     let ready = listen(settings.ready_address).await?;
     let scrapes = listen(settings.metrics_address).await?;
+    let forwarded = listen(settings.forward_address).await?;
     let socket = UdpSocket::bind(settings.peer_address).await;
     let socket = socket.map_err(|error| StartError::Listen(settings.peer_address, error))?;
     let context = ControlContext {
@@ -121,9 +123,15 @@
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
-    let gateway = Rc::new(Gateway::new(settings, log, metrics, traffic, socket, epoch));
-    start_tasks(&gateway, published, boot_id());
+    let boot = boot_id();
+    let gateway = Gateway::new(settings, log, metrics, traffic, socket, epoch, boot);
+    let gateway = Rc::new(gateway);
+    start_tasks(&gateway, published, boot);
     start_listening(&gateway, clients, [ready, scrapes]);
+    let forwarded = Rc::new(forwarded);
+    spawn_restarting(&gateway, "requests of instances", move |gateway| {
+        serve_instances(gateway, Rc::clone(&forwarded))
+    });
     let shared = Rc::clone(&gateway);
     spawn_local(async move {
         let watching = file.watch(Rc::clone(&shared), hangup);
--- a/crates/wagtailarch-gateway/src/refusal.rs
+++ b/crates/wagtailarch-gateway/src/refusal.rs
@@ -56,7 +56,9 @@
     pub fn response_without_log(&self) -> Response<ResponseBody> {
         let status = self.status();
         let not_run_status = status == StatusCode::SERVICE_UNAVAILABLE;
-        let response = encode_refusal(status, not_run_status.then_some(self.retry_after));
+        let mut response = encode_refusal(status, not_run_status.then_some(self.retry_after));
+        // States the reason to the instance that sent the request.
+        response.extensions_mut().insert(*self);
         let text = match self.reason {
             RefusalReason::OriginUnknown | RefusalReason::VersionGone => BEGIN_ANEW,
             _ => "",
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -10,7 +10,7 @@
 use wagtailarch_types::{
     Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, VersionKey, fingerprint,
 };
-use wagtailarch_wire::{part_report::ReportedPart, permit::PermitRank};
+use wagtailarch_wire::{forward::ForwardCall, part_report::ReportedPart, permit::PermitRank};
 
 use crate::{
     body_buffer::BufferedBody,
@@ -40,7 +40,7 @@
     pub service: ServiceName,
     /// Configuration in force when the request arrived.
     pub config: Arc<RoutingConfig>,
-    /// Time of arrival since the start of the process.
+    /// Time of arrival at this instance since the start of the process.
     pub arrived: Duration,
     /// Prefixes of the prompt.
     pub prefixes: Vec<PrefixLink>,
@@ -52,6 +52,14 @@
     pub version: Cell<Option<VersionKey>>,
     /// Whether that version comes from another instance, which therefore knows of several.
     pub is_version_shared: Cell<bool>,
+    /// What accompanies the request if another instance sent it, which then is not sent on.
+    pub forwarded: Option<ForwardCall>,
+    /// Time that the client had waited when the request arrived.
+    waited: Duration,
+    /// Number of calls that may have run the request.
+    pub possible_runs: Cell<u32>,
+    /// Whether the request is counted in the retry budget of an instance.
+    pub is_counted: Cell<bool>,
     /// Hash of method, path and body, which identifies a repeated request.
     pub fingerprint: Fingerprint,
 }
@@ -60,12 +68,23 @@
     /// Creates the context of a request and selects its service.
     pub fn new(
         gateway: &Rc<Gateway>,
-        client: ClientRequest,
+        mut client: ClientRequest,
         body: BufferedBody,
         route: Route,
         config: Arc<RoutingConfig>,
         arrived: Duration,
+        forwarded: Option<ForwardCall>,
     ) -> Self {
+        let resume = forwarded.as_ref().and_then(|call| call.resume);
+        if let Some(resume) = resume {
+            // The stream that goes on is that of this attempt, unless the client resumes another.
+            if client.resume_after.is_none() {
+                client.origin = Some(client.id.clone());
+            }
+            client.resume_after = Some(resume.after);
+        }
+        let call = forwarded.as_ref();
+        let waited = Duration::from_millis(call.map_or(0, |call| call.age_ms).into());
         let service = route.target(&client.id).clone();
         let prefixes = client.prompt.as_ref().map(|prompt| prompt.prefixes());
         let parts = client.prompt.as_ref().map(Prompt::shared_parts);
@@ -81,8 +100,12 @@
             prefixes: prefixes.unwrap_or_default(),
             parts: parts.unwrap_or_default(),
             is_trial: Cell::new(false),
-            version: Cell::new(None),
-            is_version_shared: Cell::new(false),
+            version: Cell::new(resume.map(|resume| resume.version)),
+            is_version_shared: Cell::new(resume.is_some()),
+            waited,
+            possible_runs: Cell::new(call.map_or(0, |call| call.possible_runs)),
+            is_counted: Cell::new(call.is_some_and(|call| call.is_counted)),
+            forwarded,
             client,
             body,
             route,
@@ -138,9 +161,16 @@
         }
     }
 
-    /// Returns the time since the arrival.
+    /// Counts the request in the retry budget of its service, unless an instance has counted it.
+    pub fn count(&self) {
+        if !self.is_counted.replace(true) {
+            self.gateway.count_request(&self.service);
+        }
+    }
+
+    /// Returns the time since the request arrived from the client.
     pub fn age(&self) -> Duration {
-        self.gateway.now().saturating_sub(self.arrived)
+        self.gateway.now().saturating_sub(self.arrived) + self.waited
     }
 
     /// Returns the time left before the client's deadline or the route's timeout, whichever is
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -14,14 +14,20 @@
 use wagtailarch_adapter::{ClientRequest, decode_client_request, encode_refusal};
 use wagtailarch_dispatch::ClientLimits;
 use wagtailarch_types::{Ran, RefusalReason};
+use wagtailarch_wire::forward::{ForwardCall, NotTaken};
 
 use crate::{
     body_buffer::{BufferError, BufferedBody},
     client_meter::ClientMeter,
+    forward::{
+        client as forward_client,
+        server::{Served, not_taken},
+    },
     gateway::{Gateway, ShutdownState},
     generation,
     guards::{ConnectionGuard, RequestGuard, ServingGuard},
     metered_stream::MeteredStream,
+    metrics::ForwardEvent,
     panic_handling::catch_panic,
     plain,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
@@ -124,7 +130,12 @@
 
 /// Responds to one request; a panic of its task becomes a 502.
 async fn respond(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let served = catch_panic(&gateway.log, "request", serve_request(&gateway, request)).await;
+    let served = catch_panic(
+        &gateway.log,
+        "request",
+        serve_request(&gateway, request, None),
+    )
+    .await;
     // After a panic it is unknown whether the request ran.
     let mut response = served.unwrap_or_else(|| empty_response(StatusCode::BAD_GATEWAY));
     if *gateway.shutdown.borrow() != ShutdownState::Running {
@@ -134,10 +145,12 @@
     response
 }
 
-/// Decodes a request, finds its route and serves it.
-async fn serve_request(
+/// Decodes a request, finds its route and serves it; `forwarded` accompanies the request of another
+/// instance.
+pub async fn serve_request(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
+    forwarded: Option<ForwardCall>,
 ) -> Response<ResponseBody> {
     let arrived = gateway.now();
     let (parts, body) = request.into_parts();
@@ -165,25 +178,67 @@
             .count_refusal(RefusalReason::UnknownRoute);
         return empty_response(StatusCode::NOT_FOUND);
     };
-    gateway.metrics.count_request(route.kind);
+    match forwarded {
+        // The sender has counted the request.
+        Some(_) => gateway.metrics.count_forward(ForwardEvent::Received),
+        None => gateway.metrics.count_request(route.kind),
+    }
     let request_guard = RequestGuard::new(gateway);
     let body = match read_body(gateway, &client, body, route.timeout).await {
         Ok(body) => body,
         Err(response) => return response,
     };
-    let context = RequestContext::new(gateway, client, body, route, config, arrived);
-    gateway.count_request(&context.service);
+    let context = RequestContext::new(gateway, client, body, route, config, arrived, forwarded);
     let context = Rc::new(context);
-    let response = if let Err(refusal) = context.admit() {
-        refusal.respond(&context)
-    } else if context.route.kind.is_stream() {
-        generation::serve(context).await
-    } else {
-        plain::serve(context).await
+    let response = match &context.forwarded {
+        Some(_) if gateway.is_path_lost(&context.service) => not_taken(NotTaken::NoPath),
+        Some(call) => serve_forwarded(&context, call).await,
+        None => match forward_client::serve(&context).await {
+            Some(response) => response,
+            None => serve_here(&context).await,
+        },
     };
     response.map(|body| body.with_request_guard(request_guard))
 }
 
+/// Serves a request by the servers that this instance reaches.
+async fn serve_here(context: &Rc<RequestContext>) -> Response<ResponseBody> {
+    context.count();
+    if let Err(refusal) = context.admit() {
+        return refusal.respond(context);
+    }
+    let context = Rc::clone(context);
+    match context.route.kind.is_stream() {
+        true => generation::serve(context).await,
+        false => plain::serve(context).await,
+    }
+}
+
+/// Serves a request of another instance like that of a client.
+async fn serve_forwarded(
+    context: &Rc<RequestContext>,
+    call: &ForwardCall,
+) -> Response<ResponseBody> {
+    let gateway = &context.gateway;
+    if call.takes_retry && !gateway.try_retry(&context.service) {
+        let refusal = Refusal {
+            reason: RefusalReason::RetryBudgetExhausted,
+            ran: Ran::No,
+            retry_after: DEFAULT_RETRY_AFTER,
+        };
+        return refusal.respond(context);
+    }
+    let mut response = serve_here(context).await;
+    info!(gateway.log, "served for an instance"; "request" => %context.client.id,
+        "peer" => %call.sender, "status" => response.status().as_u16(),
+        "age_ms" => context.age().as_millis() as u64);
+    response.extensions_mut().insert(Served {
+        possible_runs: context.possible_runs.get() + 1,
+        version: context.version.get(),
+    });
+    response
+}
+
 /// Buffers the whole body of a request.
 async fn read_body(
     gateway: &Gateway,
@@ -239,7 +294,8 @@
     encode_refusal(status, None).map(|()| ResponseBody::full(Bytes::new()))
 }
 
-fn client_limits(gateway: &Gateway) -> ClientLimits {
+/// Returns the limits on what clients may send.
+pub fn client_limits(gateway: &Gateway) -> ClientLimits {
     let snapshot = gateway.snapshot();
     snapshot
         .config
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -12,12 +12,14 @@
 use wagtailarch_wire::{
     body_framing::BodyFraming,
     event_splitter::{EventSplitter, EventTooLong},
+    forward::StreamEnd,
 };
 
 use crate::{
     attempts::Attempts,
     backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
-    generation::{GenerationError, StartedGeneration, start},
+    generation::{GenerationError, GenerationPlace, StartedGeneration, start},
+    metrics::ForwardEvent,
     origins,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
@@ -63,6 +65,8 @@
     /// Error in the data that the engine sent after the last event, reported once the valid events
     /// are sent.
     data_error: Option<&'static str>,
+    /// End that the other instance states for the response that goes through it.
+    stated_end: Option<StreamEnd>,
     finished: bool,
 }
 
@@ -71,6 +75,8 @@
     Bytes(Bytes),
     End,
     Failed(&'static str),
+    /// The other instance could not continue the stream.
+    BrokenOff,
     TimedOut,
 }
 
@@ -101,6 +107,7 @@
         longest_pause: Duration::ZERO,
         progress_at,
         data_error: None,
+        stated_end: None,
         finished: false,
     };
     let first = relay.next_chunk().await.transpose()?;
@@ -160,6 +167,16 @@
                         return Some(Err(failure));
                     }
                 }
+                ReadOutcome::BrokenOff => {
+                    self.active = None;
+                    self.on_end("broken off", 0);
+                    let refusal = Refusal {
+                        reason: RefusalReason::BackendFailedMidway,
+                        ran: Ran::Unknown,
+                        retry_after: DEFAULT_RETRY_AFTER,
+                    };
+                    return Some(Err(GenerationError::Refused(refusal)));
+                }
                 ReadOutcome::TimedOut => {
                     self.active = None;
                     self.on_end("timed out", 0);
@@ -211,25 +228,24 @@
 
     fn on_events(&mut self) {
         if let Some(active) = &mut self.active {
-            active.suspect = None;
             // A run that sends no event to the client binds the stream to no version.
             let version = &self.context.version;
-            version.set(version.get().or(Some(active.call.server.version_key)));
-            if self.first_event_ms.is_none() {
-                origins::on_begun(&self.context, &active.call.server);
-            }
-            if !std::mem::replace(&mut self.output_recorded, true) {
-                self.context.gateway.record_part_output(&self.context.parts);
+            version.set(version.get().or(active.place.version_key()));
+            // The instance that calls the engine records what its events show.
+            if let GenerationPlace::Engine(run) = &mut active.place {
+                run.suspect = None;
+                if self.first_event_ms.is_none() {
+                    origins::on_begun(&self.context, &run.call.server);
+                }
+                if !std::mem::replace(&mut self.output_recorded, true) {
+                    self.context.gateway.record_part_output(&self.context.parts);
+                }
+                // The first event shows that the prefill is done.
+                if let Some(prefill) = run.prefill.take() {
+                    prefill.finish();
+                }
             }
         }
-        // The first event shows that the prefill is done.
-        let prefill = self
-            .active
-            .as_mut()
-            .and_then(|active| active.prefill.take());
-        if let Some(prefill) = prefill {
-            prefill.finish();
-        }
         let context = &self.context;
         let gateway = &context.gateway;
         let now = gateway.now();
@@ -244,11 +260,13 @@
         gateway
             .metrics
             .observe_latency(context.route.kind, "first_event", context.age());
-        if let Some(active) = &self.active {
+        if let Some(active) = &self.active
+            && let GenerationPlace::Engine(run) = &active.place
+        {
             gateway
                 .load_balancer
                 .borrow_mut()
-                .on_success(now, &active.call.server.id);
+                .on_success(now, &run.call.server.id);
         }
     }
 
@@ -276,9 +294,10 @@
             // If the whole process was delayed, the connection's task has not read the data yet.
             Err(_) if self.context.time_left().is_zero() => timeout(LATE_READ_LIMIT, frame).await,
             Err(_)
-                if self
-                    .attempts
-                    .can_fail_over(&self.context, &active.call.server.id) =>
+                if let GenerationPlace::Engine(run) = &active.place
+                    && self
+                        .attempts
+                        .can_fail_over(&self.context, &run.call.server.id) =>
             {
                 return ReadOutcome::Failed("silent");
             }
@@ -289,14 +308,26 @@
             Ok(None) if self.splitter.is_inside_event() => {
                 ReadOutcome::Failed("ended inside an event")
             }
-            Ok(None)
-                if !is_declared_end(self.framing, !self.has_event, &active.call.server).await =>
-            {
-                ReadOutcome::Failed("undeclared end")
-            }
-            Ok(None) => ReadOutcome::End,
+            Ok(None) => match &active.place {
+                GenerationPlace::Engine(run) => {
+                    match is_declared_end(self.framing, !self.has_event, &run.call.server).await {
+                        true => ReadOutcome::End,
+                        false => ReadOutcome::Failed("undeclared end"),
+                    }
+                }
+                GenerationPlace::Instance { .. } => match self.stated_end.take() {
+                    Some(StreamEnd::Complete) => ReadOutcome::End,
+                    Some(StreamEnd::BrokenOff) => ReadOutcome::BrokenOff,
+                    Some(StreamEnd::TimedOut) => ReadOutcome::TimedOut,
+                    None => ReadOutcome::Failed("undeclared end"),
+                },
+            },
             Ok(Some(Err(_))) => ReadOutcome::Failed("connection failed"),
-            Ok(Some(Ok(frame))) => ReadOutcome::Bytes(frame.into_data().unwrap_or_default()),
+            Ok(Some(Ok(frame))) => {
+                let end = frame.trailers_ref().and_then(StreamEnd::from_trailers);
+                self.stated_end = end;
+                ReadOutcome::Bytes(frame.into_data().unwrap_or_default())
+            }
         }
     }
 
@@ -307,33 +338,50 @@
             let refusal = self.attempts.refusal(RefusalReason::NoBackend);
             return Err(GenerationError::Refused(refusal));
         };
-        let progress = match self.has_event {
-            true => RunProgress::Begun,
-            false => RunProgress::NotBegun,
-        };
-        probe_for_crash(&self.context, &active.call.server, progress);
-        let engine = active.call.server.id.clone();
-        let version_key = active.call.server.version_key;
-        drop(active);
+        let place = active.place;
+        drop(active.response);
+        let engine = place.name().clone();
         let rest_bytes = self.splitter.take_rest().len();
         let context = Rc::clone(&self.context);
         let gateway = &context.gateway;
-        gateway
-            .load_balancer
-            .borrow_mut()
-            .on_failure(gateway.now(), &engine);
         info!(gateway.log, "stream broken"; "request" => %context.client.id, "server" => %engine,
             "cause" => cause, "framing" => self.framing.as_str(), "rest_bytes" => rest_bytes,
             "last_event" => self.last_event, "events" => self.events,
             "age_ms" => context.age().as_millis() as u64);
         let failure = CallFailure::CLOSED;
         let delivered = self.events > 0;
-        let decision = self
-            .attempts
-            .on_failure(&context, &engine, failure, delivered);
-        // The engine may have been started again with another version before this call reached it.
-        let listed_version = gateway.load_balancer.borrow().version_of(&engine);
-        let is_uncertain = listed_version.is_some_and(|listed| listed != version_key);
+        let (decision, is_uncertain) = match &place {
+            GenerationPlace::Engine(run) => {
+                let progress = match self.has_event {
+                    true => RunProgress::Begun,
+                    false => RunProgress::NotBegun,
+                };
+                let server = &run.call.server;
+                probe_for_crash(&context, server, progress);
+                let mut load_balancer = gateway.load_balancer.borrow_mut();
+                load_balancer.on_failure(gateway.now(), &engine);
+                // The engine may have been started again with another version before this call
+                // reached it.
+                let listed_version = load_balancer.version_of(&engine);
+                drop(load_balancer);
+                let decision = self
+                    .attempts
+                    .on_failure(&context, &engine, failure, delivered);
+                let is_uncertain =
+                    listed_version.is_some_and(|listed| listed != server.version_key);
+                (decision, is_uncertain)
+            }
+            GenerationPlace::Instance { possible_runs, .. } => {
+                gateway.metrics.count_forward(ForwardEvent::Lost);
+                let runs = context.possible_runs.get() + 1;
+                let runs = runs.max(*possible_runs);
+                let decision = self
+                    .attempts
+                    .on_instance_lost(&context, &engine, failure, runs, delivered);
+                (decision, false)
+            }
+        };
+        drop(place);
         let resumed = match decision {
             Ok(()) if delivered && is_uncertain => {
                 let refusal = self.attempts.refusal(RefusalReason::BackendFailedMidway);
@@ -345,8 +393,8 @@
         match resumed {
             Ok(mut started) => {
                 info!(gateway.log, "stream resumed"; "request" => %context.client.id,
-                    "server" => %started.call.server.id, "last_event" => self.last_event,
-                    "version" => %started.call.server.version);
+                    "server" => %started.place.name(), "last_event" => self.last_event,
+                    "version" => started.place.version_key());
                 if !delivered {
                     self.head = started.response.take_head();
                 }
@@ -354,6 +402,7 @@
                 self.framing = started.response.framing;
                 self.has_event = false;
                 self.output_recorded = false;
+                self.stated_end = None;
                 self.active = Some(started);
                 Ok(())
             }
