--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -42,8 +42,6 @@
 const WAY: Duration = Duration::from_millis(10);
 /// Maximum number of instances to which one request is sent, including those that did not take it.
 const MAX_INSTANCES: usize = 4;
-/// Fraction of the time left for which a repeatable request waits for an unresponsive instance.
-const FIRST_INSTANCE_FRACTION: f64 = 0.5;
 
 /// Why a request goes through another instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,8 +62,6 @@
     /// Whether the other instance takes a retry from its budget.
     takes_retry: bool,
     resume: Option<ForwardResume>,
-    /// Time within which the head of the response must arrive.
-    head_limit: Duration,
 }
 
 /// A response of another instance.
@@ -118,19 +114,12 @@
     while let Some((peer, address)) = target(context, condition, &excluded) {
         excluded.push(peer.name.clone());
         let possible_runs = context.possible_runs.get();
-        let may_repeat =
-            context.route.kind.repeatable() && possible_runs + 1 < context.route.max_attempts;
-        let left = context.time_left();
         let call = InstanceCall {
             peer,
             address,
             possible_runs,
             takes_retry,
             resume: None,
-            head_limit: match may_repeat {
-                true => left.mul_f64(FIRST_INSTANCE_FRACTION),
-                false => left,
-            },
         };
         let result = match send(context, &call).await {
             Ok(response) => collect(context, &call, response.response).await,
@@ -202,8 +191,6 @@
             possible_runs: context.possible_runs.get(),
             takes_retry: attempts.owes_retry,
             resume,
-            // The other instance leaves slow engines itself.
-            head_limit: context.time_left(),
         };
         let name = call.peer.name.clone();
         let result = match send(context, &call).await {
@@ -296,7 +283,8 @@
     };
     let request = head.map(|()| Full::new(context.body.bytes.clone()));
     let sent = connection.sender.send_request(request);
-    let response = match timeout(call.head_limit, sent).await {
+    // The other instance leaves slow servers itself, and one that pauses is not dead.
+    let response = match timeout(context.time_left(), sent).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
             guard.set_result(ForwardResult::Unavailable);
