Let load notes say to which services an instance has no path

The version of the notes is raised: instances of two builds ignore each other's notes during a release, as with the versions before. Every sender still reports that it has all paths.

--- a/crates/wagtailarch-dispatch/tests/load_note.rs
+++ b/crates/wagtailarch-dispatch/tests/load_note.rs
@@ -10,6 +10,7 @@
 use wagtailarch_wire::{
     load_note::{LoadNote, OpenPrefill, StoreVersions, server_key},
     part_report::PartReports,
+    path_report::PathReport,
 };
 
 fn note(sender: &str, prefills: &[(&str, u32)], running: &[(&str, u32)]) -> LoadNote {
@@ -34,6 +35,7 @@
         limits: Vec::new(),
         parts: PartReports::default(),
         versions: Vec::new(),
+        paths: PathReport::default(),
     }
 }
 
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use wagtailarch_wire::{
     load_note::{LoadNote, NoteBundle},
     origin::OriginMessage,
+    path_report::PathReport,
     permit::PermitMessage,
 };
 
@@ -286,6 +287,7 @@
             limits: load_balancer.take_limit_reports(gateway.now()),
             parts,
             versions: gateway.origins.report(),
+            paths: PathReport::default(),
         }
     }
 }
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -12,6 +12,7 @@
 use wagtailarch_wire::{
     load_note::{LimitReport, LoadNote, NoteBundle, OpenPrefill, StoreVersions, server_key},
     part_report::PartReports,
+    path_report::PathReport,
     permit::{PermitBody, PermitMessage, PermitRank},
 };
 
@@ -174,6 +175,7 @@
         limits: Vec::new(),
         parts: PartReports::default(),
         versions: Vec::new(),
+        paths: PathReport::default(),
     }
 }
 
--- a/crates/wagtailarch-wire/src/lib.rs
+++ b/crates/wagtailarch-wire/src/lib.rs
@@ -3,8 +3,9 @@
 //! The JSON messages are in [`engine`] (the engine protocol), [`service`] (the load report of plain
 //! services), [`platform`] (the platform protocol) and [`records`] (the objects that the system
 //! stores in the platform). The messages between instances are encoded with postcard: [`peer`],
-//! [`load_note`] with [`part_report`], [`permit`], [`origin`], and [`relay`] for requests to relays. [`connection_headers`] removes the headers
-//! that must not be forwarded. [`body_framing`] and [`event_splitter`] show whether a response is whole.
+//! [`load_note`] with [`part_report`] and [`path_report`], [`permit`], [`origin`], and [`relay`] for
+//! requests to relays. [`connection_headers`] removes the headers that must not be forwarded.
+//! [`body_framing`] and [`event_splitter`] show whether a response is whole.
 
 pub mod body_framing;
 pub mod connection_headers;
@@ -13,6 +14,7 @@
 pub mod load_note;
 pub mod origin;
 pub mod part_report;
+pub mod path_report;
 pub mod peer;
 pub mod permit;
 pub mod platform;
--- a/crates/wagtailarch-wire/src/load_note.rs
+++ b/crates/wagtailarch-wire/src/load_note.rs
@@ -10,10 +10,10 @@
     BootId, Fingerprint, Generation, InstanceId, ObjectVersion, Urgency, VersionKey, ZoneName,
 };
 
-use crate::part_report::PartReports;
+use crate::{part_report::PartReports, path_report::PathReport};
 
 /// Version of the encoding; notes of other versions are ignored.
-pub const LOAD_NOTE_VERSION: u8 = 8;
+pub const LOAD_NOTE_VERSION: u8 = 9;
 
 /// Maximum number of prompts whose prefixes are kept when notes are merged; the oldest ones are
 /// dropped.
@@ -64,6 +64,8 @@
     /// Software versions of which streams may be open, of the services with more than one, each
     /// with a hash of the service.
     pub versions: Vec<(u64, VersionKey)>,
+    /// Paths of the sender to the backend servers.
+    pub paths: PathReport,
 }
 
 /// The rate limit that a server named in a response to the sender.
@@ -152,6 +154,7 @@
             + strikes
             + self.versions.len() * 20
             + self.parts.estimated_bytes()
+            + self.paths.estimated_bytes()
     }
 }
 
