Decide which paths are lost and which instance serves instead

A dead server, a lost path and a silent server look alike at one connection. ServicePaths tells them apart by several servers over a quarter of a second, ForwardTargets selects the instance that serves instead, CrashCheck decides whether a server that refuses connections has crashed, and the load balancer keeps the health of servers over a loss. Nothing uses these decisions yet.

--- a/crates/wagtailarch-dispatch/src/backend.rs
+++ b/crates/wagtailarch-dispatch/src/backend.rs
@@ -15,6 +15,9 @@
     /// Key of the server's software version.
     pub version_key: VersionKey,
     pub health: ServerHealth,
+    /// Health at the time at which the path to the service was suspected to be lost; absent while it
+    /// is direct.
+    pub health_before_loss: Option<ServerHealth>,
     /// Requests of this instance that were sent and have no complete response.
     pub in_flight: u32,
     /// Connections that the server accepts from all instances together; 0 if it has no limit.
--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -8,8 +8,10 @@
 //! `wagtailarch-control` instead.
 
 mod backend;
+mod crash_check;
 mod designation;
 mod engine_state;
+mod forward_targets;
 mod freshness;
 mod limit_members;
 mod limit_statement;
@@ -38,13 +40,17 @@
 mod routing;
 mod server;
 mod server_health;
+mod service_path;
+mod service_paths;
 mod service_versions;
 mod shutdown;
 mod stream_origins;
 mod urgent_utilization;
 
+pub use crash_check::{CrashCheck, CrashStep};
 pub use designation::is_designated;
 pub use engine_state::EngineState;
+pub use forward_targets::{ForwardRequest, ForwardResult, ForwardTargets, MAX_SERVED_FOR_PEERS};
 pub use freshness::{Freshness, StoreRead};
 pub use limit_members::LimitMembers;
 pub use limit_statement::LimitStatement;
@@ -73,6 +79,8 @@
 };
 pub use server::{BackendServer, ServerEndpoint, version_key};
 pub use server_health::ServerHealth;
+pub use service_path::{ConnectAttempt, PathChange, PathState, ServicePath};
+pub use service_paths::ServicePaths;
 pub use service_versions::{ServiceVersions, service_key};
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
 pub use stream_origins::{STREAM_LIFETIME, StreamOrigins};
--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -254,6 +254,46 @@
         }
     }
 
+    /// Keeps the health of the servers of a service as it is now, since the connections that fail
+    /// from now on may be those of a lost path.
+    pub fn keep_health(&mut self, service: &ServiceName) {
+        for backend in self.of_service_mut(service) {
+            backend.health_before_loss = Some(backend.health.clone());
+        }
+    }
+
+    /// Drops the kept health: the failures since then were the servers'.
+    pub fn drop_kept_health(&mut self, service: &ServiceName) {
+        for backend in self.of_service_mut(service) {
+            backend.health_before_loss = None;
+        }
+    }
+
+    /// Returns to the kept health, so that servers are usable at once after a loss of the path.
+    ///
+    /// A server that was registered during the loss has no results of its own.
+    pub fn restore_health(&mut self, service: &ServiceName) {
+        for backend in self.of_service_mut(service) {
+            backend.health = backend.health_before_loss.clone().unwrap_or_default();
+        }
+    }
+
+    /// Returns the servers of a service, including those that cannot be selected at present.
+    pub fn servers_of(&self, service: &ServiceName) -> impl Iterator<Item = &BackendServer> {
+        let servers = self.backends.values().map(|backend| &backend.server);
+        servers.filter(move |server| server.service == *service)
+    }
+
+    /// Returns a listed server.
+    pub fn server(&self, id: &InstanceId) -> Option<&BackendServer> {
+        self.backends.get(id).map(|backend| &backend.server)
+    }
+
+    fn of_service_mut(&mut self, service: &ServiceName) -> impl Iterator<Item = &mut Backend> {
+        let backends = self.backends.values_mut();
+        backends.filter(move |backend| backend.server.service == *service)
+    }
+
     /// Records that a prompt is sent to an engine; returns its number and its prefixes, which the
     /// caller sends to the peers once.
     pub fn start_prefill(
@@ -456,6 +496,7 @@
         server: server.clone(),
         version_key: server.version_key(),
         health: Default::default(),
+        health_before_loss: None,
         in_flight: 0,
         max_connections: 0,
         reported_load: 0.0,
