Watch the paths to servers, and blame no server for a lost path

In the incident, an instance without a path recorded strikes against requests and parts, and told its peers, 3 ms after the partition: a refused connection counted as a crash. A crash is now recorded once another server has accepted a connection and the server refuses one again, or once the registration shows that the process has ended. While a path is suspected or lost, its servers are probed by plain TCP connections, at most 20 a second over longer times; the loss and the return have one log line each, with the evidence and its age, and a metric. The health of servers is that of the time before the loss when the path returns.

--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -19,6 +19,7 @@
     body_buffer::{BufferError, BufferedBody},
     connection::{Driver, connect},
     guards::InFlightGuard,
+    paths::has_crashed,
     permits::Permit,
     request_context::RequestContext,
 };
@@ -27,7 +28,7 @@
 ///
 /// A server in another zone responds within a few milliseconds, and TCP retransmits a lost packet
 /// only after a second, so a longer timeout gains nothing.
-const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Maximum size of a response body that is buffered whole, so that an incomplete one can be
 /// replaced.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -40,8 +41,6 @@
 const STREAM_OVERHEAD_BYTES: usize = 1024 * 1024;
 /// Bytes of a stream on the wire for each output token; an event with one token has a few hundred.
 const STREAM_BYTES_PER_TOKEN: usize = 4 * 1024;
-/// Time within which a crashed server refuses a new connection.
-const CRASH_PROBE_LIMIT: Duration = Duration::from_millis(300);
 
 /// One call for a request.
 #[derive(Debug)]
@@ -131,7 +130,10 @@
     let gateway = &context.gateway;
     let id = &call.server.id;
     let in_flight = InFlightGuard::new(gateway, id);
+    let started_at = gateway.now();
     let opened = connect(call.server.address, CONNECT_LIMIT.min(call.head_limit)).await;
+    // The health of the servers is kept before this failure becomes part of it.
+    gateway.on_connect(&context.service, id, started_at, &opened);
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(error) => {
@@ -348,32 +350,32 @@
     Begun,
 }
 
-/// Records a strike against the request if its server refuses connections, as it does after a
-/// crash.
+/// Records a strike against the request if its server has crashed.
+///
+/// A server that only this instance cannot reach has not crashed.
 pub fn probe_for_crash(context: &RequestContext, server: &ServerEndpoint, progress: RunProgress) {
     let gateway = std::rc::Rc::clone(&context.gateway);
+    let service = context.service.clone();
     let server = server.clone();
     let fingerprint = context.fingerprint;
     let request = context.client.id.clone();
     let part_ids = shared_part_ids(context);
     let parts = context.parts.clone();
     tokio::task::spawn_local(async move {
-        let Err(error) = connect(server.address, CRASH_PROBE_LIMIT).await else {
+        if !has_crashed(&gateway, &service, &server).await {
             return;
-        };
-        if error.is_refused() {
-            let now = gateway.now();
-            gateway
-                .load_balancer
-                .borrow_mut()
-                .on_unreachable(now, &server.id);
-            info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
-                "progress" => ?progress, "parts" => part_ids);
-            if progress == RunProgress::NotBegun {
-                gateway.record_part_crash(&server.id, &parts);
-            }
-            gateway.record_strike(&server.id, fingerprint);
         }
+        let now = gateway.now();
+        gateway
+            .load_balancer
+            .borrow_mut()
+            .on_unreachable(now, &server.id);
+        info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
+            "progress" => ?progress, "parts" => part_ids);
+        if progress == RunProgress::NotBegun {
+            gateway.record_part_crash(&server.id, &parts);
+        }
+        gateway.record_strike(&server.id, fingerprint);
     });
 }
 
--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -58,6 +58,23 @@
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
+
+    /// Returns whether the failure says something about the path to the address, or the process
+    /// there, rather than about this process; a timeout does if it was `limit` or longer.
+    pub fn concerns_path(&self, limit: Duration) -> bool {
+        match self {
+            Self::TimedOut(waited) => *waited >= limit,
+            Self::Io(error) => matches!(
+                error.kind(),
+                io::ErrorKind::ConnectionRefused
+                    | io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::NetworkUnreachable
+                    | io::ErrorKind::TimedOut
+            ),
+            Self::Http(_) => false,
+        }
+    }
 }
 
 impl Drop for Driver {
@@ -68,10 +85,7 @@
 
 /// Opens a connection within `limit`; must be called on a local task set.
 pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, ConnectError> {
-    let opened = timeout(limit, TcpStream::connect(address)).await;
-    let stream = opened
-        .map_err(|_| ConnectError::TimedOut(limit))?
-        .map_err(ConnectError::Io)?;
+    let stream = open(address, limit).await?;
     set_options(&stream).map_err(ConnectError::Io)?;
     let allowance = Rc::new(ReadAllowance::new(MAX_HEAD_BYTES));
     let stream = MeteredStream::new(stream, Rc::clone(&allowance));
@@ -91,6 +105,14 @@
     })
 }
 
+/// Opens a TCP connection within `limit`.
+pub async fn open(address: SocketAddr, limit: Duration) -> Result<TcpStream, ConnectError> {
+    let opened = timeout(limit, TcpStream::connect(address)).await;
+    opened
+        .map_err(|_| ConnectError::TimedOut(limit))?
+        .map_err(ConnectError::Io)
+}
+
 /// Sets the socket options by which an unresponsive connection is detected.
 pub fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
     metrics::Metrics,
     origins::{self, Origins},
     outbox::Outbox,
+    paths::Paths,
     permits::PendingPermits,
     settings::{ReloadableSettings, Settings},
     snapshot::Snapshot,
@@ -44,6 +45,8 @@
     pub traffic: Arc<TrafficView>,
     /// Backend servers and their load.
     pub load_balancer: RefCell<LoadBalancer>,
+    /// Paths to the servers.
+    pub paths: Paths,
     /// Requests suspected of crashing servers.
     pub quarantine: Quarantine,
     /// Evidence about parts of prompts that crash servers.
@@ -100,6 +103,7 @@
             metrics,
             traffic,
             load_balancer: RefCell::default(),
+            paths: Paths::default(),
             quarantine: Quarantine::new(),
             part_evidence: RefCell::default(),
             suspect_runs: RefCell::default(),
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -103,6 +103,8 @@
     generation: Gauge,
     servers: Gauge,
     peers: Gauge,
+    lost_paths: Gauge,
+    path_probes: Counter,
     open_prefills: Gauge,
     in_flight: ByServer,
     prefill_wait: ByServer,
@@ -141,6 +143,9 @@
         let client_gone = Counter::default();
         let help = "Requests whose client left before the end of the answer";
         r.register("client_gone", help, client_gone.clone());
+        let path_probes = Counter::default();
+        let help = "Connections that only show whether a path is there";
+        r.register("path_probes", help, path_probes.clone());
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -151,6 +156,8 @@
         let generation = gauge("generation", "Generation of the configuration in force");
         let servers = gauge("servers", "Usable backend servers");
         let peers = gauge("peers", "Other entry instances that are listed");
+        let help = "Services to whose servers this instance has no path";
+        let lost_paths = gauge("lost_paths", help);
         let open_prefills = gauge("open_reads", "Prompts sent to engines and not read yet");
         let resident_bytes = gauge("resident_bytes", "Memory of the process in RAM");
         let in_flight = ByServer::default();
@@ -184,6 +191,8 @@
             generation,
             servers,
             peers,
+            lost_paths,
+            path_probes,
             open_prefills,
             in_flight,
             prefill_wait,
@@ -244,6 +253,16 @@
         self.peers.set(peers as i64);
     }
 
+    /// Sets the number of services to whose servers there is no path.
+    pub fn set_lost_paths(&self, services: usize) {
+        self.lost_paths.set(services as i64);
+    }
+
+    /// Counts a connection that only shows whether a path is there.
+    pub fn count_path_probe(&self) {
+        self.path_probes.inc();
+    }
+
     /// Records the time of the store's last response about a kind of objects.
     pub fn set_last_store_response(&self, kind: &'static str) {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -15,7 +15,6 @@
 use wagtailarch_wire::{
     load_note::{LoadNote, NoteBundle},
     origin::OriginMessage,
-    path_report::PathReport,
     permit::PermitMessage,
 };
 
@@ -229,6 +228,7 @@
         let now = gateway.now();
         gateway.traffic.on_note(now, &note);
         gateway.load_balancer.borrow_mut().on_load_note(now, &note);
+        gateway.on_peer_paths(now, &note);
         gateway.on_peer_limits(now, &note.limits);
         gateway.on_peer_parts(&note.parts);
         origins::on_peer_versions(gateway, &note.versions).await;
@@ -272,6 +272,7 @@
         let gateway = &self.gateway;
         let snapshot = gateway.snapshot();
         let parts = gateway.take_part_reports();
+        let paths = gateway.path_report();
         let mut load_balancer = gateway.load_balancer.borrow_mut();
         LoadNote {
             sender: gateway.settings.instance.clone(),
@@ -287,7 +288,7 @@
             limits: load_balancer.take_limit_reports(gateway.now()),
             parts,
             versions: gateway.origins.report(),
-            paths: PathReport::default(),
+            paths,
         }
     }
 }
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -27,6 +27,7 @@
     gateway::{Gateway, ShutdownState},
     metrics::Metrics,
     panic_handling::{catch_panic, restart_on_panic},
+    paths::probe_paths,
     peers::{NoteExchange, report_demand},
     reload::SettingsFile,
     server::serve_clients,
@@ -137,6 +138,7 @@
         gateway.follow_snapshots(published.clone())
     });
     spawn_restarting(gateway, "demand", report_demand);
+    spawn_restarting(gateway, "path probes", probe_paths);
     let notes = Rc::new(NoteExchange::new(Rc::clone(gateway), boot));
     let shared = Rc::clone(&notes);
     spawn_restarting(gateway, "receivers of notes", move |_| {
@@ -193,6 +195,8 @@
     let started = gateway.now();
     info!(gateway.log, "stopping"; "open_requests" => gateway.open_requests.get());
     gateway.shutdown.send_replace(ShutdownState::Announced);
+    // The others send their requests elsewhere.
+    gateway.schedule_load_note();
     loop {
         let elapsed = gateway.now().saturating_sub(started);
         let open = gateway.open_requests.get();
