--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -9,8 +9,10 @@
 
 mod backend;
 mod call_numbers;
+mod crash_check;
 mod designation;
 mod engine_state;
+mod forward_targets;
 mod freshness;
 mod limit_members;
 mod limit_statement;
@@ -39,14 +41,18 @@
 mod routing;
 mod server;
 mod server_health;
+mod service_path;
+mod service_paths;
 mod service_versions;
 mod shutdown;
 mod stream_origins;
 mod urgent_utilization;
 
 pub use call_numbers::CallNumbers;
+pub use crash_check::{CrashCheck, CrashStep};
 pub use designation::is_designated;
 pub use engine_state::EngineState;
+pub use forward_targets::{ForwardRequest, ForwardResult, ForwardTargets, MAX_SERVED_FOR_PEERS};
 pub use freshness::{Freshness, StoreRead};
 pub use limit_members::LimitMembers;
 pub use limit_statement::LimitStatement;
@@ -75,6 +81,8 @@
 };
 pub use server::{BackendServer, ServerEndpoint, version_key};
 pub use server_health::ServerHealth;
+pub use service_path::{ConnectAttempt, PathChange, PathState, ServicePath};
+pub use service_paths::ServicePaths;
 pub use service_versions::{ServiceVersions, service_key};
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
 pub use stream_origins::{STREAM_LIFETIME, StreamOrigins};
--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -63,6 +63,23 @@
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
+
+    /// Returns whether the failure says something about the path to the address, or the process
+    /// there, rather than about this process; a timeout does if it was `limit` or longer.
+    pub fn concerns_path(&self, limit: Duration) -> bool {
+        match self {
+            Self::TimedOut(waited) => *waited >= limit,
+            Self::Io(error) => matches!(
+                error.kind(),
+                io::ErrorKind::ConnectionRefused
+                    | io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::NetworkUnreachable
+                    | io::ErrorKind::TimedOut
+            ),
+            Self::Http(_) => false,
+        }
+    }
 }
 
 impl Drop for Driver {
@@ -73,7 +90,7 @@
 
 /// Opens a connection within `limit`; must be called on a local task set.
 pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, ConnectError> {
-    open(address, limit, ACK_TIMEOUT).await
+    connect_with(address, limit, ACK_TIMEOUT).await
 }
 
 /// Opens a connection to another instance within `limit`; must be called on a local task set.
@@ -81,18 +98,15 @@
     address: SocketAddr,
     limit: Duration,
 ) -> Result<Connection, ConnectError> {
-    open(address, limit, INSTANCE_ACK_TIMEOUT).await
+    connect_with(address, limit, INSTANCE_ACK_TIMEOUT).await
 }
 
-async fn open(
+async fn connect_with(
     address: SocketAddr,
     limit: Duration,
     ack_timeout: Duration,
 ) -> Result<Connection, ConnectError> {
-    let opened = timeout(limit, TcpStream::connect(address)).await;
-    let stream = opened
-        .map_err(|_| ConnectError::TimedOut(limit))?
-        .map_err(ConnectError::Io)?;
+    let stream = open(address, limit).await?;
     set_options(&stream, ack_timeout).map_err(ConnectError::Io)?;
     let allowance = Rc::new(ReadAllowance::new(MAX_HEAD_BYTES));
     let stream = MeteredStream::new(stream, Rc::clone(&allowance));
@@ -117,6 +131,14 @@
     set_options(stream, INSTANCE_ACK_TIMEOUT)
 }
 
+/// Opens a TCP connection within `limit`.
+pub async fn open(address: SocketAddr, limit: Duration) -> Result<TcpStream, ConnectError> {
+    let opened = timeout(limit, TcpStream::connect(address)).await;
+    opened
+        .map_err(|_| ConnectError::TimedOut(limit))?
+        .map_err(ConnectError::Io)
+}
+
 /// Sets the socket options by which an unresponsive connection is detected.
 fn set_options(stream: &TcpStream, ack_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
