Name a lost path at the instance that was asked, and ask again after a newer configuration

An instance whose own calls all fail before it has concluded that its path is lost states that nothing ran, so that the sender tries another one. An instance that lacks the newest configuration is not avoided, since it has it soon.

--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -307,11 +307,17 @@
     };
     let (mut parts, body) = response.into_parts();
     let outcome = take_outcome(number, &mut parts);
-    guard.set_result(match &outcome {
-        Some(ForwardOutcome::NotTaken(NotTaken::NoPath)) => ForwardResult::NoPath,
-        Some(ForwardOutcome::NotTaken(_)) | None => ForwardResult::Unavailable,
-        Some(_) => ForwardResult::Served,
-    });
+    match &outcome {
+        Some(ForwardOutcome::NotTaken(NotTaken::NoPath)) => {
+            guard.set_result(ForwardResult::NoPath);
+        }
+        // The newer configuration reaches the instance at any moment.
+        Some(ForwardOutcome::NotTaken(NotTaken::OlderConfiguration)) => {}
+        Some(ForwardOutcome::NotTaken(_)) | None => guard.set_result(ForwardResult::Unavailable),
+        Some(ForwardOutcome::Refused { .. } | ForwardOutcome::Response { .. }) => {
+            guard.set_result(ForwardResult::Served);
+        }
+    }
     info!(gateway.log, "sent through an instance"; "request" => %context.client.id,
         "route" => %context.route.name, "peer" => %call.peer.name, "address" => %call.address,
         "number" => number, "status" => parts.status.as_u16(),
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -150,8 +150,8 @@
         return started;
     }
     let started = start_here(context, attempts, resume_after).await;
-    if attempts.is_unreachable
-        && matches!(started, Err(GenerationError::Refused(_)))
+    if let Err(GenerationError::Refused(refusal)) = &started
+        && (attempts.is_unreachable || context.has_unreachable_servers(refusal))
         && let Some(started) =
             start_stream(context, attempts, Condition::Unreachable, resume_after).await
     {
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -117,13 +117,13 @@
     }
 }
 
-/// Refuses a request, unless its last server was not reached and another instance takes it.
+/// Refuses a request, unless no server was reached last and another instance takes it.
 async fn refuse(
     context: &Rc<RequestContext>,
     refusal: Refusal,
     is_unreachable: bool,
 ) -> Response<ResponseBody> {
-    if is_unreachable
+    if (is_unreachable || context.has_unreachable_servers(&refusal))
         && let Some(response) = serve_plain(context, Condition::Unreachable, refusal.ran).await
     {
         return response;
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Returns whether no server could be selected while this instance probably has no path to them.
+    pub fn has_unreachable_servers(&self, refusal: &Refusal) -> bool {
+        refusal.reason == RefusalReason::NoBackend && self.gateway.is_path_lost(&self.service)
+    }
+
     /// Returns the description of the generation by which engines are selected.
     pub fn generation_request(&self, rank: PermitRank) -> GenerationRequest<'_> {
         let prompt = self.client.prompt.as_ref();
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -229,6 +229,12 @@
         return refusal.respond(context);
     }
     let mut response = serve_here(context).await;
+    let refusal = response.extensions().get::<Refusal>();
+    if refusal.is_some_and(|refusal| refusal.ran == Ran::No)
+        && gateway.is_path_lost(&context.service)
+    {
+        return not_taken(NotTaken::NoPath);
+    }
     info!(gateway.log, "served for an instance"; "request" => %context.client.id,
         "peer" => %call.sender, "status" => response.status().as_u16(),
         "age_ms" => context.age().as_millis() as u64);
