--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -18,7 +18,8 @@
 use crate::{
     body_buffer::{BufferError, BufferedBody},
     connection::{Driver, SilenceLimit, connect, describe},
-    guards::InFlightGuard,
+    guards::{ForwardGuard, InFlightGuard},
+    paths::has_crashed,
     permits::Permit,
     request_context::RequestContext,
 };
@@ -27,10 +28,10 @@
 ///
 /// A server in another zone responds within a few milliseconds, and TCP retransmits a lost packet
 /// only after a second, so a longer timeout gains nothing.
-const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(150);
 /// Maximum size of a response body that is buffered whole, so that an incomplete one can be
 /// replaced.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum size of the response to a prefill call; it has about a hundred bytes.
 const MAX_PREFILL_RESPONSE_BYTES: usize = 16 * 1024;
 /// Bytes on the wire for each byte of a body; the framing of small chunks takes as much as their
@@ -40,8 +41,6 @@
 const STREAM_OVERHEAD_BYTES: usize = 1024 * 1024;
 /// Bytes of a stream on the wire for each output token; an event with one token has a few hundred.
 const STREAM_BYTES_PER_TOKEN: usize = 4 * 1024;
-/// Time within which a crashed server refuses a new connection.
-const CRASH_PROBE_LIMIT: Duration = Duration::from_millis(300);
 
 /// One call for a request.
 #[derive(Debug)]
@@ -75,7 +74,26 @@
 #[derive(Debug)]
 pub struct ResponseGuard {
     _driver: Driver,
-    _in_flight: InFlightGuard,
+    _counted: CountedCall,
+}
+
+/// Counts a call until its response ends.
+#[derive(Debug)]
+enum CountedCall {
+    /// A call to a backend server.
+    Server { _in_flight: InFlightGuard },
+    /// A call to another instance.
+    Instance { _guard: ForwardGuard },
+}
+
+impl ResponseGuard {
+    /// Keeps a connection to another instance open.
+    pub fn of_instance(driver: Driver, guard: ForwardGuard) -> Self {
+        Self {
+            _driver: driver,
+            _counted: CountedCall::Instance { _guard: guard },
+        }
+    }
 }
 
 /// Why a call has no usable response.
@@ -114,6 +132,11 @@
     /// The response did not begin in time.
     pub const TIMED_OUT: Self = Self::new(RetryReason::FirstTokenTimeout, Ran::Unknown);
 
+    /// Returns whether no connection could be opened.
+    pub fn is_unreachable(self) -> bool {
+        self.reason == RetryReason::ConnectFailed
+    }
+
     const fn new(reason: RetryReason, ran: Ran) -> Self {
         Self { reason, ran }
     }
@@ -133,7 +156,10 @@
     let in_flight = InFlightGuard::new(gateway, id);
     let silence = SilenceLimit::AtLeast(context.time_left());
     let connect_limit = CONNECT_LIMIT.min(call.head_limit);
+    let started_at = gateway.now();
     let opened = connect(call.server.address, connect_limit, silence).await;
+    // The health of the servers is kept before this failure becomes part of it.
+    gateway.on_connect(&context.service, id, started_at, &opened);
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(error) => {
@@ -212,13 +238,15 @@
         framing,
         _guard: ResponseGuard {
             _driver: connection.driver,
-            _in_flight: in_flight,
+            _counted: CountedCall::Server {
+                _in_flight: in_flight,
+            },
         },
     })
 }
 
 /// Returns the number of bytes that the rest of a response may have on the wire.
-fn body_allowance(context: &RequestContext, step: &CallStep) -> usize {
+pub fn body_allowance(context: &RequestContext, step: &CallStep) -> usize {
     if context.route.kind.is_stream() && *step != CallStep::Prefill {
         let tokens = context.max_events().min(u64::from(u16::MAX)) as usize;
         return STREAM_OVERHEAD_BYTES + tokens * STREAM_BYTES_PER_TOKEN;
@@ -360,33 +388,32 @@
     Begun,
 }
 
-/// Records a strike against the request if its server refuses connections, as it does after a
-/// crash.
+/// Records a strike against the request if its server has crashed.
+///
+/// A server that only this instance cannot reach has not crashed.
 pub fn probe_for_crash(context: &RequestContext, server: &ServerEndpoint, progress: RunProgress) {
     let gateway = std::rc::Rc::clone(&context.gateway);
+    let service = context.service.clone();
     let server = server.clone();
     let fingerprint = context.fingerprint;
     let request = context.client.id.clone();
     let part_ids = shared_part_ids(context);
     let parts = context.parts.clone();
     tokio::task::spawn_local(async move {
-        let opened = connect(server.address, CRASH_PROBE_LIMIT, SilenceLimit::Probe).await;
-        let Err(error) = opened else {
+        if !has_crashed(&gateway, &service, &server).await {
             return;
-        };
-        if error.is_refused() {
-            let now = gateway.now();
-            gateway
-                .load_balancer
-                .borrow_mut()
-                .on_unreachable(now, &server.id);
-            info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
-                "progress" => ?progress, "parts" => part_ids);
-            if progress == RunProgress::NotBegun {
-                gateway.record_part_crash(&server.id, &parts);
-            }
-            gateway.record_strike(&server.id, fingerprint);
         }
+        let now = gateway.now();
+        gateway
+            .load_balancer
+            .borrow_mut()
+            .on_unreachable(now, &server.id);
+        info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
+            "progress" => ?progress, "parts" => part_ids);
+        if progress == RunProgress::NotBegun {
+            gateway.record_part_crash(&server.id, &parts);
+        }
+        gateway.record_strike(&server.id, fingerprint);
     });
 }
 
--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -21,6 +21,11 @@
 /// Maximum number of keepalive probes on Linux.
 const MAX_PROBES: u32 = 127;
 
+/// Like `ACK_TIMEOUT`, for connections between instances.
+///
+/// An instance that pauses for one or two seconds still works on its requests.
+const INSTANCE_ACK_TIMEOUT: Duration = Duration::from_millis(4_000);
+
 /// Bytes that may be read before the head of a response is complete, including interim responses.
 ///
 /// Heads have a few hundred bytes; the rest is for data that is read along with the head.
@@ -48,6 +53,8 @@
 pub enum SilenceLimit {
     /// Until a probe has no response, for calls of the process that can be repeated elsewhere.
     Probe,
+    /// Longer than a pause of the instance that serves a request in place of this one.
+    Instance,
     /// At least this long, since a client waits for the response and a silent server may go on.
     ///
     /// Probes are still sent: a server that has started again resets the connection.
@@ -70,6 +77,23 @@
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
+
+    /// Returns whether the failure says something about the path to the address, or the process
+    /// there, rather than about this process; a timeout does if it was `limit` or longer.
+    pub fn concerns_path(&self, limit: Duration) -> bool {
+        match self {
+            Self::TimedOut(waited) => *waited >= limit,
+            Self::Io(error) => matches!(
+                error.kind(),
+                io::ErrorKind::ConnectionRefused
+                    | io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::NetworkUnreachable
+                    | io::ErrorKind::TimedOut
+            ),
+            Self::Http(_) => false,
+        }
+    }
 }
 
 impl Drop for Driver {
@@ -84,10 +108,7 @@
     limit: Duration,
     silence: SilenceLimit,
 ) -> Result<Connection, ConnectError> {
-    let opened = timeout(limit, TcpStream::connect(address)).await;
-    let stream = opened
-        .map_err(|_| ConnectError::TimedOut(limit))?
-        .map_err(ConnectError::Io)?;
+    let stream = open(address, limit).await?;
     set_options(&stream, silence).map_err(ConnectError::Io)?;
     let allowance = Rc::new(ReadAllowance::new(MAX_HEAD_BYTES));
     let stream = MeteredStream::new(stream, Rc::clone(&allowance));
@@ -125,22 +146,30 @@
     }
 }
 
+/// Opens a TCP connection within `limit`.
+pub async fn open(address: SocketAddr, limit: Duration) -> Result<TcpStream, ConnectError> {
+    let opened = timeout(limit, TcpStream::connect(address)).await;
+    opened
+        .map_err(|_| ConnectError::TimedOut(limit))?
+        .map_err(ConnectError::Io)
+}
+
 /// Sets the socket options by which a broken connection is detected.
-fn set_options(stream: &TcpStream, silence: SilenceLimit) -> io::Result<()> {
+pub fn set_options(stream: &TcpStream, silence: SilenceLimit) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL);
-    match silence {
-        SilenceLimit::Probe => {
-            let probes = probes.with_interval(KEEPALIVE_INTERVAL).with_retries(2);
-            socket.set_tcp_keepalive(&probes)?;
-            socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
-        }
+    let ack_timeout = match silence {
+        SilenceLimit::Probe => ACK_TIMEOUT,
+        SilenceLimit::Instance => INSTANCE_ACK_TIMEOUT,
         SilenceLimit::AtLeast(limit) => {
             let interval_s = limit.as_secs() / u64::from(MAX_PROBES) + 1;
             let interval = Duration::from_secs(interval_s);
             let probes = probes.with_interval(interval).with_retries(MAX_PROBES);
-            socket.set_tcp_keepalive(&probes)
+            return socket.set_tcp_keepalive(&probes);
         }
-    }
+    };
+    let probes = probes.with_interval(KEEPALIVE_INTERVAL).with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(ack_timeout))
 }
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -14,7 +14,7 @@
     LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, SharedRetryBudget,
 };
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
-use wagtailarch_types::{InstanceId, ServiceName};
+use wagtailarch_types::{BootId, InstanceId, ServiceName};
 use wagtailarch_wire::{
     load_note::{LimitReport, SentPrefixes, StrikeNote, server_key},
     part_report::{PartReports, ReportedPart},
@@ -22,9 +22,11 @@
 
 use crate::{
     body_buffer::BufferBudget,
+    forward::ForwardState,
     metrics::Metrics,
     origins::{self, Origins},
     outbox::Outbox,
+    paths::Paths,
     permits::PendingPermits,
     settings::{ReloadableSettings, Settings},
     snapshot::Snapshot,
@@ -44,6 +46,8 @@
     pub traffic: Arc<TrafficView>,
     /// Backend servers and their load.
     pub load_balancer: RefCell<LoadBalancer>,
+    /// Paths to the servers.
+    pub paths: Paths,
     /// Requests suspected of crashing servers.
     pub quarantine: Quarantine,
     /// Evidence about parts of prompts that crash servers.
@@ -58,6 +62,8 @@
     pub pending_permits: PendingPermits,
     /// Software versions at which streams began.
     pub origins: Origins,
+    /// Calls to and from other instances.
+    pub forwarding: ForwardState,
     /// Memory limit for buffered bodies.
     pub buffer_budget: Rc<BufferBudget>,
     /// Number of requests without a complete response.
@@ -92,6 +98,7 @@
         traffic: Arc<TrafficView>,
         peer_socket: UdpSocket,
         epoch: Instant,
+        boot: BootId,
     ) -> Self {
         Self {
             reloadable_settings: Cell::new(settings.reloadable()),
@@ -100,6 +107,7 @@
             metrics,
             traffic,
             load_balancer: RefCell::default(),
+            paths: Paths::default(),
             quarantine: Quarantine::new(),
             part_evidence: RefCell::default(),
             suspect_runs: RefCell::default(),
@@ -107,6 +115,7 @@
             peer_socket,
             pending_permits: PendingPermits::default(),
             origins: Origins::default(),
+            forwarding: ForwardState::new(boot),
             buffer_budget: Rc::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -75,6 +75,41 @@
     }
 }
 
+/// What happened to clients' requests that go through another instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardEvent {
+    /// A request was sent to another instance.
+    Sent,
+    /// The other instance did not take the request, or was not reached.
+    NotTaken,
+    /// The connection to the other instance broke after the request was sent.
+    Lost,
+    /// A request of another instance was taken.
+    Received,
+    /// A request of another instance was not taken.
+    Declined,
+}
+
+impl ForwardEvent {
+    const ALL: [Self; 5] = [
+        Self::Sent,
+        Self::NotTaken,
+        Self::Lost,
+        Self::Received,
+        Self::Declined,
+    ];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::NotTaken => "not_taken",
+            Self::Lost => "lost",
+            Self::Received => "received",
+            Self::Declined => "declined",
+        }
+    }
+}
+
 /// Numbers of open requests and connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OpenCounts {
@@ -96,6 +131,7 @@
     store_calls: LabeledCounters,
     store_failures: Counter,
     permits: LabeledCounters,
+    forwards: LabeledCounters,
     requests: LabeledCounters,
     client_gone: Counter,
     open_requests: Gauge,
@@ -103,6 +139,8 @@
     generation: Gauge,
     servers: Gauge,
     peers: Gauge,
+    lost_paths: Gauge,
+    path_probes: Counter,
     open_prefills: Gauge,
     in_flight: ByServer,
     prefill_wait: ByServer,
@@ -128,6 +166,9 @@
         let results = PermitResult::ALL.map(PermitResult::as_str);
         let help = "Requests for permits to call rate-limited servers";
         let permits = register_counters(r, "permits", help, "result", &results);
+        let events = ForwardEvent::ALL.map(ForwardEvent::as_str);
+        let help = "Requests that go through another instance";
+        let forwards = register_counters(r, "forwards", help, "event", &events);
         let kinds = ["idempotent", "at_most_once", "stream", "resumable_stream"];
         let requests = register_counters(r, "requests", "Requests received", "kind", &kinds);
         let store_failures = Counter::default();
@@ -141,6 +182,9 @@
         let client_gone = Counter::default();
         let help = "Requests whose client left before the end of the answer";
         r.register("client_gone", help, client_gone.clone());
+        let path_probes = Counter::default();
+        let help = "Connections that only show whether a path is there";
+        r.register("path_probes", help, path_probes.clone());
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -151,6 +195,8 @@
         let generation = gauge("generation", "Generation of the configuration in force");
         let servers = gauge("servers", "Usable backend servers");
         let peers = gauge("peers", "Other entry instances that are listed");
+        let help = "Services to whose servers this instance has no path";
+        let lost_paths = gauge("lost_paths", help);
         let open_prefills = gauge("open_reads", "Prompts sent to engines and not read yet");
         let resident_bytes = gauge("resident_bytes", "Memory of the process in RAM");
         let in_flight = ByServer::default();
@@ -177,6 +223,7 @@
             store_calls,
             store_failures,
             permits,
+            forwards,
             requests,
             client_gone,
             open_requests,
@@ -184,6 +231,8 @@
             generation,
             servers,
             peers,
+            lost_paths,
+            path_probes,
             open_prefills,
             in_flight,
             prefill_wait,
@@ -220,6 +269,13 @@
             .inc();
     }
 
+    /// Counts an event of a request that goes through another instance.
+    pub fn count_forward(&self, event: ForwardEvent) {
+        self.forwards
+            .get_or_create(&[("event", event.as_str())])
+            .inc();
+    }
+
     /// Counts a call to the store that had no result.
     pub fn count_store_failure(&self) {
         self.store_failures.inc();
@@ -244,6 +300,16 @@
         self.peers.set(peers as i64);
     }
 
+    /// Sets the number of services to whose servers there is no path.
+    pub fn set_lost_paths(&self, services: usize) {
+        self.lost_paths.set(services as i64);
+    }
+
+    /// Counts a connection that only shows whether a path is there.
+    pub fn count_path_probe(&self) {
+        self.path_probes.inc();
+    }
+
     /// Records the time of the store's last response about a kind of objects.
     pub fn set_last_store_response(&self, kind: &'static str) {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -24,9 +24,11 @@
 
 use crate::{
     control::{self, ControlContext},
+    forward::server::serve_instances,
     gateway::{Gateway, ShutdownState},
     metrics::Metrics,
     panic_handling::{catch_panic, restart_on_panic},
+    paths::probe_paths,
     peers::{NoteExchange, report_demand},
     reload::SettingsFile,
     server::serve_clients,
@@ -99,12 +101,14 @@
     let clients = listen(settings.client_address).await?;
     let ready = listen(settings.ready_address).await?;
     let scrapes = listen(settings.metrics_address).await?;
+    let forwarded = listen(settings.forward_address).await?;
     let socket = UdpSocket::bind(settings.peer_address).await;
     let socket = socket.map_err(|error| StartError::Listen(settings.peer_address, error))?;
     let context = ControlContext {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
         peer_address: settings.peer_address,
+        forward_address: settings.forward_address,
         store_address: settings.store_address,
         config_bound: settings.config_bound(),
         leaving_bound: settings.leaving_bound(),
@@ -120,9 +124,15 @@
     let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
-    let gateway = Rc::new(Gateway::new(settings, log, metrics, traffic, socket, epoch));
-    start_tasks(&gateway, published, boot_id());
+    let boot = boot_id();
+    let gateway = Gateway::new(settings, log, metrics, traffic, socket, epoch, boot);
+    let gateway = Rc::new(gateway);
+    start_tasks(&gateway, published, boot);
     start_listening(&gateway, clients, [ready, scrapes]);
+    let forwarded = Rc::new(forwarded);
+    spawn_restarting(&gateway, "requests of instances", move |gateway| {
+        serve_instances(gateway, Rc::clone(&forwarded))
+    });
     let shared = Rc::clone(&gateway);
     spawn_local(async move {
         let watching = file.watch(Rc::clone(&shared), hangup);
@@ -137,6 +147,7 @@
         gateway.follow_snapshots(published.clone())
     });
     spawn_restarting(gateway, "demand", report_demand);
+    spawn_restarting(gateway, "path probes", probe_paths);
     let notes = Rc::new(NoteExchange::new(Rc::clone(gateway), boot));
     let shared = Rc::clone(&notes);
     spawn_restarting(gateway, "receivers of notes", move |_| {
@@ -193,6 +204,8 @@
     let started = gateway.now();
     info!(gateway.log, "stopping"; "open_requests" => gateway.open_requests.get());
     gateway.shutdown.send_replace(ShutdownState::Announced);
+    // The others send their requests elsewhere.
+    gateway.schedule_load_note();
     loop {
         let elapsed = gateway.now().saturating_sub(started);
         let open = gateway.open_requests.get();
