Count the time of a client that waits from the last event of its stream

Callers received a part of a resumable stream when its engine broke off more than two seconds after their request, or fell silent that late: the time for which a client still waits was counted from the arrival of the request, so that every engine counted as too late and the resumption was refused as overloaded. Clients leave a stream after a gap between events.

The time is now counted from the last event that the client received.

Evidence: a_stream_of_any_age_goes_on_at_another_engine, an engine that breaks off 2.5 s after the request, failed (no event of the second engine) and passes.

The log of a broken stream states the cause "connection given up by TCP" beside "connection failed".

--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -116,6 +116,15 @@
     })
 }
 
+/// Returns why a connection failed, for logs.
+pub fn failure_cause(error: &hyper::Error) -> &'static str {
+    let source = error.source().and_then(|source| source.downcast_ref());
+    match source.map(io::Error::kind) {
+        Some(io::ErrorKind::TimedOut) => "connection given up by TCP",
+        _ => "connection failed",
+    }
+}
+
 /// Sets the socket options by which a broken connection is detected.
 fn set_options(stream: &TcpStream, silence: SilenceLimit) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -42,6 +42,8 @@
     pub config: Arc<RoutingConfig>,
     /// Time of arrival since the start of the process.
     pub arrived: Duration,
+    /// When the last event of a stream was sent to the client.
+    pub last_event_at: Cell<Option<Duration>>,
     /// Prefixes of the prompt.
     pub prefixes: Vec<PrefixLink>,
     /// Parts of the prompt that other prompts may share.
@@ -89,6 +91,7 @@
             service,
             config,
             arrived,
+            last_event_at: Cell::new(None),
             fingerprint,
         }
     }
@@ -195,9 +198,11 @@
         self.route.objective.saturating_sub(self.age())
     }
 
-    /// Returns the time left before the client abandons a stream without events.
+    /// Returns the time left before the client abandons a stream that sends no further event.
     pub fn client_timeout_left(&self) -> Duration {
-        let client_timeout = self.route.client_timeout().saturating_sub(self.age());
+        let waits_since = self.last_event_at.get().unwrap_or(self.arrived);
+        let waited = self.gateway.now().saturating_sub(waits_since);
+        let client_timeout = self.route.client_timeout().saturating_sub(waited);
         client_timeout.min(self.time_left())
     }
 }
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -1,6 +1,6 @@
 //! Relays the events of a stream to the client and resumes it at another engine after a failure.
 
-use std::{borrow::Cow, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
@@ -17,7 +17,7 @@
 use crate::{
     attempts::Attempts,
     backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
-    connection::describe,
+    connection::failure_cause,
     generation::{GenerationError, StartedGeneration, start},
     origins,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
@@ -55,8 +55,6 @@
     last_event: Option<u64>,
     events: u64,
     first_event_ms: Option<u64>,
-    /// When the last event was sent to the client.
-    last_event_at: Option<Duration>,
     /// Longest pause between two events.
     longest_pause: Duration,
     /// When the current engine last sent a complete event, or resumed the stream.
@@ -73,7 +71,7 @@
 enum ReadOutcome {
     Bytes(Bytes),
     End,
-    Failed(Cow<'static, str>),
+    Failed(&'static str),
     TimedOut,
 }
 
@@ -100,7 +98,6 @@
         last_event,
         events: 0,
         first_event_ms: None,
-        last_event_at: None,
         longest_pause: Duration::ZERO,
         progress_at,
         fail_over: None,
@@ -142,7 +139,7 @@
             let next = match self.take_events() {
                 Ok(Some(chunk)) => return Some(Ok(chunk)),
                 Ok(None) => self.read().await,
-                Err(cause) => ReadOutcome::Failed(cause.into()),
+                Err(cause) => ReadOutcome::Failed(cause),
             };
             match next {
                 ReadOutcome::Bytes(bytes) => self.splitter.push(&bytes),
@@ -159,7 +156,7 @@
                     return None;
                 }
                 ReadOutcome::Failed(cause) => {
-                    if let Err(failure) = self.resume(&cause).await {
+                    if let Err(failure) = self.resume(cause).await {
                         self.on_end("broken off", 0);
                         return Some(Err(failure));
                     }
@@ -239,7 +236,7 @@
         let now = gateway.now();
         self.progress_at = now;
         self.fail_over = None;
-        if let Some(last_event_at) = self.last_event_at.replace(now) {
+        if let Some(last_event_at) = self.context.last_event_at.replace(Some(now)) {
             self.longest_pause = self.longest_pause.max(now.saturating_sub(last_event_at));
         }
         if self.first_event_ms.is_some() {
@@ -293,7 +290,7 @@
                     read = timeout(self.context.time_left(), frame) => read,
                     silent = fail_over => {
                         self.attempts.excluded_engines.extend(silent);
-                        return ReadOutcome::Failed("silent".into());
+                        return ReadOutcome::Failed("silent");
                     }
                 }
             }
@@ -301,21 +298,21 @@
         match read {
             Err(_) => ReadOutcome::TimedOut,
             Ok(None) if self.splitter.is_inside_event() => {
-                ReadOutcome::Failed("ended inside an event".into())
+                ReadOutcome::Failed("ended inside an event")
             }
             Ok(None)
                 if !is_declared_end(self.framing, !self.has_event, &active.call.server).await =>
             {
-                ReadOutcome::Failed("undeclared end".into())
+                ReadOutcome::Failed("undeclared end")
             }
             Ok(None) => ReadOutcome::End,
-            Ok(Some(Err(error))) => ReadOutcome::Failed(describe(&error).into()),
+            Ok(Some(Err(error))) => ReadOutcome::Failed(failure_cause(&error)),
             Ok(Some(Ok(frame))) => ReadOutcome::Bytes(frame.into_data().unwrap_or_default()),
         }
     }
 
     /// Resumes the stream at another engine after the last event, if that is allowed.
-    async fn resume(&mut self, cause: &str) -> Result<(), GenerationError> {
+    async fn resume(&mut self, cause: &'static str) -> Result<(), GenerationError> {
         self.fail_over = None;
         // The first engine must stop before another one continues.
         let Some(active) = self.active.take() else {
