Keep a silent engine until its stream has a place elsewhere

Callers of resumable streams still received a part of their response when several streams left silent engines at the same moment: the first of them took the engines and retries that the others had found, and the others were refused as overloaded or without a retry left. The plan is now made again after the reports, with the rank of the resumption, and has to name the same engines, immediately before the stream leaves its engine. A stream that has sent an event is no longer refused since it would go on late: the refusal broke it off.

--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -6,6 +6,7 @@
 use wagtailarch_dispatch::{GenerationPlan, Placement, PrefillPlan, ServerEndpoint};
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
+use wagtailarch_wire::permit::PermitRank;
 
 use crate::{
     backend_client::CallFailure,
@@ -112,19 +113,21 @@
                 attempts.excluded_engines.truncate(known);
                 continue;
             };
-            let prefill_engine = match &plan.prefill {
-                PrefillPlan::Direct => None,
-                PrefillPlan::Split(engine) => Some(ServerEndpoint::clone(engine)),
-            };
             let mut responds = true;
-            for engine in iter::once(plan.decode).chain(prefill_engine) {
-                if !matches!(fetch_report(&engine).await, ReportOutcome::Received(_)) {
-                    attempts.excluded_engines.push(engine.id);
+            for engine in plan_engines(&plan) {
+                if !matches!(fetch_report(engine).await, ReportOutcome::Received(_)) {
+                    attempts.excluded_engines.push(engine.id.clone());
                     responds = false;
                 }
             }
-            if responds {
-                return attempts.excluded_engines.split_off(known);
+            // Other streams may have taken the same engines and retries meanwhile.
+            let is_current = attempts
+                .fail_over_plan(context, engine)
+                .is_some_and(|newer| plan_engines(&newer).eq(plan_engines(&plan)));
+            match responds {
+                true if is_current => return attempts.excluded_engines.split_off(known),
+                true => sleep(FAIL_OVER_RETRY_DELAY).await,
+                false => {}
             }
         }
     }
@@ -143,6 +146,10 @@
         {
             return None;
         }
+        let rank = match context.last_event_at.get() {
+            Some(_) => PermitRank::Urgent,
+            None => context.rank(),
+        };
         let mut excluded = self.excluded_engines.clone();
         excluded.push(engine.clone());
         let load_balancer = gateway.load_balancer.borrow();
@@ -150,7 +157,7 @@
         let placement = load_balancer.place_generation(
             now,
             &context.service,
-            &context.generation_request(context.rank()),
+            &context.generation_request(rank),
             &excluded,
         );
         match placement {
@@ -192,3 +199,12 @@
         }
     }
 }
+
+/// Returns the engines of a plan.
+fn plan_engines(plan: &GenerationPlan) -> impl Iterator<Item = &ServerEndpoint> {
+    let prefill_engine = match &plan.prefill {
+        PrefillPlan::Direct => None,
+        PrefillPlan::Split(engine) => Some(engine.as_ref()),
+    };
+    iter::once(&plan.decode).chain(prefill_engine)
+}
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -101,7 +101,8 @@
     };
     loop {
         let isolated = context.judge_parts(attempts.ran())?;
-        let plan = plan(context, attempts, rank, isolated).map_err(GenerationError::Refused)?;
+        let plan = plan(context, attempts, rank, isolated, interrupted)
+            .map_err(GenerationError::Refused)?;
         // A prefill without a permit for the decode step would be wasted.
         let gateway = &context.gateway;
         let Some(decode_permit) = permits::acquire(gateway, &plan.decode.id, rank).await else {
@@ -231,12 +232,17 @@
     attempts: &Attempts,
     rank: PermitRank,
     isolated: bool,
+    interrupted: bool,
 ) -> Result<GenerationPlan, Refusal> {
     let gateway = &context.gateway;
-    let request = GenerationRequest {
+    let mut request = GenerationRequest {
         isolated,
         ..context.generation_request(rank)
     };
+    if interrupted {
+        // A refusal would break off a stream that can still go on late.
+        request.client_timeout_left = context.time_left();
+    }
     let excluded = &attempts.excluded_engines;
     let load_balancer = gateway.load_balancer.borrow();
     let place = |excluded: &[InstanceId]| {
