--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -177,7 +177,8 @@
     };
     loop {
         let isolated = context.judge_parts(attempts.ran())?;
-        let plan = plan(context, attempts, rank, isolated).map_err(GenerationError::Refused)?;
+        let plan = plan(context, attempts, rank, isolated, interrupted)
+            .map_err(GenerationError::Refused)?;
         // A prefill without a permit for the decode step would be wasted.
         let gateway = &context.gateway;
         let Some(decode_permit) = permits::acquire(gateway, &plan.decode.id, rank).await else {
@@ -316,12 +317,17 @@
     attempts: &Attempts,
     rank: PermitRank,
     isolated: bool,
+    interrupted: bool,
 ) -> Result<GenerationPlan, Refusal> {
     let gateway = &context.gateway;
-    let request = GenerationRequest {
+    let mut request = GenerationRequest {
         isolated,
         ..context.generation_request(rank)
     };
+    if interrupted {
+        // A refusal would break off a stream that can still go on late.
+        request.client_timeout_left = context.time_left();
+    }
     let excluded = &attempts.excluded_engines;
     let load_balancer = gateway.load_balancer.borrow();
     let place = |excluded: &[InstanceId]| {
