--- a/crates/wagtailarch-gateway/src/paths.rs
+++ b/crates/wagtailarch-gateway/src/paths.rs
@@ -173,7 +173,11 @@
                     "failures" => failures, "evidence_age_ms" => evidence_age.as_millis() as u64);
                 self.schedule_load_note();
             }
-            PathChange::Returning => self.load_balancer.borrow_mut().restore_health(service),
+            PathChange::Returning => {
+                self.load_balancer.borrow_mut().restore_health(service);
+                // The next probe is due sooner than the task waits for.
+                self.paths.probes_due.notify_one();
+            }
             PathChange::LostAgain => debug!(log, "path still lost"; "service" => %service),
             PathChange::Returned {
                 servers,
