Ask another instance when servers seem overloaded on a doubted path

Right after a cut the few servers without a failed connection seemed overloaded, and clients were refused.

--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -198,9 +198,14 @@
         }
     }
 
-    /// Returns whether no server could be selected while this instance probably has no path to them.
+    /// Returns whether no server was selected, or too few seemed usable, while this instance probably
+    /// has no path to them.
     pub fn has_unreachable_servers(&self, refusal: &Refusal) -> bool {
-        refusal.reason == RefusalReason::NoBackend && self.gateway.is_path_lost(&self.service)
+        let by_health = matches!(
+            refusal.reason,
+            RefusalReason::NoBackend | RefusalReason::Overloaded
+        );
+        by_health && self.gateway.is_path_lost(&self.service)
     }
 
     /// Returns the description of the generation by which engines are selected.
