End a shutdown only when all responses are sent

Clients that did not read for a second or two while their instance was stopped received a part of their response: a request counts as finished when hyper takes the last bytes of its body, up to 4 MB of which may not be sent yet, and the process ended 3 s after SIGTERM.

Once it closes idle connections, the process now waits until all connections are closed, those of other instances that pass requests on included; the grace period bounds the wait as before.

--- a/crates/wagtailarch-dispatch/src/shutdown.rs
+++ b/crates/wagtailarch-dispatch/src/shutdown.rs
@@ -39,9 +39,9 @@
 }
 
 impl ShutdownPlan {
-    /// Returns the phase at the time `since` after the request to stop, with `open_requests`
-    /// requests that have no complete response.
-    pub fn phase(&self, since: Duration, open_requests: usize) -> ShutdownPhase {
+    /// Returns the phase at the time `since` after the request to stop, with `unfinished` requests
+    /// whose responses are not complete or not sent.
+    pub fn phase(&self, since: Duration, unfinished: usize) -> ShutdownPhase {
         let forced_exit = self.grace.saturating_sub(EXIT_MARGIN);
         if since >= forced_exit {
             return ShutdownPhase::Ended;
@@ -49,7 +49,7 @@
         if since < BALANCER_REACTION_TIME.min(forced_exit) {
             return ShutdownPhase::Announcing;
         }
-        if open_requests == 0 && since >= BALANCER_REACTION_TIME + EXIT_MARGIN {
+        if unfinished == 0 && since >= BALANCER_REACTION_TIME + EXIT_MARGIN {
             return ShutdownPhase::Ended;
         }
         ShutdownPhase::Finishing
--- a/crates/wagtailarch-gateway/src/forward/server.rs
+++ b/crates/wagtailarch-gateway/src/forward/server.rs
@@ -22,7 +22,7 @@
     connection::{SilenceLimit, set_options},
     forward::link_body::LinkBody,
     gateway::{Gateway, ShutdownState},
-    guards::PeerRequestGuard,
+    guards::{ConnectionGuard, PeerRequestGuard},
     metrics::ForwardEvent,
     panic_handling::catch_panic,
     refusal::Refusal,
@@ -55,7 +55,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                tokio::task::spawn_local(serve_instance(Rc::clone(&gateway), stream, from));
+                // The shutdown waits for it until the whole response is sent.
+                let guard = ConnectionGuard::new(&gateway, usize::MAX);
+                tokio::task::spawn_local(serve_instance(Rc::clone(&gateway), stream, from, guard));
             }
             Err(error) => {
                 warn!(gateway.log, "accept failed"; "cause" => %error);
@@ -66,7 +68,12 @@
 }
 
 /// Serves the one call of a connection.
-async fn serve_instance(gateway: Rc<Gateway>, stream: TcpStream, from: SocketAddr) {
+async fn serve_instance(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    from: SocketAddr,
+    _guard: Option<ConnectionGuard>,
+) {
     if let Err(error) = set_options(&stream, SilenceLimit::Instance) {
         debug!(gateway.log, "socket option not set"; "cause" => %error);
     }
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -68,7 +68,7 @@
     pub buffer_budget: Rc<BufferBudget>,
     /// Number of requests without a complete response.
     pub open_requests: Cell<usize>,
-    /// Number of open client connections.
+    /// Number of open connections of clients and of other instances that pass requests on.
     pub open_connections: Cell<usize>,
     /// State of the shutdown.
     pub shutdown: watch::Sender<ShutdownState>,
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -209,7 +209,12 @@
     loop {
         let elapsed = gateway.now().saturating_sub(started);
         let open = gateway.open_requests.get();
-        match plan.phase(elapsed, open) {
+        // A connection is open until its client has received the whole response.
+        let unfinished = match *gateway.shutdown.borrow() {
+            ShutdownState::Finishing => open.max(gateway.open_connections.get()),
+            ShutdownState::Running | ShutdownState::Announced => open,
+        };
+        match plan.phase(elapsed, unfinished) {
             phase @ (ShutdownPhase::Announcing | ShutdownPhase::Finishing) => {
                 if !phase.accepts_connections()
                     && *gateway.shutdown.borrow() == ShutdownState::Announced
@@ -218,8 +223,9 @@
                 }
             }
             ShutdownPhase::Ended => {
-                if open > 0 {
-                    warn!(gateway.log, "stopped with open requests"; "open_requests" => open);
+                if unfinished > 0 {
+                    warn!(gateway.log, "stopped with open requests"; "open_requests" => open,
+                        "open_connections" => gateway.open_connections.get());
                 } else {
                     info!(gateway.log, "stopped"; "after_ms" => elapsed.as_millis() as u64);
                 }
