Pause between reports of engines that a silent stream could move to

A stream whose engine is silent called engines that refuse connections one after the other without a pause, each stream for itself. Found in the review of the fix of silent servers, by reading; each stream now looks for another place at most ten times a second.

--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -165,11 +165,10 @@
             let is_current = attempts
                 .fail_over_plan(context, engine)
                 .is_some_and(|newer| plan_engines(&newer).eq(plan_engines(&plan)));
-            match responds {
-                true if is_current => return attempts.excluded_engines.split_off(known),
-                true => sleep(FAIL_OVER_RETRY_DELAY).await,
-                false => {}
+            if responds && is_current {
+                return attempts.excluded_engines.split_off(known);
             }
+            sleep(FAIL_OVER_RETRY_DELAY).await;
         }
     }
 
