Move streams on a lost path that hangs to another instance

A resumable stream whose connections hang waited for a report of another engine, which does not arrive over a lost path either, and so kept its engine until its time was over although another instance reached the servers. Found in review, by reading: the wait for a place elsewhere and the paths to servers were written side by side. The wait now also ends when the path is lost and another instance can serve the request.

--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -11,6 +11,7 @@
 use crate::{
     backend_client::CallFailure,
     engine_report::{ReportOutcome, fetch_report},
+    forward::client::can_forward,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
 };
@@ -149,6 +150,10 @@
         let mut attempts = self.clone();
         let known = self.excluded_engines.len();
         loop {
+            // No engine sends a report over a lost path, but another instance may have one.
+            if self.may_run_again(context) && can_forward(context) {
+                return Vec::new();
+            }
             let Some(plan) = attempts.fail_over_plan(context, engine) else {
                 sleep(FAIL_OVER_RETRY_DELAY).await;
                 attempts.excluded_engines.truncate(known);
@@ -179,11 +184,7 @@
         engine: &InstanceId,
     ) -> Option<GenerationPlan> {
         let gateway = &context.gateway;
-        if !context.route.kind.repeatable()
-            || context.possible_runs.get() + 1 >= context.route.max_attempts
-            || self.calls + 1 >= MAX_CALLS
-            || !gateway.may_retry(&context.service)
-        {
+        if !self.may_run_again(context) {
             return None;
         }
         let rank = match context.last_event_at.get() {
@@ -206,6 +207,14 @@
         }
     }
 
+    /// Returns whether the generation may run once more after its present run.
+    fn may_run_again(&self, context: &RequestContext) -> bool {
+        context.route.kind.repeatable()
+            && context.possible_runs.get() + 1 < context.route.max_attempts
+            && self.calls + 1 < MAX_CALLS
+            && context.gateway.may_retry(&context.service)
+    }
+
     /// Records a failed prefill, which may be repeated in any case.
     pub fn on_prefill_failure(
         &mut self,
--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -241,6 +241,11 @@
     response.parts.status == StatusCode::OK && response.framing == BodyFraming::Chunked
 }
 
+/// Returns whether the path of a request is lost and another instance can serve it.
+pub fn can_forward(context: &RequestContext) -> bool {
+    target(context, Condition::PathLost, &[]).is_some()
+}
+
 /// Returns the next instance for a request.
 fn target(
     context: &RequestContext,
