Count crashes of servers that no instance reaches

A server that refuses connections now also counts as crashed if all other instances whose notes arrive say that they reach the service no more either.

--- a/crates/wagtailarch-dispatch/src/crash_check.rs
+++ b/crates/wagtailarch-dispatch/src/crash_check.rs
@@ -12,8 +12,8 @@
 /// Decides whether a server that refuses connections has crashed, or cannot be reached from here.
 ///
 /// The server has crashed if another server of its service accepts a connection and it refuses one
-/// again after that, or if its registration shows that its process has ended. While no server of the
-/// service can be reached, nothing is concluded.
+/// again after that, if its registration shows that its process has ended, or if no instance reaches
+/// the service. While only this one reaches no server of the service, nothing is concluded.
 #[derive(Debug, Clone)]
 pub struct CrashCheck {
     /// Time of the first refusal.
@@ -72,12 +72,14 @@
     }
 
     /// Returns the next step; `registered_unix_ms` is the start of the server's process as
-    /// registered now, `path` the conclusion about the path to its service.
+    /// registered now, `path` the conclusion about the path to its service, and `lost_everywhere`
+    /// states whether all other instances say that they have no path to it.
     pub fn step(
         &mut self,
         now: Duration,
         registered_unix_ms: Option<u64>,
         path: &PathState,
+        lost_everywhere: bool,
     ) -> CrashStep {
         let was_path_lost = matches!(self.stage, Stage::PathLost | Stage::PathBack(_));
         match registered_unix_ms {
@@ -89,6 +91,13 @@
         if now.saturating_sub(self.refused_at) >= CHECK_LIMIT {
             return CrashStep::NotCrashed;
         }
+        // The servers are down rather than all paths lost.
+        if lost_everywhere
+            && *path != PathState::Direct
+            && !matches!(self.stage, Stage::Accepted(_))
+        {
+            return CrashStep::Crashed;
+        }
         if matches!(path, PathState::Lost { .. } | PathState::Returning { .. }) {
             // Results of connections to the server prove nothing any more.
             self.stage = Stage::PathLost;
--- a/crates/wagtailarch-dispatch/src/forward_targets.rs
+++ b/crates/wagtailarch-dispatch/src/forward_targets.rs
@@ -134,6 +134,18 @@
         Some(selected.clone())
     }
 
+    /// Returns whether all other instances whose notes arrive say that they have no path to a
+    /// service, if there are any.
+    pub fn is_lost_everywhere(&self, now: Duration, service: &ServiceName) -> bool {
+        let key = service_key(service) as u32;
+        let mut live = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_live(now))
+            .peekable();
+        live.peek().is_some() && live.all(|peer| peer.lost.contains(key))
+    }
+
     /// Records that a request is sent to another instance.
     pub fn on_sent(&mut self, name: &InstanceId) {
         self.sent += 1;
--- a/crates/wagtailarch-dispatch/tests/service_paths/decisions.rs
+++ b/crates/wagtailarch-dispatch/tests/service_paths/decisions.rs
@@ -150,23 +150,49 @@
 ) {
     let mut check = CrashCheck::new(ms(0), 1);
     let steps = seen.iter();
-    let steps = steps.map(|(path, registered)| check.step(ms(10), *registered, path));
+    let steps = steps.map(|(path, registered)| check.step(ms(10), *registered, path, false));
     assert_eq!(steps.last(), Some(expected));
 }
 
+/// Guards against crashes of all servers of a service that are taken for a lost path.
+#[rstest]
+#[case::nobody_reaches_it(&[true, true], CrashStep::Crashed)]
+#[case::another_one_reaches_it(&[true, false], CrashStep::Wait)]
+#[case::no_other_instance(&[], CrashStep::Wait)]
+fn servers_that_nobody_reaches_have_crashed(
+    #[case] lost_at_peers: &[bool],
+    #[case] expected: CrashStep,
+) {
+    let mut targets = ForwardTargets::default();
+    for (number, is_lost) in lost_at_peers.iter().enumerate() {
+        let paths = match is_lost {
+            true => without_path(),
+            false => PathReport::default(),
+        };
+        targets.on_note(ms(0), &note(&format!("peer-{number}"), "a", paths));
+    }
+    let lost_everywhere = targets.is_lost_everywhere(ms(10), &ServiceName::from(PLAIN));
+    let mut check = CrashCheck::new(ms(0), 1);
+    let path = PathState::Lost { since: ms(0) };
+    assert_eq!(
+        check.step(ms(10), Some(1), &path, lost_everywhere),
+        expected
+    );
+}
+
 /// Guards against a crash that is forgotten after the second probe, and against a server that is
 /// blamed although it accepts connections and has not restarted.
 #[test]
 fn the_second_probe_decides() {
     let mut refused = CrashCheck::new(ms(0), 1);
     refused.on_refused_again();
-    let step = refused.step(ms(10), Some(1), &PathState::Direct);
+    let step = refused.step(ms(10), Some(1), &PathState::Direct, false);
     assert_eq!(step, CrashStep::Crashed);
     let mut accepted = CrashCheck::new(ms(0), 1);
     accepted.on_accepted(ms(10));
-    let step = accepted.step(ms(20), Some(1), &PathState::Direct);
+    let step = accepted.step(ms(20), Some(1), &PathState::Direct, false);
     assert_eq!(step, CrashStep::Wait);
-    let step = accepted.step(ms(3_020), Some(1), &PathState::Direct);
+    let step = accepted.step(ms(3_020), Some(1), &PathState::Direct, false);
     assert_eq!(step, CrashStep::NotCrashed);
 }
 
--- a/crates/wagtailarch-gateway/src/paths.rs
+++ b/crates/wagtailarch-gateway/src/paths.rs
@@ -285,7 +285,14 @@
             .borrow()
             .server(&server.id)
             .map(|server| server.started_unix_ms);
-        let step = check.step(now, registered, gateway.paths.paths.borrow().state(service));
+        let paths = &gateway.paths;
+        let lost_everywhere = paths.targets.borrow().is_lost_everywhere(now, service);
+        let step = check.step(
+            now,
+            registered,
+            paths.paths.borrow().state(service),
+            lost_everywhere,
+        );
         match step {
             CrashStep::Crashed => return true,
             CrashStep::NotCrashed => {
