--- a/crates/wagtailarch-dispatch/src/crash_check.rs
+++ b/crates/wagtailarch-dispatch/src/crash_check.rs
@@ -46,7 +46,7 @@
     Wait,
     /// The server has crashed.
     Crashed,
-    /// The server has not crashed, or it cannot be told.
+    /// The server has not crashed, or this cannot be determined.
     NotCrashed,
 }
 
--- a/crates/wagtailarch-dispatch/src/permit_holder.rs
+++ b/crates/wagtailarch-dispatch/src/permit_holder.rs
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Records that a client was refused, so that the next one is told to retry later.
+    /// Records that a client was refused, so that the next one is asked to retry later.
     pub fn on_refused(&mut self, now: Duration, rank: PermitRank) {
         let denials = self.denials[..=rank as usize].iter_mut().flatten();
         if let Some(denial) = denials.max_by_key(|denial| denial.retry_at) {
--- a/crates/wagtailarch-dispatch/src/service_paths.rs
+++ b/crates/wagtailarch-dispatch/src/service_paths.rs
@@ -21,10 +21,11 @@
 
 /// The paths from this instance to the backend servers of all services.
 ///
-/// A server that crashed, a path that is lost and a server that is silent look alike at one
+/// A server that crashed, a path that is lost and a server that is unresponsive look alike at one
 /// connection. A path is lost when no new connection to any server of its service succeeds; that
-/// several servers fail at the same moment tells it from a crash, and that the kernel of a silent
-/// server still accepts connections tells it from silence. Nothing here is a fact about a server.
+/// several servers fail at the same moment tells it from a crash, and that the kernel of an
+/// unresponsive server still accepts connections tells it from silence. Nothing here is a fact
+/// about a server.
 #[derive(Debug)]
 pub struct ServicePaths {
     paths: IndexMap<ServiceName, ServicePath>,
@@ -66,7 +67,7 @@
         self.paths.values().filter(|path| path.is_lost()).count()
     }
 
-    /// Returns what other instances are told.
+    /// Returns what is reported to other instances.
     pub fn report(&self) -> LostPaths {
         let doubted = self.paths.iter().filter(|(_, path)| path.is_doubted());
         doubted
--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -18,7 +18,7 @@
 
 /// Maximum number of calls for one request, including those that did not run it.
 pub const MAX_CALLS: u32 = 6;
-/// Delay before engines are selected again for a generation whose engine is silent.
+/// Delay before engines are selected again for a generation whose engine is unresponsive.
 const FAIL_OVER_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// The calls made so far for one generation.
@@ -141,7 +141,8 @@
     /// Waits until the generation could continue at engines that respond, and returns the others
     /// that were found not to.
     ///
-    /// Without them, leaving a silent `engine` would end a response that it may still complete.
+    /// Without them, leaving an unresponsive `engine` would end a response that it may still
+    /// complete.
     pub async fn wait_for_fail_over(
         &self,
         context: &RequestContext,
--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -48,14 +48,15 @@
 #[derive(Debug)]
 pub struct Driver(JoinHandle<()>);
 
-/// How long the other side of a connection may be silent.
+/// How long the other side of a connection may be unresponsive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilenceLimit {
     /// Until a probe has no response, for calls of the process that can be repeated elsewhere.
     Probe,
     /// Longer than a pause of the instance that serves a request in place of this one.
     Instance,
-    /// At least this long, since a client waits for the response and a silent server may go on.
+    /// At least this long, since a client waits for the response and an unresponsive server may go
+    /// on.
     ///
     /// Probes are still sent: a server that has started again resets the connection.
     AtLeast(Duration),
--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -244,7 +244,7 @@
     let report = loop {
         match fetch_report(server).await {
             ReportOutcome::Received(report) => break Some(report),
-            // A silent server may go on, as its response may.
+            // An unresponsive server may go on, as its response may.
             ReportOutcome::Silent if !context.time_left().is_zero() => {}
             ReportOutcome::Silent | ReportOutcome::Failed => break None,
         }
--- a/crates/wagtailarch-gateway/src/paths.rs
+++ b/crates/wagtailarch-gateway/src/paths.rs
@@ -109,7 +109,7 @@
         self.paths.served_for_peers.set(served.saturating_sub(1));
     }
 
-    /// Returns what other instances are told in a load note.
+    /// Returns what is reported to other instances in a load note.
     pub fn path_report(&self) -> PathReport {
         PathReport {
             lost: self.paths.paths.borrow().report(),
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -66,7 +66,7 @@
     longest_pause: Duration,
     /// When the current engine last sent a complete event, or resumed the stream.
     progress_at: Duration,
-    /// Waits until other engines respond while the current one is silent.
+    /// Waits until other engines respond while the current one is unresponsive.
     fail_over: Option<LocalBoxFuture<'static, Vec<InstanceId>>>,
     /// Error in the data that the engine sent after the last event, reported once the valid events
     /// are sent.
@@ -322,12 +322,12 @@
                         }
                     }
                 }
-                // The other instance decides when a stream leaves a silent engine.
+                // The other instance decides when a stream leaves an unresponsive engine.
                 GenerationPlace::Instance { .. } => timeout(self.context.time_left(), frame).await,
             },
         };
-        // Whether the stream had already sent its last event cannot be told from a response without
-        // any.
+        // Whether the stream had already sent its last event cannot be derived from a response
+        // without any.
         let lacks_event = self.events > 0 && !self.has_event;
         match read {
             Err(_) => ReadOutcome::TimedOut,
