Name the doubted path as such, and build the notes of tests in one place

is_path_lost returned whether a path is doubted, which comes before the loss; it is is_path_doubted now. The simulation of lost paths uses the note of the tests of the decisions. Behaviour stays as it is.

--- a/crates/wagtailarch-dispatch/tests/service_paths/decisions.rs
+++ b/crates/wagtailarch-dispatch/tests/service_paths/decisions.rs
@@ -20,7 +20,8 @@
     Duration::from_millis(ms)
 }
 
-fn note(sender: &str, zone: &str, paths: PathReport) -> LoadNote {
+/// Returns a load note that says only something about paths.
+pub fn note(sender: &str, zone: &str, paths: PathReport) -> LoadNote {
     LoadNote {
         sender: sender.into(),
         zone: zone.into(),
--- a/crates/wagtailarch-dispatch/tests/service_paths/simulation.rs
+++ b/crates/wagtailarch-dispatch/tests/service_paths/simulation.rs
@@ -12,11 +12,9 @@
     ConnectAttempt, ForwardRequest, ForwardResult, ForwardTargets, PathChange, ServicePaths,
 };
 use wagtailarch_types::{InstanceId, ServiceName, ZoneName, rendezvous_weight};
-use wagtailarch_wire::{
-    load_note::{LoadNote, StoreVersions},
-    part_report::PartReports,
-    path_report::PathReport,
-};
+use wagtailarch_wire::{load_note::LoadNote, path_report::PathReport};
+
+use crate::decisions::note;
 
 /// Time for which a connection that hangs is awaited.
 const CONNECT_LIMIT: Duration = Duration::from_millis(150);
@@ -451,22 +449,7 @@
         };
         let bytes = paths.estimated_bytes();
         self.outcome.max_report_bytes = self.outcome.max_report_bytes.max(bytes);
-        self.notes.push(LoadNote {
-            sender: state.name.clone(),
-            zone: state.zone.clone(),
-            boot: 1,
-            sequence: 1,
-            generation: 1,
-            store_versions: StoreVersions::default(),
-            open_prefills: Vec::new(),
-            sent_prefixes: Vec::new(),
-            running: Vec::new(),
-            strikes: Vec::new(),
-            limits: Vec::new(),
-            parts: PartReports::default(),
-            versions: Vec::new(),
-            paths,
-        });
+        self.notes.push(note(&state.name, &state.zone, paths));
         let note = self.notes.len() - 1;
         self.after(NOTE_DELAY, Event::NoteArrived { note });
     }
--- a/crates/wagtailarch-gateway/src/paths.rs
+++ b/crates/wagtailarch-gateway/src/paths.rs
@@ -73,7 +73,7 @@
 
     /// Returns whether this instance has no path to the servers of a service, or is about to
     /// conclude that, so that it takes no requests of others for it.
-    pub fn is_path_lost(&self, service: &ServiceName) -> bool {
+    pub fn is_path_doubted(&self, service: &ServiceName) -> bool {
         self.paths.paths.borrow().is_doubted(service)
     }
 
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -208,7 +208,7 @@
             refusal.reason,
             RefusalReason::NoBackend | RefusalReason::Overloaded
         );
-        by_health && self.gateway.is_path_lost(&self.service)
+        by_health && self.gateway.is_path_doubted(&self.service)
     }
 
     /// Returns the description of the generation by which engines are selected.
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -191,7 +191,7 @@
     let context = RequestContext::new(gateway, client, body, route, config, arrived, forwarded);
     let context = Rc::new(context);
     let response = match &context.forwarded {
-        Some(_) if gateway.is_path_lost(&context.service) => not_taken(NotTaken::NoPath),
+        Some(_) if gateway.is_path_doubted(&context.service) => not_taken(NotTaken::NoPath),
         Some(call) => serve_forwarded(&context, call).await,
         None => match forward_client::serve(&context).await {
             Some(response) => response,
@@ -231,7 +231,7 @@
     let mut response = serve_here(context).await;
     let refusal = response.extensions().get::<Refusal>();
     if refusal.is_some_and(|refusal| refusal.ran == Ran::No)
-        && gateway.is_path_lost(&context.service)
+        && gateway.is_path_doubted(&context.service)
     {
         return not_taken(NotTaken::NoPath);
     }
