--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -198,6 +198,10 @@
     running: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     pub work_ms: Arc<AtomicU64>,
+    /// Target whose requests crash the server when it begins to run them.
+    crashed_by: Arc<Mutex<String>>,
+    /// Number of crashes.
+    pub crashes: Arc<AtomicU64>,
 }
 
 impl Server {
@@ -209,6 +213,8 @@
             running: Arc::new(AtomicBool::new(true)),
             connections: Arc::default(),
             work_ms: Arc::new(AtomicU64::new(work_ms)),
+            crashed_by: Arc::default(),
+            crashes: Arc::default(),
         };
         server.accept(record, listener);
         server
@@ -218,6 +224,7 @@
         let (record, id) = (record.clone(), self.id.clone());
         let (running, work_ms) = (Arc::clone(&self.running), Arc::clone(&self.work_ms));
         let connections = Arc::clone(&self.connections);
+        let (crashed_by, crashes) = (Arc::clone(&self.crashed_by), Arc::clone(&self.crashes));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if !running.load(Ordering::SeqCst) {
@@ -226,11 +233,17 @@
                 let _ = stream.set_nodelay(true);
                 connections.lock().expect("no panic").push(stream.try_clone().expect("a socket"));
                 let (record, id, work_ms) = (record.clone(), id.clone(), Arc::clone(&work_ms));
-                thread::spawn(move || serve(&record, &id, &work_ms, stream));
+                let (crashed_by, crashes) = (Arc::clone(&crashed_by), Arc::clone(&crashes));
+                thread::spawn(move || serve(&record, &id, &work_ms, &crashed_by, &crashes, stream));
             }
         });
     }
 
+    /// Makes requests for `target` crash the server; [`Self::crash`] has to be called soon after.
+    pub fn set_crashed_by(&self, target: &str) {
+        target.clone_into(&mut self.crashed_by.lock().expect("no panic"));
+    }
+
     /// Ends the server as a crash does: its connections are reset and its port is closed.
     pub fn crash(&self) {
         self.running.store(false, Ordering::SeqCst);
@@ -264,7 +277,14 @@
     }
 }
 
-fn serve(record: &Record, id: &str, work_ms: &AtomicU64, stream: TcpStream) {
+fn serve(
+    record: &Record,
+    id: &str,
+    work_ms: &AtomicU64,
+    crashed_by: &Mutex<String>,
+    crashes: &AtomicU64,
+    stream: TcpStream,
+) {
     let Ok(mut writer) = stream.try_clone() else {
         return;
     };
@@ -283,6 +303,13 @@
             continue;
         }
         record.add(format!("run server={id} request={request_id} target={}", request.target()));
+        if request.target() == *crashed_by.lock().expect("no panic") {
+            record.add(format!("crash server={id} request={request_id}"));
+            crashes.fetch_add(1, Ordering::SeqCst);
+            // The connections are reset by whoever looks after the server.
+            thread::sleep(Duration::from_secs(600));
+            return;
+        }
         thread::sleep(Duration::from_millis(work_ms.load(Ordering::SeqCst)));
         let body = format!("{id} {request_id}\n");
         let text = format!(
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
+mod crashing_request;
 mod deployment;
 mod http;
 mod json;
@@ -15,6 +16,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "missed-change" => missed_change::run(&folder, trouble),
+        "crashing-request" => crashing_request::run(&folder, trouble),
         _ => None,
     };
     std::process::exit(match outcome {
--- a/review/standin/missed_change.rs
+++ b/review/standin/missed_change.rs
@@ -12,14 +12,15 @@
     store::Store,
 };
 
-const HOST: &str = "ficu95.example";
+pub const HOST: &str = "ficu95.example";
 
-fn configuration(version: u64, prefixes: &[&str]) -> String {
+pub fn configuration(version: u64, prefixes: &[&str]) -> String {
     let routes: Vec<String> = prefixes
         .iter()
         .map(|prefix| {
+            let kind = if *prefix == "/book/" { "unsafe" } else { "safe" };
             format!(
-                "{{\"name\":\"r-{}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\"kind\":\"safe\",\
+                "{{\"name\":\"r-{}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
                  \"service\":\"app\",\"timeout_ms\":1500,\"target_latency_ms\":300,\"priority\":2,\
                  \"max_attempts\":2,\"sticky\":false}}",
                 prefix.trim_matches('/')
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -63,11 +63,6 @@
         self.change(kind, name, None);
     }
 
-    pub fn names(&self, kind: &str) -> Vec<String> {
-        let state = self.state.lock().expect("no panic");
-        let keys = state.objects.keys().filter(|(k, _)| k == kind);
-        keys.map(|(_, name)| name.clone()).collect()
-    }
 
     fn change(&self, kind: &str, name: &str, spec: Option<Json>) -> Json {
         let mut state = self.state.lock().expect("no panic");
