--- a/review/standin/crashing_request.rs
+++ b/review/standin/crashing_request.rs
@@ -29,7 +29,7 @@
     let servers: Vec<Server> = ["i-1", "i-2", "i-3"].map(|id| Server::start(&record, id, 20)).into();
     let servers = Arc::new(servers);
     for server in servers.iter() {
-        server.set_crashed_by(GUILTY);
+        server.set_crashed_by(GUILTY, "");
         store.put("servers", &server.id, &server.registration("app", "lisse", "ready", 1_000));
     }
     store.put("config", "main", &configuration(3, &["/one/", "/book/"]));
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -4,7 +4,7 @@
     fs::{self, File},
     io::Write,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
@@ -105,7 +105,7 @@
         );
         let settings = folder.path.join(format!("{name}.toml"));
         fs::write(&settings, text).expect("a settings file");
-        let child = spawn(folder, name, &settings);
+        let child = spawn(&folder.path, name, &settings);
         Self {
             name: name.to_owned(),
             client,
@@ -117,10 +117,19 @@
 
     /// Starts the process again after its end, with the same settings.
     pub fn restart(&mut self, folder: &TempFolder) {
+        self.restart_in(&folder.path);
+    }
+
+    /// Starts the process again after its end; its log goes on in `folder`.
+    pub fn restart_in(&mut self, folder: &Path) {
         let _ = self.child.wait();
         self.child = spawn(folder, &self.name, &self.settings);
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: i32) {
         // The process belongs to this one and has not been waited for.
         unsafe { kill(self.child.id() as i32, signal) };
@@ -153,8 +162,8 @@
     }
 }
 
-fn spawn(folder: &TempFolder, name: &str, settings: &PathBuf) -> Child {
-    let log = File::options().create(true).append(true).open(folder.path.join(format!("{name}.log")));
+fn spawn(folder: &Path, name: &str, settings: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
     let log = log.expect("a log file");
     let mut command = Command::new(GATEWAY);
     command.env_clear().env("WAGTAILARCH_NODE_FILE", settings).env("PATH", "/usr/bin:/bin");
@@ -198,8 +207,8 @@
     running: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     pub work_ms: Arc<AtomicU64>,
-    /// Target whose requests crash the server when it begins to run them.
-    crashed_by: Arc<Mutex<String>>,
+    /// Target and caller whose requests crash the server when it begins to run them.
+    crashed_by: Arc<Mutex<(String, String)>>,
     /// Number of crashes.
     pub crashes: Arc<AtomicU64>,
 }
@@ -239,9 +248,10 @@
         });
     }
 
-    /// Makes requests for `target` crash the server; [`Self::crash`] has to be called soon after.
-    pub fn set_crashed_by(&self, target: &str) {
-        target.clone_into(&mut self.crashed_by.lock().expect("no panic"));
+    /// Makes requests of `caller` for `target` crash the server; [`Self::crash`] has to be called soon
+    /// after.
+    pub fn set_crashed_by(&self, target: &str, caller: &str) {
+        *self.crashed_by.lock().expect("no panic") = (target.to_owned(), caller.to_owned());
     }
 
     /// Ends the server as a crash does: its connections are reset and its port is closed.
@@ -281,7 +291,7 @@
     record: &Record,
     id: &str,
     work_ms: &AtomicU64,
-    crashed_by: &Mutex<String>,
+    crashed_by: &Mutex<(String, String)>,
     crashes: &AtomicU64,
     stream: TcpStream,
 ) {
@@ -303,7 +313,9 @@
             continue;
         }
         record.add(format!("run server={id} request={request_id} target={}", request.target()));
-        if request.target() == *crashed_by.lock().expect("no panic") {
+        let caller = request.header("Authorization").unwrap_or("");
+        let guilty = crashed_by.lock().expect("no panic").clone();
+        if (request.target(), caller) == (&guilty.0, &guilty.1) {
             record.add(format!("crash server={id} request={request_id}"));
             crashes.fetch_add(1, Ordering::SeqCst);
             // The connections are reset by whoever looks after the server.
@@ -331,15 +343,32 @@
     host: &str,
     target: &str,
     deadline_ms: u64,
+) -> u16 {
+    request_of(record, gateway, method, host, target, deadline_ms, "")
+}
+
+/// Like [`request`], for a caller that names itself in `Authorization`.
+pub fn request_of(
+    record: &Record,
+    gateway: (&str, SocketAddr),
+    method: &str,
+    host: &str,
+    target: &str,
+    deadline_ms: u64,
+    caller: &str,
 ) -> u16 {
     static NEXT: AtomicU64 = AtomicU64::new(1);
     let id = format!("{:016x}", NEXT.fetch_add(1, Ordering::SeqCst) * 0x9e37_79b9);
     let (name, address) = gateway;
+    let authorization = match caller {
+        "" => String::new(),
+        caller => format!("Authorization: {caller}\r\n"),
+    };
     let text = format!(
         "{method} {target} HTTP/1.1\r\nHost: {host}\r\nWagtailarch-Request-Id: {id}\r\n\
-         Wagtailarch-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n\r\n"
+         {authorization}Wagtailarch-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n\r\n"
     );
-    record.add(format!("sent gateway={name} request={id} {method} {target}"));
+    record.add(format!("sent gateway={name} request={id} {method} {target} {caller}"));
     let response = http::call(address, &text, Duration::from_millis(deadline_ms));
     let (status, detail) = match response {
         Ok(response) => {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,10 +2,12 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
+mod crashing_caller;
 mod crashing_request;
 mod deployment;
 mod http;
 mod json;
+mod many_changes;
 mod missed_change;
 mod store;
 
@@ -17,6 +19,8 @@
     let outcome = match case.as_str() {
         "missed-change" => missed_change::run(&folder, trouble),
         "crashing-request" => crashing_request::run(&folder, trouble),
+        "many-changes" => many_changes::run(&folder, trouble),
+        "crashing-caller" => crashing_caller::run(&folder, trouble),
         _ => None,
     };
     std::process::exit(match outcome {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,7 +1,7 @@
 //! The platform's store: objects with revisions, lists, watches and conditional writes.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     io::Write,
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex},
@@ -19,19 +19,35 @@
 
 type Key = (String, String);
 
+/// Time for which the store keeps its history, as the pages state.
+const HISTORY: Duration = Duration::from_secs(20);
+
 #[derive(Debug, Clone)]
 struct Object {
     revision: u64,
     created: u64,
-    spec: Json,
+    /// JSON text.
+    spec: Arc<str>,
+}
+
+/// A change of an object.
+struct Change {
+    at: Instant,
+    revision: u64,
+    kind: String,
+    /// The object after the change or before its deletion, as JSON text.
+    object: Arc<str>,
+    deleted: bool,
 }
 
 #[derive(Default)]
 struct State {
     revision: u64,
     objects: BTreeMap<Key, Object>,
-    /// Changes: revision, kind, the object after it or before its deletion, and whether it was deleted.
-    history: Vec<(u64, String, Json, bool)>,
+    /// Changes, oldest first.
+    history: VecDeque<Change>,
+    /// Revision up to which the history is gone.
+    expired: u64,
 }
 
 pub struct Store {
@@ -55,7 +71,6 @@
 
     /// Writes an object as the operator or a server does.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
-        let spec = Json::parse(spec).expect("valid JSON");
         self.change(kind, name, Some(spec));
     }
 
@@ -64,12 +79,9 @@
     }
 
 
-    fn change(&self, kind: &str, name: &str, spec: Option<Json>) -> Json {
-        let mut state = self.state.lock().expect("no panic");
-        let changed = state.change(kind, name, spec);
-        drop(state);
+    fn change(&self, kind: &str, name: &str, spec: Option<&str>) {
+        self.state.lock().expect("no panic").change(kind, name, spec);
         self.changed.notify_all();
-        changed
     }
 
     fn connection(&self, stream: TcpStream) {
@@ -103,7 +115,7 @@
         let metadata = body.get("metadata");
         let condition = metadata.and_then(|m| m.get("revision")).and_then(Json::number);
         let condition = condition.or_else(|| number("revision"));
-        let spec = body.get("spec").cloned().unwrap_or(Json::Null);
+        let spec = body.get("spec").unwrap_or(&Json::Null).to_string();
         match request.method() {
             "GET" if name.is_empty() && query.contains("watch=") => {
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
@@ -113,15 +125,15 @@
             "GET" => {
                 let state = self.state.lock().expect("no panic");
                 match state.object(kind, name) {
-                    Some(object) => (200, object.to_string()),
+                    Some(object) => (200, object),
                     None => (404, "null".into()),
                 }
             }
             "POST" => {
                 let name = metadata.and_then(|m| m.get("name")).and_then(Json::text);
-                self.write(kind, name.unwrap_or_default(), spec, condition, true)
+                self.write(kind, name.unwrap_or_default(), &spec, condition, true)
             }
-            "PUT" => self.write(kind, name, spec, condition, false),
+            "PUT" => self.write(kind, name, &spec, condition, false),
             "DELETE" => {
                 let exists = self.state.lock().expect("no panic").object(kind, name).is_some();
                 if !exists {
@@ -138,7 +150,7 @@
         &self,
         kind: &str,
         name: &str,
-        spec: Json,
+        spec: &str,
         condition: Option<u64>,
         create: bool,
     ) -> (u16, String) {
@@ -147,38 +159,41 @@
         match found {
             None if !create => return (404, "null".into()),
             Some(_) if create => {
-                return (409, state.object(kind, name).expect("found").to_string());
+                return (409, state.object(kind, name).expect("found"));
             }
             Some(found) if condition.is_some_and(|condition| condition != found.revision) => {
-                return (409, state.object(kind, name).expect("found").to_string());
+                return (409, state.object(kind, name).expect("found"));
             }
-            Some(found) if found.spec == spec => {
-                return (200, state.object(kind, name).expect("found").to_string());
+            Some(found) if *found.spec == *spec => {
+                return (200, state.object(kind, name).expect("found"));
             }
             _ => {}
         }
         let object = state.change(kind, name, Some(spec));
         drop(state);
         self.changed.notify_all();
-        (if create { 201 } else { 200 }, object.to_string())
+        (if create { 201 } else { 200 }, object)
     }
 
     fn list(&self, kind: &str, after: &str) -> (u16, String) {
         let state = self.state.lock().expect("no panic");
         let keys = state.objects.keys().filter(|(k, name)| k == kind && name.as_str() > after);
-        let items: Vec<Json> = keys.filter_map(|(k, name)| state.object(k, name)).collect();
-        let items = Json::List(items);
+        let items: Vec<_> = keys.filter_map(|(k, name)| state.object(k, name)).collect();
+        let items = items.join(",");
         let revision = state.revision;
-        (200, format!("{{\"items\":{items},\"has_more\":false,\"current_rev\":{revision}}}"))
+        (200, format!("{{\"items\":[{items}],\"has_more\":false,\"current_rev\":{revision}}}"))
     }
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, String) {
         let deadline = Instant::now() + wait;
         let mut state = self.state.lock().expect("no panic");
         loop {
-            let events = state.history.iter().filter(|(revision, k, _, _)| *revision > after && k == kind);
-            let events: Vec<String> = events
-                .map(|(_, _, object, deleted)| format!("{{\"object\":{object},\"deleted\":{deleted}}}"))
+            if after < state.expired {
+                return (410, "null".into());
+            }
+            let newer = state.history.iter().filter(|c| c.revision > after && c.kind == kind);
+            let events: Vec<String> = newer
+                .map(|c| format!("{{\"object\":{},\"deleted\":{}}}", c.object, c.deleted))
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -192,12 +207,12 @@
 }
 
 impl State {
-    fn object(&self, kind: &str, name: &str) -> Option<Json> {
+    fn object(&self, kind: &str, name: &str) -> Option<String> {
         let object = self.objects.get(&(kind.to_owned(), name.to_owned()))?;
         Some(encode(name, object))
     }
 
-    fn change(&mut self, kind: &str, name: &str, spec: Option<Json>) -> Json {
+    fn change(&mut self, kind: &str, name: &str, spec: Option<&str>) -> String {
         self.revision += 1;
         let revision = self.revision;
         let key = (kind.to_owned(), name.to_owned());
@@ -205,33 +220,35 @@
         let object = Object {
             revision,
             created: before.as_ref().map_or(revision, |before| before.created),
-            spec: spec.clone().or(before.map(|before| before.spec)).unwrap_or(Json::Null),
+            spec: match (spec, before) {
+                (Some(spec), _) => spec.into(),
+                (None, Some(before)) => before.spec,
+                (None, None) => "null".into(),
+            },
         };
         let encoded = encode(name, &object);
         match spec {
             Some(_) => self.objects.insert(key, object),
             None => self.objects.remove(&key),
         };
-        let deleted = !self.objects.contains_key(&(kind.to_owned(), name.to_owned()));
-        self.history.push((revision, kind.to_owned(), encoded.clone(), deleted));
+        self.history.push_back(Change {
+            at: Instant::now(),
+            revision,
+            kind: kind.to_owned(),
+            object: encoded.as_str().into(),
+            deleted: spec.is_none(),
+        });
+        while self.history.front().is_some_and(|oldest| oldest.at.elapsed() > HISTORY) {
+            self.expired = self.history.pop_front().map_or(0, |oldest| oldest.revision);
+        }
         encoded
     }
 }
 
-fn encode(name: &str, object: &Object) -> Json {
-    let number = |value: u64| Json::Number(value as f64);
-    let metadata = [
-        ("name", Json::Text(name.to_owned())),
-        ("revision", number(object.revision)),
-        ("create_rev", number(object.created)),
-        ("finalizers", Json::List(Vec::new())),
-        ("deleting", Json::Bool(false)),
-    ];
-    let metadata = metadata.map(|(name, value)| (name.to_owned(), value));
-    let members = [
-        ("metadata".to_owned(), Json::Object(metadata.into())),
-        ("spec".to_owned(), object.spec.clone()),
-        ("status".to_owned(), Json::Null),
-    ];
-    Json::Object(members.into())
+fn encode(name: &str, object: &Object) -> String {
+    let Object { revision, created, spec } = object;
+    format!(
+        "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision},\"create_rev\":{created},\
+         \"finalizers\":[],\"deleting\":false}},\"spec\":{spec},\"status\":null}}"
+    )
 }
