--- a/review/standin/crashing_caller.rs
+++ b/review/standin/crashing_caller.rs
@@ -1,5 +1,5 @@
-//! A request of one caller crashes servers again and again, because alike requests of other callers,
-//! which are sound, clear the suspicion.
+//! A request crashes servers again and again: because alike requests of other callers, which are
+//! sound, clear the suspicion, or because a crash in the middle of an answer raises none.
 
 use std::{
     fs,
@@ -14,7 +14,16 @@
     store::Store,
 };
 
-/// Target to which all callers post alike, on a route of kind `unsafe`.
+/// What the guilty request looks like.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Guilt {
+    /// Like the requests of other callers; it crashes servers before they answer.
+    AlikeOthers,
+    /// It has a path of its own and crashes servers in the middle of their answer.
+    InAnswer,
+}
+
+/// Target to which the sound callers post, on a route of kind `unsafe`.
 const TARGET: &str = "/book/2f";
 /// The caller whose requests crash servers.
 const GUILTY: &str = "Bearer c-13";
@@ -23,14 +32,18 @@
 /// Time for which a server is down after a crash.
 const DOWN: Duration = Duration::from_millis(2_000);
 
-pub fn run(folder: &str, trouble: bool) -> Option<bool> {
+pub fn run(folder: &str, trouble: bool, guilt: Guilt) -> Option<bool> {
+    let guilty_target = if guilt == Guilt::AlikeOthers { TARGET } else { "/book/7f" };
     let record = Record::new();
     let temp = TempFolder::new();
     let store = Store::start();
     let servers: Vec<Server> = ["i-1", "i-2", "i-3"].map(|id| Server::start(&record, id, 60)).into();
     let servers = Arc::new(servers);
     for server in servers.iter() {
-        server.set_crashed_by(TARGET, GUILTY);
+        server.set_crashed_by(guilty_target, GUILTY);
+        if guilt == Guilt::InAnswer {
+            server.crash_in_answer();
+        }
         store.put("servers", &server.id, &server.registration("app", "lisse", "ready", 1_000));
     }
     store.put("config", "main", &configuration(3, &["/book/"]));
@@ -92,7 +105,7 @@
         let mut next = 0;
         clients.push(repeat(&stop, Duration::from_millis(2_500), move || {
             let (name, address) = &addresses[next];
-            request_of(&record, (name, *address), "POST", HOST, TARGET, 1_500, GUILTY);
+            request_of(&record, (name, *address), "POST", HOST, guilty_target, 1_500, GUILTY);
             next = (next + 1) % addresses.len();
         }));
     }
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -209,6 +209,8 @@
     pub work_ms: Arc<AtomicU64>,
     /// Target and caller whose requests crash the server when it begins to run them.
     crashed_by: Arc<Mutex<(String, String)>>,
+    /// Whether the server crashes in the middle of its answer, and not before it.
+    crashes_in_answer: Arc<AtomicBool>,
     /// Number of crashes.
     pub crashes: Arc<AtomicU64>,
 }
@@ -223,6 +225,7 @@
             connections: Arc::default(),
             work_ms: Arc::new(AtomicU64::new(work_ms)),
             crashed_by: Arc::default(),
+            crashes_in_answer: Arc::default(),
             crashes: Arc::default(),
         };
         server.accept(record, listener);
@@ -234,6 +237,7 @@
         let (running, work_ms) = (Arc::clone(&self.running), Arc::clone(&self.work_ms));
         let connections = Arc::clone(&self.connections);
         let (crashed_by, crashes) = (Arc::clone(&self.crashed_by), Arc::clone(&self.crashes));
+        let in_answer = Arc::clone(&self.crashes_in_answer);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if !running.load(Ordering::SeqCst) {
@@ -243,7 +247,10 @@
                 connections.lock().expect("no panic").push(stream.try_clone().expect("a socket"));
                 let (record, id, work_ms) = (record.clone(), id.clone(), Arc::clone(&work_ms));
                 let (crashed_by, crashes) = (Arc::clone(&crashed_by), Arc::clone(&crashes));
-                thread::spawn(move || serve(&record, &id, &work_ms, &crashed_by, &crashes, stream));
+                let in_answer = in_answer.load(Ordering::SeqCst);
+                thread::spawn(move || {
+                    serve(&record, &id, &work_ms, &crashed_by, in_answer, &crashes, stream);
+                });
             }
         });
     }
@@ -254,6 +261,11 @@
         *self.crashed_by.lock().expect("no panic") = (target.to_owned(), caller.to_owned());
     }
 
+    /// Makes the server crash in the middle of its answer.
+    pub fn crash_in_answer(&self) {
+        self.crashes_in_answer.store(true, Ordering::SeqCst);
+    }
+
     /// Ends the server as a crash does: its connections are reset and its port is closed.
     pub fn crash(&self) {
         self.running.store(false, Ordering::SeqCst);
@@ -292,6 +304,7 @@
     id: &str,
     work_ms: &AtomicU64,
     crashed_by: &Mutex<(String, String)>,
+    in_answer: bool,
     crashes: &AtomicU64,
     stream: TcpStream,
 ) {
@@ -316,6 +329,14 @@
         let caller = request.header("Authorization").unwrap_or("");
         let guilty = crashed_by.lock().expect("no panic").clone();
         if (request.target(), caller) == (&guilty.0, &guilty.1) {
+            if in_answer {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nWagtailarch-Request-Id: {request_id}\r\n\
+                     Wagtailarch-Server-Stamp: {id}.{request_id}\r\nContent-Length: 800\r\n\r\nbegin\n"
+                );
+                let _ = writer.write_all(text.as_bytes());
+                thread::sleep(Duration::from_millis(20));
+            }
             record.add(format!("crash server={id} request={request_id}"));
             crashes.fetch_add(1, Ordering::SeqCst);
             // The connections are reset by whoever looks after the server.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,8 @@
 mod missed_change;
 mod store;
 
+use crashing_caller::Guilt;
+
 fn main() {
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
@@ -20,7 +22,8 @@
         "missed-change" => missed_change::run(&folder, trouble),
         "crashing-request" => crashing_request::run(&folder, trouble),
         "many-changes" => many_changes::run(&folder, trouble),
-        "crashing-caller" => crashing_caller::run(&folder, trouble),
+        "crashing-caller" => crashing_caller::run(&folder, trouble, Guilt::AlikeOthers),
+        "crashing-answer" => crashing_caller::run(&folder, trouble, Guilt::InAnswer),
         _ => None,
     };
     std::process::exit(match outcome {
