--- a/review/standin/many_changes.rs
+++ b/review/standin/many_changes.rs
@@ -2,6 +2,7 @@
 //! takes them over their memory limit.
 
 use std::{
+    collections::HashSet,
     fs,
     sync::{Arc, Mutex, atomic::{AtomicBool, Ordering}},
     thread::{self, sleep},
@@ -23,20 +24,23 @@
 const STORM_CHANGES: usize = 25;
 const STORM_GAP: Duration = Duration::from_millis(80);
 const STORMS: usize = 11;
+/// `config_apply_ms` of the site and a second more.
+const CONFIG_WINDOW_S: f64 = 3.0;
 
 pub fn run(folder: &str, trouble: bool) -> Option<bool> {
     let record = Record::new();
     let temp = TempFolder::new();
     let store = Store::start();
-    let servers: Vec<Server> = ["i-1", "i-2", "i-3"].map(|id| Server::start(&record, id, 20)).into();
+    let servers: Vec<Server> = ["i-1", "i-2", "i-3"].map(|id| Server::start(&record, id, 60)).into();
     for server in &servers {
         store.put("servers", &server.id, &server.registration("app", "buda-a", "ready", 1_000));
     }
-    let mut prefixes = vec!["/one/".to_owned()];
+    let mut prefixes = vec!["/book/".to_owned()];
     let mut version = 3;
     let put = |version: u64, prefixes: &[String]| {
         let prefixes: Vec<&str> = prefixes.iter().map(String::as_str).collect();
         let text = configuration(version, &prefixes);
+        record.add(format!("config version={version}"));
         store.put("config", "main", &text);
         text.len()
     };
@@ -61,10 +65,10 @@
     record.tell("all instances are ready");
     let stop = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
-    for gateway in &gateways {
+    for gateway in gateways.iter().chain(&gateways) {
         let (record, name, address) = (record.clone(), gateway.name.clone(), gateway.client);
-        clients.push(repeat(&stop, Duration::from_millis(200), move || {
-            request(&record, (&name, address), "GET", HOST, "/one/2f", 1_500);
+        clients.push(repeat(&stop, Duration::from_millis(50), move || {
+            request(&record, (&name, address), "POST", HOST, "/book/2f", 1_500);
         }));
     }
     // The platform ends a process that exceeds its memory, and starts it again.
@@ -97,6 +101,7 @@
                 rounds += 1;
                 sleep(Duration::from_millis(100));
             }
+            gateways
         })
     };
     sleep(Duration::from_secs(3));
@@ -120,10 +125,12 @@
         sleep(Duration::from_secs(6));
     }
     stop.store(true, Ordering::SeqCst);
-    let _ = platform.join();
+    // The gateways run until the last client has its answer.
+    let gateways = platform.join();
     for client in clients {
         let _ = client.join();
     }
+    drop(gateways);
     let kills = kills.lock().expect("no panic").clone();
     let machines = kills.iter().filter(|kills| **kills >= 3).count();
     record.tell(&format!(
@@ -131,7 +138,42 @@
         kills.len()
     ));
     record.write(folder);
-    Some(machines >= 2)
+    Some(judge(&record, folder))
+}
+
+/// Counts the requests that a server ran and whose connection ended without an answer, beside
+/// configurations and at other times, and compares how often that was the case.
+fn judge(record: &Record, folder: &str) -> bool {
+    let text = fs::read_to_string(format!("{folder}/record.txt")).unwrap_or_default();
+    let mut configured_at = f64::NEG_INFINITY;
+    let mut ran = HashSet::new();
+    // Requests and lost requests, beside configurations and at other times.
+    let mut counts = [[0_u32; 2]; 2];
+    for line in text.lines() {
+        let time: f64 = line[..9].trim().parse().unwrap_or(0.0);
+        let id = line.split("request=").nth(1).and_then(|rest| rest.split(' ').next());
+        match line[9..].split(' ').next() {
+            Some("config") => configured_at = time,
+            Some("run") => {
+                ran.insert(id.unwrap_or_default().to_owned());
+            }
+            Some("answered") => {
+                let beside = usize::from(time - configured_at <= CONFIG_WINDOW_S);
+                counts[beside][0] += 1;
+                let is_lost = line.contains(" status=0 ") && ran.contains(id.unwrap_or_default());
+                counts[beside][1] += u32::from(is_lost);
+            }
+            _ => {}
+        }
+    }
+    let [[other, other_lost], [beside, beside_lost]] = counts;
+    record.tell(&format!(
+        "run by a server and ended without an answer: {beside_lost} of {beside} requests beside a \
+         configuration, {other_lost} of {other} at other times"
+    ));
+    record.write(folder);
+    let often = |lost: u32, all: u32| f64::from(lost) / f64::from(all.max(1));
+    beside_lost > 0 && often(beside_lost, beside) > 3.0 * often(other_lost, other)
 }
 
 /// Returns the resident memory of a process.
