--- a/review/standin/crashing_caller.rs
+++ b/review/standin/crashing_caller.rs
@@ -3,7 +3,10 @@
 
 use std::{
     fs,
-    sync::{Arc, atomic::{AtomicBool, Ordering}},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::{self, sleep},
     time::Duration,
 };
@@ -33,18 +36,28 @@
 const DOWN: Duration = Duration::from_millis(2_000);
 
 pub fn run(folder: &str, trouble: bool, guilt: Guilt) -> Option<bool> {
-    let guilty_target = if guilt == Guilt::AlikeOthers { TARGET } else { "/book/7f" };
+    let guilty_target = if guilt == Guilt::AlikeOthers {
+        TARGET
+    } else {
+        "/book/7f"
+    };
     let record = Record::new();
     let temp = TempFolder::new();
     let store = Store::start();
-    let servers: Vec<Server> = ["i-1", "i-2", "i-3"].map(|id| Server::start(&record, id, 60)).into();
+    let servers: Vec<Server> = ["i-1", "i-2", "i-3"]
+        .map(|id| Server::start(&record, id, 60))
+        .into();
     let servers = Arc::new(servers);
     for server in servers.iter() {
         server.set_crashed_by(guilty_target, GUILTY);
         if guilt == Guilt::InAnswer {
             server.crash_in_answer();
         }
-        store.put("servers", &server.id, &server.registration("app", "lisse", "ready", 1_000));
+        store.put(
+            "servers",
+            &server.id,
+            &server.registration("app", "lisse", "ready", 1_000),
+        );
     }
     store.put("config", "main", &configuration(3, &["/book/"]));
     let names = [
@@ -55,8 +68,10 @@
         ("front-hillegom-2", "hillegom"),
         ("front-noordwijk-1", "noordwijk"),
     ];
-    let gateways: Vec<Gateway> =
-        names.iter().map(|(name, zone)| Gateway::start(&temp, &store, name, zone)).collect();
+    let gateways: Vec<Gateway> = names
+        .iter()
+        .map(|(name, zone)| Gateway::start(&temp, &store, name, zone))
+        .collect();
     for gateway in &gateways {
         if !gateway.until_ready(Duration::from_secs(15)) {
             record.tell(&format!("{} is not ready", gateway.name));
@@ -69,8 +84,12 @@
     // Servers that have crashed are back after some seconds, as a new process under their id.
     let watchers: Vec<_> = (0..servers.len())
         .map(|index| {
-            let (servers, store, record, stop) =
-                (Arc::clone(&servers), Arc::clone(&store), record.clone(), Arc::clone(&stop));
+            let (servers, store, record, stop) = (
+                Arc::clone(&servers),
+                Arc::clone(&store),
+                record.clone(),
+                Arc::clone(&stop),
+            );
             thread::spawn(move || {
                 let server = &servers[index];
                 let mut seen = 0;
@@ -94,18 +113,37 @@
         let (record, name, address) = (record.clone(), gateway.name.clone(), gateway.client);
         let caller = format!("Bearer c-{index}");
         clients.push(repeat(&stop, Duration::from_millis(100), move || {
-            request_of(&record, (&name, address), "POST", HOST, TARGET, 1_500, &caller);
+            request_of(
+                &record,
+                (&name, address),
+                "POST",
+                HOST,
+                TARGET,
+                1_500,
+                &caller,
+            );
         }));
     }
     // No machine is disturbed: all are in touch from here on.
     sleep(Duration::from_secs(6));
     if trouble {
-        let addresses: Vec<_> = gateways.iter().map(|g| (g.name.clone(), g.client)).collect();
+        let addresses: Vec<_> = gateways
+            .iter()
+            .map(|g| (g.name.clone(), g.client))
+            .collect();
         let record = record.clone();
         let mut next = 0;
         clients.push(repeat(&stop, Duration::from_millis(2_500), move || {
             let (name, address) = &addresses[next];
-            request_of(&record, (name, *address), "POST", HOST, guilty_target, 1_500, GUILTY);
+            request_of(
+                &record,
+                (name, *address),
+                "POST",
+                HOST,
+                guilty_target,
+                1_500,
+                GUILTY,
+            );
             next = (next + 1) % addresses.len();
         }));
     }
@@ -123,15 +161,24 @@
 fn judge(record: &Record, folder: &str) -> bool {
     let text = fs::read_to_string(format!("{folder}/record.txt")).unwrap_or_default();
     let time = |line: &str| line[..9].trim().parse::<f64>().unwrap_or(0.0);
-    let crashes: Vec<&str> = text.lines().filter(|line| line[9..].starts_with("crash ")).collect();
+    let crashes: Vec<&str> = text
+        .lines()
+        .filter(|line| line[9..].starts_with("crash "))
+        .collect();
     let third = crashes.get(2).map(|line| time(line));
-    record.tell(&format!("{} crashes, the third at {third:?}", crashes.len()));
+    record.tell(&format!(
+        "{} crashes, the third at {third:?}",
+        crashes.len()
+    ));
     let Some(third) = third else {
         record.write(folder);
         return false;
     };
     let later = text.lines().filter(|line| {
-        let id = line.split("request=").nth(1).and_then(|rest| rest.split(' ').next());
+        let id = line
+            .split("request=")
+            .nth(1)
+            .and_then(|rest| rest.split(' ').next());
         line[9..].starts_with("sent ")
             && line.ends_with(GUILTY)
             && time(line) > third + STABLE_S
--- a/review/standin/crashing_request.rs
+++ b/review/standin/crashing_request.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::HashMap,
     fs,
-    sync::{Arc, Mutex, atomic::{AtomicBool, Ordering}},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::{self, sleep},
     time::{Duration, Instant},
 };
@@ -26,11 +29,17 @@
     let record = Record::new();
     let temp = TempFolder::new();
     let store = Store::start();
-    let servers: Vec<Server> = ["i-1", "i-2", "i-3"].map(|id| Server::start(&record, id, 20)).into();
+    let servers: Vec<Server> = ["i-1", "i-2", "i-3"]
+        .map(|id| Server::start(&record, id, 20))
+        .into();
     let servers = Arc::new(servers);
     for server in servers.iter() {
         server.set_crashed_by(GUILTY, "");
-        store.put("servers", &server.id, &server.registration("app", "lisse", "ready", 1_000));
+        store.put(
+            "servers",
+            &server.id,
+            &server.registration("app", "lisse", "ready", 1_000),
+        );
     }
     store.put("config", "main", &configuration(3, &["/one/", "/book/"]));
     let names = [
@@ -41,8 +50,10 @@
         ("front-hillegom-2", "hillegom"),
         ("front-noordwijk-1", "noordwijk"),
     ];
-    let mut gateways: Vec<Gateway> =
-        names.iter().map(|(name, zone)| Gateway::start(&temp, &store, name, zone)).collect();
+    let mut gateways: Vec<Gateway> = names
+        .iter()
+        .map(|(name, zone)| Gateway::start(&temp, &store, name, zone))
+        .collect();
     for gateway in &gateways {
         if !gateway.until_ready(Duration::from_secs(15)) {
             record.tell(&format!("{} is not ready", gateway.name));
@@ -55,8 +66,12 @@
     // Servers that have crashed are back after some seconds, as a new process under their id.
     let watchers: Vec<_> = (0..servers.len())
         .map(|index| {
-            let (servers, store, record, stop) =
-                (Arc::clone(&servers), Arc::clone(&store), record.clone(), Arc::clone(&stop));
+            let (servers, store, record, stop) = (
+                Arc::clone(&servers),
+                Arc::clone(&store),
+                record.clone(),
+                Arc::clone(&stop),
+            );
             thread::spawn(move || {
                 let server = &servers[index];
                 let mut seen = 0;
@@ -79,7 +94,10 @@
     let calm = Arc::new(Mutex::new(vec![Some(0.0); gateways.len()]));
     // The caller sends the request again and again, to one machine after the other.
     let sent: Arc<Mutex<HashMap<usize, f64>>> = Arc::default();
-    let addresses: Vec<_> = gateways.iter().map(|g| (g.name.clone(), g.client)).collect();
+    let addresses: Vec<_> = gateways
+        .iter()
+        .map(|g| (g.name.clone(), g.client))
+        .collect();
     let mut clients = Vec::new();
     for (name, address) in addresses.clone() {
         let record = record.clone();
@@ -88,8 +106,12 @@
         }));
     }
     let caller = {
-        let (record, addresses, calm, sent) =
-            (record.clone(), addresses, Arc::clone(&calm), Arc::clone(&sent));
+        let (record, addresses, calm, sent) = (
+            record.clone(),
+            addresses,
+            Arc::clone(&calm),
+            Arc::clone(&sent),
+        );
         let mut next = 0;
         repeat(&stop, Duration::from_millis(500), move || {
             let (name, address) = &addresses[next];
@@ -156,13 +178,20 @@
         }
     }
     let third = crashes.get(2).map(|(time, _)| *time);
-    record.tell(&format!("{} crashes, the third at {third:?}", crashes.len()));
+    record.tell(&format!(
+        "{} crashes, the third at {third:?}",
+        crashes.len()
+    ));
     let Some(third) = third else {
         return false;
     };
-    let counted = crashes.iter().filter(|(_, id)| in_touch[id] && sent_at[id] > third + STABLE_S);
+    let counted = crashes
+        .iter()
+        .filter(|(_, id)| in_touch[id] && sent_at[id] > third + STABLE_S);
     let counted = counted.count();
-    record.tell(&format!("{counted} of them later than 3 s after it, by machines in touch; 3 allowed"));
+    record.tell(&format!(
+        "{counted} of them later than 3 s after it, by machines in touch; 3 allowed"
+    ));
     record.write(folder);
     counted > 3
 }
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -163,11 +163,20 @@
 }
 
 fn spawn(folder: &Path, name: &str, settings: &Path) -> Child {
-    let log = File::options().create(true).append(true).open(folder.join(format!("{name}.log")));
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(folder.join(format!("{name}.log")));
     let log = log.expect("a log file");
     let mut command = Command::new(GATEWAY);
-    command.env_clear().env("WAGTAILARCH_NODE_FILE", settings).env("PATH", "/usr/bin:/bin");
-    command.stdin(Stdio::null()).stderr(log.try_clone().expect("a file")).stdout(log);
+    command
+        .env_clear()
+        .env("WAGTAILARCH_NODE_FILE", settings)
+        .env("PATH", "/usr/bin:/bin");
+    command
+        .stdin(Stdio::null())
+        .stderr(log.try_clone().expect("a file"))
+        .stdout(log);
     match command.spawn() {
         Ok(child) => child,
         Err(error) => {
@@ -244,12 +253,23 @@
                     return;
                 }
                 let _ = stream.set_nodelay(true);
-                connections.lock().expect("no panic").push(stream.try_clone().expect("a socket"));
+                connections
+                    .lock()
+                    .expect("no panic")
+                    .push(stream.try_clone().expect("a socket"));
                 let (record, id, work_ms) = (record.clone(), id.clone(), Arc::clone(&work_ms));
                 let (crashed_by, crashes) = (Arc::clone(&crashed_by), Arc::clone(&crashes));
                 let in_answer = in_answer.load(Ordering::SeqCst);
                 thread::spawn(move || {
-                    serve(&record, &id, &work_ms, &crashed_by, in_answer, &crashes, stream);
+                    serve(
+                        &record,
+                        &id,
+                        &work_ms,
+                        &crashed_by,
+                        in_answer,
+                        &crashes,
+                        stream,
+                    );
                 });
             }
         });
@@ -313,7 +333,10 @@
     };
     let mut reader = Reader::new(stream);
     while let Ok(Some(request)) = reader.message(false) {
-        let request_id = request.header("Wagtailarch-Request-Id").unwrap_or("").to_owned();
+        let request_id = request
+            .header("Wagtailarch-Request-Id")
+            .unwrap_or("")
+            .to_owned();
         let expected = request.header("Wagtailarch-Expect-Instance");
         if expected.is_some_and(|expected| expected != id) {
             let text = format!(
@@ -325,7 +348,10 @@
             }
             continue;
         }
-        record.add(format!("run server={id} request={request_id} target={}", request.target()));
+        record.add(format!(
+            "run server={id} request={request_id} target={}",
+            request.target()
+        ));
         let caller = request.header("Authorization").unwrap_or("");
         let guilty = crashed_by.lock().expect("no panic").clone();
         if (request.target(), caller) == (&guilty.0, &guilty.1) {
@@ -389,16 +415,26 @@
         "{method} {target} HTTP/1.1\r\nHost: {host}\r\nWagtailarch-Request-Id: {id}\r\n\
          {authorization}Wagtailarch-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n\r\n"
     );
-    record.add(format!("sent gateway={name} request={id} {method} {target} {caller}"));
+    record.add(format!(
+        "sent gateway={name} request={id} {method} {target} {caller}"
+    ));
     let response = http::call(address, &text, Duration::from_millis(deadline_ms));
     let (status, detail) = match response {
         Ok(response) => {
-            let by_server = response.header("Wagtailarch-Server-Stamp").unwrap_or("-").to_owned();
-            (response.status(), format!("stamp={by_server} complete={}", response.complete))
+            let by_server = response
+                .header("Wagtailarch-Server-Stamp")
+                .unwrap_or("-")
+                .to_owned();
+            (
+                response.status(),
+                format!("stamp={by_server} complete={}", response.complete),
+            )
         }
         Err(error) => (0, format!("error={error}")),
     };
-    record.add(format!("answered gateway={name} request={id} status={status} {detail}"));
+    record.add(format!(
+        "answered gateway={name} request={id} status={status} {detail}"
+    ));
     status
 }
 
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -19,7 +19,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -77,11 +80,15 @@
         };
         for line in lines {
             if let Some((name, value)) = line.split_once(':') {
-                message.headers.push((name.to_owned(), value.trim().to_owned()));
+                message
+                    .headers
+                    .push((name.to_owned(), value.trim().to_owned()));
             }
         }
         let chunked = message.header("transfer-encoding").is_some();
-        let length: Option<usize> = message.header("content-length").and_then(|v| v.parse().ok());
+        let length: Option<usize> = message
+            .header("content-length")
+            .and_then(|v| v.parse().ok());
         if chunked {
             message.complete = self.chunks(&mut message.body)?;
         } else if let Some(length) = length {
--- a/review/standin/many_changes.rs
+++ b/review/standin/many_changes.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::HashSet,
     fs,
-    sync::{Arc, Mutex, atomic::{AtomicBool, Ordering}},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::{self, sleep},
     time::Duration,
 };
@@ -31,9 +34,15 @@
     let record = Record::new();
     let temp = TempFolder::new();
     let store = Store::start();
-    let servers: Vec<Server> = ["i-1", "i-2", "i-3"].map(|id| Server::start(&record, id, 60)).into();
+    let servers: Vec<Server> = ["i-1", "i-2", "i-3"]
+        .map(|id| Server::start(&record, id, 60))
+        .into();
     for server in &servers {
-        store.put("servers", &server.id, &server.registration("app", "buda-a", "ready", 1_000));
+        store.put(
+            "servers",
+            &server.id,
+            &server.registration("app", "buda-a", "ready", 1_000),
+        );
     }
     let mut prefixes = vec!["/book/".to_owned()];
     let mut version = 3;
@@ -53,8 +62,10 @@
         ("front-pest-b-2", "pest-b"),
         ("front-obuda-c-1", "obuda-c"),
     ];
-    let gateways: Vec<Gateway> =
-        names.iter().map(|(name, zone)| Gateway::start(&temp, &store, name, zone)).collect();
+    let gateways: Vec<Gateway> = names
+        .iter()
+        .map(|(name, zone)| Gateway::start(&temp, &store, name, zone))
+        .collect();
     for gateway in &gateways {
         if !gateway.until_ready(Duration::from_secs(15)) {
             record.tell(&format!("{} is not ready", gateway.name));
@@ -74,8 +85,12 @@
     // The platform ends a process that exceeds its memory, and starts it again.
     let kills = Arc::new(Mutex::new(vec![0_u32; gateways.len()]));
     let platform = {
-        let (record, stop, kills, folder) =
-            (record.clone(), Arc::clone(&stop), Arc::clone(&kills), temp.path.clone());
+        let (record, stop, kills, folder) = (
+            record.clone(),
+            Arc::clone(&stop),
+            Arc::clone(&kills),
+            temp.path.clone(),
+        );
         let mut gateways = gateways;
         thread::spawn(move || {
             let mut rounds = 0;
@@ -111,7 +126,10 @@
             prefixes.extend(more);
             version += 2;
             let bytes = put(version, &prefixes);
-            record.tell(&format!("the configuration has {} routes, {bytes} bytes", prefixes.len()));
+            record.tell(&format!(
+                "the configuration has {} routes, {bytes} bytes",
+                prefixes.len()
+            ));
             sleep(Duration::from_millis(500));
         }
     }
@@ -151,7 +169,10 @@
     let mut counts = [[0_u32; 2]; 2];
     for line in text.lines() {
         let time: f64 = line[..9].trim().parse().unwrap_or(0.0);
-        let id = line.split("request=").nth(1).and_then(|rest| rest.split(' ').next());
+        let id = line
+            .split("request=")
+            .nth(1)
+            .and_then(|rest| rest.split(' ').next());
         match line[9..].split(' ').next() {
             Some("config") => configured_at = time,
             Some("run") => {
@@ -180,5 +201,6 @@
 fn resident_kb(pid: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    line.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+    line.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok())
+        .unwrap_or(0)
 }
--- a/review/standin/missed_change.rs
+++ b/review/standin/missed_change.rs
@@ -2,7 +2,10 @@
 //! a moment ago answers from a log that lacks what came before.
 
 use std::{
-    sync::{Arc, atomic::{AtomicBool, Ordering}},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::sleep,
     time::Duration,
 };
@@ -39,9 +42,15 @@
     let record = Record::new();
     let temp = TempFolder::new();
     let store = Store::start();
-    let servers: Vec<Server> = ["i-1", "i-2", "i-3"].map(|id| Server::start(&record, id, 20)).into();
+    let servers: Vec<Server> = ["i-1", "i-2", "i-3"]
+        .map(|id| Server::start(&record, id, 20))
+        .into();
     for server in &servers {
-        store.put("servers", &server.id, &server.registration("app", "lisse", "ready", 1_000));
+        store.put(
+            "servers",
+            &server.id,
+            &server.registration("app", "lisse", "ready", 1_000),
+        );
     }
     store.put("config", "main", &configuration(3, &["/one/"]));
     // Three machines and the added one in the first zone, two in the second.
@@ -53,8 +62,10 @@
         ("front-hillegom-1", "hillegom"),
         ("front-hillegom-2", "hillegom"),
     ];
-    let gateways: Vec<Gateway> =
-        names.iter().map(|(name, zone)| Gateway::start(&temp, &store, name, zone)).collect();
+    let gateways: Vec<Gateway> = names
+        .iter()
+        .map(|(name, zone)| Gateway::start(&temp, &store, name, zone))
+        .collect();
     for gateway in &gateways {
         if !gateway.until_ready(Duration::from_secs(15)) {
             record.tell(&format!("{} is not ready", gateway.name));
@@ -99,8 +110,14 @@
             if trouble && index == 2 {
                 continue;
             }
-            let status =
-                request(&record, (&gateway.name, gateway.client), "GET", HOST, "/two/2f", 1_500);
+            let status = request(
+                &record,
+                (&gateway.name, gateway.client),
+                "GET",
+                HOST,
+                "/two/2f",
+                1_500,
+            );
             if status == 404 {
                 broken += 1;
             } else if status != 200 {
@@ -113,7 +130,9 @@
     for client in clients {
         let _ = client.join();
     }
-    record.tell(&format!("{broken} requests to /two/ were refused with 404 by machines in touch"));
+    record.tell(&format!(
+        "{broken} requests to /two/ were refused with 404 by machines in touch"
+    ));
     record.write(folder);
     Some(broken > 0)
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -78,9 +78,11 @@
         self.change(kind, name, None);
     }
 
-
     fn change(&self, kind: &str, name: &str, spec: Option<&str>) {
-        self.state.lock().expect("no panic").change(kind, name, spec);
+        self.state
+            .lock()
+            .expect("no panic")
+            .change(kind, name, spec);
         self.changed.notify_all();
     }
 
@@ -101,19 +103,26 @@
     }
 
     fn respond(&self, request: &Message) -> (u16, String) {
-        let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+        let (path, query) = request
+            .target()
+            .split_once('?')
+            .unwrap_or((request.target(), ""));
         let Some(path) = path.strip_prefix("/v1/objects/") else {
             return (404, "null".into());
         };
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
         let parameter = |key: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(name, _)| *name == key).map(|(_, value)| value.to_owned())
+            pairs
+                .find(|(name, _)| *name == key)
+                .map(|(_, value)| value.to_owned())
         };
         let number = |key: &str| parameter(key).and_then(|value| value.parse::<u64>().ok());
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
         let metadata = body.get("metadata");
-        let condition = metadata.and_then(|m| m.get("revision")).and_then(Json::number);
+        let condition = metadata
+            .and_then(|m| m.get("revision"))
+            .and_then(Json::number);
         let condition = condition.or_else(|| number("revision"));
         let spec = body.get("spec").unwrap_or(&Json::Null).to_string();
         match request.method() {
@@ -135,7 +144,12 @@
             }
             "PUT" => self.write(kind, name, &spec, condition, false),
             "DELETE" => {
-                let exists = self.state.lock().expect("no panic").object(kind, name).is_some();
+                let exists = self
+                    .state
+                    .lock()
+                    .expect("no panic")
+                    .object(kind, name)
+                    .is_some();
                 if !exists {
                     return (404, "null".into());
                 }
@@ -155,7 +169,10 @@
         create: bool,
     ) -> (u16, String) {
         let mut state = self.state.lock().expect("no panic");
-        let found = state.objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        let found = state
+            .objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned();
         match found {
             None if !create => return (404, "null".into()),
             Some(_) if create => {
@@ -177,11 +194,17 @@
 
     fn list(&self, kind: &str, after: &str) -> (u16, String) {
         let state = self.state.lock().expect("no panic");
-        let keys = state.objects.keys().filter(|(k, name)| k == kind && name.as_str() > after);
+        let keys = state
+            .objects
+            .keys()
+            .filter(|(k, name)| k == kind && name.as_str() > after);
         let items: Vec<_> = keys.filter_map(|(k, name)| state.object(k, name)).collect();
         let items = items.join(",");
         let revision = state.revision;
-        (200, format!("{{\"items\":[{items}],\"has_more\":false,\"current_rev\":{revision}}}"))
+        (
+            200,
+            format!("{{\"items\":[{items}],\"has_more\":false,\"current_rev\":{revision}}}"),
+        )
     }
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> (u16, String) {
@@ -191,7 +214,10 @@
             if after < state.expired {
                 return (410, "null".into());
             }
-            let newer = state.history.iter().filter(|c| c.revision > after && c.kind == kind);
+            let newer = state
+                .history
+                .iter()
+                .filter(|c| c.revision > after && c.kind == kind);
             let events: Vec<String> = newer
                 .map(|c| format!("{{\"object\":{},\"deleted\":{}}}", c.object, c.deleted))
                 .collect();
@@ -199,7 +225,10 @@
             if !events.is_empty() || left.is_zero() {
                 let events = events.join(",");
                 let revision = state.revision;
-                return (200, format!("{{\"events\":[{events}],\"current_rev\":{revision}}}"));
+                return (
+                    200,
+                    format!("{{\"events\":[{events}],\"current_rev\":{revision}}}"),
+                );
             }
             state = self.changed.wait_timeout(state, left).expect("no panic").0;
         }
@@ -238,7 +267,11 @@
             object: encoded.as_str().into(),
             deleted: spec.is_none(),
         });
-        while self.history.front().is_some_and(|oldest| oldest.at.elapsed() > HISTORY) {
+        while self
+            .history
+            .front()
+            .is_some_and(|oldest| oldest.at.elapsed() > HISTORY)
+        {
             self.expired = self.history.pop_front().map_or(0, |oldest| oldest.revision);
         }
         encoded
@@ -246,7 +279,11 @@
 }
 
 fn encode(name: &str, object: &Object) -> String {
-    let Object { revision, created, spec } = object;
+    let Object {
+        revision,
+        created,
+        spec,
+    } = object;
     format!(
         "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision},\"create_rev\":{created},\
          \"finalizers\":[],\"deleting\":false}},\"spec\":{spec},\"status\":null}}"
