--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -167,7 +167,7 @@
                 .load_balancer
                 .borrow_mut()
                 .on_unreachable(gateway.now(), id);
-            log_failure(context, call, CallFailure::UNREACHABLE, &error.to_string());
+            on_call_failed(context, call, CallFailure::UNREACHABLE, &error.to_string());
             return Err(CallFailure::UNREACHABLE);
         }
     };
@@ -183,6 +183,7 @@
     );
     permit.spend();
     let sent_at = gateway.now();
+    context.open.on_sent(sent_at, id);
     let request = head.map(|()| Full::new(context.body.bytes.clone()));
     let sent = connection.sender.send_request(request);
     let response = match timeout(call.head_limit, sent).await {
@@ -191,7 +192,7 @@
                 .load_balancer
                 .borrow_mut()
                 .on_failure(gateway.now(), id);
-            log_failure(context, call, CallFailure::TIMED_OUT, "no answer in time");
+            on_call_failed(context, call, CallFailure::TIMED_OUT, "no answer in time");
             return Err(CallFailure::TIMED_OUT);
         }
         Ok(Err(error)) => {
@@ -199,7 +200,7 @@
                 .load_balancer
                 .borrow_mut()
                 .on_failure(gateway.now(), id);
-            log_failure(context, call, CallFailure::CLOSED, &describe(&error));
+            on_call_failed(context, call, CallFailure::CLOSED, &describe(&error));
             let progress = match call.step {
                 CallStep::Prefill => RunProgress::Prefill,
                 CallStep::Whole | CallStep::Decode(_) => RunProgress::NotBegun,
@@ -226,7 +227,7 @@
             (CallFailure::NOT_RUN, _) => gateway.load_balancer.borrow_mut().on_busy(now, id),
             _ => gateway.load_balancer.borrow_mut().on_failure(now, id),
         }
-        log_failure(context, call, failure, &cause);
+        on_call_failed(context, call, failure, &cause);
         return Err(failure);
     }
     connection
@@ -284,7 +285,7 @@
                     .load_balancer
                     .borrow_mut()
                     .on_failure(now, &call.server.id);
-                log_failure(context, call, CallFailure::CLOSED, "undeclared end");
+                on_call_failed(context, call, CallFailure::CLOSED, "undeclared end");
                 return Err(CallFailure::CLOSED);
             }
             Ok(body)
@@ -302,11 +303,11 @@
                 BufferError::Connection(error) => describe(&error),
                 error => error.to_string(),
             };
-            log_failure(context, call, CallFailure::CLOSED, &cause);
+            on_call_failed(context, call, CallFailure::CLOSED, &cause);
             Err(CallFailure::CLOSED)
         }
         Err(_) => {
-            log_failure(
+            on_call_failed(
                 context,
                 call,
                 CallFailure::TIMED_OUT,
@@ -430,7 +431,8 @@
     ids.join(",")
 }
 
-fn log_failure(context: &RequestContext, call: &Call, failure: CallFailure, cause: &str) {
+fn on_call_failed(context: &RequestContext, call: &Call, failure: CallFailure, cause: &str) {
+    context.open.on_call_failed();
     info!(context.gateway.log, "attempt failed"; "request" => %context.client.id,
         "route" => %context.route.name, "server" => %call.server.id,
         "address" => %call.server.address, "step" => step_name(&call.step),
--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -279,13 +279,14 @@
         Ok(connection) => connection,
         Err(error) => {
             guard.set_result(ForwardResult::Unavailable);
-            return Err(log_not_taken(context, call, &error.to_string()));
+            return Err(on_not_taken(context, call, &error.to_string()));
         }
     };
     let number = gateway.forwarding.next_number();
     let Some(head) = encode_call(context, call, number) else {
-        return Err(log_not_taken(context, call, "call not encoded"));
+        return Err(on_not_taken(context, call, "call not encoded"));
     };
+    context.open.on_sent(gateway.now(), &call.peer.name);
     let request = head.map(|()| Full::new(context.body.bytes.clone()));
     let sent = connection.sender.send_request(request);
     // The other instance leaves slow servers itself, and one that pauses is not dead.
@@ -293,7 +294,7 @@
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
             guard.set_result(ForwardResult::Unavailable);
-            return Err(log_lost(
+            return Err(on_lost(
                 context,
                 call,
                 CallFailure::CLOSED,
@@ -302,7 +303,7 @@
         }
         Err(_) => {
             guard.set_result(ForwardResult::Unavailable);
-            return Err(log_lost(
+            return Err(on_lost(
                 context,
                 call,
                 CallFailure::TIMED_OUT,
@@ -347,11 +348,11 @@
             }));
         }
         Some(ForwardOutcome::NotTaken(reason)) => {
-            return Err(log_not_taken(context, call, &reason.to_string()));
+            return Err(on_not_taken(context, call, &reason.to_string()));
         }
         None => {
             let cause = "no outcome for this call";
-            return Err(log_lost(context, call, CallFailure::WRONG_RESPONSE, cause));
+            return Err(on_lost(context, call, CallFailure::WRONG_RESPONSE, cause));
         }
     };
     let framing = BodyFraming::of_response(&parts.headers, body.is_end_stream());
@@ -421,7 +422,7 @@
     let head = response.take_head();
     if response.framing != BodyFraming::Length {
         let cause = "response without length";
-        return Err(log_lost(context, call, CallFailure::CLOSED, cause));
+        return Err(on_lost(context, call, CallFailure::CLOSED, cause));
     }
     let gateway = &context.gateway;
     let body = gateway.buffer_budget.read(response.body, MAX_BODY_BYTES);
@@ -434,11 +435,11 @@
         }
         Ok(Err(error)) => {
             let cause = error.to_string();
-            Err(log_lost(context, call, CallFailure::CLOSED, &cause))
+            Err(on_lost(context, call, CallFailure::CLOSED, &cause))
         }
         Err(_) => {
             let cause = "no whole response in time";
-            Err(log_lost(context, call, CallFailure::TIMED_OUT, cause))
+            Err(on_lost(context, call, CallFailure::TIMED_OUT, cause))
         }
     }
 }
@@ -459,7 +460,8 @@
     }
 }
 
-fn log_not_taken(context: &RequestContext, call: &InstanceCall, cause: &str) -> InstanceFailure {
+fn on_not_taken(context: &RequestContext, call: &InstanceCall, cause: &str) -> InstanceFailure {
+    context.open.on_call_failed();
     let gateway = &context.gateway;
     gateway.metrics.count_forward(ForwardEvent::NotTaken);
     info!(gateway.log, "not taken by an instance"; "request" => %context.client.id,
@@ -468,12 +470,13 @@
     InstanceFailure::NotTaken
 }
 
-fn log_lost(
+fn on_lost(
     context: &RequestContext,
     call: &InstanceCall,
     failure: CallFailure,
     cause: &str,
 ) -> InstanceFailure {
+    context.open.on_call_failed();
     let gateway = &context.gateway;
     gateway.metrics.count_forward(ForwardEvent::Lost);
     info!(gateway.log, "lost at an instance"; "request" => %context.client.id,
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -24,6 +24,7 @@
     body_buffer::BufferBudget,
     forward::ForwardState,
     metrics::Metrics,
+    open_requests::OpenRequests,
     origins::{self, Origins},
     outbox::Outbox,
     paths::Paths,
@@ -66,8 +67,8 @@
     pub forwarding: ForwardState,
     /// Memory limit for buffered bodies.
     pub buffer_budget: Rc<BufferBudget>,
-    /// Number of requests without a complete response.
-    pub open_requests: Cell<usize>,
+    /// Requests without a complete response.
+    pub open_requests: OpenRequests,
     /// Number of open connections of clients and of other instances that pass requests on.
     pub open_connections: Cell<usize>,
     /// State of the shutdown.
@@ -117,7 +118,7 @@
             origins: Origins::default(),
             forwarding: ForwardState::new(boot),
             buffer_budget: Rc::default(),
-            open_requests: Cell::new(0),
+            open_requests: OpenRequests::default(),
             open_connections: Cell::new(0),
             shutdown: watch::Sender::new(ShutdownState::Running),
             snapshot: RefCell::default(),
--- a/crates/wagtailarch-gateway/src/guards.rs
+++ b/crates/wagtailarch-gateway/src/guards.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
+use smol_str::SmolStr;
 use wagtailarch_dispatch::{PrefillNumber, PrefixLink, Urgency};
 use wagtailarch_types::{InstanceId, ServiceName};
 
-use crate::{client_meter::ClientMeter, gateway::Gateway, paths::ForwardResult};
+use crate::{
+    client_meter::ClientMeter, gateway::Gateway, open_requests::OpenRequest, paths::ForwardResult,
+};
 
 /// Counts a request as in flight at a server until the response ends.
 #[derive(Debug)]
@@ -250,25 +253,29 @@
     }
 }
 
-/// Counts a client's request as open until its response is complete.
+/// Keeps a client's request among the open ones until its response is complete.
 #[derive(Debug)]
 pub struct RequestGuard {
     gateway: Rc<Gateway>,
+    number: u64,
+    /// What is known of the open request.
+    pub request: Rc<OpenRequest>,
 }
 
 impl RequestGuard {
-    /// Counts a request as open.
-    pub fn new(gateway: &Rc<Gateway>) -> Self {
-        gateway.open_requests.set(gateway.open_requests.get() + 1);
+    /// Adds a request whose head was read.
+    pub fn new(gateway: &Rc<Gateway>, id: SmolStr) -> Self {
+        let (number, request) = gateway.open_requests.add(id, gateway.now());
         Self {
             gateway: Rc::clone(gateway),
+            number,
+            request,
         }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let open = self.gateway.open_requests.get();
-        self.gateway.open_requests.set(open.saturating_sub(1));
+        self.gateway.open_requests.remove(self.number);
     }
 }
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod http_client;
 mod metered_stream;
 mod metrics;
+mod open_requests;
 mod origins;
 mod outbox;
 mod panic_handling;
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -202,13 +202,13 @@
         grace: gateway.reloadable_settings().grace,
     };
     let started = gateway.now();
-    info!(gateway.log, "stopping"; "open_requests" => gateway.open_requests.get());
+    info!(gateway.log, "stopping"; "open_requests" => gateway.open_requests.count());
     gateway.shutdown.send_replace(ShutdownState::Announced);
     // The others send their requests elsewhere.
     gateway.schedule_load_note();
     loop {
         let elapsed = gateway.now().saturating_sub(started);
-        let open = gateway.open_requests.get();
+        let open = gateway.open_requests.count();
         // A connection is open until its client has received the whole response.
         let unfinished = match *gateway.shutdown.borrow() {
             ShutdownState::Finishing => open.max(gateway.open_connections.get()),
@@ -226,6 +226,9 @@
                 if unfinished > 0 {
                     warn!(gateway.log, "stopped with open requests"; "open_requests" => open,
                         "open_connections" => gateway.open_connections.get());
+                    gateway
+                        .open_requests
+                        .log_cut_off(&gateway.log, gateway.now());
                 } else {
                     info!(gateway.log, "stopped"; "after_ms" => elapsed.as_millis() as u64);
                 }
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -15,6 +15,7 @@
 use crate::{
     body_buffer::BufferedBody,
     gateway::Gateway,
+    open_requests::OpenRequest,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
 };
 
@@ -25,6 +26,25 @@
 /// Events of a stream that carry no output token, such as its end.
 const NON_TOKEN_EVENTS: u64 = 64;
 
+/// A client's request that was read whole, with the route that it matches.
+#[derive(Debug)]
+pub struct ReceivedRequest {
+    /// Decoded head.
+    pub client: ClientRequest,
+    /// Body.
+    pub body: BufferedBody,
+    /// Route that the request matches.
+    pub route: Route,
+    /// Configuration in force when the request arrived.
+    pub config: Arc<RoutingConfig>,
+    /// Time of arrival since the start of the process.
+    pub arrived: Duration,
+    /// What accompanies the request if another instance sent it.
+    pub forwarded: Option<ForwardCall>,
+    /// Its entry among the open requests.
+    pub open: Rc<OpenRequest>,
+}
+
 /// A client's request with the data needed to serve it.
 #[derive(Debug)]
 pub struct RequestContext {
@@ -56,6 +76,8 @@
     pub is_version_shared: Cell<bool>,
     /// What accompanies the request if another instance sent it, which then is not sent on.
     pub forwarded: Option<ForwardCall>,
+    /// Entry of the request among the open ones.
+    pub open: Rc<OpenRequest>,
     /// Time that the client had waited when the request arrived.
     waited: Duration,
     /// Number of calls that may have run the request.
@@ -68,15 +90,16 @@
 
 impl RequestContext {
     /// Creates the context of a request and selects its service.
-    pub fn new(
-        gateway: &Rc<Gateway>,
-        mut client: ClientRequest,
-        body: BufferedBody,
-        route: Route,
-        config: Arc<RoutingConfig>,
-        arrived: Duration,
-        forwarded: Option<ForwardCall>,
-    ) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, received: ReceivedRequest) -> Self {
+        let ReceivedRequest {
+            mut client,
+            body,
+            route,
+            config,
+            arrived,
+            forwarded,
+            open,
+        } = received;
         let resume = forwarded.as_ref().and_then(|call| call.resume);
         if let Some(resume) = resume {
             // The stream that goes on is that of this attempt, unless the client resumes another.
@@ -108,6 +131,7 @@
             possible_runs: Cell::new(call.map_or(0, |call| call.possible_runs)),
             is_counted: Cell::new(call.is_some_and(|call| call.is_counted)),
             forwarded,
+            open,
             client,
             body,
             route,
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -31,7 +31,7 @@
     panic_handling::catch_panic,
     plain,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
-    request_context::RequestContext,
+    request_context::{ReceivedRequest, RequestContext},
     response_body::ResponseBody,
     stall_detector::ClientStall,
 };
@@ -183,13 +183,23 @@
         Some(_) => gateway.metrics.count_forward(ForwardEvent::Received),
         None => gateway.metrics.count_request(route.kind),
     }
-    let request_guard = RequestGuard::new(gateway);
+    let request_guard = RequestGuard::new(gateway, client.id.clone());
+    let open_request = Rc::clone(&request_guard.request);
     let body = match read_body(gateway, &client, body, route.timeout).await {
         Ok(body) => body,
         Err(response) => return response,
     };
-    let context = RequestContext::new(gateway, client, body, route, config, arrived, forwarded);
-    let context = Rc::new(context);
+    open_request.on_read(gateway.now());
+    let received = ReceivedRequest {
+        client,
+        body,
+        route,
+        config,
+        arrived,
+        forwarded,
+        open: Rc::clone(&open_request),
+    };
+    let context = Rc::new(RequestContext::new(gateway, received));
     let response = match &context.forwarded {
         Some(_) if gateway.is_path_doubted(&context.service) => not_taken(NotTaken::NoPath),
         Some(call) => serve_forwarded(&context, call).await,
@@ -198,6 +208,7 @@
             None => serve_here(&context).await,
         },
     };
+    open_request.on_response();
     response.map(|body| body.with_request_guard(request_guard))
 }
 
--- a/crates/wagtailarch-gateway/src/status_server.rs
+++ b/crates/wagtailarch-gateway/src/status_server.rs
@@ -53,7 +53,7 @@
         METRICS_PATH => {
             let load_balancer = gateway.load_balancer.borrow();
             let open = OpenCounts {
-                requests: gateway.open_requests.get(),
+                requests: gateway.open_requests.count(),
                 connections: gateway.open_connections.get(),
             };
             gateway.metrics.update(gateway.now(), &load_balancer, open);
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -442,6 +442,7 @@
                     self.data_error = Some("other media type");
                 }
                 self.active = Some(started);
+                context.open.on_response();
                 Ok(())
             }
             Err(failure) => {
