Send nothing more to a server that says in a response that it leaves

Cause: no code read the header, so that only the registration counted, which comes late or, while the store is away, not at all. Class: a fact that a server states in its own responses is decoded nowhere, and what is believed ends with the registration.

LeavingServers keeps it for one start of a server, in the load balancer, which stops selecting it in the same moment, and in Membership, together with the registration's word; neither a newer or repeated registration nor a list brings it back, a new start does. An instance that passes a response on that came through another instance is told the server in a header that Connection lists, so that instances of earlier revisions remove it.

Weighed and not taken: hints in load notes, since a new version of their encoding would leave instances of two revisions without each other's load while they are replaced, and each instance learns from its first response. The encoding of calls between instances is recorded as a test.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod engine_state;
 mod forward_targets;
 mod freshness;
+mod leaving_servers;
 mod limit_members;
 mod limit_statement;
 mod load_balancer;
@@ -54,6 +55,7 @@
 pub use engine_state::EngineState;
 pub use forward_targets::{ForwardRequest, ForwardResult, ForwardTargets, MAX_SERVED_FOR_PEERS};
 pub use freshness::{Freshness, StoreRead};
+pub use leaving_servers::LeavingServers;
 pub use limit_members::LimitMembers;
 pub use limit_statement::LimitStatement;
 pub use load_balancer::{LimitChange, LoadBalancer, PermitStep, ServerLoad};
@@ -79,7 +81,7 @@
 pub use routing::{
     ClientLimits, EngineProperties, Route, RouteTarget, RoutingConfig, ServiceConfig,
 };
-pub use server::{BackendServer, ServerEndpoint, version_key};
+pub use server::{BackendServer, ServerEndpoint, ServerProcess, version_key};
 pub use server_health::ServerHealth;
 pub use service_path::{ConnectAttempt, PathChange, PathState, ServicePath};
 pub use service_paths::ServicePaths;
--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -15,9 +15,9 @@
 };
 
 use crate::{
-    BackendServer, EngineState, GenerationRequest, LimitMembers, Placement, PrefillNumber,
-    PrefillSpeed, PrefixLink, RateLimit, RoleDemand, RoutingConfig, ServerEndpoint, Urgency,
-    backend::Backend, placement,
+    BackendServer, EngineState, GenerationRequest, LeavingServers, LimitMembers, Placement,
+    PrefillNumber, PrefillSpeed, PrefixLink, RateLimit, RoleDemand, RoutingConfig, ServerEndpoint,
+    ServerProcess, Urgency, backend::Backend, placement,
 };
 
 pub use limits::{LimitChange, PermitStep};
@@ -34,6 +34,9 @@
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
     backends: IndexMap<InstanceId, Backend>,
+    /// Servers that have stated in responses that they leave; the registrations that are applied may
+    /// be older.
+    leaving: LeavingServers,
     /// Identifiers by the key that load notes use for them.
     by_key: HashMap<u32, InstanceId>,
     /// Prompts of this instance that wait for their prefill or are being prefilled, by their
@@ -81,7 +84,9 @@
     pub fn apply(&mut self, servers: &[BackendServer], config: &RoutingConfig) {
         let mut previous = std::mem::take(&mut self.backends);
         self.by_key.clear();
-        for server in servers {
+        let leaving = &self.leaving;
+        let staying = servers.iter();
+        for server in staying.filter(|server| !leaving.contains(&server.process())) {
             let existing = previous.swap_remove(&server.id);
             let existing = existing.filter(|backend| backend.server.same_process(server));
             let mut backend = updated_backend(existing, server.clone(), config);
@@ -97,6 +102,19 @@
         }
     }
 
+    /// Records that a response of a server states that it leaves, after which it is not selected
+    /// any more; returns false if that was known.
+    ///
+    /// Running responses go on, as they do after a registration that states it.
+    pub fn on_stated_leaving(&mut self, process: ServerProcess) -> bool {
+        let backend = self.backends.get(&process.id);
+        if backend.is_some_and(|backend| backend.server.process() == process) {
+            self.by_key.remove(&server_key(&process.id));
+            self.backends.shift_remove(&process.id);
+        }
+        self.leaving.insert(process)
+    }
+
     /// Returns whether a server is registered and not leaving.
     pub fn is_listed(&self, id: &InstanceId) -> bool {
         self.backends.contains_key(id)
--- a/crates/wagtailarch-dispatch/src/membership.rs
+++ b/crates/wagtailarch-dispatch/src/membership.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use wagtailarch_types::InstanceId;
 
-use crate::BackendServer;
+use crate::{BackendServer, LeavingServers, ServerProcess};
 
 /// Time for which a server whose registration is missing is kept after the store is reachable
 /// again.
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct Membership {
     servers: IndexMap<InstanceId, Member>,
+    /// Servers that have said that they leave.
+    leaving: LeavingServers,
     /// Whether the store cannot be read at present.
     store_unavailable: bool,
     /// Until when servers with a missing registration are kept; set when the store is reachable
@@ -91,7 +93,12 @@
     ///
     /// An older registration that arrives late is recognized by its start time or heartbeat number
     /// and ignored. A server that has announced that it leaves never returns without a restart.
-    pub fn on_registered(&mut self, server: BackendServer) -> MembershipChange {
+    pub fn on_registered(&mut self, mut server: BackendServer) -> MembershipChange {
+        let states_leaving = server.leaving;
+        if states_leaving {
+            self.leaving.insert(server.process());
+        }
+        server.leaving = self.leaving.contains(&server.process());
         let Some(member) = self.servers.get_mut(&server.id) else {
             let change = if server.leaving {
                 MembershipChange::Leaving
@@ -108,7 +115,7 @@
         if sequence < (current.started_unix_ms, current.heartbeat) {
             return MembershipChange::Outdated;
         }
-        if server.same_process(current) && current.leaving && !server.leaving {
+        if server.same_process(current) && current.leaving && !states_leaving {
             return MembershipChange::Outdated;
         }
         let change = if !server.same_process(current) && !server.leaving {
@@ -128,6 +135,19 @@
         change
     }
 
+    /// Records that a response of a server states that it leaves.
+    pub fn on_stated_leaving(&mut self, process: ServerProcess) -> MembershipChange {
+        self.leaving.insert(process.clone());
+        let member = self.servers.get_mut(&process.id);
+        match member.filter(|member| member.server.process() == process) {
+            Some(member) if !member.server.leaving => {
+                member.server.leaving = true;
+                MembershipChange::Leaving
+            }
+            Some(_) | None => MembershipChange::Unchanged,
+        }
+    }
+
     /// Applies the removal of a registration.
     ///
     /// Shortly after an outage, a registration may have been removed only because the server could
--- a/crates/wagtailarch-dispatch/src/server.rs
+++ b/crates/wagtailarch-dispatch/src/server.rs
@@ -46,6 +46,25 @@
     pub started_unix_ms: u64,
 }
 
+/// One start of a server.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ServerProcess {
+    /// Identifier of the server.
+    pub id: InstanceId,
+    /// Its start time; see [`BackendServer::started_unix_ms`].
+    pub started_unix_ms: u64,
+}
+
+impl ServerEndpoint {
+    /// Returns the start of the server that was selected.
+    pub fn process(&self) -> ServerProcess {
+        ServerProcess {
+            id: self.id.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+}
+
 /// Returns the key of a software version of a service.
 pub fn version_key(service: &str, version: &str) -> VersionKey {
     xxhash_rust::xxh3::xxh3_64_with_seed(
@@ -66,6 +85,14 @@
         }
     }
 
+    /// Returns what distinguishes this start of the server from others.
+    pub fn process(&self) -> ServerProcess {
+        ServerProcess {
+            id: self.id.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
+
     /// Returns the key of the software version of the server's service.
     pub fn version_key(&self) -> VersionKey {
         version_key(&self.service, &self.version)
--- a/crates/wagtailarch-dispatch/tests/membership.rs
+++ b/crates/wagtailarch-dispatch/tests/membership.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::plain;
-use wagtailarch_dispatch::{BackendServer, Membership, MembershipChange};
+use wagtailarch_dispatch::{BackendServer, LeavingServers, Membership, MembershipChange};
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -134,3 +134,61 @@
     );
     assert!(membership.remove_missing(at(13_000)).is_empty());
 }
+
+/// Guards against a server that says in a response that it leaves and is used again, since a
+/// registration still states otherwise, is written again, or is removed and listed again.
+#[test]
+fn a_server_that_states_in_a_response_that_it_leaves_never_returns_without_a_restart() {
+    let mut membership = two_servers();
+    let process = plain("s1", "a").process();
+    let change = membership.on_stated_leaving(process.clone());
+    assert_eq!(change, MembershipChange::Leaving);
+    assert_eq!(
+        membership.on_stated_leaving(process),
+        MembershipChange::Unchanged
+    );
+    let renewed = BackendServer {
+        heartbeat: 2,
+        ..plain("s1", "a")
+    };
+    membership.on_registered(renewed.clone());
+    assert_eq!(usable(&membership), ["s2"]);
+    membership.on_removed(at(10), &"s1".into());
+    let change = membership.on_registered(renewed.clone());
+    assert_eq!(change, MembershipChange::Leaving);
+    membership.on_store_lost();
+    membership.on_list(at(20), vec![plain("s2", "a"), renewed]);
+    assert_eq!(usable(&membership), ["s2"]);
+    let restarted = BackendServer {
+        started_unix_ms: 2_000,
+        ..plain("s1", "a")
+    };
+    assert_eq!(membership.on_registered(restarted), MembershipChange::Added);
+    assert_eq!(usable(&membership).len(), 2);
+}
+
+/// Guards against a response of an earlier start that takes out the server that follows it.
+#[test]
+fn a_response_of_an_earlier_start_says_nothing_about_the_present_one() {
+    let mut membership = Membership::default();
+    let earlier = plain("s1", "a").process();
+    let present = BackendServer {
+        started_unix_ms: 2_000,
+        ..plain("s1", "a")
+    };
+    membership.on_registered(present);
+    membership.on_stated_leaving(earlier);
+    assert_eq!(usable(&membership), ["s1"]);
+}
+
+/// Guards against memory that grows with the number of servers that have ever left.
+#[test]
+fn a_limited_number_of_leaving_servers_is_remembered() {
+    let mut leaving = LeavingServers::default();
+    let process = |number: u64| plain(&format!("s{number}"), "a").process();
+    for number in 0..5_000 {
+        assert!(leaving.insert(process(number)));
+    }
+    assert!(!leaving.contains(&process(0)));
+    assert!(leaving.contains(&process(4_999)));
+}
--- a/crates/wagtailarch-dispatch/tests/plain.rs
+++ b/crates/wagtailarch-dispatch/tests/plain.rs
@@ -123,3 +123,19 @@
     let reason = balancer.unavailable_reason(at(10), &PLAIN.into(), PermitRank::Normal, &[]);
     assert_eq!(reason, RefusalReason::NoBackend);
 }
+
+/// Guards against requests to a leaving server after registrations that were read before it said so.
+#[test]
+fn older_registrations_do_not_bring_a_leaving_server_back() {
+    let mut balancer = balancer();
+    assert!(balancer.on_stated_leaving(plain("s1", "a").process()));
+    assert_ne!(select(&balancer, at(0)).as_deref(), Some("s1"));
+    balancer.apply(&[plain("s1", "a")], &config());
+    assert_eq!(select(&balancer, at(0)), None);
+    let restarted = BackendServer {
+        started_unix_ms: 2_000,
+        ..plain("s1", "a")
+    };
+    balancer.apply(&[restarted], &config());
+    assert_eq!(select(&balancer, at(0)).as_deref(), Some("s1"));
+}
--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -162,7 +162,10 @@
             };
             let mut responds = true;
             for engine in plan_engines(&plan) {
-                if !matches!(fetch_report(engine).await, ReportOutcome::Received(_)) {
+                if !matches!(
+                    fetch_report(&context.gateway, engine).await,
+                    ReportOutcome::Received(_)
+                ) {
                     attempts.excluded_engines.push(engine.id.clone());
                     responds = false;
                 }
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -213,6 +213,9 @@
     let (mut parts, body) = response.into_parts();
     let framing = BodyFraming::of_response(&parts.headers, body.is_end_stream());
     let facts = decode_response(&context.client.id, &mut parts);
+    if facts.leaving {
+        context.on_stated_leaving(call.server.process());
+    }
     if let Some(load) = facts.load {
         let mut load_balancer = gateway.load_balancer.borrow_mut();
         load_balancer.on_load_report(id, load.running, load.waiting, load.slots);
--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -2,8 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use displaydoc::Display;
-use http::StatusCode;
+use http::{Request, StatusCode, response};
 use indexmap::IndexMap;
 use serde::Deserialize;
 use slog::{info, warn};
@@ -15,7 +16,7 @@
 use wagtailarch_adapter::{
     ObjectKind, OrderResponse, PutOutcome, RoleOrder, create_request, decode_get,
     decode_order_response, decode_put, decode_report, get_request, order_request, replace_request,
-    report_request,
+    report_request, states_leaving,
 };
 use wagtailarch_dispatch::{
     BackendServer, ClaimContent, ClaimStep, OrderClaim, PlannedEngine, RoleChange, RolePlan,
@@ -49,6 +50,8 @@
     Engine(CallError),
     /// the engine responded with status {0}
     Status(StatusCode),
+    /// the engine is leaving
+    Leaving,
     /// the engine's report cannot be decoded: {0}
     Report(serde_json::Error),
     /// the store cannot be used: {0}
@@ -182,12 +185,12 @@
     role: Role,
 ) -> Result<OrderResponse, OrderError> {
     let report = report_request(&engine.id);
-    let response = HttpClient::new(engine.address, CONNECT_LIMIT)
-        .call(report, CALL_TIMEOUT)
-        .await;
-    let (status, body) = response.map_err(OrderError::Engine)?;
-    if status != StatusCode::OK {
-        return Err(OrderError::Status(status));
+    let (parts, body) = call_engine(context, engine, report).await?;
+    if states_leaving(&parts.headers) {
+        return Err(OrderError::Leaving);
+    }
+    if parts.status != StatusCode::OK {
+        return Err(OrderError::Status(parts.status));
     }
     let report = decode_report(&body).map_err(OrderError::Report)?;
     if report.role == Some(role) {
@@ -207,11 +210,24 @@
     }
     // A connection of its own, so that a second response to the report cannot pass for the response
     // to the order.
+    let (parts, _) = call_engine(context, engine, request).await?;
+    Ok(decode_order_response(parts.status))
+}
+
+/// Calls an engine on a new connection.
+async fn call_engine(
+    context: &ControlContext,
+    engine: &BackendServer,
+    request: Request<Bytes>,
+) -> Result<(response::Parts, Bytes), OrderError> {
     let response = HttpClient::new(engine.address, CONNECT_LIMIT)
-        .call(request, CALL_TIMEOUT)
+        .call_with_head(request, CALL_TIMEOUT)
         .await;
-    let (status, _) = response.map_err(OrderError::Engine)?;
-    Ok(decode_order_response(status))
+    let (parts, body) = response.map_err(OrderError::Engine)?;
+    if states_leaving(&parts.headers) {
+        context.traffic.on_stated_leaving(engine.process());
+    }
+    Ok((parts, body))
 }
 
 /// Claims an engine; returns the fencing number and when the write began.
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -41,6 +41,13 @@
                         remove_missing(&context, &mut membership);
                         publish_servers(&publisher, &membership, newest_change);
                     }
+                    leaving = context.traffic.take_leaving() => {
+                        for process in leaving {
+                            let id = process.id.clone();
+                            log_change(&context, &id, membership.on_stated_leaving(process));
+                        }
+                        publish_servers(&publisher, &membership, newest_change);
+                    }
                 }
             }
         };
--- a/crates/wagtailarch-gateway/src/engine_report.rs
+++ b/crates/wagtailarch-gateway/src/engine_report.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use wagtailarch_adapter::{EngineReport, decode_report, report_request};
+use wagtailarch_adapter::{EngineReport, decode_report, report_request, states_leaving};
 use wagtailarch_dispatch::ServerEndpoint;
 
 use crate::{
     connection::ConnectError,
+    gateway::{Gateway, LeavingSource},
     http_client::{CallError, HttpClient},
 };
 
@@ -26,12 +27,17 @@
 }
 
 /// Calls an engine for its report.
-pub async fn fetch_report(engine: &ServerEndpoint) -> ReportOutcome {
+pub async fn fetch_report(gateway: &Gateway, engine: &ServerEndpoint) -> ReportOutcome {
     let response = HttpClient::new(engine.address, REPORT_LIMIT)
-        .call(report_request(&engine.id), REPORT_LIMIT)
+        .call_with_head(report_request(&engine.id), REPORT_LIMIT)
         .await;
+    if let Ok((parts, _)) = &response
+        && states_leaving(&parts.headers)
+    {
+        gateway.on_stated_leaving(engine.process(), LeavingSource::Report);
+    }
     match response {
-        Ok((status, body)) if status == StatusCode::OK => {
+        Ok((parts, body)) if parts.status == StatusCode::OK => {
             decode_report(&body).map_or(ReportOutcome::Failed, ReportOutcome::Received)
         }
         Err(CallError::TimedOut(_) | CallError::Connect(ConnectError::TimedOut(_))) => {
--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -8,6 +8,7 @@
 use slog::info;
 use tokio::time::timeout;
 use wagtailarch_adapter::{CallStep, encode_client_request};
+use wagtailarch_dispatch::ServerProcess;
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason, VersionKey};
 use wagtailarch_wire::{
@@ -15,7 +16,7 @@
     connection_headers::remove_connection_headers,
     forward::{
         CALL_HEADER, ForwardCall, ForwardOutcome, ForwardResume, NOT_TAKEN_STATUS, NotTaken,
-        OUTCOME_HEADER, decode, encode,
+        OUTCOME_HEADER, decode, decode_leaving, encode,
     },
 };
 
@@ -23,6 +24,7 @@
     attempts::Attempts,
     backend_client::{BackendResponse, CallFailure, MAX_BODY_BYTES, ResponseGuard, body_allowance},
     connection::{SilenceLimit, connect},
+    gateway::LeavingSource,
     generation::{GenerationError, GenerationPlace, StartedGeneration},
     guards::ForwardGuard,
     metrics::ForwardEvent,
@@ -312,6 +314,13 @@
         }
     };
     let (mut parts, body) = response.into_parts();
+    for (id, started_unix_ms) in decode_leaving(&parts.headers) {
+        let process = ServerProcess {
+            id,
+            started_unix_ms,
+        };
+        gateway.on_stated_leaving(process, LeavingSource::Instance);
+    }
     let outcome = take_outcome(number, &mut parts);
     match &outcome {
         Some(ForwardOutcome::NotTaken(NotTaken::NoPath)) => {
--- a/crates/wagtailarch-gateway/src/forward/server.rs
+++ b/crates/wagtailarch-gateway/src/forward/server.rs
@@ -12,10 +12,11 @@
     net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
+use wagtailarch_dispatch::ServerProcess;
 use wagtailarch_types::VersionKey;
 use wagtailarch_wire::forward::{
-    CALL_HEADER, END_TRAILER, ForwardCall, ForwardOutcome, NOT_TAKEN_STATUS, NotTaken,
-    OUTCOME_HEADER, decode, encode,
+    CALL_HEADER, END_TRAILER, ForwardCall, ForwardOutcome, LEAVING_HEADER, NOT_TAKEN_STATUS,
+    NotTaken, OUTCOME_HEADER, decode, encode, encode_leaving,
 };
 
 use crate::{
@@ -40,12 +41,14 @@
 const CALL_HEAD_BYTES: usize = 2 * 1024;
 
 /// What the response to a taken call states besides the response for the client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Served {
     /// Number of calls to servers that may have run the request, with the earlier ones.
     pub possible_runs: u32,
     /// Software version of the server that began a stream.
     pub version: Option<VersionKey>,
+    /// Servers that have stated in responses to the request that they leave.
+    pub leaving: Vec<ServerProcess>,
 }
 
 /// Accepts calls of other instances until the process ends.
@@ -159,6 +162,11 @@
             version: served.and_then(|served| served.version),
         }
     };
+    let leaving = extensions.get::<Served>().map(|served| &served.leaving);
+    let leaving = leaving.into_iter().flatten();
+    let leaving: Vec<_> = leaving
+        .filter_map(|process| encode_leaving(&process.id, process.started_unix_ms))
+        .collect();
     let mut response = response.map(|body| LinkBody::new(body, guard));
     let is_stream = response.body().is_stream();
     let headers = response.headers_mut();
@@ -169,6 +177,14 @@
     if is_stream {
         headers.insert(header::TRAILER, HeaderValue::from(END_TRAILER));
     }
+    // The server of the response is none of the system's instances.
+    headers.remove(LEAVING_HEADER);
+    if !leaving.is_empty() {
+        headers.append(header::CONNECTION, HeaderValue::from(LEAVING_HEADER));
+    }
+    for value in leaving {
+        headers.append(LEAVING_HEADER, value);
+    }
     response
 }
 
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -11,7 +11,8 @@
 use slog::{Logger, info};
 use tokio::{net::UdpSocket, sync::watch};
 use wagtailarch_dispatch::{
-    LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, SharedRetryBudget,
+    LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, ServerProcess,
+    SharedRetryBudget,
 };
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{BootId, InstanceId, ServiceName};
@@ -90,6 +91,27 @@
     Finishing,
 }
 
+/// The response by which an instance learns that a server leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeavingSource {
+    /// The response to a client's request.
+    Response,
+    /// The same, passed on by another instance.
+    Instance,
+    /// A report of the server's state.
+    Report,
+}
+
+impl LeavingSource {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Response => "response",
+            Self::Instance => "instance",
+            Self::Report => "report",
+        }
+    }
+}
+
 impl Gateway {
     /// Creates the state of a process that has received no snapshot yet.
     pub fn new(
@@ -200,6 +222,19 @@
         self.with_retry_window(service, RetryWindow::try_retry)
     }
 
+    /// Records that a response of a server states that it leaves: nothing more is sent there, whatever
+    /// its registration says.
+    pub fn on_stated_leaving(&self, process: ServerProcess, source: LeavingSource) {
+        let mut load_balancer = self.load_balancer.borrow_mut();
+        if !load_balancer.on_stated_leaving(process.clone()) {
+            return;
+        }
+        drop(load_balancer);
+        info!(self.log, "server leaving"; "server" => %process.id,
+            "started_unix_ms" => process.started_unix_ms, "source" => source.as_str());
+        self.traffic.on_stated_leaving(process);
+    }
+
     /// Applies what the response to a request of `sent_at` states about the rate limit of its
     /// server.
     pub fn on_named_limit(&self, server: &InstanceId, sent_at: Duration, named: NamedLimit) {
--- a/crates/wagtailarch-gateway/src/http_client.rs
+++ b/crates/wagtailarch-gateway/src/http_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use http::{HeaderValue, Request, StatusCode, header};
+use http::{HeaderValue, Request, StatusCode, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
@@ -47,15 +47,25 @@
         }
     }
 
-    /// Sends a request and returns status and body of the response.
+    /// Sends a request and returns status and body of the response; see [`Self::call_with_head`].
+    pub async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let (parts, body) = self.call_with_head(request, limit).await?;
+        Ok((parts.status, body))
+    }
+
+    /// Sends a request and returns head and body of the response.
     ///
     /// After a failure the outcome of a write is unknown. The connection is closed, since a missing
     /// response blocks it.
-    pub async fn call(
+    pub async fn call_with_head(
         &mut self,
         mut request: Request<Bytes>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<(response::Parts, Bytes), CallError> {
         let mut connection = match self.connection.take() {
             Some(connection) if !connection.sender.is_closed() => connection,
             _ => connect(self.address, self.connect_limit, SilenceLimit::Probe)
@@ -75,7 +85,7 @@
             let (parts, body) = sent.await.map_err(connection_error)?.into_parts();
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|error| CallError::Connection(error.to_string()))?;
-            Ok((parts.status, body.to_bytes()))
+            Ok((parts, body.to_bytes()))
         };
         let response = timeout(limit, exchange).await;
         let response = response.map_err(|_| CallError::TimedOut(limit))??;
--- a/crates/wagtailarch-gateway/src/origins.rs
+++ b/crates/wagtailarch-gateway/src/origins.rs
@@ -242,7 +242,7 @@
         return true;
     }
     let report = loop {
-        match fetch_report(server).await {
+        match fetch_report(gateway, server).await {
             ReportOutcome::Received(report) => break Some(report),
             // An unresponsive server may go on, as its response may.
             ReportOutcome::Silent if !context.time_left().is_zero() => {}
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -1,10 +1,15 @@
 //! Context of a client's request.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use wagtailarch_adapter::ClientRequest;
 use wagtailarch_dispatch::{
-    GenerationRequest, PartVerdict, PrefixLink, Prompt, Route, RoutingConfig,
+    GenerationRequest, PartVerdict, PrefixLink, Prompt, Route, RoutingConfig, ServerProcess,
 };
 use wagtailarch_traffic::Verdict;
 use wagtailarch_types::{
@@ -14,7 +19,7 @@
 
 use crate::{
     body_buffer::BufferedBody,
-    gateway::Gateway,
+    gateway::{Gateway, LeavingSource},
     open_requests::OpenRequest,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
 };
@@ -78,6 +83,8 @@
     pub forwarded: Option<ForwardCall>,
     /// Entry of the request among the open ones.
     pub open: Rc<OpenRequest>,
+    /// Servers that have stated in responses to this request that they leave.
+    pub leaving_servers: RefCell<Vec<ServerProcess>>,
     /// Time that the client had waited when the request arrived.
     waited: Duration,
     /// Number of calls that may have run the request.
@@ -132,6 +139,7 @@
             is_counted: Cell::new(call.is_some_and(|call| call.is_counted)),
             forwarded,
             open,
+            leaving_servers: RefCell::default(),
             client,
             body,
             route,
@@ -188,6 +196,13 @@
         }
     }
 
+    /// Records that a response to this request states that its server leaves.
+    pub fn on_stated_leaving(&self, process: ServerProcess) {
+        let gateway = &self.gateway;
+        gateway.on_stated_leaving(process.clone(), LeavingSource::Response);
+        self.leaving_servers.borrow_mut().push(process);
+    }
+
     /// Counts the request in the retry budget of its service, unless an instance has counted it.
     pub fn count(&self) {
         if !self.is_counted.replace(true) {
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -252,6 +252,7 @@
     response.extensions_mut().insert(Served {
         possible_runs: context.possible_runs.get() + 1,
         version: context.version.get(),
+        leaving: context.leaving_servers.take(),
     });
     response
 }
--- a/crates/wagtailarch-gateway/src/traffic_view.rs
+++ b/crates/wagtailarch-gateway/src/traffic_view.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 use tokio::sync::{Notify, watch};
-use wagtailarch_dispatch::RoleDemand;
+use wagtailarch_dispatch::{RoleDemand, ServerProcess};
 use wagtailarch_types::{InstanceId, ServiceName, ZoneName};
 use wagtailarch_wire::load_note::{LoadNote, StoreVersions};
 
@@ -25,6 +25,8 @@
     peer_versions: watch::Sender<StoreVersions>,
     /// Notified when the software versions recorded in the store are needed.
     version_record_request: Notify,
+    /// Notified when a response states that its server leaves.
+    leaving_stated: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -37,6 +39,8 @@
     limited_servers: HashSet<InstanceId>,
     /// When the last request arrived.
     last_request: Option<Duration>,
+    /// Servers that have stated that they leave, not taken by the control thread yet.
+    leaving: Vec<ServerProcess>,
 }
 
 impl TrafficView {
@@ -101,6 +105,18 @@
         self.lock().limited_servers.contains(server)
     }
 
+    /// Records that a response of a server states that it leaves.
+    pub fn on_stated_leaving(&self, process: ServerProcess) {
+        self.lock().leaving.push(process);
+        self.leaving_stated.notify_one();
+    }
+
+    /// Waits for servers that have stated that they leave, and takes them.
+    pub async fn take_leaving(&self) -> Vec<ServerProcess> {
+        self.leaving_stated.notified().await;
+        std::mem::take(&mut self.lock().leaving)
+    }
+
     /// Records the arrival of a request.
     pub fn on_request(&self, now: Duration) {
         self.lock().last_request = Some(now);
--- a/crates/wagtailarch-wire/src/forward.rs
+++ b/crates/wagtailarch-wire/src/forward.rs
@@ -16,6 +16,11 @@
 pub const CALL_HEADER: HeaderName = HeaderName::from_static("wagtail-call");
 /// Header with the encoded [`ForwardOutcome`].
 pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("wagtail-outcome");
+/// Header with the start time and the identifier of a server that states in its response that it
+/// leaves, once for each such server.
+///
+/// `Connection` lists it, so that an instance that does not know it removes it.
+pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("wagtail-leaving");
 /// Status of the response to a call that was not taken, in all versions of the encoding.
 pub const NOT_TAKEN_STATUS: StatusCode = StatusCode::MISDIRECTED_REQUEST;
 /// Trailer with the [`StreamEnd`]; a streamed response without it is not complete.
@@ -128,6 +133,19 @@
     }
 }
 
+/// Encodes the value of [`LEAVING_HEADER`]; returns `None` if the identifier is no valid header.
+pub fn encode_leaving(server: &InstanceId, started_unix_ms: u64) -> Option<HeaderValue> {
+    HeaderValue::try_from(format!("{started_unix_ms} {server}")).ok()
+}
+
+/// Decodes the values of [`LEAVING_HEADER`] and ignores malformed ones.
+pub fn decode_leaving(headers: &HeaderMap) -> Vec<(InstanceId, u64)> {
+    let values = headers.get_all(LEAVING_HEADER).iter();
+    let texts = values.filter_map(|value| value.to_str().ok()?.split_once(' '));
+    let servers = texts.filter_map(|(started, id)| Some((id.into(), started.parse().ok()?)));
+    servers.collect()
+}
+
 /// Encodes a message about call `number` as the value of a header.
 ///
 /// The version and the number come first as text, so that instances with another version of the
--- a/crates/wagtailarch-wire/tests/forward.rs
+++ b/crates/wagtailarch-wire/tests/forward.rs
@@ -1,12 +1,19 @@
 //! Encoding of calls between instances.
 
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, header::CONNECTION};
 use rstest::rstest;
 use wagtailarch_types::Ran;
-use wagtailarch_wire::forward::{
-    ForwardCall, ForwardOutcome, ForwardResume, NotTaken, StreamEnd, decode, encode,
+use wagtailarch_wire::{
+    connection_headers::remove_connection_headers,
+    forward::{
+        ForwardCall, ForwardOutcome, ForwardResume, LEAVING_HEADER, NotTaken, StreamEnd, decode,
+        decode_leaving, encode, encode_leaving,
+    },
 };
 
+const CALL_TEXT: &str = "1 5 0966726f6e742d612d31ffffffffffffffffff010778010100010309";
+const RESPONSE_TEXT: &str = "1 5 02020101";
+
 fn call() -> ForwardCall {
     ForwardCall {
         sender: "front-a-1".into(),
@@ -65,3 +72,32 @@
     }
     assert_eq!(StreamEnd::from_trailers(&HeaderMap::new()), None);
 }
+
+/// Guards against an encoding that the revision before cannot read, while instances of both serve
+/// beside each other; the texts were recorded on 61da004.
+#[rstest]
+fn the_landed_encoding_is_kept() {
+    let value = encode(5, &call()).expect("encoded");
+    assert_eq!(value, CALL_TEXT);
+    let response = ForwardOutcome::Response {
+        possible_runs: 2,
+        version: Some(1),
+    };
+    let value = encode(5, &response).expect("encoded");
+    assert_eq!(value, RESPONSE_TEXT);
+}
+
+/// Guards against a leaving server that another instance does not recognize, and against a header that
+/// an instance of an earlier revision passes on to a client.
+#[rstest]
+fn a_leaving_server_is_named_in_a_connection_header() {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONNECTION, HeaderValue::from(LEAVING_HEADER));
+    let server = "i-1".into();
+    headers.append(LEAVING_HEADER, encode_leaving(&server, 7).expect("a value"));
+    headers.append(LEAVING_HEADER, HeaderValue::from_static("x i-2"));
+    headers.append(LEAVING_HEADER, HeaderValue::from_static("8"));
+    assert_eq!(decode_leaving(&headers), [(server, 7)]);
+    remove_connection_headers(&mut headers, &[]);
+    assert!(headers.is_empty());
+}
