Refuse requests that could outlast a stopping instance, and respond to all others

Cause: ShutdownPlan decided only about connections. A request that became whole was sent on until the exit, whatever time was left; one that was being retried or whose server did not respond was held until its own limit, which may be later than the exit. Class: work is begun without a bound that is known to lie before the end of the process.

Change, as decisions in ShutdownPlan: a call begins up to 3 s after the request to stop (less with a short grace period), and later only if the request's own time ends before the process does; otherwise the request is refused as not run, with the connection closed and a Retry-After of 0.1 s, since another instance can serve it. The same holds before each retry and for requests of other instances. 0.4 s before the exit each request without a response gets one: 503 if it was never sent, 504 if it may have run. The grace period in force counts, so that a reload is followed.

Streams that have begun go on until the exit, as before. Other ends of requests are in docs/platform.md, section 2.

--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -255,8 +255,8 @@
     excluded: &[InstanceId],
 ) -> Option<(Peer, SocketAddr)> {
     // A request goes through one further instance at most.
-    if context.forwarded.is_some() || excluded.len() >= MAX_INSTANCES || context.time_left() <= WAY
-    {
+    let may_send = context.check_shutdown(Ran::No).is_ok() && context.time_left() > WAY;
+    if context.forwarded.is_some() || excluded.len() >= MAX_INSTANCES || !may_send {
         return None;
     }
     let gateway = &context.gateway;
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use tokio::{net::UdpSocket, sync::watch};
 use wagtailarch_dispatch::{
     LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, ServerProcess,
-    SharedRetryBudget,
+    SharedRetryBudget, ShutdownPlan,
 };
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{BootId, InstanceId, ServiceName};
@@ -74,6 +74,8 @@
     pub open_connections: Cell<usize>,
     /// State of the shutdown.
     pub shutdown: watch::Sender<ShutdownState>,
+    /// When the shutdown was requested; `None` while the process serves.
+    stopping_since: Cell<Option<Duration>>,
     snapshot: RefCell<Arc<Snapshot>>,
     retry_windows: RefCell<IndexMap<ServiceName, RetryWindow>>,
     reloadable_settings: Cell<ReloadableSettings>,
@@ -89,6 +91,8 @@
     Announced,
     /// New connections are refused and idle ones are closed.
     Finishing,
+    /// Requests without a response get one.
+    Responding,
 }
 
 /// The response by which an instance learns that a server leaves.
@@ -143,6 +147,7 @@
             open_requests: OpenRequests::default(),
             open_connections: Cell::new(0),
             shutdown: watch::Sender::new(ShutdownState::Running),
+            stopping_since: Cell::default(),
             snapshot: RefCell::default(),
             retry_windows: RefCell::default(),
             epoch,
@@ -164,6 +169,27 @@
         *self.shutdown.borrow() == ShutdownState::Running && self.snapshot.borrow().is_complete()
     }
 
+    /// Begins the shutdown, in which clients are asked to close their connections.
+    pub fn begin_shutdown(&self) {
+        self.stopping_since.set(Some(self.now()));
+        self.shutdown.send_replace(ShutdownState::Announced);
+    }
+
+    /// Returns the plan of the shutdown, by the grace period in force, and the time since the shutdown was
+    /// requested; `None` while the process serves.
+    pub fn shutdown_plan(&self) -> Option<(ShutdownPlan, Duration)> {
+        let since = self.now().saturating_sub(self.stopping_since.get()?);
+        let grace = self.reloadable_settings().grace;
+        Some((ShutdownPlan { grace }, since))
+    }
+
+    /// Waits until a shutdown has reached `state`.
+    pub async fn until_shutdown(&self, state: ShutdownState) {
+        let mut shutdown = self.shutdown.subscribe();
+        // Fails only if the sender is gone, which this gateway owns.
+        let _ = shutdown.wait_for(|current| *current >= state).await;
+    }
+
     /// Applies the snapshots of the control thread until that thread ends.
     pub async fn follow_snapshots(self: Rc<Self>, mut published: watch::Receiver<Arc<Snapshot>>) {
         while published.changed().await.is_ok() {
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -176,6 +176,7 @@
         false => context.rank(),
     };
     loop {
+        context.check_shutdown(attempts.ran())?;
         let isolated = context.judge_parts(attempts.ran())?;
         let plan = plan(context, attempts, rank, isolated, interrupted)
             .map_err(GenerationError::Refused)?;
--- a/crates/wagtailarch-gateway/src/open_requests.rs
+++ b/crates/wagtailarch-gateway/src/open_requests.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use slog::{Logger, warn};
 use smol_str::SmolStr;
-use wagtailarch_types::InstanceId;
+use wagtailarch_types::{InstanceId, Ran};
 
 /// Maximum number of requests that the log names when the process stops.
 const MAX_LOGGED: usize = 32;
@@ -121,4 +121,12 @@
     pub fn on_response(&self) {
         self.waits_for.set(WaitsFor::End);
     }
+
+    /// Returns whether the request may have run, as far as is known without the outcome of its calls.
+    pub fn ran(&self) -> Ran {
+        match self.last_call.borrow().is_some() {
+            true => Ran::Unknown,
+            false => Ran::No,
+        }
+    }
 }
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -33,6 +33,9 @@
     // The error response of a server, passed on if no other server succeeds.
     let mut error_response = None;
     loop {
+        if let Err(refusal) = context.check_shutdown(ran) {
+            return error_response.unwrap_or_else(|| refusal.respond(&context));
+        }
         let selected = gateway.load_balancer.borrow().select_server(
             gateway.now(),
             &context.service,
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -18,7 +18,7 @@
     task::{LocalSet, spawn_local},
     time::sleep,
 };
-use wagtailarch_dispatch::{ShutdownPhase, ShutdownPlan};
+use wagtailarch_dispatch::ShutdownPhase;
 use wagtailarch_telemetry::ProcessLog;
 use wagtailarch_types::BootId;
 
@@ -198,47 +198,49 @@
 
 /// Asks clients to close their connections and waits until open requests are finished.
 async fn shut_down(gateway: &Gateway) {
-    let plan = ShutdownPlan {
-        grace: gateway.reloadable_settings().grace,
-    };
-    let started = gateway.now();
     info!(gateway.log, "stopping"; "open_requests" => gateway.open_requests.count());
-    gateway.shutdown.send_replace(ShutdownState::Announced);
+    gateway.begin_shutdown();
     // The others send their requests elsewhere.
     gateway.schedule_load_note();
-    loop {
-        let elapsed = gateway.now().saturating_sub(started);
+    while let Some((plan, since)) = gateway.shutdown_plan() {
         let open = gateway.open_requests.count();
         // A connection is open until its client has received the whole response.
-        let unfinished = match *gateway.shutdown.borrow() {
-            ShutdownState::Finishing => open.max(gateway.open_connections.get()),
-            ShutdownState::Running | ShutdownState::Announced => open,
+        let unfinished = match *gateway.shutdown.borrow() >= ShutdownState::Finishing {
+            true => open.max(gateway.open_connections.get()),
+            false => open,
         };
-        match plan.phase(elapsed, unfinished) {
-            phase @ (ShutdownPhase::Announcing | ShutdownPhase::Finishing) => {
-                if !phase.accepts_connections()
-                    && *gateway.shutdown.borrow() == ShutdownState::Announced
-                {
-                    gateway.shutdown.send_replace(ShutdownState::Finishing);
-                }
-            }
+        let state = match plan.phase(since, unfinished) {
+            ShutdownPhase::Announcing => ShutdownState::Announced,
+            ShutdownPhase::Finishing => ShutdownState::Finishing,
+            ShutdownPhase::Responding => ShutdownState::Responding,
             ShutdownPhase::Ended => {
-                if unfinished > 0 {
-                    warn!(gateway.log, "stopped with open requests"; "open_requests" => open,
-                        "open_connections" => gateway.open_connections.get());
-                    gateway
-                        .open_requests
-                        .log_cut_off(&gateway.log, gateway.now());
-                } else {
-                    info!(gateway.log, "stopped"; "after_ms" => elapsed.as_millis() as u64);
-                }
+                log_end(gateway, since, unfinished);
                 return;
             }
-        }
+        };
+        gateway.shutdown.send_if_modified(|current| {
+            // A longer grace period that comes into force does not go back to an earlier state.
+            let advances = state > *current;
+            *current = state.max(*current);
+            advances
+        });
         sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
 }
 
+fn log_end(gateway: &Gateway, since: Duration, unfinished: usize) {
+    if unfinished == 0 {
+        info!(gateway.log, "stopped"; "after_ms" => since.as_millis() as u64);
+        return;
+    }
+    warn!(gateway.log, "stopped with open requests";
+        "open_requests" => gateway.open_requests.count(),
+        "open_connections" => gateway.open_connections.get());
+    gateway
+        .open_requests
+        .log_cut_off(&gateway.log, gateway.now());
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|error| StartError::Listen(address, error))
--- a/crates/wagtailarch-gateway/src/refusal.rs
+++ b/crates/wagtailarch-gateway/src/refusal.rs
@@ -31,7 +31,9 @@
             return StatusCode::SERVICE_UNAVAILABLE;
         }
         match self.reason {
-            RefusalReason::DeadlineUnreachable => StatusCode::GATEWAY_TIMEOUT,
+            RefusalReason::DeadlineUnreachable | RefusalReason::Draining => {
+                StatusCode::GATEWAY_TIMEOUT
+            }
             _ => StatusCode::BAD_GATEWAY,
         }
     }
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -28,6 +28,8 @@
 const DEFAULT_OUTPUT_TOKENS: u32 = 4_096;
 /// Time after which a client may retry a request that is quarantined.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// Time after which a client may retry a request that another instance can serve.
+const OTHER_INSTANCE_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Events of a stream that carry no output token, such as its end.
 const NON_TOKEN_EVENTS: u64 = 64;
 
@@ -203,6 +205,30 @@
         self.leaving_servers.borrow_mut().push(process);
     }
 
+    /// Decides whether the request may be sent to a server, which a shutdown that it could outlast
+    /// prevents; `ran` states whether the request may have run.
+    ///
+    /// A stream that has begun goes on: nobody else could respond to its client.
+    pub fn check_shutdown(&self, ran: Ran) -> Result<(), Refusal> {
+        let Some((plan, since)) = self.gateway.shutdown_plan() else {
+            return Ok(());
+        };
+        let has_begun = self.last_event_at.get().is_some();
+        match has_begun || plan.may_begin_call(since, self.time_left()) {
+            true => Ok(()),
+            false => Err(self.draining(ran)),
+        }
+    }
+
+    /// Returns the refusal of a request because of the shutdown.
+    pub fn draining(&self, ran: Ran) -> Refusal {
+        Refusal {
+            reason: RefusalReason::Draining,
+            ran,
+            retry_after: OTHER_INSTANCE_RETRY_AFTER,
+        }
+    }
+
     /// Counts the request in the retry budget of its service, unless an instance has counted it.
     pub fn count(&self) {
         if !self.is_counted.replace(true) {
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -53,11 +53,10 @@
 /// A request accepted later would be cut off when the process ends, while the client of a refused
 /// connection knows that nothing was read.
 pub async fn serve_clients(gateway: Rc<Gateway>, listener: Rc<TcpListener>) {
-    let mut shutdown = gateway.shutdown.subscribe();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = shutdown.wait_for(|shutdown| *shutdown == ShutdownState::Finishing) => return,
+            () = gateway.until_shutdown(ShutdownState::Finishing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -81,7 +80,6 @@
         debug!(gateway.log, "socket option not set"; "cause" => %error);
     }
     let limits = client_limits(&gateway);
-    let mut shutdown = gateway.shutdown.subscribe();
     let meter = Rc::new(ClientMeter::default());
     let stream = MeteredStream::new(stream, Rc::clone(&meter));
     let shared = Rc::clone(&gateway);
@@ -118,7 +116,7 @@
             }
             return;
         }
-        _ = shutdown.wait_for(|shutdown| *shutdown == ShutdownState::Finishing) => {
+        () = gateway.until_shutdown(ShutdownState::Finishing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -185,7 +183,14 @@
     }
     let request_guard = RequestGuard::new(gateway, client.id.clone());
     let open_request = Rc::clone(&request_guard.request);
-    let body = match read_body(gateway, &client, body, route.timeout).await {
+    let body = tokio::select! {
+        biased;
+        body = read_body(gateway, &client, body, route.timeout) => body,
+        () = gateway.until_shutdown(ShutdownState::Responding) => {
+            Err(refuse(gateway, &client, RefusalReason::Draining))
+        }
+    };
+    let body = match body {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -200,18 +205,29 @@
         open: Rc::clone(&open_request),
     };
     let context = Rc::new(RequestContext::new(gateway, received));
-    let response = match &context.forwarded {
-        Some(_) if gateway.is_path_doubted(&context.service) => not_taken(NotTaken::NoPath),
-        Some(call) => serve_forwarded(&context, call).await,
-        None => match forward_client::serve(&context).await {
-            Some(response) => response,
-            None => serve_here(&context).await,
-        },
+    let response = tokio::select! {
+        biased;
+        response = serve(&context) => response,
+        () = gateway.until_shutdown(ShutdownState::Responding) => {
+            context.draining(open_request.ran()).respond(&context)
+        }
     };
     open_request.on_response();
     response.map(|body| body.with_request_guard(request_guard))
 }
 
+/// Serves a request that was read whole.
+async fn serve(context: &Rc<RequestContext>) -> Response<ResponseBody> {
+    match &context.forwarded {
+        Some(_) if context.gateway.is_path_doubted(&context.service) => not_taken(NotTaken::NoPath),
+        Some(call) => serve_forwarded(context, call).await,
+        None => match forward_client::serve(context).await {
+            Some(response) => response,
+            None => serve_here(context).await,
+        },
+    }
+}
+
 /// Serves a request by the servers that this instance reaches.
 async fn serve_here(context: &Rc<RequestContext>) -> Response<ResponseBody> {
     context.count();
