Take a retry from the budget for each arrival beyond the first, rejected prefills included

Cause (one of several): a prefill that an engine rejected, or that failed, was no repeat, and the run of the request that followed was none either, although the users count every arrival but the first prefill that a server accepts. Engines that are full or change their role reject prefills all the time, so that the number of these repeats had no bound but the backoff of 0.4 s for each engine and instance. Class: what counts is decided at each place that repeats a call, not where calls are made.

Change: RequestArrivals records the calls of a request and states before each of them whether it needs a retry. All calls of generations ask it. The reason of a retry in the metrics is that of the last failed call.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 mod relay_log;
 mod relay_plan;
 mod request;
+mod request_arrivals;
 mod retry_window;
 mod role_plan;
 mod routing;
@@ -76,6 +77,7 @@
 pub use relay_log::{RelayChange, RelayLog, RelayView};
 pub use relay_plan::{RelayPlan, UpdateSource};
 pub use request::{PrefixLink, Prompt, PromptPart, RequestKind};
+pub use request_arrivals::{CallKind, RequestArrivals};
 pub use retry_window::{RetryWindow, SharedRetryBudget};
 pub use role_plan::{PlannedEngine, RoleChange, RoleDemand, RolePlan, RolePlanInput};
 pub use routing::{
--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -3,7 +3,9 @@
 use std::{iter, time::Duration};
 
 use tokio::time::sleep;
-use wagtailarch_dispatch::{GenerationPlan, Placement, PrefillPlan, ServerEndpoint};
+use wagtailarch_dispatch::{
+    CallKind, GenerationPlan, Placement, PrefillPlan, RequestArrivals, ServerEndpoint,
+};
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason, RetryReason};
 use wagtailarch_wire::permit::PermitRank;
@@ -28,14 +30,14 @@
     pub excluded_engines: Vec<InstanceId>,
     /// Instances that failed or did not take the request.
     pub excluded_instances: Vec<InstanceId>,
-    /// Whether the next call is a retry that no instance has taken from its budget yet.
-    pub owes_retry: bool,
+    /// Arrivals at servers, of which all but the first are taken from the retry budget.
+    pub arrivals: RequestArrivals,
     /// Whether the last call could not open a connection, or went to another instance.
     pub is_unreachable: bool,
     /// Number of all calls.
     pub calls: u32,
-    /// Number of separate prefill calls that reached an engine.
-    pub prefills: u32,
+    /// Why the last call failed.
+    last_failure: Option<RetryReason>,
     /// Whether the request may have run.
     ran: Option<Ran>,
 }
@@ -62,6 +64,9 @@
         let attempt_failure = AttemptFailure {
             reason: failure.reason,
         };
+        if attempt_failure.reached_server() {
+            self.arrivals.on_arrival();
+        }
         let decision = self.evaluate(context, failure, delivered);
         let reason = match decision {
             _ if context.time_left().is_zero() => RefusalReason::DeadlineUnreachable,
@@ -71,7 +76,7 @@
                 context.gateway.metrics.outcomes.count_retry(reason);
                 return Ok(());
             }
-            RetryDecision::Retry(reason) => return self.take_retry(context, reason),
+            RetryDecision::Retry(_) => return self.take_retry(context, CallKind::Run),
         };
         Err(self.refusal(reason))
     }
@@ -89,14 +94,12 @@
         delivered: bool,
     ) -> Result<(), Refusal> {
         self.excluded_instances.push(instance.clone());
+        self.arrivals.on_arrival();
         context.possible_runs.set(runs);
         let reason = match self.evaluate(context, failure, delivered) {
             _ if context.time_left().is_zero() => RefusalReason::DeadlineUnreachable,
             RetryDecision::Refuse(reason, _) => reason,
-            RetryDecision::Retry(_) => {
-                self.owes_retry = true;
-                return Ok(());
-            }
+            RetryDecision::Retry(_) => return Ok(()),
         };
         Err(self.refusal(reason))
     }
@@ -118,6 +121,7 @@
         };
         self.ran = Some(RetryPolicy::combine(self.ran(), failure.ran));
         let reason = failure.reason;
+        self.last_failure = Some(reason);
         RetryPolicy::evaluate(&AttemptFailure { reason }, &traits)
     }
 
@@ -219,7 +223,7 @@
             && context.gateway.may_retry(&context.service)
     }
 
-    /// Records a failed prefill, which may be repeated in any case.
+    /// Records a failed prefill, which may be repeated within the retry budget.
     pub fn on_prefill_failure(
         &mut self,
         context: &RequestContext,
@@ -227,20 +231,27 @@
         failure: CallFailure,
     ) {
         let reason = failure.reason;
-        if (AttemptFailure { reason }).reached_server() {
-            self.prefills += 1;
-        }
+        self.last_failure = Some(reason);
         self.is_unreachable = failure.is_unreachable();
         self.excluded_engines.push(engine.clone());
-        context.gateway.metrics.outcomes.count_retry(reason);
+        match (AttemptFailure { reason }).reached_server() {
+            true => self.arrivals.on_arrival(),
+            false => context.gateway.metrics.outcomes.count_retry(reason),
+        }
     }
 
-    /// Takes a retry from the budget of the service.
-    pub fn take_retry(&self, context: &RequestContext, reason: RetryReason) -> Result<(), Refusal> {
+    /// Takes a retry from the budget of the service if the next call needs one.
+    pub fn take_retry(&mut self, context: &RequestContext, call: CallKind) -> Result<(), Refusal> {
+        if !self.arrivals.needs_retry(call) {
+            return Ok(());
+        }
         if !context.gateway.try_retry(&context.service) {
             return Err(self.refusal(RefusalReason::RetryBudgetExhausted));
         }
-        context.gateway.metrics.outcomes.count_retry(reason);
+        self.arrivals.on_retry_taken();
+        if let Some(reason) = self.last_failure {
+            context.gateway.metrics.outcomes.count_retry(reason);
+        }
         Ok(())
     }
 
--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -8,7 +8,7 @@
 use slog::info;
 use tokio::time::timeout;
 use wagtailarch_adapter::{CallStep, encode_client_request};
-use wagtailarch_dispatch::ServerProcess;
+use wagtailarch_dispatch::{CallKind, ServerProcess};
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason, VersionKey};
 use wagtailarch_wire::{
@@ -191,7 +191,7 @@
             peer,
             address,
             possible_runs: context.possible_runs.get(),
-            takes_retry: attempts.owes_retry,
+            takes_retry: attempts.arrivals.needs_retry(CallKind::Run),
             resume,
         };
         let name = call.peer.name.clone();
@@ -204,7 +204,9 @@
         };
         let failure = match result {
             Ok(Ok(started)) => {
-                attempts.owes_retry = false;
+                if call.takes_retry {
+                    attempts.arrivals.on_retry_taken();
+                }
                 context.is_counted.set(true);
                 return Some(Ok(StartedGeneration {
                     response: started.response,
@@ -227,6 +229,9 @@
             }
             Err(InstanceFailure::Lost(failure)) => failure,
         };
+        if call.takes_retry {
+            attempts.arrivals.on_retry_taken();
+        }
         context.is_counted.set(true);
         let runs = context.possible_runs.get() + 1;
         if let Err(refusal) =
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -7,9 +7,9 @@
 use slog::{debug, info};
 use wagtailarch_adapter::{CallStep, KvSource, PriorityClass, decode_prefill_response};
 use wagtailarch_dispatch::{
-    GenerationPlan, GenerationRequest, Placement, PrefillPlan, ServerEndpoint, Urgency,
+    CallKind, GenerationPlan, GenerationRequest, Placement, PrefillPlan, ServerEndpoint, Urgency,
 };
-use wagtailarch_types::{InstanceId, RefusalReason, RetryReason, VersionKey};
+use wagtailarch_types::{InstanceId, RefusalReason, VersionKey};
 use wagtailarch_wire::permit::PermitRank;
 
 use crate::{
@@ -167,9 +167,6 @@
     resume_after: Option<u64>,
 ) -> Result<StartedGeneration, GenerationError> {
     let interrupted = resume_after != context.client.resume_after;
-    if std::mem::take(&mut attempts.owes_retry) {
-        attempts.take_retry(context, RetryReason::ClosedBeforeResponse)?;
-    }
     let has_events = resume_after.is_some();
     let rank = match has_events {
         true => PermitRank::Urgent,
@@ -215,6 +212,7 @@
         };
         // Evidence may have arrived during the prefill or while a permit was awaited.
         context.judge_parts(attempts.ran())?;
+        attempts.take_retry(context, CallKind::Run)?;
         attempts.calls += 1;
         let decode_guard = DecodeGuard::new(gateway, &decode_engine.id);
         let suspect = isolated.then(|| SuspectGuard::new(gateway, &decode_engine.id));
@@ -402,12 +400,9 @@
     context
         .judge_parts(attempts.ran())
         .map_err(PrefillError::Refused)?;
-    // Once a prefill has reached an engine, each further one takes a retry from the budget. It is
-    // counted as a failed import, whatever made the earlier prefill or its decode fail.
-    if attempts.prefills > 0 {
-        let retry = attempts.take_retry(context, RetryReason::KvImportFailed);
-        retry.map_err(PrefillError::Refused)?;
-    }
+    attempts
+        .take_retry(context, CallKind::Prefill)
+        .map_err(PrefillError::Refused)?;
     attempts.calls += 1;
     let prefill = start_prefill(context, prefill_engine, plan.urgency);
     let call = Call {
@@ -430,7 +425,7 @@
         "expected_wait_ms" => plan.prefill_wait.as_millis() as u64);
     let failure = match handle {
         Ok(source) => {
-            attempts.prefills += 1;
+            attempts.arrivals.on_prefill_accepted();
             return Ok((CallStep::Decode(source), Some(prefill_engine.id.clone())));
         }
         Err(failure) => failure,
