Keep the attempts of a stream whose instance was lost

Cause: `forward::client::serve` dropped its attempts when no further instance took the stream, and the stream was served here as if nothing had happened; a refusal decided before the loss kept its 'not run'. Class: what is known of a request belongs to the place that sent it and not to the request.

Change: serve returns the attempts for the run here; every refusal after them (crash evidence, origin of a stream, no engine) states what the lost call may have done.

--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -87,20 +87,23 @@
     Lost(CallFailure),
 }
 
-/// Serves a request through another instance if this one has lost its path; returns `None` if it
-/// is to be served here.
-pub async fn serve(context: &Rc<RequestContext>) -> Option<Response<ResponseBody>> {
+/// Serves a request through another instance if this one has lost its path.
+///
+/// Returns the attempts made so far if the request is to be served here.
+pub async fn serve(context: &Rc<RequestContext>) -> Result<Response<ResponseBody>, Attempts> {
+    let mut attempts = Attempts::default();
     if !context.route.kind.is_stream() {
-        return serve_plain(context, Condition::PathLost, Ran::No).await;
+        let response = serve_plain(context, Condition::PathLost, Ran::No).await;
+        return response.ok_or(attempts);
     }
-    let mut attempts = Attempts::default();
     let resume_after = context.client.resume_after;
-    let started = start_stream(context, &mut attempts, Condition::PathLost, resume_after).await?;
+    let started = start_stream(context, &mut attempts, Condition::PathLost, resume_after).await;
     let response = match started {
-        Ok(started) => stream_relay::respond(Rc::clone(context), attempts, started).await,
-        Err(failure) => Err(failure),
+        Some(Ok(started)) => stream_relay::respond(Rc::clone(context), attempts, started).await,
+        Some(Err(failure)) => Err(failure),
+        None => return Err(attempts),
     };
-    Some(response.unwrap_or_else(|failure| failure.respond(context)))
+    Ok(response.unwrap_or_else(|failure| failure.respond(context)))
 }
 
 /// Serves a plain request through other instances; returns `None` if no instance takes it.
@@ -131,7 +134,7 @@
             Ok(response) => return Some(response),
             Err(InstanceFailure::NotTaken) => continue,
             Err(InstanceFailure::Refused(refusal)) => {
-                return Some(combined(refusal, ran).respond(context));
+                return Some(refusal.after(ran).respond(context));
             }
             Err(InstanceFailure::Lost(failure)) => failure,
         };
@@ -225,7 +228,7 @@
                 continue;
             }
             Err(InstanceFailure::Refused(refusal)) => {
-                return Some(Err(combined(refusal, attempts.ran()).into()));
+                return Some(Err(refusal.after(attempts.ran()).into()));
             }
             Err(InstanceFailure::Lost(failure)) => failure,
         };
@@ -458,14 +461,6 @@
     }
 }
 
-/// Returns the refusal of the other instance, which knows nothing of the earlier calls.
-fn combined(refusal: Refusal, ran_before: Ran) -> Refusal {
-    Refusal {
-        ran: RetryPolicy::combine(ran_before, refusal.ran),
-        ..refusal
-    }
-}
-
 fn refusal(reason: RefusalReason, ran: Ran) -> Refusal {
     Refusal {
         reason,
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -116,14 +116,13 @@
     }
 }
 
-/// Serves a generation.
-pub async fn serve(context: Rc<RequestContext>) -> Response<ResponseBody> {
-    let mut attempts = Attempts::default();
+/// Serves a generation, after the given attempts at other instances.
+pub async fn serve(context: Rc<RequestContext>, mut attempts: Attempts) -> Response<ResponseBody> {
     // A stream that another instance began is already bound to its version.
     if context.client.resume_after.is_some() && context.version.get().is_none() {
         match origins::take_up(&context).await {
             Ok(version) => context.version.set(Some(version)),
-            Err(refusal) => return refusal.respond(&context),
+            Err(refusal) => return refusal.after(attempts.ran()).respond(&context),
         }
     }
     let response = match start(&context, &mut attempts, context.client.resume_after).await {
@@ -157,7 +156,11 @@
     {
         return started;
     }
-    started
+    // An instance may have been lost since the refusal.
+    started.map_err(|failure| match failure {
+        GenerationError::Refused(refusal) => refusal.after(attempts.ran()).into(),
+        GenerationError::ErrorResponse(_) => failure,
+    })
 }
 
 /// Starts or resumes a generation at the engines that this instance reaches.
--- a/crates/wagtailarch-gateway/src/refusal.rs
+++ b/crates/wagtailarch-gateway/src/refusal.rs
@@ -6,6 +6,7 @@
 use http::{Response, StatusCode};
 use slog::info;
 use wagtailarch_adapter::{BEGIN_ANEW, encode_refusal};
+use wagtailarch_traffic::RetryPolicy;
 use wagtailarch_types::{Ran, RefusalReason};
 
 use crate::{request_context::RequestContext, response_body::ResponseBody};
@@ -38,6 +39,14 @@
         }
     }
 
+    /// Returns the refusal after earlier calls that may have run the request, of which it knows nothing.
+    pub fn after(self, ran_before: Ran) -> Self {
+        Self {
+            ran: RetryPolicy::combine(ran_before, self.ran),
+            ..self
+        }
+    }
+
     /// Builds the response to a request, and logs and counts the refusal.
     pub fn respond(&self, context: &RequestContext) -> Response<ResponseBody> {
         let response = self.response_without_log();
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -17,6 +17,7 @@
 use wagtailarch_wire::forward::{ForwardCall, NotTaken};
 
 use crate::{
+    attempts::Attempts,
     body_buffer::{BufferError, BufferedBody},
     client_meter::ClientMeter,
     forward::{
@@ -222,21 +223,21 @@
         Some(_) if context.gateway.is_path_doubted(&context.service) => not_taken(NotTaken::NoPath),
         Some(call) => serve_forwarded(context, call).await,
         None => match forward_client::serve(context).await {
-            Some(response) => response,
-            None => serve_here(context).await,
+            Ok(response) => response,
+            Err(attempts) => serve_here(context, attempts).await,
         },
     }
 }
 
-/// Serves a request by the servers that this instance reaches.
-async fn serve_here(context: &Rc<RequestContext>) -> Response<ResponseBody> {
+/// Serves a request by the servers that this instance reaches, after the given attempts elsewhere.
+async fn serve_here(context: &Rc<RequestContext>, attempts: Attempts) -> Response<ResponseBody> {
     context.count();
     if let Err(refusal) = context.admit() {
-        return refusal.respond(context);
+        return refusal.after(attempts.ran()).respond(context);
     }
     let context = Rc::clone(context);
     match context.route.kind.is_stream() {
-        true => generation::serve(context).await,
+        true => generation::serve(context, attempts).await,
         false => plain::serve(context).await,
     }
 }
@@ -255,7 +256,7 @@
         };
         return refusal.respond(context);
     }
-    let mut response = serve_here(context).await;
+    let mut response = serve_here(context, Attempts::default()).await;
     let refusal = response.extensions().get::<Refusal>();
     if refusal.is_some_and(|refusal| refusal.ran == Ran::No)
         && gateway.is_path_doubted(&context.service)
