Keep the sum of repeats within the budget after instances have restarted

Cause: each instance counts alone. One that has just started knows nothing of the retries of the process before, and took its whole share again; and one that had not read the list of instances yet took the fixed part alone. Class: a share of a common budget that is handed out anew with each start.

Change: the fixed part grows from nothing during the first window after a start, and the ratio used is a quarter until then, so that with the three quarters of the process before the sum stays within the budget. Without a list of instances there is no fixed part. A change of the window in the settings counts as a start. The metric `repeats` counts what is taken.

--- a/crates/wagtailarch-dispatch/src/retry_window.rs
+++ b/crates/wagtailarch-dispatch/src/retry_window.rs
@@ -4,10 +4,15 @@
 
 /// Number of buckets into which the window is divided.
 const BUCKETS: u32 = 20;
-/// Share of the ratio that is used. The rest covers restarted instances, which count from zero, and
-/// requests that are counted in another window than their retries.
+/// Share of the ratio that is used by an instance that knows its retries of a whole window.
+///
+/// The rest is left to instances that have restarted.
 const RATIO_SHARE: f64 = 0.75;
-/// Share of the fixed part of the budget that is used, for the same reasons.
+/// Share of the ratio that is used before that: with the retries of the process before, which used
+/// up to [`RATIO_SHARE`], the sum stays within the ratio.
+const FIRST_RATIO_SHARE: f64 = 1.0 - RATIO_SHARE;
+/// Share of the fixed part of the budget that is used, so that the process before a restart and
+/// the one after it together stay below the whole.
 const SLACK_SHARE: f64 = 0.4;
 
 /// The retry budget of all instances together.
@@ -19,14 +24,32 @@
     pub slack: f64,
     /// Length of the window.
     pub window: Duration,
-    /// Number of instances that share the fixed part.
-    pub instances: usize,
+    /// Number of instances that share the fixed part; `None` while they are not known.
+    pub instances: Option<usize>,
+    /// Time for which this instance has counted: it knows nothing of its retries before.
+    pub counted_for: Duration,
+}
+
+impl SharedRetryBudget {
+    /// Returns the part of the slack that this instance may use.
+    ///
+    /// It grows during the first window, so that instances that restart again and again use no more
+    /// than one that runs on.
+    fn own_slack(&self) -> f64 {
+        let Some(instances) = self.instances else {
+            return 0.0;
+        };
+        let window_s = self.window.as_secs_f64().max(f64::MIN_POSITIVE);
+        let grown = (self.counted_for.as_secs_f64() / window_s).min(1.0);
+        self.slack * SLACK_SHARE * grown / instances.max(1) as f64
+    }
 }
 
 /// Requests and retries of this instance for one service in a sliding window.
 ///
 /// No coordination is needed: each instance uses at most the ratio of its own requests and an equal
-/// share of the fixed part, so that the sum stays within the budget.
+/// share of the fixed part, so that the sum stays within the budget. After a start it uses less of both,
+/// since its retries before are not known any more.
 #[derive(Debug, Default)]
 pub struct RetryWindow {
     /// Buckets, oldest first.
@@ -60,8 +83,11 @@
         self.bucket(now, budget);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack = budget.slack * SLACK_SHARE / budget.instances.max(1) as f64;
-        let allowed = f64::from(requests) * budget.ratio * RATIO_SHARE + slack;
+        let ratio_share = match budget.counted_for < budget.window {
+            true => FIRST_RATIO_SHARE,
+            false => RATIO_SHARE,
+        };
+        let allowed = f64::from(requests) * budget.ratio * ratio_share + budget.own_slack();
         f64::from(retries) + 1.0 <= allowed
     }
 
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -128,9 +128,16 @@
     mut instances: Vec<Peer>,
 ) {
     instances.retain(|peer| peer.name != context.instance);
-    if *publisher.borrow().peers != instances {
+    let is_known = {
+        let snapshot = publisher.borrow();
+        snapshot.peers_listed && *snapshot.peers == instances
+    };
+    if !is_known {
         info!(context.log, "peers changed"; "peers" => instances.len());
-        publish(publisher, |snapshot| snapshot.peers = Arc::new(instances));
+        publish(publisher, |snapshot| {
+            snapshot.peers = Arc::new(instances);
+            snapshot.peers_listed = true;
+        });
     }
 }
 
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -78,6 +78,8 @@
     stopping_since: Cell<Option<Duration>>,
     snapshot: RefCell<Arc<Snapshot>>,
     retry_windows: RefCell<IndexMap<ServiceName, RetryWindow>>,
+    /// Since when the retry windows have been counting; the start of the process is zero.
+    retries_counted_since: Cell<Duration>,
     reloadable_settings: Cell<ReloadableSettings>,
     epoch: Instant,
 }
@@ -150,6 +152,7 @@
             stopping_since: Cell::default(),
             snapshot: RefCell::default(),
             retry_windows: RefCell::default(),
+            retries_counted_since: Cell::default(),
             epoch,
         }
     }
@@ -228,6 +231,7 @@
         if previous.retry_window != settings.retry_window {
             // Counts of a window with another length cannot be reused.
             self.retry_windows.borrow_mut().clear();
+            self.retries_counted_since.set(self.now());
         }
         previous != settings
     }
@@ -245,7 +249,11 @@
 
     /// Takes one retry from the budget of a service; returns whether one was left.
     pub fn try_retry(&self, service: &ServiceName) -> bool {
-        self.with_retry_window(service, RetryWindow::try_retry)
+        let taken = self.with_retry_window(service, RetryWindow::try_retry);
+        if taken {
+            self.metrics.count_repeat();
+        }
+        taken
     }
 
     /// Records that a response of a server states that it leaves: nothing more is sent there, whatever
@@ -409,11 +417,14 @@
 
     fn shared_retry_budget(&self) -> SharedRetryBudget {
         let settings = self.reloadable_settings.get();
+        let snapshot = self.snapshot.borrow();
+        let counted_since = self.retries_counted_since.get();
         SharedRetryBudget {
             ratio: settings.retry_ratio,
             slack: settings.retry_slack,
             window: settings.retry_window,
-            instances: self.snapshot.borrow().peers.len() + 1,
+            instances: snapshot.peers_listed.then(|| snapshot.peers.len() + 1),
+            counted_for: self.now().saturating_sub(counted_since),
         }
     }
 }
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -134,6 +134,7 @@
     forwards: LabeledCounters,
     requests: LabeledCounters,
     client_gone: Counter,
+    repeats: Counter,
     open_requests: Gauge,
     open_connections: Gauge,
     generation: Gauge,
@@ -182,6 +183,9 @@
         let client_gone = Counter::default();
         let help = "Requests whose client left before the end of the answer";
         r.register("client_gone", help, client_gone.clone());
+        let repeats = Counter::default();
+        let help = "Calls taken from the retry budgets of services";
+        r.register("repeats", help, repeats.clone());
         let path_probes = Counter::default();
         let help = "Connections that only show whether a path is there";
         r.register("path_probes", help, path_probes.clone());
@@ -226,6 +230,7 @@
             forwards,
             requests,
             client_gone,
+            repeats,
             open_requests,
             open_connections,
             generation,
@@ -255,6 +260,11 @@
         self.client_gone.inc();
     }
 
+    /// Counts a call that was taken from the retry budget of its service.
+    pub fn count_repeat(&self) {
+        self.repeats.inc();
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: StoreCall) {
         self.store_calls
--- a/crates/wagtailarch-gateway/src/snapshot.rs
+++ b/crates/wagtailarch-gateway/src/snapshot.rs
@@ -26,6 +26,8 @@
     pub store_versions: StoreVersions,
     /// The other entry instances.
     pub peers: Arc<Vec<Peer>>,
+    /// Whether the other instances have been listed.
+    pub peers_listed: bool,
 }
 
 /// Software versions of which streams may be open, as read from the store.
