Respond to requests of wagtail-entry that outlast the drain

Cause: all connections were closed at the end of the drain time, whatever was open. Change: a stage Responding 0.4 s before it (half of a short drain time), in which a request without a response gets 503 `draining` with `x-ran: unknown`. The new test failed before (the connection closed), passes now. Streams that have begun go on until the end, as before.

--- a/crates/wagtailarch-entry/src/drain.rs
+++ b/crates/wagtailarch-entry/src/drain.rs
@@ -14,6 +14,9 @@
     shared::{Shared, Stage},
 };
 
+/// Longest time before the end of the drain time at which requests without a response get one, so
+/// that it can be sent.
+const RESPONSE_TIME: Duration = Duration::from_millis(400);
 /// Time for the tasks of aborted connections to end.
 const ABORT_TIME: Duration = Duration::from_millis(200);
 
@@ -44,15 +47,24 @@
         self.machine.handle(&Event::Terminate);
         sleep(ms(timeouts.drain_delay_ms)).await;
         self.machine.handle(&Event::DelayElapsed);
-        let finished = timeout(ms(timeouts.drain_ms), self.shared.wait_until_idle())
-            .await
-            .is_ok();
+        let drain_time = ms(timeouts.drain_ms);
+        let response_time = RESPONSE_TIME.min(drain_time / 2);
+        let mut finished = self.is_idle_within(drain_time - response_time).await;
+        if !finished {
+            self.machine.handle(&Event::ResponsesDue);
+            finished = self.is_idle_within(response_time).await;
+        }
         self.machine.handle(&Event::Finished);
         if !finished {
             sleep(ABORT_TIME).await;
         }
         finished
     }
+
+    /// Returns whether every request and connection has ended before `limit`.
+    async fn is_idle_within(&self, limit: Duration) -> bool {
+        timeout(limit, self.shared.wait_until_idle()).await.is_ok()
+    }
 }
 
 /// Event that advances the shutdown.
@@ -61,6 +73,8 @@
     Terminate,
     /// The drain delay, in which the load balancer notices the shutdown, has elapsed.
     DelayElapsed,
+    /// The drain time is nearly over.
+    ResponsesDue,
     /// All requests and connections have ended, or the drain time is over.
     Finished,
 }
@@ -83,7 +97,7 @@
     fn serving(event: &Event) -> Outcome<State> {
         match event {
             Event::Terminate => Transition(State::leaving()),
-            Event::DelayElapsed | Event::Finished => Handled,
+            Event::DelayElapsed | Event::ResponsesDue | Event::Finished => Handled,
         }
     }
 
@@ -91,22 +105,33 @@
     fn leaving(event: &Event) -> Outcome<State> {
         match event {
             Event::DelayElapsed => Transition(State::finishing()),
-            Event::Terminate | Event::Finished => Handled,
+            Event::Terminate | Event::ResponsesDue | Event::Finished => Handled,
         }
     }
 
     #[state(entry_action = "enter_finishing")]
     fn finishing(event: &Event) -> Outcome<State> {
         match event {
+            Event::ResponsesDue => Transition(State::responding()),
             Event::Finished => Transition(State::stopped()),
             Event::Terminate | Event::DelayElapsed => Handled,
         }
     }
 
+    #[state(entry_action = "enter_responding")]
+    fn responding(event: &Event) -> Outcome<State> {
+        match event {
+            Event::Finished => Transition(State::stopped()),
+            Event::Terminate | Event::DelayElapsed | Event::ResponsesDue => Handled,
+        }
+    }
+
     #[state(entry_action = "enter_stopped")]
     fn stopped(event: &Event) -> Outcome<State> {
         match event {
-            Event::Terminate | Event::DelayElapsed | Event::Finished => Handled,
+            Event::Terminate | Event::DelayElapsed | Event::ResponsesDue | Event::Finished => {
+                Handled
+            }
         }
     }
 
@@ -120,6 +145,11 @@
         self.publish(Stage::Finishing);
     }
 
+    #[action]
+    fn enter_responding(&mut self) {
+        self.publish(Stage::Responding);
+    }
+
     #[action]
     fn enter_stopped(&mut self) {
         self.publish(Stage::Stopped);
--- a/crates/wagtailarch-entry/src/server.rs
+++ b/crates/wagtailarch-entry/src/server.rs
@@ -18,7 +18,7 @@
     sync::Semaphore,
     time::sleep,
 };
-use wagtailarch_types::{RefusalReason, RequestId, format_request_id};
+use wagtailarch_types::{Ran, RefusalReason, RequestId, format_request_id};
 
 use crate::{
     body::{ClientBody, on_complete},
@@ -273,7 +273,15 @@
     let id: RequestId = rand::random();
     shared.metrics.requests.inc();
     let version = request.version();
-    let mut response = match route_request(shared, id, request).await {
+    let routed = tokio::select! {
+        biased;
+        routed = route_request(shared, id, request) => routed,
+        () = shared.wait_for_stage(Stage::Responding) => {
+            let message = "the instance stopped before the response";
+            Err(Refusal::new(RefusalReason::Draining, message).ran(Ran::Unknown))
+        }
+    };
+    let mut response = match routed {
         Ok(response) => response,
         Err(refusal) => {
             shared.metrics.outcomes.count_refusal(refusal.reason);
--- a/crates/wagtailarch-entry/src/shared.rs
+++ b/crates/wagtailarch-entry/src/shared.rs
@@ -40,6 +40,8 @@
     Leaving,
     /// Accepts no connections and finishes the running requests.
     Finishing,
+    /// Responds to the requests that have no response, since the drain time is nearly over.
+    Responding,
     /// All requests have finished or the drain time is over; open connections are closed.
     Stopped,
 }
--- a/crates/wagtailarch-entry/tests/shutdown.rs
+++ b/crates/wagtailarch-entry/tests/shutdown.rs
@@ -84,6 +84,33 @@
     );
 }
 
+/// Guards against a request that ends without a response, since the drain time is over before its
+/// engine responds (issue 44).
+#[tokio::test]
+async fn a_request_that_outlasts_the_drain_gets_a_response() {
+    let engine = FakeEngine::start("e1").await;
+    engine.add_script(Script::Generate {
+        tokens: 1,
+        token_delay: Duration::from_secs(60),
+    });
+    let platform = fake_platform(json!([listed_engine(&engine)]));
+    let timeouts = SHORT_TIMEOUTS.replace("first_token_ms = 2000", "first_token_ms = 60000");
+    let instance = start(&platform, &format!("{timeouts}drain_ms = 1000\n")).await;
+    let request = chat_request(instance.client_address(), "hi", false);
+    let call = tokio::spawn(async move { client().request(request).await });
+    common::eventually("the call of the engine", || {
+        !engine.calls.lock().unwrap().is_empty()
+    })
+    .await;
+    let drain = tokio::spawn(instance.drain());
+    let response = call.await.unwrap().expect("a response");
+    assert_eq!(response.headers()["x-ran"], "unknown");
+    let (status, body) = read_response(response).await;
+    assert_eq!(status, 503);
+    assert!(body.contains("\"draining\""), "{body}");
+    drain.await.unwrap();
+}
+
 /// Guards against TLS without HTTP/2, and against clients that keep a connection open without a
 /// request.
 #[tokio::test]
