--- a/crates/wagtailarch-dispatch/src/retry_window.rs
+++ b/crates/wagtailarch-dispatch/src/retry_window.rs
@@ -6,7 +6,8 @@
 const BUCKETS: u32 = 20;
 /// Share of the ratio that is used by an instance that knows its retries of a whole window.
 ///
-/// The rest is left to instances that have restarted.
+/// The rest is left to instances that have restarted, and covers requests that are counted in
+/// another window than their retries.
 const RATIO_SHARE: f64 = 0.75;
 /// Share of the ratio that is used before that: with the retries of the process before, which used
 /// up to [`RATIO_SHARE`], the sum stays within the ratio.
--- a/crates/wagtailarch-gateway/src/forward/server.rs
+++ b/crates/wagtailarch-gateway/src/forward/server.rs
@@ -177,7 +177,7 @@
     if is_stream {
         headers.insert(header::TRAILER, HeaderValue::from(END_TRAILER));
     }
-    // The server of the response is none of the system's instances.
+    // Only instances state what this header says; a server may send one of the same name.
     headers.remove(LEAVING_HEADER);
     if !leaving.is_empty() {
         headers.append(header::CONNECTION, HeaderValue::from(LEAVING_HEADER));
