Keep probed ports free while processes of tests start

Cause: Ports::allocate binds a port for TCP and UDP and closes both sockets. A process that is started by another thread at that moment inherits them until it executes its program, so that the port stays in use for some time.

Change: starting a process and probing a port exclude each other.

--- a/crates/wagtailarch-e2e/src/ctl.rs
+++ b/crates/wagtailarch-e2e/src/ctl.rs
@@ -2,7 +2,10 @@
 
 use std::process::Stdio;
 
+use tokio::process::{Child, Command};
+
 use crate::HarnessError;
+use crate::ports::lock_probes;
 use crate::process::program_path;
 
 /// Exit code and output of a call of `wagtailctl`.
@@ -29,12 +32,7 @@
 
 /// Runs `wagtailctl` and waits until it exits.
 pub(crate) async fn run_ctl(args: &[&str]) -> Result<CtlOutput, HarnessError> {
-    let output = tokio::process::Command::new(program_path("wagtailctl")?)
-        .args(args)
-        .stdin(Stdio::null())
-        .kill_on_drop(true)
-        .output()
-        .await?;
+    let output = start_ctl(args)?.wait_with_output().await?;
     let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
     text.push_str(&String::from_utf8_lossy(&output.stderr));
     Ok(CtlOutput {
@@ -42,3 +40,15 @@
         text,
     })
 }
+
+fn start_ctl(args: &[&str]) -> Result<Child, HarnessError> {
+    let mut command = Command::new(program_path("wagtailctl")?);
+    command
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true);
+    let _guard = lock_probes();
+    Ok(command.spawn()?)
+}
--- a/crates/wagtailarch-e2e/src/lib.rs
+++ b/crates/wagtailarch-e2e/src/lib.rs
@@ -26,5 +26,5 @@
 pub use load::{LoadHandle, scenario};
 pub use options::{ConfigSource, FleetOptions};
 pub use ports::Ports;
-pub use process::{ServerProcess, program_path};
+pub use process::{ServerProcess, program_path, spawn};
 pub use usage::ProcessUsage;
--- a/crates/wagtailarch-e2e/src/ports.rs
+++ b/crates/wagtailarch-e2e/src/ports.rs
@@ -3,9 +3,16 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::ops::Range;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crate::HarnessError;
 
+/// Locked while a port is probed, and while a process starts.
+///
+/// A process that starts inherits the sockets of a probe until it executes its program, which would
+/// keep the port in use after the probe.
+static PROBE: Mutex<()> = Mutex::new(());
+
 /// Allocator of ports below the ephemeral range.
 ///
 /// The operating system may use a port of the ephemeral range for an outgoing connection before the
@@ -42,6 +49,7 @@
         for _ in 0..length {
             let offset = self.next.fetch_add(1, Ordering::Relaxed) % length;
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, self.range.start + offset));
+            let _guard = lock_probes();
             if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
                 return Ok(address);
             }
@@ -49,3 +57,8 @@
         Err(HarnessError::NoFreePort)
     }
 }
+
+/// Delays probes of ports until the returned guard is dropped.
+pub(crate) fn lock_probes() -> MutexGuard<'static, ()> {
+    PROBE.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/wagtailarch-e2e/src/process.rs
+++ b/crates/wagtailarch-e2e/src/process.rs
@@ -9,6 +9,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::HarnessError;
+use crate::ports::lock_probes;
 
 /// Timeout for a process to print its address.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
@@ -37,13 +38,13 @@
         let log = dir.join(format!("{name}.log"));
         let output = dir.join(format!("{name}.out"));
         let append = |path: &Path| File::options().create(true).append(true).open(path);
-        let child = Command::new(program_path(program)?)
+        let mut command = Command::new(program_path(program)?);
+        command
             .args(args)
             .stdin(Stdio::null())
             .stdout(File::create(&output)?)
-            .stderr(append(&log)?)
-            .spawn()
-            .map_err(|error| start_error(program, &error))?;
+            .stderr(append(&log)?);
+        let child = spawn(&mut command).map_err(|error| start_error(program, &error))?;
         Ok(Self {
             name: name.to_owned(),
             child,
@@ -143,6 +144,14 @@
     }
 }
 
+/// Starts a process that inherits no socket of [`Ports::allocate`](crate::Ports::allocate).
+///
+/// Returns the error of the operating system if the process cannot be started.
+pub fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _guard = lock_probes();
+    command.spawn()
+}
+
 /// Returns the path of a program in the target directory from which the current program runs.
 pub fn program_path(program: &str) -> Result<PathBuf, HarnessError> {
     let executable = std::env::current_exe()?;
