Bound the instances that a test of ended heads runs at the same time

a_head_that_ends_early_is_no_success of wagtail-entry started an instance for each byte of a head, all at once, in up to eight cases beside each other: more than 500 instances.

Change: a case runs eight instances at a time. Offsets, framings, limits and expectations are the same, and the number of results is checked.

Alone the program takes 8.6 s (8.8 s before).

--- a/crates/wagtailarch-entry/tests/endings.rs
+++ b/crates/wagtailarch-entry/tests/endings.rs
@@ -14,6 +14,8 @@
 };
 
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+/// Number of instances that one case runs at the same time; cases run beside each other.
+const CONCURRENT_INSTANCES: usize = 8;
 /// Time limit of a call.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 
@@ -161,12 +163,19 @@
     let text = format!("{framing}\r\n{EVENTS}");
     let head = format!("HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n{framing}\r\n");
     let mut calls = tokio::task::JoinSet::new();
+    let mut statuses = Vec::new();
     for cut_at in 0..head.len() {
+        if calls.len() == CONCURRENT_INSTANCES {
+            let finished = calls.join_next().await.expect("a call");
+            statuses.push(finished.expect("no panic"));
+        }
         let service = cut_service(content_type, text.clone(), after, Some(cut_at)).await;
         let version = if cut_at % 2 == 0 { "1.1" } else { "1.0" };
         calls.spawn(async move { (cut_at, call(service, version).await.0) });
     }
-    for (cut_at, status) in calls.join_all().await {
+    statuses.extend(calls.join_all().await);
+    assert_eq!(statuses.len(), head.len());
+    for (cut_at, status) in statuses {
         assert!(status >= 500, "offset {cut_at}: status {status}");
     }
 }
