--- a/crates/wagtailarch-dispatch/tests/placement.rs
+++ b/crates/wagtailarch-dispatch/tests/placement.rs
@@ -362,6 +362,42 @@
     );
 }
 
+/// Guards against an engine that was unresponsive during one prefill and is taken for slow from then
+/// on: prompts that are predicted to be late correct no prediction.
+#[test]
+fn one_slow_prefill_does_not_delay_predictions_for_good() {
+    let mut balancer = balancer(&[("r", Role::Prefill), ("d", Role::Decode)]);
+    balancer.add_running(&"d".into(), 2);
+    let probe = prompt("probe", 2_000, "probe", 2_000);
+    let initial_time = plan(&balancer, &probe).prefill_time;
+    prefill_at_slowdown(&mut balancer, 1, 15.0);
+    for index in 0..20 {
+        let own = format!("later{index}");
+        let prefixes = prompt(&own, 2_000, &own, 2_000);
+        let plan = plan(&balancer, &prefixes);
+        let (_, number) = start_prefill(&mut balancer, &plan, &prefixes);
+        let took = initial_time + Duration::from_millis(3);
+        balancer.finish_prefill(NOW + took, number, true);
+    }
+    let learned_time = plan(&balancer, &probe).prefill_time;
+    let ratio = learned_time.as_secs_f64() / initial_time.as_secs_f64();
+    assert!(ratio < 1.2, "predicted {ratio} times the prefill time");
+}
+
+/// Guards against an instance that refuses every prompt after one slow prefill, so that no prompt can
+/// correct the prediction.
+#[test]
+fn prompts_are_accepted_again_after_a_slow_prefill() {
+    let mut balancer = balancer(&[("r", Role::Prefill), ("d", Role::Decode)]);
+    balancer.add_running(&"d".into(), 2);
+    prefill_at_slowdown(&mut balancer, 1, 60.0);
+    let probe = prompt("probe", 2_000, "probe", 2_000);
+    let zone: ZoneName = "a".into();
+    let later = NOW + Duration::from_secs(60);
+    let placement = balancer.place_generation(later, &ENGINES.into(), &request(&probe, &zone), &[]);
+    assert!(matches!(placement, Placement::Use(_)), "{placement:?}");
+}
+
 /// Guards against clients that wait until they disconnect: at a peak of prompts on time, a late
 /// prompt was accepted although its turn never came.
 #[test]
