--- a/crates/wagtailarch-dispatch/tests/membership.rs
+++ b/crates/wagtailarch-dispatch/tests/membership.rs
@@ -18,6 +18,14 @@
         .collect()
 }
 
+/// Returns `s1` of [`two_servers`] after a restart.
+fn restarted() -> BackendServer {
+    BackendServer {
+        started_unix_ms: 2_000,
+        ..plain("s1", "a")
+    }
+}
+
 fn two_servers() -> Membership {
     let mut membership = Membership::default();
     membership.on_list(at(0), vec![plain("s1", "a"), plain("s2", "a")]);
@@ -50,11 +58,10 @@
         MembershipChange::Outdated
     );
     assert_eq!(usable(&membership), ["s2"]);
-    let restarted = BackendServer {
-        started_unix_ms: 2_000,
-        ..plain("s1", "a")
-    };
-    assert_eq!(membership.on_registered(restarted), MembershipChange::Added);
+    assert_eq!(
+        membership.on_registered(restarted()),
+        MembershipChange::Added
+    );
     assert_eq!(usable(&membership).len(), 2);
 }
 
@@ -63,10 +70,7 @@
 #[test]
 fn an_earlier_start_does_not_replace_a_later_one() {
     let mut membership = Membership::default();
-    let later = BackendServer {
-        started_unix_ms: 2_000,
-        ..plain("s1", "a")
-    };
+    let later = restarted();
     membership.on_registered(later);
     let earlier = BackendServer {
         heartbeat: 90,
@@ -159,11 +163,10 @@
     membership.on_store_lost();
     membership.on_list(at(20), vec![plain("s2", "a"), renewed]);
     assert_eq!(usable(&membership), ["s2"]);
-    let restarted = BackendServer {
-        started_unix_ms: 2_000,
-        ..plain("s1", "a")
-    };
-    assert_eq!(membership.on_registered(restarted), MembershipChange::Added);
+    assert_eq!(
+        membership.on_registered(restarted()),
+        MembershipChange::Added
+    );
     assert_eq!(usable(&membership).len(), 2);
 }
 
@@ -172,10 +175,7 @@
 fn a_response_of_an_earlier_start_says_nothing_about_the_present_one() {
     let mut membership = Membership::default();
     let earlier = plain("s1", "a").process();
-    let present = BackendServer {
-        started_unix_ms: 2_000,
-        ..plain("s1", "a")
-    };
+    let present = restarted();
     membership.on_registered(present);
     membership.on_stated_leaving(earlier);
     assert_eq!(usable(&membership), ["s1"]);
