Break no begun stream off while its prompt is read again elsewhere

Cause: the stream leaves its engine for others that respond, and has its prompt read there. A prefill that had not ended when clients usually leave was refused like a request that has not begun, which closes the connection of a begun stream. And a repeated prefill used up the retry meant for the run after it, so that the stream was broken off if the budget had no further one.

Fix: only the time of its request ends a begun stream (TimeLeft). A repeated prefill takes the retry of its run as well; without both the generation runs whole at one engine, which needs one retry less.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -48,6 +48,7 @@
 mod service_versions;
 mod shutdown;
 mod stream_origins;
+mod time_left;
 mod urgent_utilization;
 
 pub use call_numbers::CallNumbers;
@@ -90,5 +91,6 @@
 pub use service_versions::{ServiceVersions, service_key};
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
 pub use stream_origins::{STREAM_LIFETIME, StreamOrigins};
+pub use time_left::TimeLeft;
 pub use urgent_utilization::UrgentUtilization;
 pub use wagtailarch_types::Urgency;
--- a/crates/wagtailarch-dispatch/src/request_arrivals.rs
+++ b/crates/wagtailarch-dispatch/src/request_arrivals.rs
@@ -24,13 +24,17 @@
 }
 
 impl RequestArrivals {
-    /// Returns whether a retry has to be taken from the budget before the next call.
+    /// Returns whether a retry has to be taken from the budget before the next call, perhaps several.
     ///
-    /// A second prefill is followed by a run, so that its retry is taken before the prompt is read in
-    /// vain.
+    /// A prefill is followed by a run, so that the retries of both are taken before the prompt is read
+    /// in vain.
     pub fn needs_retry(&self, call: CallKind) -> bool {
-        let is_repeat = self.counted > 0 || call == CallKind::Prefill && self.has_free_prefill;
-        is_repeat && self.prepaid == 0
+        let arrivals = match call {
+            CallKind::Run => 1,
+            CallKind::Prefill => 1 + u32::from(self.has_free_prefill),
+        };
+        let free = u32::from(self.counted == 0);
+        self.prepaid + free < arrivals
     }
 
     /// Records that a retry was taken from the budget for the next call.
--- a/crates/wagtailarch-dispatch/tests/request_arrivals.rs
+++ b/crates/wagtailarch-dispatch/tests/request_arrivals.rs
@@ -31,7 +31,7 @@
             Run | NotArrived => CallKind::Run,
             AcceptedPrefill | RejectedPrefill => CallKind::Prefill,
         };
-        if arrivals.needs_retry(kind) {
+        while arrivals.needs_retry(kind) {
             arrivals.on_retry_taken();
             retries += 1;
         }
@@ -75,3 +75,19 @@
         }
     }
 }
+
+/// Guards against a stream that is broken off after a repeated prefill, since the budget has no retry
+/// left for the run that follows it.
+#[test]
+fn a_repeated_prefill_needs_the_retry_of_its_run_as_well() {
+    let mut arrivals = RequestArrivals::default();
+    arrivals.on_prefill_accepted();
+    arrivals.on_arrival();
+    arrivals.on_retry_taken();
+    assert!(arrivals.needs_retry(CallKind::Prefill));
+    assert!(!arrivals.needs_retry(CallKind::Run));
+    arrivals.on_retry_taken();
+    assert!(!arrivals.needs_retry(CallKind::Prefill));
+    arrivals.on_prefill_accepted();
+    assert!(!arrivals.needs_retry(CallKind::Run));
+}
--- a/crates/wagtailarch-gateway/src/attempts.rs
+++ b/crates/wagtailarch-gateway/src/attempts.rs
@@ -216,7 +216,7 @@
     }
 
     /// Returns whether the generation may run once more after its present run.
-    fn may_run_again(&self, context: &RequestContext) -> bool {
+    pub fn may_run_again(&self, context: &RequestContext) -> bool {
         context.route.kind.repeatable()
             && context.possible_runs.get() + 1 < context.route.max_attempts
             && self.calls + 1 < MAX_CALLS
@@ -240,17 +240,18 @@
         }
     }
 
-    /// Takes a retry from the budget of the service if the next call needs one.
+    /// Takes the retries that the next call needs from the budget of the service.
+    ///
+    /// If the budget has too few, those that were taken are kept for a later call.
     pub fn take_retry(&mut self, context: &RequestContext, call: CallKind) -> Result<(), Refusal> {
-        if !self.arrivals.needs_retry(call) {
-            return Ok(());
-        }
-        if !context.gateway.try_retry(&context.service) {
-            return Err(self.refusal(RefusalReason::RetryBudgetExhausted));
-        }
-        self.arrivals.on_retry_taken();
-        if let Some(reason) = self.last_failure {
-            context.gateway.metrics.outcomes.count_retry(reason);
+        while self.arrivals.needs_retry(call) {
+            if !context.gateway.try_retry(&context.service) {
+                return Err(self.refusal(RefusalReason::RetryBudgetExhausted));
+            }
+            self.arrivals.on_retry_taken();
+            if let Some(reason) = self.last_failure {
+                context.gateway.metrics.outcomes.count_retry(reason);
+            }
         }
         Ok(())
     }
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -209,7 +209,7 @@
             priority: Some(priority_class(context, plan.urgency, has_events)),
             resume_after,
             head_limit: match attempts.can_fail_over(context, &decode_engine.id) {
-                true => plan.attempt_timeout(context.client_timeout_left()),
+                true => plan.attempt_timeout(context.stream_time_left().for_call()),
                 false => context.time_left(),
             },
         };
@@ -403,9 +403,11 @@
     context
         .judge_parts(attempts.ran())
         .map_err(PrefillError::Refused)?;
-    attempts
-        .take_retry(context, CallKind::Prefill)
-        .map_err(PrefillError::Refused)?;
+    if attempts.take_retry(context, CallKind::Prefill).is_err() {
+        // A run of the whole generation needs one retry less.
+        return Ok((CallStep::Whole, None));
+    }
+    let is_last_of_stream = context.has_begun() && !attempts.may_run_again(context);
     attempts.calls += 1;
     let prefill = start_prefill(context, prefill_engine, plan.urgency);
     let call = Call {
@@ -413,7 +415,10 @@
         step: CallStep::Prefill,
         priority: Some(priority_class(context, plan.urgency, false)),
         resume_after: None,
-        head_limit: plan.attempt_timeout(context.client_timeout_left()),
+        head_limit: match is_last_of_stream {
+            true => context.time_left(),
+            false => plan.attempt_timeout(context.stream_time_left().for_call()),
+        },
     };
     let sent_at = context.gateway.now();
     let handle = request_prefill(context, &call, permit).await;
@@ -433,8 +438,8 @@
         }
         Err(failure) => failure,
     };
-    // A client timeout that has elapsed is refused in the same way as too many calls.
-    if attempts.calls >= MAX_CALLS || context.client_timeout_left().is_zero() {
+    // A request whose time is over is refused in the same way as one with too many calls.
+    if attempts.calls >= MAX_CALLS || context.stream_time_left().is_over() {
         let refusal = attempts.refusal(RefusalReason::AttemptsExhausted);
         return Err(PrefillError::Refused(refusal));
     }
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -10,6 +10,7 @@
 use wagtailarch_adapter::ClientRequest;
 use wagtailarch_dispatch::{
     GenerationRequest, PartVerdict, PrefixLink, Prompt, Route, RoutingConfig, ServerProcess,
+    TimeLeft,
 };
 use wagtailarch_traffic::Verdict;
 use wagtailarch_types::{
@@ -303,6 +304,22 @@
         self.route.objective.saturating_sub(self.age())
     }
 
+    /// Returns whether the client has received an event of its stream, from this instance or the one
+    /// that passes the request on.
+    pub fn has_begun(&self) -> bool {
+        let resumes = |call: &ForwardCall| call.resume.is_some();
+        self.last_event_at.get().is_some() || self.forwarded.as_ref().is_some_and(resumes)
+    }
+
+    /// Returns the time that a stream's request has left.
+    pub fn stream_time_left(&self) -> TimeLeft {
+        TimeLeft {
+            client_timeout: self.client_timeout_left(),
+            request: self.time_left(),
+            has_begun: self.has_begun(),
+        }
+    }
+
     /// Returns the time left before the client abandons a stream that sends no further event.
     pub fn client_timeout_left(&self) -> Duration {
         let waits_since = self.last_event_at.get().unwrap_or(self.arrived);
