Return a stream to its unresponsive engine if no other one sends an event

Cause: the engine had become unresponsive between its last event and the end of its response. The stream left it after 0.6 of the client timeout; the next engine had no further event, and a declared end without events completes no stream, so that the stream was broken off. The first connection was closed by then.

Change: the run at the unresponsive engine is held for 250 ms. If no attempt elsewhere sends an event within that time, the stream goes back to it and waits as long as its request has time.

An empty response after more than 250 ms still breaks the stream off.

--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod gateway;
 mod generation;
 mod guards;
+mod held_run;
 mod http_client;
 mod metered_stream;
 mod metrics;
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -20,6 +20,7 @@
     backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
     connection::failure_cause,
     generation::{GenerationError, GenerationPlace, StartedGeneration, start},
+    held_run::{HeldRun, StoppedRun},
     metrics::ForwardEvent,
     origins,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
@@ -38,6 +39,9 @@
 /// out.
 const LATE_READ_LIMIT: Duration = Duration::from_millis(20);
 
+/// Cause with which a stream leaves an unresponsive engine.
+const SILENT: &str = "silent";
+
 /// Media type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -68,6 +72,8 @@
     progress_at: Duration,
     /// Waits until other engines respond while the current one is unresponsive.
     fail_over: Option<LocalBoxFuture<'static, Vec<InstanceId>>>,
+    /// Run at the engine that the stream left as unresponsive, until the next one sends an event.
+    held: Option<HeldRun>,
     /// Error in the data that the engine sent after the last event, reported once the valid events
     /// are sent.
     data_error: Option<&'static str>,
@@ -113,6 +119,7 @@
         longest_pause: Duration::ZERO,
         progress_at,
         fail_over: None,
+        held: None,
         data_error: None,
         stated_end: None,
         finished: false,
@@ -170,12 +177,18 @@
                 }
                 ReadOutcome::Failed(cause) => {
                     if let Err(failure) = self.resume(cause).await {
+                        if self.go_back() {
+                            continue;
+                        }
                         self.on_end("broken off", 0);
                         return Some(Err(failure));
                     }
                 }
                 ReadOutcome::BrokenOff => {
                     self.active = None;
+                    if self.go_back() {
+                        continue;
+                    }
                     self.on_end("broken off", 0);
                     let refusal = Refusal {
                         reason: RefusalReason::BackendFailedMidway,
@@ -261,6 +274,7 @@
         let now = gateway.now();
         self.progress_at = now;
         self.fail_over = None;
+        self.held = None;
         if let Some(last_event_at) = self.context.last_event_at.replace(Some(now)) {
             self.longest_pause = self.longest_pause.max(now.saturating_sub(last_event_at));
         }
@@ -318,7 +332,7 @@
                         read = timeout(self.context.time_left(), frame) => read,
                         silent = fail_over => {
                             self.attempts.excluded_engines.extend(silent);
-                            return ReadOutcome::Failed("silent");
+                            return ReadOutcome::Failed(SILENT);
                         }
                     }
                 }
@@ -366,15 +380,13 @@
     /// Resumes the stream at another engine after the last event, if that is allowed.
     async fn resume(&mut self, cause: &'static str) -> Result<(), GenerationError> {
         self.fail_over = None;
-        // The first engine must stop before another one continues.
         let Some(active) = self.active.take() else {
             let refusal = self.attempts.refusal(RefusalReason::NoBackend);
             return Err(GenerationError::Refused(refusal));
         };
-        let place = active.place;
-        drop(active.response);
-        let engine = place.name().clone();
-        let rest_bytes = self.splitter.take_rest().len();
+        let engine = active.place.name().clone();
+        let rest = self.splitter.take_rest();
+        let rest_bytes = rest.len();
         let context = Rc::clone(&self.context);
         let gateway = &context.gateway;
         info!(gateway.log, "stream broken"; "request" => %context.client.id, "server" => %engine,
@@ -383,7 +395,7 @@
             "age_ms" => context.age().as_millis() as u64);
         let failure = CallFailure::CLOSED;
         let delivered = self.events > 0;
-        let (decision, is_uncertain) = match &place {
+        let (decision, is_uncertain) = match &active.place {
             GenerationPlace::Engine(run) => {
                 let progress = match self.has_event {
                     true => RunProgress::Begun,
@@ -414,7 +426,20 @@
                 (decision, false)
             }
         };
-        drop(place);
+        // The engine must stop before another one continues, unless it is unresponsive.
+        match cause == SILENT && delivered {
+            true => {
+                self.held = Some(HeldRun::new(StoppedRun {
+                    started: active,
+                    framing: self.framing,
+                    rest,
+                    is_resumed: self.is_resumed,
+                    has_event: self.has_event,
+                    output_recorded: self.output_recorded,
+                }));
+            }
+            false => drop(active),
+        }
         let resumed = match decision {
             // Without the identifier of an event, the next engine would begin anew.
             Ok(()) if delivered && (is_uncertain || self.last_event.is_none()) => {
@@ -457,6 +482,27 @@
         }
     }
 
+    /// Goes back to the engine that the stream left as unresponsive; returns whether its run is still
+    /// held.
+    fn go_back(&mut self) -> bool {
+        let Some(run) = self.held.take().and_then(HeldRun::take) else {
+            return false;
+        };
+        let context = &self.context;
+        info!(context.gateway.log, "stream goes back"; "request" => %context.client.id,
+            "server" => %run.started.place.name(), "last_event" => self.last_event);
+        self.framing = run.framing;
+        self.is_resumed = run.is_resumed;
+        self.has_event = run.has_event;
+        self.output_recorded = run.output_recorded;
+        self.stated_end = None;
+        self.data_error = None;
+        self.splitter.take_rest();
+        self.splitter.push(&run.rest);
+        self.active = Some(run.started);
+        true
+    }
+
     /// Records the end of the stream; `rest_bytes` of it belong to no complete event.
     fn on_end(&mut self, outcome: &'static str, rest_bytes: usize) {
         self.finished = true;
