Correct predictions of prefill times that are far too long

Change: the time of any other completed prompt is an upper bound of its prefill; three in succession below half of the prediction replace the samples. A slowdown that nothing has confirmed for 3 s refuses no prompt that would be in time at the speed of the reference, one at a time. Samples are compared with the prediction made for their prompt.

--- a/crates/wagtailarch-dispatch/src/engine_state.rs
+++ b/crates/wagtailarch-dispatch/src/engine_state.rs
@@ -4,7 +4,9 @@
 
 use wagtailarch_types::{InstanceId, Role};
 
-use crate::{EngineProperties, PrefillNumber, PrefillQueue, PrefixCache, PrefixLink, Urgency};
+use crate::{
+    EngineProperties, PrefillNumber, PrefillQueue, PrefillSample, PrefixCache, PrefixLink, Urgency,
+};
 
 /// Prompt tokens per millisecond that a reference prefill engine prefills.
 const PREFILL_TOKENS_PER_MS: f64 = 50.0;
@@ -108,7 +110,8 @@
         self.running(now) > 0 && queued_prefill > self.gap_objective.mul_f64(PREFILL_SHARE_OF_GAP)
     }
 
-    /// Adds a prompt of `sender` to the queue and returns its predicted prefill time.
+    /// Adds a prompt of `sender` to the queue and returns its predicted prefill time here and on the
+    /// reference engine.
     pub fn start_prefill(
         &mut self,
         now: Duration,
@@ -117,43 +120,42 @@
         urgency: Urgency,
         prefixes: &[PrefixLink],
         prompt_tokens: u32,
-    ) -> Duration {
+    ) -> (Duration, Duration) {
         let work = self.prefill_time(prefixes, prompt_tokens);
         self.cache.insert(prefixes);
         self.queue.add(now, sender, number, urgency, work);
-        work
+        (work, work.div_f64(self.slowdown()))
     }
 
-    /// Removes a finished or abandoned prompt of `sender` from the queue; `is_sample` states
-    /// whether its prefill time is measured.
+    /// Removes a finished or abandoned prompt of `sender` from the queue; `reference_time` is its
+    /// prefill time on the reference engine.
     ///
-    /// Returns the prefill time relative to the reference engine if the prompt is a usable sample.
-    /// If other prompts were queued, the measured time would include the wait for them.
+    /// Returns its measured time if the prompt is `completed` and long enough. If other prompts were
+    /// queued, or arrived earlier than a late one was its turn, that time includes the wait for them.
     pub fn finish_prefill(
         &mut self,
         now: Duration,
         sender: &InstanceId,
         number: PrefillNumber,
-        is_sample: bool,
-    ) -> Option<f64> {
+        reference_time: Duration,
+        completed: bool,
+    ) -> Option<PrefillSample> {
         let prompt = self.queue.remove(now, sender, number)?;
-        let reference_time = prompt.work.div_f64(self.slowdown());
-        if !is_sample
-            || !prompt.queue_was_empty
-            || prompt.urgency == Urgency::Late
-            || reference_time < MIN_SAMPLED_TIME
-        {
+        if !completed || reference_time < MIN_SAMPLED_TIME {
             return None;
         }
         let took = now
             .saturating_sub(prompt.added_at)
             .saturating_sub(CALL_OVERHEAD);
         let ratio = took.max(MIN_PREFILL_TIME).as_secs_f64() / reference_time.as_secs_f64();
+        if !prompt.queue_was_empty || prompt.urgency == Urgency::Late {
+            return Some(PrefillSample::AtMost(ratio));
+        }
         let deviation = ratio / self.slowdown();
         let sample = self.engine_slowdown * deviation.clamp(SAMPLE_RANGE.0, SAMPLE_RANGE.1);
         let smoothed = self.engine_slowdown * (1.0 - SAMPLE_WEIGHT) + sample * SAMPLE_WEIGHT;
         self.engine_slowdown = smoothed.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-        Some(ratio)
+        Some(PrefillSample::Exact(ratio))
     }
 
     /// Predicts how long a new prompt waits for its prefill.
--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -70,7 +70,7 @@
 pub use permit_holder::{HolderStep, PermitHolder};
 pub use placement::{GenerationPlan, GenerationRequest, Placement, PrefillPlan};
 pub use prefill_queue::{PrefillNumber, PrefillQueue, QueuedPrompt};
-pub use prefill_speed::PrefillSpeed;
+pub use prefill_speed::{PrefillSample, PrefillSpeed};
 pub use prefix_cache::PrefixCache;
 pub use rate_limit::{NamedLimit, RateLimit};
 pub use read_limits::ReadLimits;
--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -41,7 +41,7 @@
     by_key: HashMap<u32, InstanceId>,
     /// Prompts of this instance that wait for their prefill or are being prefilled, by their
     /// number.
-    open_prefills: IndexMap<PrefillNumber, (InstanceId, OpenPrefill)>,
+    open_prefills: IndexMap<PrefillNumber, OwnPrefill>,
     next_prefill: PrefillNumber,
     /// Measured prefill speed of the engines of each service.
     prefill_speeds: HashMap<ServiceName, PrefillSpeed>,
@@ -67,6 +67,17 @@
     pub rate_limit: Option<RateLimit>,
 }
 
+/// A prompt of this instance that waits for its prefill or is being prefilled.
+#[derive(Debug)]
+struct OwnPrefill {
+    /// Engine that prefills it.
+    engine: InstanceId,
+    /// What load notes state about it.
+    report: OpenPrefill,
+    /// Predicted prefill time on the reference engine.
+    reference_time: Duration,
+}
+
 /// Sender under which the prompts of this instance are queued.
 const OWN_SENDER: InstanceId = InstanceId::new_inline("");
 
@@ -158,12 +169,40 @@
         request: &GenerationRequest<'_>,
         excluded: &[InstanceId],
     ) -> Placement {
-        let usable = self.usable(now, service, request.rank, excluded);
-        placement::place(
-            now,
-            request,
-            usable.filter(|backend| request.accepts(backend)),
-        )
+        let place = |request: &GenerationRequest<'_>| {
+            let usable = self.usable(now, service, request.rank, excluded);
+            let accepted = usable.filter(|backend| request.accepts(backend));
+            placement::place(now, request, accepted)
+        };
+        let placement = place(request);
+        if matches!(placement, Placement::Refuse { .. })
+            && let Some(slowdown) = self.unmeasured_slowdown(now, service)
+        {
+            let patient = GenerationRequest {
+                client_timeout_left: Duration::MAX,
+                ..*request
+            };
+            if let Placement::Use(plan) = place(&patient)
+                && plan.is_usable_without(slowdown, request.client_timeout_left)
+            {
+                return Placement::Use(plan);
+            }
+        }
+        placement
+    }
+
+    /// Returns the slowdown of a service if it is outdated and no prompt of this instance measures it
+    /// at present.
+    ///
+    /// If it led to the refusal of every prompt, none would correct it.
+    fn unmeasured_slowdown(&self, now: Duration, service: &ServiceName) -> Option<f64> {
+        let slowdown = self.prefill_speeds.get(service)?.outdated_slowdown(now)?;
+        let mut measuring = self.open_prefills.values();
+        let is_measured = measuring.any(|own| {
+            let engine = self.backends.get(&own.engine);
+            engine.is_some_and(|engine| engine.server.service == *service)
+        });
+        (!is_measured).then_some(slowdown)
     }
 
     /// Selects the decode engine for a prompt that `prefill_engine` has prefilled.
@@ -325,15 +364,20 @@
         let engine = self.backends.get_mut(id)?.engine.as_mut()?;
         let number = self.next_prefill;
         self.next_prefill = self.next_prefill.wrapping_add(1);
-        let work = engine.start_prefill(now, &OWN_SENDER, number, urgency, prefixes, prompt_tokens);
+        let (work, reference_time) =
+            engine.start_prefill(now, &OWN_SENDER, number, urgency, prefixes, prompt_tokens);
         let open_prefill = OpenPrefill {
             engine: server_key(id),
             number,
             work_ms: u16::try_from(work.as_millis()).unwrap_or(u16::MAX),
             urgency,
         };
-        self.open_prefills
-            .insert(number, (id.clone(), open_prefill));
+        let own = OwnPrefill {
+            engine: id.clone(),
+            report: open_prefill,
+            reference_time,
+        };
+        self.open_prefills.insert(number, own);
         let sent_prefixes = SentPrefixes {
             engine: open_prefill.engine,
             prefixes: prefixes.iter().map(|p| (p.hash, p.end_tokens)).collect(),
@@ -343,21 +387,21 @@
 
     /// Records the end of a prefill, which was abandoned if not `completed`.
     pub fn finish_prefill(&mut self, now: Duration, number: PrefillNumber, completed: bool) {
-        let Some((id, _)) = self.open_prefills.shift_remove(&number) else {
+        let Some(own) = self.open_prefills.shift_remove(&number) else {
             return;
         };
-        let Some(backend) = self.backends.get_mut(&id) else {
+        let Some(backend) = self.backends.get_mut(&own.engine) else {
             return;
         };
-        let engine = backend.engine.as_mut();
-        let relative_time =
-            engine.and_then(|engine| engine.finish_prefill(now, &OWN_SENDER, number, completed));
-        let Some(relative_time) = relative_time else {
+        let sample = backend.engine.as_mut().and_then(|engine| {
+            engine.finish_prefill(now, &OWN_SENDER, number, own.reference_time, completed)
+        });
+        let Some(sample) = sample else {
             return;
         };
         let service = backend.server.service.clone();
         let speed = self.prefill_speeds.entry(service.clone()).or_default();
-        speed.add(relative_time);
+        speed.add(now, sample);
         let slowdown = speed.slowdown();
         let backends = self.backends.values_mut();
         for backend in backends.filter(|backend| backend.server.service == service) {
@@ -369,7 +413,7 @@
 
     /// Returns the prompts of this instance that wait for their prefill or are being prefilled.
     pub fn open_prefills(&self) -> Vec<OpenPrefill> {
-        self.open_prefills.values().map(|(_, open)| *open).collect()
+        self.open_prefills.values().map(|own| own.report).collect()
     }
 
     /// Adds `delta` to the number of requests of this instance that an engine decodes.
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -135,6 +135,13 @@
         let expected = self.first_event * ATTEMPT_TIMEOUT_FACTOR;
         expected.max(MIN_ATTEMPT_TIMEOUT).min(client_timeout_left)
     }
+
+    /// Returns whether the first event would be in time if the prefill were not slower by `slowdown`
+    /// than on the reference engine.
+    pub(crate) fn is_usable_without(&self, slowdown: f64, client_timeout_left: Duration) -> bool {
+        let excess = self.prefill_time - self.prefill_time.div_f64(slowdown.max(1.0));
+        self.first_event.saturating_sub(excess) <= client_timeout_left.mul_f64(USABLE_TIMEOUT_SHARE)
+    }
 }
 
 /// The outcome of placing a generation.
--- a/crates/wagtailarch-dispatch/tests/common/mod.rs
+++ b/crates/wagtailarch-dispatch/tests/common/mod.rs
@@ -7,10 +7,15 @@
 use indexmap::IndexMap;
 use wagtailarch_dispatch::{
     BackendServer, ClientLimits, EngineProperties, GenerationRequest, PrefixLink, Prompt,
-    PromptPart, RoutingConfig, ServiceConfig,
+    PromptPart, RoutingConfig, ServiceConfig, Urgency,
 };
 use wagtailarch_types::{Role, ZoneName};
-use wagtailarch_wire::permit::PermitRank;
+use wagtailarch_wire::{
+    load_note::{LoadNote, OpenPrefill, StoreVersions, server_key},
+    part_report::PartReports,
+    path_report::PathReport,
+    permit::PermitRank,
+};
 
 /// Service of the engines.
 pub const ENGINES: &str = "lm";
@@ -92,3 +97,30 @@
         version: None,
     }
 }
+
+/// Returns a load note of a peer with the numbers of its prompts and its running requests, by engine.
+pub fn note(sender: &str, prefills: &[(&str, u32)], running: &[(&str, u32)]) -> LoadNote {
+    let open_prefill = |&(engine, number): &(&str, u32)| OpenPrefill {
+        engine: server_key(engine),
+        number,
+        work_ms: 100,
+        urgency: Urgency::OnTime,
+    };
+    let running = running.iter().map(|(id, count)| (server_key(id), *count));
+    LoadNote {
+        sender: sender.into(),
+        zone: "a".into(),
+        boot: 1,
+        sequence: 1,
+        generation: 1,
+        store_versions: StoreVersions::default(),
+        open_prefills: prefills.iter().map(open_prefill).collect(),
+        sent_prefixes: Vec::new(),
+        running: running.collect(),
+        strikes: Vec::new(),
+        limits: Vec::new(),
+        parts: PartReports::default(),
+        versions: Vec::new(),
+        paths: PathReport::default(),
+    }
+}
--- a/crates/wagtailarch-dispatch/tests/load_note.rs
+++ b/crates/wagtailarch-dispatch/tests/load_note.rs
@@ -4,40 +4,10 @@
 
 use std::time::Duration;
 
-use common::{ENGINES, config, engine};
+use common::{ENGINES, config, engine, note};
 use wagtailarch_dispatch::{LoadBalancer, Urgency};
 use wagtailarch_types::{InstanceId, Role, ServiceName};
-use wagtailarch_wire::{
-    load_note::{LoadNote, OpenPrefill, StoreVersions, server_key},
-    part_report::PartReports,
-    path_report::PathReport,
-};
-
-fn note(sender: &str, prefills: &[(&str, u32)], running: &[(&str, u32)]) -> LoadNote {
-    let open_prefill = |&(engine, number): &(&str, u32)| OpenPrefill {
-        engine: server_key(engine),
-        number,
-        work_ms: 100,
-        urgency: Urgency::OnTime,
-    };
-    let running = running.iter().map(|(id, count)| (server_key(id), *count));
-    LoadNote {
-        sender: sender.into(),
-        zone: "a".into(),
-        boot: 1,
-        sequence: 1,
-        generation: 1,
-        store_versions: StoreVersions::default(),
-        open_prefills: prefills.iter().map(open_prefill).collect(),
-        sent_prefixes: Vec::new(),
-        running: running.collect(),
-        strikes: Vec::new(),
-        limits: Vec::new(),
-        parts: PartReports::default(),
-        versions: Vec::new(),
-        paths: PathReport::default(),
-    }
-}
+use wagtailarch_wire::load_note::server_key;
 
 /// Returns the number of running requests and the mean wait at the prefill engines in milliseconds.
 fn demand(balancer: &LoadBalancer, now: Duration) -> (u32, u128) {
--- a/crates/wagtailarch-dispatch/tests/placement.rs
+++ b/crates/wagtailarch-dispatch/tests/placement.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use common::{ENGINES, config, engine, prompt, request};
+use common::{ENGINES, config, engine, note, prompt, request};
 use rstest::rstest;
 use wagtailarch_dispatch::{
     GenerationPlan, GenerationRequest, LoadBalancer, Placement, PrefillNumber, PrefillPlan,
@@ -366,11 +366,23 @@
 /// on: prompts that are predicted to be late correct no prediction.
 #[test]
 fn one_slow_prefill_does_not_delay_predictions_for_good() {
+    check_correction(1, 15.0);
+}
+
+/// Guards against the same if several engines were unresponsive at the same time.
+#[test]
+fn slow_prefills_do_not_delay_predictions_for_good() {
+    check_correction(4, 10.0);
+}
+
+/// Checks that prompts that take the usual time correct the prediction after `slow` prompts that took
+/// `slowdown` times as long.
+fn check_correction(slow: u32, slowdown: f64) {
     let mut balancer = balancer(&[("r", Role::Prefill), ("d", Role::Decode)]);
     balancer.add_running(&"d".into(), 2);
     let probe = prompt("probe", 2_000, "probe", 2_000);
     let initial_time = plan(&balancer, &probe).prefill_time;
-    prefill_at_slowdown(&mut balancer, 1, 15.0);
+    prefill_at_slowdown(&mut balancer, slow, slowdown);
     for index in 0..20 {
         let own = format!("later{index}");
         let prefixes = prompt(&own, 2_000, &own, 2_000);
@@ -398,6 +410,65 @@
     assert!(matches!(placement, Placement::Use(_)), "{placement:?}");
 }
 
+/// Guards against the same after several slow prefills, and against many prompts that are accepted
+/// although the engines may still be as slow.
+#[test]
+fn one_prompt_measures_the_speed_after_slow_prefills() {
+    let mut balancer = balancer(&[("r", Role::Prefill), ("d", Role::Decode)]);
+    balancer.add_running(&"d".into(), 2);
+    prefill_at_slowdown(&mut balancer, 3, 60.0);
+    let probe = prompt("probe", 2_000, "probe", 2_000);
+    let zone: ZoneName = "a".into();
+    let at = |balancer: &LoadBalancer, now: Duration| {
+        balancer.place_generation(now, &ENGINES.into(), &request(&probe, &zone), &[])
+    };
+    let refused = at(&balancer, NOW + Duration::from_secs(6));
+    assert!(matches!(refused, Placement::Refuse { .. }), "{refused:?}");
+    let mut now = NOW + Duration::from_secs(60);
+    for index in 0..3 {
+        let Placement::Use(plan) = at(&balancer, now) else {
+            panic!("prompt {index} is not accepted");
+        };
+        let PrefillPlan::Split(engine) = &plan.prefill else {
+            panic!("the prefill engine is free");
+        };
+        let own = format!("p{index}");
+        let prefixes = prompt(&own, 2_000, &own, 2_000);
+        let started = balancer.start_prefill(now, &engine.id, plan.urgency, &prefixes, 4_000);
+        let (number, _) = started.expect("the engine is known");
+        let beside = at(&balancer, now);
+        assert!(matches!(beside, Placement::Refuse { .. }), "{beside:?}");
+        now += Duration::from_millis(100);
+        balancer.finish_prefill(now, number, true);
+    }
+    let Placement::Use(plan) = at(&balancer, now) else {
+        panic!("the engines are free");
+    };
+    assert!(plan.first_event < Duration::from_millis(500), "{plan:?}");
+}
+
+/// Guards against prompts that no engine can serve in time: an outdated speed is no reason to accept
+/// one where other prompts wait.
+#[test]
+fn no_prompt_measures_the_speed_of_busy_engines() {
+    let mut balancer = balancer(&[("r", Role::Prefill), ("d", Role::Decode)]);
+    balancer.add_running(&"d".into(), 2);
+    prefill_at_slowdown(&mut balancer, 3, 60.0);
+    let now = NOW + Duration::from_secs(60);
+    let mut report = note("p", &[("r", 1), ("d", 2)], &[]);
+    for prefill in &mut report.open_prefills {
+        prefill.work_ms = 10_000;
+    }
+    balancer.on_load_note(now, &report);
+    let probe = prompt("probe", 2_000, "probe", 2_000);
+    let zone: ZoneName = "a".into();
+    let placement = balancer.place_generation(now, &ENGINES.into(), &request(&probe, &zone), &[]);
+    assert!(
+        matches!(placement, Placement::Refuse { .. }),
+        "{placement:?}"
+    );
+}
+
 /// Guards against clients that wait until they disconnect: at a peak of prompts on time, a late
 /// prompt was accepted although its turn never came.
 #[test]
