--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/load_balancer.rs
@@ -183,7 +183,7 @@
                 ..*request
             };
             if let Placement::Use(plan) = place(&patient)
-                && plan.is_usable_without(slowdown, request.client_timeout_left)
+                && plan.is_in_time_at_reference_speed(slowdown, request.client_timeout_left)
             {
                 return Placement::Use(plan);
             }
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placement.rs
@@ -136,10 +136,15 @@
         expected.max(MIN_ATTEMPT_TIMEOUT).min(client_timeout_left)
     }
 
-    /// Returns whether the first event would be in time if the prefill were not slower by `slowdown`
-    /// than on the reference engine.
-    pub(crate) fn is_usable_without(&self, slowdown: f64, client_timeout_left: Duration) -> bool {
-        let excess = self.prefill_time - self.prefill_time.div_f64(slowdown.max(1.0));
+    /// Returns whether the first event would be in time on engines with the speed of the reference
+    /// engine, relative to which the prefill time was predicted with `slowdown`.
+    pub(crate) fn is_in_time_at_reference_speed(
+        &self,
+        slowdown: f64,
+        client_timeout_left: Duration,
+    ) -> bool {
+        let reference_time = self.prefill_time.div_f64(slowdown);
+        let excess = self.prefill_time.saturating_sub(reference_time);
         self.first_event.saturating_sub(excess) <= client_timeout_left.mul_f64(USABLE_TIMEOUT_SHARE)
     }
 }
--- a/crates/wagtailarch-dispatch/src/prefill_speed.rs
+++ b/crates/wagtailarch-dispatch/src/prefill_speed.rs
@@ -12,8 +12,8 @@
 const MIN_SLOW_SAMPLES: usize = 3;
 /// Share of the predicted prefill time below which a prompt contradicts the prediction.
 const CONTRADICTION_SHARE: f64 = 0.5;
-/// Number of prompts in succession that contradict the prediction and replace all samples.
-const MAX_CONTRADICTIONS: usize = 3;
+/// Number of prompts in succession that have to contradict the prediction to replace all samples.
+const MIN_CONTRADICTIONS: usize = 3;
 /// Time after which a slowdown that no prompt has confirmed is outdated.
 ///
 /// Refused clients return within this time, so that some of their prompts would have confirmed it.
@@ -29,7 +29,7 @@
     /// Latest samples, oldest first; at most `MAX_SAMPLES`.
     samples: VecDeque<f64>,
     /// Relative times of the latest prompts, if they contradict the prediction; fewer than
-    /// `MAX_CONTRADICTIONS`.
+    /// `MIN_CONTRADICTIONS`.
     contradictions: Vec<f64>,
     /// Time of the last prompt that did not contradict the prediction.
     confirmed_at: Duration,
@@ -57,7 +57,7 @@
             self.contradictions.clear();
             self.confirmed_at = now;
         }
-        if self.contradictions.len() >= MAX_CONTRADICTIONS {
+        if self.contradictions.len() >= MIN_CONTRADICTIONS {
             self.samples = self.contradictions.drain(..).collect();
             self.confirmed_at = now;
             return;
--- a/crates/wagtailarch-gateway/src/held_run.rs
+++ b/crates/wagtailarch-gateway/src/held_run.rs
@@ -20,11 +20,11 @@
 /// not prove that the stream is complete, so that the stream goes back. The run is cancelled after
 /// `HOLD_TIME`, or when this value is dropped.
 #[derive(Debug)]
-pub struct HeldRun(Rc<RefCell<Option<StoppedRun>>>);
+pub struct HeldRun(Rc<RefCell<Option<UnfinishedRun>>>);
 
 /// A run and how far its response has been read.
 #[derive(Debug)]
-pub struct StoppedRun {
+pub struct UnfinishedRun {
     /// The run with the rest of its response.
     pub started: StartedGeneration,
     /// Framing of the response.
@@ -41,7 +41,7 @@
 
 impl HeldRun {
     /// Holds a run for `HOLD_TIME`.
-    pub fn new(run: StoppedRun) -> Self {
+    pub fn new(run: UnfinishedRun) -> Self {
         let run = Rc::new(RefCell::new(Some(run)));
         let held = Rc::downgrade(&run);
         spawn_local(async move {
@@ -54,7 +54,7 @@
     }
 
     /// Returns the run unless it has been cancelled.
-    pub fn take(self) -> Option<StoppedRun> {
+    pub fn take(self) -> Option<UnfinishedRun> {
         self.0.take()
     }
 }
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -20,7 +20,7 @@
     backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
     connection::failure_cause,
     generation::{GenerationError, GenerationPlace, StartedGeneration, start},
-    held_run::{HeldRun, StoppedRun},
+    held_run::{HeldRun, UnfinishedRun},
     metrics::ForwardEvent,
     origins,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
@@ -429,7 +429,7 @@
         // The engine must stop before another one continues, unless it is unresponsive.
         match cause == SILENT && delivered {
             true => {
-                self.held = Some(HeldRun::new(StoppedRun {
+                self.held = Some(HeldRun::new(UnfinishedRun {
                     started: active,
                     framing: self.framing,
                     rest,
