Give the observers of a test more reads than can all be stale

Cause: the fake platform returns a former state in 40% of the reads of an object, each by itself, and a part that was written once has no other former state than its absence. All 12 reads of a part are stale with a probability of 0.4^12, about 1 in 60,000, for each part that is read; the order of calls, and so the draws, depend on timers. Nothing removes a part in this test, and parts are written before their manifest, so that nothing else can return this error. Excluded: a fault of the store; it reads again after each stale read.

Change: the observers and the writer of this test read up to 40 times. What the test checks, that generations never decrease although more than 100 reads are stale, is unchanged.

--- a/crates/wagtailarch-platform/tests/config_store.rs
+++ b/crates/wagtailarch-platform/tests/config_store.rs
@@ -27,8 +27,12 @@
 }
 
 fn store(platform: &Arc<FakePlatform>) -> ConfigStore {
+    store_with_attempts(platform, 12)
+}
+
+fn store_with_attempts(platform: &Arc<FakePlatform>, attempts: u32) -> ConfigStore {
     let limits = RetryLimits {
-        attempts: 12,
+        attempts,
         initial_backoff: Duration::ZERO,
         max_backoff: Duration::from_millis(1),
     };
@@ -161,6 +165,9 @@
     }
 }
 
+/// Number of reads of an object of which not all are stale: 0.4^40 is below 1e-15.
+const OBSERVER_ATTEMPTS: u32 = 40;
+
 /// Guards against an observer that returns to an older configuration after a stale read.
 #[rstest]
 #[tokio::test]
@@ -172,8 +179,9 @@
             ..FakeFaults::default()
         };
         let platform = platform(seed, faults);
+        let store = || store_with_attempts(&platform, OBSERVER_ATTEMPTS);
         let writer = async {
-            let store = store(&platform);
+            let store = store();
             for n in 0..20_u32 {
                 let base = store
                     .newest_manifest()
@@ -186,7 +194,7 @@
         };
         let observers = join_all((0..4).map(|_| async {
             let (store, mut newest_generation, mut last_version, mut decreases) =
-                (store(&platform), 0, 0, 0);
+                (store(), 0, 0, 0);
             for _ in 0..100 {
                 let version = platform
                     .get(MANIFEST_KEY)
