Keep what belongs to one run of a stream in one type

A stream that leaves an unresponsive engine copied five fields of its relay into the held run and back again, reset three more by hand, and took the decision to hold the run from the text of a log line. Two arms of the loop repeated the way back.

Change: RelayedRun has all state of one run, the splitter included, so that holding a run and going back to it move one value. An unresponsive engine is a ReadOutcome of its own, and the loop goes back in one place. No behaviour changes; the log lines are the same.

--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod process;
 mod read_allowance;
 mod refusal;
+mod relayed_run;
 mod reload;
 mod request_context;
 mod response_body;
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -10,9 +10,7 @@
 use tokio::{task::yield_now, time::timeout};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason};
 use wagtailarch_wire::{
-    body_framing::BodyFraming,
-    event_splitter::{EventSplitter, EventTooLong},
-    forward::StreamEnd,
+    body_framing::BodyFraming, event_splitter::EventTooLong, forward::StreamEnd,
 };
 
 use crate::{
@@ -20,10 +18,11 @@
     backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
     connection::failure_cause,
     generation::{GenerationError, GenerationPlace, StartedGeneration, start},
-    held_run::{HeldRun, UnfinishedRun},
+    held_run::HeldRun,
     metrics::ForwardEvent,
     origins,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
+    relayed_run::RelayedRun,
     request_context::RequestContext,
     response_body::{BodyError, ResponseBody},
 };
@@ -39,9 +38,6 @@
 /// out.
 const LATE_READ_LIMIT: Duration = Duration::from_millis(20);
 
-/// Cause with which a stream leaves an unresponsive engine.
-const SILENT: &str = "silent";
-
 /// Media type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -51,17 +47,10 @@
     head: Response<()>,
     context: Rc<RequestContext>,
     attempts: Attempts,
-    /// Response of the current engine; `None` after its end.
-    active: Option<StartedGeneration>,
-    /// Framing of the last engine's response.
+    /// Current run; `None` after its end.
+    active: Option<RelayedRun>,
+    /// Framing of the last run's response.
     framing: BodyFraming,
-    /// Whether the last engine goes on after events of another one.
-    is_resumed: bool,
-    /// Whether the last engine has sent a complete event.
-    has_event: bool,
-    /// Whether an event of the last engine has been recorded as output of the prompt's parts.
-    output_recorded: bool,
-    splitter: EventSplitter,
     /// Id of the last event sent to the client.
     last_event: Option<u64>,
     events: u64,
@@ -74,11 +63,6 @@
     fail_over: Option<LocalBoxFuture<'static, Vec<InstanceId>>>,
     /// Run at the engine that the stream left as unresponsive, until the next one sends an event.
     held: Option<HeldRun>,
-    /// Error in the data that the engine sent after the last event, reported once the valid events
-    /// are sent.
-    data_error: Option<&'static str>,
-    /// End that the other instance states for the response that goes through it.
-    stated_end: Option<StreamEnd>,
     finished: bool,
 }
 
@@ -87,6 +71,8 @@
     Bytes(Bytes),
     End,
     Failed(&'static str),
+    /// The engine is unresponsive while others respond.
+    Unresponsive,
     /// The other instance could not continue the stream.
     BrokenOff,
     TimedOut,
@@ -108,11 +94,7 @@
         context,
         attempts,
         framing: started.response.framing,
-        is_resumed: false,
-        has_event: false,
-        output_recorded: false,
-        active: Some(started),
-        splitter: EventSplitter::default(),
+        active: Some(RelayedRun::new(started, false)),
         last_event,
         events: 0,
         first_event_ms: None,
@@ -120,8 +102,6 @@
         progress_at,
         fail_over: None,
         held: None,
-        data_error: None,
-        stated_end: None,
         finished: false,
     };
     let first = relay.next_chunk().await.transpose()?;
@@ -161,11 +141,13 @@
                 Ok(None) => self.read().await,
                 Err(cause) => ReadOutcome::Failed(cause),
             };
-            match next {
-                ReadOutcome::Bytes(bytes) => self.splitter.push(&bytes),
+            let resumed = match next {
+                ReadOutcome::Bytes(bytes) => {
+                    self.active.as_mut()?.splitter.push(&bytes);
+                    continue;
+                }
                 ReadOutcome::End => {
-                    self.active.take()?;
-                    let rest = self.splitter.take_rest();
+                    let rest = self.active.take()?.splitter.take_rest();
                     let context = &self.context;
                     context.gateway.quarantine.on_completed(context.fingerprint);
                     origins::on_completed(context);
@@ -175,60 +157,58 @@
                     }
                     return None;
                 }
-                ReadOutcome::Failed(cause) => {
-                    if let Err(failure) = self.resume(cause).await {
-                        if self.go_back() {
-                            continue;
-                        }
-                        self.on_end("broken off", 0);
-                        return Some(Err(failure));
-                    }
-                }
-                ReadOutcome::BrokenOff => {
+                ReadOutcome::TimedOut => {
                     self.active = None;
-                    if self.go_back() {
-                        continue;
-                    }
-                    self.on_end("broken off", 0);
+                    self.on_end("timed out", 0);
                     let refusal = Refusal {
-                        reason: RefusalReason::BackendFailedMidway,
+                        reason: RefusalReason::DeadlineUnreachable,
                         ran: Ran::Unknown,
                         retry_after: DEFAULT_RETRY_AFTER,
                     };
                     return Some(Err(GenerationError::Refused(refusal)));
                 }
-                ReadOutcome::TimedOut => {
+                ReadOutcome::Failed(cause) => self.resume(cause, false).await,
+                ReadOutcome::Unresponsive => self.resume("silent", true).await,
+                ReadOutcome::BrokenOff => {
                     self.active = None;
-                    self.on_end("timed out", 0);
                     let refusal = Refusal {
-                        reason: RefusalReason::DeadlineUnreachable,
+                        reason: RefusalReason::BackendFailedMidway,
                         ran: Ran::Unknown,
                         retry_after: DEFAULT_RETRY_AFTER,
                     };
-                    return Some(Err(GenerationError::Refused(refusal)));
+                    Err(GenerationError::Refused(refusal))
                 }
+            };
+            if let Err(failure) = resumed
+                && !self.go_back()
+            {
+                self.on_end("broken off", 0);
+                return Some(Err(failure));
             }
         }
     }
 
     /// Takes all complete events that the client has not received; fails if the data is invalid.
     fn take_events(&mut self) -> Result<Option<Bytes>, &'static str> {
-        if let Some(data_error) = self.data_error.take() {
+        let Some(run) = &mut self.active else {
+            return Ok(None);
+        };
+        if let Some(data_error) = run.data_error.take() {
             return Err(data_error);
         }
         let mut chunks: Vec<Bytes> = Vec::new();
         let data_error = loop {
-            let event = match self.splitter.next_event() {
+            let event = match run.splitter.next_event() {
                 Ok(Some(event)) => event,
                 Ok(None) => break None,
                 Err(EventTooLong) => break Some("event too long"),
             };
-            self.has_event = true;
+            run.has_event = true;
             // A resumed engine may send events again.
             if event.id.is_some() && event.id <= self.last_event {
                 continue;
             }
-            if event.id.is_none() && self.is_resumed {
+            if event.id.is_none() && run.is_resumed {
                 break Some("event of no stream");
             }
             if self.events >= self.context.max_events() {
@@ -241,7 +221,7 @@
         if chunks.is_empty() {
             return data_error.map_or(Ok(None), Err);
         }
-        self.data_error = data_error;
+        run.data_error = data_error;
         self.on_events();
         Ok(match chunks.len() {
             1 => chunks.pop(),
@@ -250,21 +230,21 @@
     }
 
     fn on_events(&mut self) {
-        if let Some(active) = &mut self.active {
+        if let Some(run) = &mut self.active {
             // A run that sends no event to the client binds the stream to no version.
             let version = &self.context.version;
-            version.set(version.get().or(active.place.version_key()));
+            version.set(version.get().or(run.started.place.version_key()));
             // The instance that calls the engine records what its events show.
-            if let GenerationPlace::Engine(run) = &mut active.place {
-                run.suspect = None;
+            if let GenerationPlace::Engine(engine) = &mut run.started.place {
+                engine.suspect = None;
                 if self.first_event_ms.is_none() {
-                    origins::on_begun(&self.context, &run.call.server);
+                    origins::on_begun(&self.context, &engine.call.server);
                 }
-                if !std::mem::replace(&mut self.output_recorded, true) {
+                if !std::mem::replace(&mut run.output_recorded, true) {
                     self.context.gateway.record_part_output(&self.context.parts);
                 }
                 // The first event shows that the prefill is done.
-                if let Some(prefill) = run.prefill.take() {
+                if let Some(prefill) = engine.prefill.take() {
                     prefill.finish();
                 }
             }
@@ -285,13 +265,13 @@
         gateway
             .metrics
             .observe_latency(context.route.kind, "first_event", context.age());
-        if let Some(active) = &self.active
-            && let GenerationPlace::Engine(run) = &active.place
+        if let Some(run) = &self.active
+            && let GenerationPlace::Engine(engine) = &run.started.place
         {
             gateway
                 .load_balancer
                 .borrow_mut()
-                .on_success(now, &run.call.server.id);
+                .on_success(now, &engine.call.server.id);
         }
     }
 
@@ -300,7 +280,7 @@
     /// Only complete events count as progress. Data that has already arrived is still read after
     /// the request has timed out.
     async fn read(&mut self) -> ReadOutcome {
-        let Some(active) = &mut self.active else {
+        let Some(run) = &mut self.active else {
             return ReadOutcome::End;
         };
         let idle_limit = self
@@ -312,27 +292,27 @@
         let wait = idle_limit
             .saturating_sub(idle)
             .min(self.context.time_left());
-        let frame = active.response.body.frame();
+        let frame = run.started.response.body.frame();
         let mut frame = std::pin::pin!(frame);
         let read = match timeout(wait, frame.as_mut()).await {
             Ok(read) => Ok(read),
             // If the whole process was delayed, the connection's task has not read the data yet.
             Err(_) if self.context.time_left().is_zero() => timeout(LATE_READ_LIMIT, frame).await,
-            Err(_) => match &active.place {
-                GenerationPlace::Engine(run) => {
+            Err(_) => match &run.started.place {
+                GenerationPlace::Engine(engine) => {
                     let fail_over = self.fail_over.get_or_insert_with(|| {
                         let context = Rc::clone(&self.context);
                         let attempts = self.attempts.clone();
-                        let engine = run.call.server.id.clone();
+                        let engine = engine.call.server.id.clone();
                         async move { attempts.wait_for_fail_over(&context, &engine).await }
                             .boxed_local()
                     });
                     tokio::select! {
                         biased;
                         read = timeout(self.context.time_left(), frame) => read,
-                        silent = fail_over => {
-                            self.attempts.excluded_engines.extend(silent);
-                            return ReadOutcome::Failed(SILENT);
+                        unresponsive = fail_over => {
+                            self.attempts.excluded_engines.extend(unresponsive);
+                            return ReadOutcome::Unresponsive;
                         }
                     }
                 }
@@ -342,23 +322,23 @@
         };
         // Whether the stream had already sent its last event cannot be derived from a response
         // without any.
-        let lacks_event = self.events > 0 && !self.has_event;
+        let lacks_event = self.events > 0 && !run.has_event;
         match read {
             Err(_) => ReadOutcome::TimedOut,
-            Ok(None) if self.splitter.is_inside_event() => {
+            Ok(None) if run.splitter.is_inside_event() => {
                 ReadOutcome::Failed("ended inside an event")
             }
-            Ok(None) => match &active.place {
+            Ok(None) => match &run.started.place {
                 GenerationPlace::Engine(_) if lacks_event => {
                     ReadOutcome::Failed("no event of the stream")
                 }
-                GenerationPlace::Engine(run) => {
-                    match is_declared_end(self.framing, !self.has_event, &run.call.server).await {
+                GenerationPlace::Engine(engine) => {
+                    match is_declared_end(self.framing, !run.has_event, &engine.call.server).await {
                         true => ReadOutcome::End,
                         false => ReadOutcome::Failed("undeclared end"),
                     }
                 }
-                GenerationPlace::Instance { .. } => match self.stated_end.take() {
+                GenerationPlace::Instance { .. } => match run.stated_end.take() {
                     Some(StreamEnd::Complete) if lacks_event => {
                         ReadOutcome::Failed("no event of the stream")
                     }
@@ -371,37 +351,36 @@
             Ok(Some(Err(error))) => ReadOutcome::Failed(failure_cause(&error)),
             Ok(Some(Ok(frame))) => {
                 let end = frame.trailers_ref().and_then(StreamEnd::from_trailers);
-                self.stated_end = end;
+                run.stated_end = end;
                 ReadOutcome::Bytes(frame.into_data().unwrap_or_default())
             }
         }
     }
 
-    /// Resumes the stream at another engine after the last event, if that is allowed.
-    async fn resume(&mut self, cause: &'static str) -> Result<(), GenerationError> {
+    /// Resumes the stream at another engine after the last event, if that is allowed; `hold` states
+    /// whether the run so far is held.
+    async fn resume(&mut self, cause: &'static str, hold: bool) -> Result<(), GenerationError> {
         self.fail_over = None;
-        let Some(active) = self.active.take() else {
+        let Some(run) = self.active.take() else {
             let refusal = self.attempts.refusal(RefusalReason::NoBackend);
             return Err(GenerationError::Refused(refusal));
         };
-        let engine = active.place.name().clone();
-        let rest = self.splitter.take_rest();
-        let rest_bytes = rest.len();
+        let engine = run.started.place.name().clone();
         let context = Rc::clone(&self.context);
         let gateway = &context.gateway;
         info!(gateway.log, "stream broken"; "request" => %context.client.id, "server" => %engine,
-            "cause" => cause, "framing" => self.framing.as_str(), "rest_bytes" => rest_bytes,
-            "last_event" => self.last_event, "events" => self.events,
-            "age_ms" => context.age().as_millis() as u64);
+            "cause" => cause, "framing" => self.framing.as_str(),
+            "rest_bytes" => run.splitter.rest_len(), "last_event" => self.last_event,
+            "events" => self.events, "age_ms" => context.age().as_millis() as u64);
         let failure = CallFailure::CLOSED;
         let delivered = self.events > 0;
-        let (decision, is_uncertain) = match &active.place {
-            GenerationPlace::Engine(run) => {
-                let progress = match self.has_event {
+        let (decision, is_uncertain) = match &run.started.place {
+            GenerationPlace::Engine(engine_run) => {
+                let progress = match run.has_event {
                     true => RunProgress::Begun,
                     false => RunProgress::NotBegun,
                 };
-                let server = &run.call.server;
+                let server = &engine_run.call.server;
                 probe_for_crash(&context, server, progress);
                 let mut load_balancer = gateway.load_balancer.borrow_mut();
                 load_balancer.on_failure(gateway.now(), &engine);
@@ -427,18 +406,9 @@
             }
         };
         // The engine must stop before another one continues, unless it is unresponsive.
-        match cause == SILENT && delivered {
-            true => {
-                self.held = Some(HeldRun::new(UnfinishedRun {
-                    started: active,
-                    framing: self.framing,
-                    rest,
-                    is_resumed: self.is_resumed,
-                    has_event: self.has_event,
-                    output_recorded: self.output_recorded,
-                }));
-            }
-            false => drop(active),
+        match hold && delivered {
+            true => self.held = Some(HeldRun::new(run)),
+            false => drop(run),
         }
         let resumed = match decision {
             // Without the identifier of an event, the next engine would begin anew.
@@ -458,15 +428,11 @@
                     self.head = started.response.take_head();
                 }
                 self.progress_at = gateway.now();
-                self.framing = started.response.framing;
-                self.is_resumed = delivered;
-                self.has_event = false;
-                self.output_recorded = false;
-                self.stated_end = None;
-                if delivered && !may_hold_events(&started.response.parts.headers) {
-                    self.data_error = Some("other media type");
+                let mut run = RelayedRun::new(started, delivered);
+                if delivered && !may_hold_events(&run.started.response.parts.headers) {
+                    run.data_error = Some("other media type");
                 }
-                self.active = Some(started);
+                self.activate(run);
                 context.open.on_response();
                 Ok(())
             }
@@ -491,18 +457,16 @@
         let context = &self.context;
         info!(context.gateway.log, "stream goes back"; "request" => %context.client.id,
             "server" => %run.started.place.name(), "last_event" => self.last_event);
-        self.framing = run.framing;
-        self.is_resumed = run.is_resumed;
-        self.has_event = run.has_event;
-        self.output_recorded = run.output_recorded;
-        self.stated_end = None;
-        self.data_error = None;
-        self.splitter.take_rest();
-        self.splitter.push(&run.rest);
-        self.active = Some(run.started);
+        self.activate(run);
         true
     }
 
+    /// Reads from a run from now on.
+    fn activate(&mut self, run: RelayedRun) {
+        self.framing = run.started.response.framing;
+        self.active = Some(run);
+    }
+
     /// Records the end of the stream; `rest_bytes` of it belong to no complete event.
     fn on_end(&mut self, outcome: &'static str, rest_bytes: usize) {
         self.finished = true;
--- a/crates/wagtailarch-wire/src/event_splitter.rs
+++ b/crates/wagtailarch-wire/src/event_splitter.rs
@@ -68,6 +68,11 @@
         !ends_line || !only_comments(block)
     }
 
+    /// Returns the number of remaining bytes.
+    pub fn rest_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Takes the remaining bytes, which form no complete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
