Bound the history of a relay in bytes

Cause: RelayLog bounded its history by the number of changes. Changes whose total exceeds MAX_RELAYED_BYTES are never relayed, so the history is now bounded by that size; a reader that needs older changes receives all objects, or asks the store if these are too large. The log keeps objects in their encoded form, which needs less memory than JSON values and is encoded once, not for each reader.

the_history_is_bounded_in_bytes fails in 3 of 3 cases without the bound.

--- a/crates/wagtailarch-dispatch/src/relay_log.rs
+++ b/crates/wagtailarch-dispatch/src/relay_log.rs
@@ -8,6 +8,11 @@
 
 use crate::StoreRead;
 
+/// Maximum size of the objects in a response of a relay.
+///
+/// If sixty instances fetched a larger one at the same time, it would fill the 20 Mbit/s link of a
+/// small machine for more than a second.
+pub const MAX_RELAYED_BYTES: usize = 64 * 1024;
 /// Number of changes that are kept; an instance that needs older ones receives all objects.
 const MAX_CHANGES: usize = 512;
 
@@ -18,6 +23,8 @@
     objects: IndexMap<SmolStr, T>,
     /// Changes after `history_start`, each with the store version that a reader reaches with it.
     changes: VecDeque<(ObjectVersion, RelayChange<T>)>,
+    /// Total size of `changes`, at most [`MAX_RELAYED_BYTES`].
+    changes_bytes: usize,
     /// Version after which all changes are kept.
     history_start: ObjectVersion,
     /// Newest read of `objects`; absent if they were not last read from the store.
@@ -33,6 +40,8 @@
     pub object: T,
     /// Whether the object was deleted.
     pub deleted: bool,
+    /// Size of the object.
+    pub size_bytes: usize,
 }
 
 /// The updates that another instance needs.
@@ -55,6 +64,7 @@
         Self {
             objects: IndexMap::new(),
             changes: VecDeque::new(),
+            changes_bytes: 0,
             history_start: 0,
             read: None,
         }
@@ -66,6 +76,7 @@
     pub fn on_list(&mut self, read: StoreRead, objects: Vec<(SmolStr, T)>) {
         self.objects = objects.into_iter().collect();
         self.changes.clear();
+        self.changes_bytes = 0;
         self.history_start = read.version;
         self.read = Some(read);
     }
@@ -80,13 +91,15 @@
                     .objects
                     .insert(change.name.clone(), change.object.clone()),
             };
+            self.changes_bytes += change.size_bytes;
             self.changes.push_back((version, change));
         }
-        while self.changes.len() > MAX_CHANGES {
-            self.history_start = self
-                .changes
-                .pop_front()
-                .map_or(version, |(change_version, _)| change_version);
+        while self.changes.len() > MAX_CHANGES || self.changes_bytes > MAX_RELAYED_BYTES {
+            let Some((change_version, change)) = self.changes.pop_front() else {
+                break;
+            };
+            self.changes_bytes -= change.size_bytes;
+            self.history_start = change_version;
         }
         self.read = Some(read);
     }
--- a/crates/wagtailarch-dispatch/tests/relay.rs
+++ b/crates/wagtailarch-dispatch/tests/relay.rs
@@ -4,7 +4,8 @@
 
 use rstest::rstest;
 use wagtailarch_dispatch::{
-    ReadLimits, RelayChange, RelayLog, RelayPlan, RelayView, StoreRead, UpdateSource,
+    MAX_RELAYED_BYTES, ReadLimits, RelayChange, RelayLog, RelayPlan, RelayView, StoreRead,
+    UpdateSource,
 };
 use wagtailarch_types::InstanceId;
 
@@ -187,6 +188,7 @@
         name: name.into(),
         object,
         deleted,
+        size_bytes: 1,
     }
 }
 
@@ -231,3 +233,25 @@
     let last = vec![change("a", 1_999, false)];
     assert_eq!(log.view(Some(1_998)), RelayView::Changes(read(1_999), last));
 }
+
+/// Guards against a history of large objects that fills the memory: 65 configurations of 0.5 MB
+/// exceeded 260 MB. The size of a configuration in bytes, and the versions that are kept.
+#[rstest]
+#[case(MAX_RELAYED_BYTES / 2, 2)]
+#[case(MAX_RELAYED_BYTES, 1)]
+#[case(MAX_RELAYED_BYTES + 1, 0)]
+fn the_history_is_bounded_in_bytes(#[case] size_bytes: usize, #[case] kept: u64) {
+    let mut log = RelayLog::default();
+    log.on_list(read(1), vec![("main".into(), 1)]);
+    for version in 2..=100 {
+        let change = RelayChange {
+            size_bytes,
+            ..change("main", version, false)
+        };
+        log.on_changes(read(version.into()), vec![change]);
+    }
+    let oldest = (1..100).find(|known| matches!(log.view(Some(*known)), RelayView::Changes(..)));
+    assert_eq!(oldest, (kept > 0).then_some(100 - kept));
+    let all = vec![("main".into(), 100)];
+    assert_eq!(log.view(Some(99 - kept)), RelayView::All(read(100), all));
+}
--- a/crates/wagtailarch-gateway/src/control/relay.rs
+++ b/crates/wagtailarch-gateway/src/control/relay.rs
@@ -21,7 +21,7 @@
     time::{sleep, timeout},
 };
 use wagtailarch_adapter::StoreObject;
-use wagtailarch_dispatch::{RelayChange, RelayLog, RelayView, StoreRead};
+use wagtailarch_dispatch::{MAX_RELAYED_BYTES, RelayChange, RelayLog, RelayView, StoreRead};
 use wagtailarch_wire::relay::{
     RELAY_PATH, RELAY_VERSION, RelayKind, RelayRequest, RelayResponse, RelayedObject, RelayedRead,
     decode, encode,
@@ -31,11 +31,6 @@
 const MAX_CONNECTIONS: usize = 400;
 /// Maximum size of a request; it has about ten bytes.
 const MAX_REQUEST_BYTES: usize = 256;
-/// Maximum size of the objects in a response.
-///
-/// If sixty instances fetched a larger one at the same time, it would fill the 20 Mbit/s link of a
-/// small machine for more than a second.
-const MAX_OBJECT_BYTES: usize = 64 * 1024;
 /// Maximum time for which a request waits for an update.
 const MAX_WAIT: Duration = Duration::from_secs(20);
 /// Time for which a connection may stay idle; clients send their next request immediately.
@@ -46,7 +41,7 @@
 /// The objects that this instance has read from the store itself, for other instances.
 #[derive(Debug, Clone)]
 pub struct Relay {
-    logs: Rc<RefCell<IndexMap<RelayKind, RelayLog<StoreObject>>>>,
+    logs: Rc<RefCell<IndexMap<RelayKind, RelayLog<RelayedObject>>>>,
     /// Notified after each change of a log.
     changed: watch::Sender<()>,
     /// Start of the process.
@@ -66,16 +61,20 @@
     /// Records a complete list from the store.
     pub fn on_list(&self, kind: RelayKind, read: StoreRead, objects: &[StoreObject]) {
         let objects = objects.iter();
-        let objects = objects.map(|object| (object.name.clone(), object.clone()));
+        let objects = objects.map(|object| (object.name.clone(), encode_object(object)));
         self.change(kind, |log| log.on_list(read, objects.collect()));
     }
 
     /// Records changes from the store.
     pub fn on_changes(&self, kind: RelayKind, read: StoreRead, changes: &[(StoreObject, bool)]) {
-        let changes = changes.iter().map(|(object, deleted)| RelayChange {
-            name: object.name.clone(),
-            object: object.clone(),
-            deleted: *deleted,
+        let changes = changes.iter().map(|(object, deleted)| {
+            let relayed = encode_object(object);
+            RelayChange {
+                name: object.name.clone(),
+                deleted: *deleted,
+                size_bytes: relayed.content.len(),
+                object: relayed,
+            }
         });
         self.change(kind, |log| log.on_changes(read, changes.collect()));
     }
@@ -85,7 +84,7 @@
         self.change(kind, RelayLog::on_store_lost);
     }
 
-    fn change(&self, kind: RelayKind, change: impl FnOnce(&mut RelayLog<StoreObject>)) {
+    fn change(&self, kind: RelayKind, change: impl FnOnce(&mut RelayLog<RelayedObject>)) {
         change(self.logs.borrow_mut().entry(kind).or_default());
         self.changed.send_replace(());
     }
@@ -118,19 +117,16 @@
             RelayView::Unknown => RelayResponse::Unknown,
             RelayView::Unchanged(read) => RelayResponse::Unchanged(self.relayed(read)),
             RelayView::All(read, objects) => {
-                let objects: Vec<_> = objects
-                    .iter()
-                    .map(|(_, object)| encode_object(object))
-                    .collect();
+                let objects: Vec<_> = objects.into_iter().map(|(_, object)| object).collect();
                 if too_large(objects.iter()) {
                     return RelayResponse::TooLarge;
                 }
                 RelayResponse::All(self.relayed(read), objects)
             }
             RelayView::Changes(read, changes) => {
-                let changes = changes.iter();
+                let changes = changes.into_iter();
                 let changes: Vec<_> = changes
-                    .map(|change| (encode_object(&change.object), change.deleted))
+                    .map(|change| (change.object, change.deleted))
                     .collect();
                 if too_large(changes.iter().map(|(object, _)| object)) {
                     return RelayResponse::TooLarge;
@@ -168,7 +164,7 @@
 }
 
 fn too_large<'a>(objects: impl Iterator<Item = &'a RelayedObject>) -> bool {
-    objects.map(|object| object.content.len()).sum::<usize>() > MAX_OBJECT_BYTES
+    objects.map(|object| object.content.len()).sum::<usize>() > MAX_RELAYED_BYTES
 }
 
 /// Serves the requests of other instances until the process ends.
