Relay only complete records of the store's objects

A starting instance could receive an empty list as all objects and not become ready.

Cause: an instance that has read from a relay and becomes a relay itself continues at the store from the version that it has, but its RelayLog held only what it had read from the store. The log appended the new changes to objects and a history that were empty or old, and presented them as complete: members that lacked a change from before the take-over took over the newer version and never asked for it again.

Now every instance records each read, also those from relays, so that its log ends at its own version when it becomes a relay; this needs no additional call to the store. Changes name the version that they follow. A log that ends at another version is dropped, and the store is listed. Requests to relays have a new version: relays of earlier revisions, which may still respond from an incomplete log, reject them and are not used by this revision. Requests of the earlier version are served.

Ruled out: the freshness of the follower (its proofs were young and true for the relay), and a lost watch of the store (the new relay had the configuration in force).

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -75,7 +75,7 @@
 pub use rate_limit::{NamedLimit, RateLimit};
 pub use read_limits::ReadLimits;
 pub use registration_tracker::RegistrationTracker;
-pub use relay_log::{MAX_RELAYED_BYTES, RelayChange, RelayLog, RelayView};
+pub use relay_log::{LogSource, MAX_RELAYED_BYTES, RelayChange, RelayLog, RelayView};
 pub use relay_plan::{RelayPlan, UpdateSource};
 pub use request::{PrefixLink, Prompt, PromptPart, RequestKind};
 pub use request_arrivals::{CallKind, RequestArrivals};
--- a/crates/wagtailarch-dispatch/src/relay_log.rs
+++ b/crates/wagtailarch-dispatch/src/relay_log.rs
@@ -16,19 +16,34 @@
 /// Number of changes that are kept; an instance that needs older ones receives all objects.
 const MAX_CHANGES: usize = 512;
 
-/// The objects of a kind and their latest changes, as this instance read them from the store
-/// itself.
+/// The objects of a kind and their latest changes, as this instance read them.
+///
+/// An instance also records what it reads from a relay, so that its log is complete when it becomes
+/// a relay itself.
 #[derive(Debug, Clone)]
 pub struct RelayLog<T> {
+    /// All objects at the version of `read`; empty without a read.
     objects: IndexMap<SmolStr, T>,
-    /// Changes after `history_start`, each with the store version that a reader reaches with it.
+    /// Changes after `history_start` up to the version of `read`, each with the store version that
+    /// a reader reaches with it.
     changes: VecDeque<(ObjectVersion, RelayChange<T>)>,
     /// Total size of `changes`, at most [`MAX_RELAYED_BYTES`].
     changes_bytes: usize,
     /// Version after which all changes are kept.
     history_start: ObjectVersion,
-    /// Newest read of `objects`; absent if they were not last read from the store.
+    /// Newest read that the log includes; absent until all objects have been listed.
     read: Option<StoreRead>,
+    /// Whether `read` may be relayed: the store itself was read, and it is available.
+    reads_store: bool,
+}
+
+/// Source of the objects of a log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogSource {
+    /// The store.
+    Store,
+    /// Another instance, which read them from the store.
+    Relay,
 }
 
 /// A change of one object.
@@ -67,23 +82,40 @@
             changes_bytes: 0,
             history_start: 0,
             read: None,
+            reads_store: false,
         }
     }
 }
 
 impl<T: Clone> RelayLog<T> {
-    /// Replaces all objects by a complete list that was read from the store.
-    pub fn on_list(&mut self, read: StoreRead, objects: Vec<(SmolStr, T)>) {
-        self.objects = objects.into_iter().collect();
-        self.changes.clear();
-        self.changes_bytes = 0;
-        self.history_start = read.version;
-        self.read = Some(read);
+    /// Replaces all objects by a complete list.
+    pub fn on_list(&mut self, source: LogSource, read: StoreRead, objects: Vec<(SmolStr, T)>) {
+        *self = Self {
+            objects: objects.into_iter().collect(),
+            history_start: read.version,
+            read: Some(read),
+            reads_store: source == LogSource::Store,
+            ..Self::default()
+        };
     }
 
-    /// Applies changes that were read from the store.
-    pub fn on_changes(&mut self, read: StoreRead, changes: Vec<RelayChange<T>>) {
-        let version = read.version;
+    /// Applies all changes after the version `after` up to that of `read`; returns whether the log
+    /// is complete.
+    ///
+    /// A log that ends at another version lacks changes. It is dropped, and the objects have to be
+    /// listed.
+    #[must_use]
+    pub fn on_changes(
+        &mut self,
+        source: LogSource,
+        after: ObjectVersion,
+        read: StoreRead,
+        changes: Vec<RelayChange<T>>,
+    ) -> bool {
+        if self.read.is_none_or(|last| last.version != after) {
+            *self = Self::default();
+            return false;
+        }
         for change in changes {
             match change.deleted {
                 true => self.objects.shift_remove(&change.name),
@@ -92,7 +124,7 @@
                     .insert(change.name.clone(), change.object.clone()),
             };
             self.changes_bytes += change.size_bytes;
-            self.changes.push_back((version, change));
+            self.changes.push_back((read.version, change));
         }
         while self.changes.len() > MAX_CHANGES || self.changes_bytes > MAX_RELAYED_BYTES {
             let Some((change_version, change)) = self.changes.pop_front() else {
@@ -102,16 +134,18 @@
             self.history_start = change_version;
         }
         self.read = Some(read);
+        self.reads_store = source == LogSource::Store;
+        true
     }
 
     /// Records that the store is unavailable, or that updates come from another instance instead.
     pub fn on_store_lost(&mut self) {
-        self.read = None;
+        self.reads_store = false;
     }
 
     /// Returns the updates for an instance that has all objects up to `known_version`.
     pub fn view(&self, known_version: Option<ObjectVersion>) -> RelayView<T> {
-        let Some(read) = self.read else {
+        let Some(read) = self.read.filter(|_| self.reads_store) else {
             return RelayView::Unknown;
         };
         let Some(known_version) =
--- a/crates/wagtailarch-dispatch/tests/relay.rs
+++ b/crates/wagtailarch-dispatch/tests/relay.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use wagtailarch_dispatch::{
+    LogSource::{Relay, Store},
     MAX_RELAYED_BYTES, ReadLimits, RelayChange, RelayLog, RelayPlan, RelayView, StoreRead,
     UpdateSource,
 };
@@ -198,13 +199,13 @@
 fn a_relay_returns_the_missing_updates() {
     let mut log = RelayLog::default();
     assert_eq!(log.view(None), RelayView::Unknown);
-    log.on_list(read(10), vec![("a".into(), 1), ("b".into(), 1)]);
+    log.on_list(Store, read(10), vec![("a".into(), 1), ("b".into(), 1)]);
     let all = vec![("a".into(), 1), ("b".into(), 1)];
     assert_eq!(log.view(None), RelayView::All(read(10), all.clone()));
     assert_eq!(log.view(Some(9)), RelayView::All(read(10), all));
     assert_eq!(log.view(Some(10)), RelayView::Unchanged(read(10)));
-    log.on_changes(read(12), vec![change("a", 2, false)]);
-    log.on_changes(read(15), vec![change("b", 1, true)]);
+    assert!(log.on_changes(Store, 10, read(12), vec![change("a", 2, false)]));
+    assert!(log.on_changes(Store, 12, read(15), vec![change("b", 1, true)]));
     let both = vec![change("a", 2, false), change("b", 1, true)];
     assert_eq!(log.view(Some(10)), RelayView::Changes(read(15), both));
     let second = vec![change("b", 1, true)];
@@ -224,9 +225,10 @@
 #[test]
 fn an_instance_that_needs_dropped_changes_receives_all_objects() {
     let mut log = RelayLog::default();
-    log.on_list(read(1), Vec::new());
+    log.on_list(Store, read(1), Vec::new());
     for version in 2..2_000 {
-        log.on_changes(read(version), vec![change("a", version as u32, false)]);
+        let changes = vec![change("a", version as u32, false)];
+        assert!(log.on_changes(Store, version - 1, read(version), changes));
     }
     let all = vec![("a".into(), 1_999)];
     assert_eq!(log.view(Some(2)), RelayView::All(read(1_999), all));
@@ -242,16 +244,46 @@
 #[case(MAX_RELAYED_BYTES + 1, 0)]
 fn the_history_is_bounded_in_bytes(#[case] size_bytes: usize, #[case] kept: u64) {
     let mut log = RelayLog::default();
-    log.on_list(read(1), vec![("main".into(), 1)]);
+    log.on_list(Store, read(1), vec![("main".into(), 1)]);
     for version in 2..=100 {
         let change = RelayChange {
             size_bytes,
             ..change("main", version, false)
         };
-        log.on_changes(read(version.into()), vec![change]);
+        let version = version.into();
+        assert!(log.on_changes(Store, version - 1, read(version), vec![change]));
     }
     let oldest = (1..100).find(|known| matches!(log.view(Some(*known)), RelayView::Changes(..)));
     assert_eq!(oldest, (kept > 0).then_some(100 - kept));
     let all = vec![("main".into(), 100)];
     assert_eq!(log.view(Some(99 - kept)), RelayView::All(read(100), all));
 }
+
+/// Guards against a relay that presents the changes since it began to relay as all changes: a member
+/// that had missed earlier ones never received them, and a new one received an incomplete list.
+#[test]
+fn a_relay_without_earlier_changes_returns_nothing() {
+    let mut log = RelayLog::default();
+    assert!(!log.on_changes(Store, 0, read(5), vec![change("a", 1, false)]));
+    assert_eq!(log.view(None), RelayView::Unknown);
+    log.on_list(Store, read(10), vec![("a".into(), 1)]);
+    // The change of version 12 was read elsewhere.
+    assert!(!log.on_changes(Store, 12, read(15), vec![change("c", 1, false)]));
+    for known_version in [None, Some(10), Some(12), Some(15)] {
+        assert_eq!(log.view(known_version), RelayView::Unknown);
+    }
+}
+
+/// Guards against an instance that becomes a relay and lacks what it has read from another relay.
+#[test]
+fn a_new_relay_returns_what_it_has_read_from_another_one() {
+    let mut log = RelayLog::default();
+    log.on_list(Relay, read(10), vec![("a".into(), 1)]);
+    assert!(log.on_changes(Relay, 10, read(12), vec![change("b", 1, false)]));
+    assert_eq!(log.view(Some(10)), RelayView::Unknown);
+    assert!(log.on_changes(Store, 12, read(15), Vec::new()));
+    let missed = vec![change("b", 1, false)];
+    assert_eq!(log.view(Some(10)), RelayView::Changes(read(15), missed));
+    let all = vec![("a".into(), 1), ("b".into(), 1)];
+    assert_eq!(log.view(None), RelayView::All(read(15), all));
+}
--- a/crates/wagtailarch-gateway/src/control/relay.rs
+++ b/crates/wagtailarch-gateway/src/control/relay.rs
@@ -21,10 +21,12 @@
     time::{sleep, timeout},
 };
 use wagtailarch_adapter::StoreObject;
-use wagtailarch_dispatch::{MAX_RELAYED_BYTES, RelayChange, RelayLog, RelayView, StoreRead};
+use wagtailarch_dispatch::{
+    LogSource, MAX_RELAYED_BYTES, RelayChange, RelayLog, RelayView, StoreRead,
+};
+use wagtailarch_types::ObjectVersion;
 use wagtailarch_wire::relay::{
-    RELAY_PATH, RELAY_VERSION, RelayKind, RelayRequest, RelayResponse, RelayedObject, RelayedRead,
-    decode, encode,
+    RELAY_PATH, RelayKind, RelayRequest, RelayResponse, RelayedObject, RelayedRead, decode, encode,
 };
 
 /// Maximum number of connections; each instance uses one for each kind of objects.
@@ -38,7 +40,7 @@
 /// Pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-/// The objects that this instance has read from the store itself, for other instances.
+/// The objects that this instance has read, for other instances.
 #[derive(Debug, Clone)]
 pub struct Relay {
     logs: Rc<RefCell<IndexMap<RelayKind, RelayLog<RelayedObject>>>>,
@@ -58,15 +60,29 @@
         }
     }
 
-    /// Records a complete list from the store.
-    pub fn on_list(&self, kind: RelayKind, read: StoreRead, objects: &[StoreObject]) {
+    /// Records a complete list.
+    pub fn on_list(
+        &self,
+        kind: RelayKind,
+        source: LogSource,
+        read: StoreRead,
+        objects: &[StoreObject],
+    ) {
         let objects = objects.iter();
         let objects = objects.map(|object| (object.name.clone(), encode_object(object)));
-        self.change(kind, |log| log.on_list(read, objects.collect()));
+        self.change(kind, |log| log.on_list(source, read, objects.collect()));
     }
 
-    /// Records changes from the store.
-    pub fn on_changes(&self, kind: RelayKind, read: StoreRead, changes: &[(StoreObject, bool)]) {
+    /// Records all changes after the version `after`; returns whether all objects are known.
+    #[must_use]
+    pub fn on_changes(
+        &self,
+        kind: RelayKind,
+        source: LogSource,
+        after: ObjectVersion,
+        read: StoreRead,
+        changes: &[(StoreObject, bool)],
+    ) -> bool {
         let changes = changes.iter().map(|(object, deleted)| {
             let relayed = encode_object(object);
             RelayChange {
@@ -76,7 +92,9 @@
                 object: relayed,
             }
         });
-        self.change(kind, |log| log.on_changes(read, changes.collect()));
+        self.change(kind, |log| {
+            log.on_changes(source, after, read, changes.collect())
+        })
     }
 
     /// Marks the objects as outdated while this instance does not read them from the store itself.
@@ -84,9 +102,14 @@
         self.change(kind, RelayLog::on_store_lost);
     }
 
-    fn change(&self, kind: RelayKind, change: impl FnOnce(&mut RelayLog<RelayedObject>)) {
-        change(self.logs.borrow_mut().entry(kind).or_default());
+    fn change<R>(
+        &self,
+        kind: RelayKind,
+        change: impl FnOnce(&mut RelayLog<RelayedObject>) -> R,
+    ) -> R {
+        let result = change(self.logs.borrow_mut().entry(kind).or_default());
         self.changed.send_replace(());
+        result
     }
 
     /// Responds to a request; waits for an update if there is none yet.
@@ -225,5 +248,5 @@
     let body = Limited::new(http_request.into_body(), MAX_REQUEST_BYTES);
     let body = body.collect().await.ok()?.to_bytes();
     let request: RelayRequest = decode(&body).ok()?;
-    (request.version == RELAY_VERSION).then_some(request)
+    request.is_supported().then_some(request)
 }
--- a/crates/wagtailarch-gateway/src/control/sources.rs
+++ b/crates/wagtailarch-gateway/src/control/sources.rs
@@ -10,7 +10,7 @@
 use displaydoc::Display;
 use http::{Method, Request, StatusCode};
 use wagtailarch_adapter::StoreObject;
-use wagtailarch_dispatch::{ReadLimits, RelayPlan, StoreRead, UpdateSource};
+use wagtailarch_dispatch::{LogSource, ReadLimits, RelayPlan, StoreRead, UpdateSource};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::relay::{
     RELAY_PATH, RELAY_VERSION, RelayKind, RelayRequest, RelayResponse, RelayedObject, RelayedRead,
@@ -198,13 +198,46 @@
     /// Records a complete list from the store and relays it to other instances.
     pub fn on_store_list(&mut self, read: StoreRead, objects: &[StoreObject]) {
         self.plan.on_response();
-        self.sources.relay.on_list(self.kind, read, objects);
+        let relay = &self.sources.relay;
+        relay.on_list(self.kind, LogSource::Store, read, objects);
     }
 
-    /// Records changes from the store and relays them to other instances.
-    pub fn on_store_changes(&mut self, read: StoreRead, changes: &[(StoreObject, bool)]) {
+    /// Records all changes after the version `after` from the store and relays them to other
+    /// instances; returns whether all objects are known.
+    #[must_use]
+    pub fn on_store_changes(
+        &mut self,
+        after: ObjectVersion,
+        read: StoreRead,
+        changes: &[(StoreObject, bool)],
+    ) -> bool {
         self.plan.on_response();
-        self.sources.relay.on_changes(self.kind, read, changes);
+        let relay = &self.sources.relay;
+        relay.on_changes(self.kind, LogSource::Store, after, read, changes)
+    }
+
+    /// Records the update of a relay for the version `have`, so that this instance can become a
+    /// relay; returns whether all objects are known.
+    #[must_use]
+    pub fn on_relay_update(&self, have: Option<ObjectVersion>, update: &RelayUpdate) -> bool {
+        let (read, changes) = match update {
+            RelayUpdate::Unchanged(read) => (*read, [].as_slice()),
+            RelayUpdate::Changes(read, changes) => (*read, changes.as_slice()),
+            RelayUpdate::All(read, objects) => {
+                let relay = &self.sources.relay;
+                relay.on_list(self.kind, LogSource::Relay, *read, objects);
+                return true;
+            }
+        };
+        let relay = &self.sources.relay;
+        have.is_some_and(|after| {
+            relay.on_changes(self.kind, LogSource::Relay, after, read, changes)
+        })
+    }
+
+    /// Makes the store the next source regardless of the plan.
+    pub fn ask_store_next(&mut self) {
+        self.store_next = true;
     }
 
     /// Stops relaying while this instance does not read from the store itself.
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -256,7 +256,12 @@
             },
         };
         self.freshness.on_store_read(read);
-        self.relay_reader.on_store_changes(read, &page.changes);
+        let complete = self
+            .relay_reader
+            .on_store_changes(version, read, &page.changes);
+        if !complete {
+            self.on_gap(version);
+        }
         if !page.changes.is_empty() {
             self.not_before = Some(Instant::now() + self.limits.change_pause());
         }
@@ -297,7 +302,7 @@
         };
         match response {
             Ok(update) => {
-                let update = self.apply_relay_update(update);
+                let update = self.apply_relay_update(have, update);
                 if update.is_some() {
                     self.on_response(relay.clone());
                 }
@@ -352,7 +357,11 @@
 
     /// Applies an update from a relay, whose versions are those of the store; returns `None` if its
     /// content is not to be used.
-    fn apply_relay_update(&mut self, update: RelayUpdate) -> Option<WatchUpdate> {
+    fn apply_relay_update(
+        &mut self,
+        have: Option<ObjectVersion>,
+        update: RelayUpdate,
+    ) -> Option<WatchUpdate> {
         let now = self.now();
         let read = match &update {
             RelayUpdate::Unchanged(read)
@@ -363,6 +372,9 @@
             return None;
         }
         self.list_next = false;
+        if !self.relay_reader.on_relay_update(have, &update) {
+            self.on_gap(read.version);
+        }
         Some(match update {
             RelayUpdate::Unchanged(_) => WatchUpdate::Changed(Vec::new()),
             RelayUpdate::All(_, objects) => {
@@ -376,6 +388,14 @@
         })
     }
 
+    /// Lists the store next, since this instance could not relay all objects to others.
+    fn on_gap(&mut self, version: ObjectVersion) {
+        warn!(self.log(), "record of objects incomplete"; "kind" => self.kind.as_str(),
+            "version" => version);
+        self.list_next = true;
+        self.relay_reader.ask_store_next();
+    }
+
     /// Returns the time since the start of the process.
     fn now(&self) -> Duration {
         self.context.epoch.elapsed()
--- a/crates/wagtailarch-wire/src/relay.rs
+++ b/crates/wagtailarch-wire/src/relay.rs
@@ -4,8 +4,13 @@
 use smol_str::SmolStr;
 use wagtailarch_types::ObjectVersion;
 
-/// Version of the encoding; requests of other versions are rejected.
-pub const RELAY_VERSION: u8 = 2;
+/// Version of the messages.
+///
+/// Relays of version 2 may respond from incomplete objects and reject this version, so that their
+/// responses are not used.
+pub const RELAY_VERSION: u8 = 3;
+/// Oldest version of requests to which relays respond; the encoding has not changed since.
+const MIN_REQUEST_VERSION: u8 = 2;
 /// Path of the requests.
 pub const RELAY_PATH: &str = "/relay";
 
@@ -33,6 +38,13 @@
     pub wait_ms: u32,
 }
 
+impl RelayRequest {
+    /// Returns whether this revision responds to the request.
+    pub fn is_supported(&self) -> bool {
+        (MIN_REQUEST_VERSION..=RELAY_VERSION).contains(&self.version)
+    }
+}
+
 /// The response to a [`RelayRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RelayResponse {
--- a/crates/wagtailarch-wire/tests/recorded.rs
+++ b/crates/wagtailarch-wire/tests/recorded.rs
@@ -131,19 +131,23 @@
     check(&message, &encoded, recorded, OriginMessage::decode);
 }
 
-/// Guards against the same for requests to relays and their responses.
+/// Guards against the same for requests to relays and their responses. Requests of version 2 are
+/// those of c9d2774.
 #[rstest]
-fn the_encoding_of_relays_is_kept() {
+#[case(2, EARLIER_RELAY_REQUEST)]
+#[case(RELAY_VERSION, RELAY_REQUEST)]
+fn the_encoding_of_relays_is_kept(#[case] version: u8, #[case] recorded: &str) {
     let request = RelayRequest {
-        version: RELAY_VERSION,
+        version,
         kind: RelayKind::Servers,
         have: Some(300),
         wait_ms: 400,
     };
     let encoded = relay::encode(&request).expect("encoded");
-    check(&request, &encoded, RELAY_REQUEST, |bytes| {
+    check(&request, &encoded, recorded, |bytes| {
         relay::decode(bytes).ok()
     });
+    assert!(request.is_supported());
     let read = RelayedRead {
         version: 301,
         age_ms: 5,
@@ -166,5 +170,6 @@
 const ORIGIN_RECORDS: &str = "c00001010102";
 const ORIGIN_QUESTION: &str = "c0010304";
 const ORIGIN_ANSWER: &str = "c002030105";
-const RELAY_REQUEST: &str = "020101ac029003";
+const EARLIER_RELAY_REQUEST: &str = "020101ac029003";
+const RELAY_REQUEST: &str = "030101ac029003";
 const RELAY_RESPONSE: &str = "03ad020501027331ad02027b7d01";
