Relay a list of instances under the version at which it was read

An instance that became a relay could relay its own list under the version of another relay's list: a list from the store without differences to the last one from the store kept the known version, which a relay's list had replaced meanwhile. Members with that version were told that nothing had changed and kept an instance that had left.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -50,6 +50,7 @@
 mod stream_origins;
 mod time_left;
 mod urgent_utilization;
+mod versioned_list;
 
 pub use call_numbers::CallNumbers;
 pub use crash_check::{CrashCheck, CrashStep};
@@ -93,4 +94,5 @@
 pub use stream_origins::{STREAM_LIFETIME, StreamOrigins};
 pub use time_left::TimeLeft;
 pub use urgent_utilization::UrgentUtilization;
+pub use versioned_list::VersionedList;
 pub use wagtailarch_types::Urgency;
--- a/crates/wagtailarch-gateway/src/control/instances.rs
+++ b/crates/wagtailarch-gateway/src/control/instances.rs
@@ -12,9 +12,9 @@
     delete_request, list_request, replace_request,
 };
 use wagtailarch_dispatch::{
-    ReadLimits, RegistrationTracker, StoreRead, UpdateSource, is_designated,
+    ReadLimits, RegistrationTracker, StoreRead, UpdateSource, VersionedList, is_designated,
 };
-use wagtailarch_types::{InstanceId, ObjectVersion};
+use wagtailarch_types::InstanceId;
 use wagtailarch_wire::relay::RelayKind;
 
 use crate::{
@@ -191,10 +191,8 @@
 struct InstanceReader {
     context: ControlContext,
     relay_reader: RelayReader,
-    /// Version of the newest list.
-    known_version: Option<ObjectVersion>,
-    /// Objects of the newest list from the store.
-    stored_objects: Vec<StoreObject>,
+    /// The newest list, from the store or a relay.
+    list: VersionedList<StoreObject>,
     /// Whether the next list is read from the store regardless of the relays.
     verify_with_store: bool,
 }
@@ -205,8 +203,7 @@
         Self {
             context: sources.context.clone(),
             relay_reader: RelayReader::new(RelayKind::Instances, limits, sources),
-            known_version: None,
-            stored_objects: Vec::new(),
+            list: VersionedList::default(),
             verify_with_store: true,
         }
     }
@@ -217,24 +214,23 @@
             true => UpdateSource::Store,
             false => self.relay_reader.source(),
         };
-        let objects = match source {
+        match source {
             UpdateSource::Wait | UpdateSource::Store => self.list(client).await?,
             UpdateSource::Relay(relay) => {
                 self.relay_reader.suspend_relaying();
                 match self
                     .relay_reader
-                    .read(&relay, self.known_version, Duration::ZERO)
+                    .read(&relay, self.list.version(), Duration::ZERO)
                     .await
                 {
                     Ok(RelayUpdate::All(read, objects)) => {
-                        self.known_version = Some(read.version);
                         // A relay's list may be older than this instance's own registration.
                         let own = &self.context.instance;
                         self.verify_with_store = !objects.iter().any(|object| object.name == *own);
+                        self.list.on_relayed(read.version, objects);
                         if self.verify_with_store {
                             return Ok(None);
                         }
-                        objects
                     }
                     Ok(_) => return Ok(None),
                     Err(error) => {
@@ -244,14 +240,14 @@
                     }
                 }
             }
-        };
-        let mut instances: Vec<_> = objects.iter().filter_map(peer).collect();
+        }
+        let mut instances: Vec<_> = self.list.objects().iter().filter_map(peer).collect();
         instances.sort();
         Ok(Some(instances))
     }
 
     /// Lists all instances at the store.
-    async fn list(&mut self, client: &mut HttpClient) -> Result<Vec<StoreObject>, StoreError> {
+    async fn list(&mut self, client: &mut HttpClient) -> Result<(), StoreError> {
         let mut objects = Vec::new();
         let mut version = 0;
         let mut after: Option<SmolStr> = None;
@@ -267,17 +263,12 @@
                 break;
             }
         }
-        // A list without differences is relayed under its old version.
-        if objects != self.stored_objects || self.known_version.is_none() {
-            self.stored_objects.clone_from(&objects);
-            self.known_version = Some(version);
-        }
         let read = StoreRead {
-            version: self.known_version.unwrap_or(version),
+            version: self.list.on_stored(version, objects),
             at: self.context.epoch.elapsed(),
         };
-        self.relay_reader.on_store_list(read, &self.stored_objects);
-        Ok(objects)
+        self.relay_reader.on_store_list(read, self.list.objects());
+        Ok(())
     }
 }
 
