Bound the responses of servers to an instance's own calls

The responses to clients' requests were bounded (misbehaving.rs), but a response to a call of the process itself, a report or an order, could have 8 MB, outside the budget for buffered bodies: that limit is meant for lists of the store. Each stream whose engine is unresponsive asks another engine for its report, so that several streams read such responses at the same time.

The limit of a backend server's response to such calls is now 16 KB; a report has a few hundred bytes. Heads were bounded before (128 KB with interim heads).

--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -220,7 +220,7 @@
     engine: &BackendServer,
     request: Request<Bytes>,
 ) -> Result<(response::Parts, Bytes), OrderError> {
-    let response = HttpClient::new(engine.address, CONNECT_LIMIT)
+    let response = HttpClient::of_server(engine.address, CONNECT_LIMIT)
         .call_with_head(request, CALL_TIMEOUT)
         .await;
     let (parts, body) = response.map_err(OrderError::Engine)?;
--- a/crates/wagtailarch-gateway/src/engine_report.rs
+++ b/crates/wagtailarch-gateway/src/engine_report.rs
@@ -28,7 +28,7 @@
 
 /// Calls an engine for its report.
 pub async fn fetch_report(gateway: &Gateway, engine: &ServerEndpoint) -> ReportOutcome {
-    let response = HttpClient::new(engine.address, REPORT_LIMIT)
+    let response = HttpClient::of_server(engine.address, REPORT_LIMIT)
         .call_with_head(report_request(&engine.id), REPORT_LIMIT)
         .await;
     if let Ok((parts, _)) = &response
--- a/crates/wagtailarch-gateway/src/http_client.rs
+++ b/crates/wagtailarch-gateway/src/http_client.rs
@@ -14,8 +14,11 @@
 
 /// Timeout for opening a connection where no bound on applying changes demands a shorter one.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(800);
-/// Maximum size of a response; a page of a list has about 1 MB.
+/// Maximum size of a response of the store or of another instance; a page of a list has about 1 MB.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of a response of a backend server to a call of this process; a report has a few
+/// hundred bytes. Many streams may ask for reports at the same time.
+const MAX_SERVER_RESPONSE_BYTES: usize = 16 * 1024;
 
 /// Calls one address over a persistent connection, which is reopened after a failure.
 #[derive(Debug)]
@@ -23,6 +26,8 @@
     address: SocketAddr,
     /// Timeout for opening a connection.
     connect_limit: Duration,
+    /// Maximum size of the body of a response.
+    max_response_bytes: usize,
     connection: Option<Connection>,
 }
 
@@ -38,15 +43,25 @@
 }
 
 impl HttpClient {
-    /// Creates a client; the connection is opened at the first call.
+    /// Creates a client of the store or of another instance; the connection is opened at the first
+    /// call.
     pub fn new(address: SocketAddr, connect_limit: Duration) -> Self {
         Self {
             address,
             connect_limit,
+            max_response_bytes: MAX_RESPONSE_BYTES,
             connection: None,
         }
     }
 
+    /// Creates a client of a backend server, which may send endless data.
+    pub fn of_server(address: SocketAddr, connect_limit: Duration) -> Self {
+        Self {
+            max_response_bytes: MAX_SERVER_RESPONSE_BYTES,
+            ..Self::new(address, connect_limit)
+        }
+    }
+
     /// Sends a request and returns status and body of the response; see [`Self::call_with_head`].
     pub async fn call(
         &mut self,
@@ -80,10 +95,10 @@
             connection.sender.ready().await.map_err(connection_error)?;
             connection
                 .allowance
-                .reset(MAX_HEAD_BYTES + MAX_RESPONSE_BYTES);
+                .reset(MAX_HEAD_BYTES + self.max_response_bytes);
             let sent = connection.sender.send_request(request.map(Full::new));
             let (parts, body) = sent.await.map_err(connection_error)?.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+            let body = Limited::new(body, self.max_response_bytes).collect().await;
             let body = body.map_err(|error| CallError::Connection(error.to_string()))?;
             Ok((parts, body.to_bytes()))
         };
