Read a request of wagtail-entry whole before its refusal is sent

The same fault as in the gateway on a related path: a refusal by the head of a request (unknown path or key, no configuration, draining) or while its body is read left the rest of the body unread, so that the connection was closed without notice and reset, and the client could lose the refusal. The rest is now read and dropped first, over HTTP/1.1.

--- a/crates/wagtailarch-entry/src/body.rs
+++ b/crates/wagtailarch-entry/src/body.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
-use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::{Body, Incoming};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use wagtailarch_types::RefusalReason;
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Reads a complete body.
-    pub async fn read(&self, body: Incoming) -> Result<BufferedBody, Refusal> {
+    /// Reads a complete body; after a refusal, the rest of it is unread.
+    pub async fn read(&self, body: &mut Incoming) -> Result<BufferedBody, Refusal> {
         match tokio::time::timeout(self.timeout, self.collect_body(body)).await {
             Ok(result) => result,
             Err(_) => Err(Refusal::new(
@@ -68,7 +68,7 @@
     }
 
     /// Reads the frames of a body into memory; fails if a limit is exceeded.
-    async fn collect_body(&self, mut body: Incoming) -> Result<BufferedBody, Refusal> {
+    async fn collect_body(&self, body: &mut Incoming) -> Result<BufferedBody, Refusal> {
         if body.size_hint().lower() > self.max_bytes as u64 {
             return Err(self.too_large());
         }
@@ -110,6 +110,25 @@
         })
     }
 
+    /// Reads and drops the rest of a body within the limits of a complete one; returns whether it
+    /// was read whole.
+    ///
+    /// If a connection is closed before everything was read, it is reset, and the client may lose
+    /// the response.
+    pub async fn discard_rest(&self, body: &mut Incoming) -> bool {
+        let mut body = Limited::new(body, self.max_bytes);
+        let discard = async {
+            while let Some(frame) = body.frame().await {
+                if frame.is_err() {
+                    return false;
+                }
+            }
+            true
+        };
+        let discarded = tokio::time::timeout(self.timeout, discard).await;
+        discarded.unwrap_or(false)
+    }
+
     fn too_large(&self) -> Refusal {
         let message = format!("the body is larger than {} bytes", self.max_bytes);
         Refusal::new(RefusalReason::BodyTooLarge, message)
--- a/crates/wagtailarch-entry/src/chat/handler.rs
+++ b/crates/wagtailarch-entry/src/chat/handler.rs
@@ -29,7 +29,7 @@
 pub async fn complete(
     context: RequestContext,
     api: Api,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Response<ClientBody>, Refusal> {
     let shared = context.shared.clone();
     let buffered = shared.body_reader.read(body).await?;
--- a/crates/wagtailarch-entry/src/proxy.rs
+++ b/crates/wagtailarch-entry/src/proxy.rs
@@ -30,7 +30,7 @@
 pub async fn forward(
     context: RequestContext,
     parts: Parts,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Response<ClientBody>, Refusal> {
     let path = decode_path(parts.uri.path()).into_owned();
     let service = find_service(&context, &path)?;
--- a/crates/wagtailarch-entry/src/server.rs
+++ b/crates/wagtailarch-entry/src/server.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, io, sync::Arc, time::Duration};
 
 use futures_util::FutureExt;
-use http::{HeaderValue, Method, Request, Response, Version, header};
+use http::{HeaderValue, Method, Request, Response, Version, header, request::Parts};
 use hyper::{
     body::{Body, Incoming},
     service::service_fn,
@@ -273,9 +273,10 @@
     let id: RequestId = rand::random();
     shared.metrics.requests.inc();
     let version = request.version();
+    let (parts, mut body) = request.into_parts();
     let routed = tokio::select! {
         biased;
-        routed = route_request(shared, id, request) => routed,
+        routed = route_request(shared, id, parts, &mut body) => routed,
         () = shared.wait_for_stage(Stage::Responding) => {
             let message = "the instance stopped before the response";
             Err(Refusal::new(RefusalReason::Draining, message).ran(Ran::Unknown))
@@ -287,7 +288,12 @@
             shared.metrics.outcomes.count_refusal(refusal.reason);
             slog::debug!(shared.log, "refused"; "request" => format_request_id(id),
                 "reason" => refusal.reason.as_str(), "ran" => refusal.ran.as_str());
-            refusal.to_response()
+            let mut response = refusal.to_response();
+            if version < Version::HTTP_2 && !read_rest(shared, &mut body).await {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
         }
     };
     let id_text = format_request_id(id);
@@ -302,14 +308,24 @@
     response
 }
 
+/// Reads the rest of a refused request until the instance has to respond; returns whether it was
+/// read whole.
+async fn read_rest(shared: &Shared, body: &mut Incoming) -> bool {
+    tokio::select! {
+        biased;
+        is_read = shared.body_reader.discard_rest(body) => is_read,
+        () = shared.wait_for_stage(Stage::Responding) => false,
+    }
+}
+
 /// Authorizes a request and passes it to the handler for its path.
 async fn route_request(
     shared: &Arc<Shared>,
     id: RequestId,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Incoming,
 ) -> Result<Response<ClientBody>, Refusal> {
     let running = shared.start_request(id)?;
-    let (parts, body) = request.into_parts();
     check_path(parts.uri.path())?;
     let context = RequestContext::new(running, id, &parts.headers)?;
     match (&parts.method, parts.uri.path()) {
--- a/crates/wagtailarch-entry/tests/bad_input.rs
+++ b/crates/wagtailarch-entry/tests/bad_input.rs
@@ -267,3 +267,37 @@
     let response = client().request(call).await.unwrap();
     assert_eq!(response.headers()["content-length"], "13");
 }
+
+/// Guards against a refusal that is lost, since closing a connection with unread bytes resets it,
+/// and against a kept connection that is closed without notice.
+#[rstest]
+#[case::unknown_route("/nowhere", KEY, 404)]
+#[case::unknown_key("/v1/completions", "wrong", 401)]
+#[tokio::test]
+async fn a_refusal_arrives_and_the_connection_is_kept(
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] expected: u16,
+    #[values(4, 4096)] body_bytes: usize,
+) {
+    let (_engine, instance) = fixture().await;
+    let mut stream = TcpStream::connect(instance.client_address()).await.unwrap();
+    for _ in 0..3 {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\
+             content-length: {body_bytes}\r\n\r\n"
+        );
+        // A failed write shows as a missing response.
+        let _ = stream.write_all(head.as_bytes()).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let _ = stream.write_all(&vec![b'x'; body_bytes]).await;
+        let mut response = vec![0; 4096];
+        let read = tokio::time::timeout(Duration::from_secs(2), stream.read(&mut response));
+        let count = read.await.expect("in time").unwrap_or(0);
+        let response = String::from_utf8_lossy(&response[..count]).into_owned();
+        assert!(
+            response.starts_with(&format!("HTTP/1.1 {expected}")),
+            "{response}"
+        );
+    }
+}
--- a/crates/wagtailarch-gateway/src/body_buffer.rs
+++ b/crates/wagtailarch-gateway/src/body_buffer.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
@@ -103,17 +103,12 @@
 /// If a connection is closed before everything was read, it is reset, and the other side may lose
 /// the response.
 pub async fn discard_rest(body: &mut Incoming, limit_bytes: usize, limit: Duration) -> bool {
+    let mut body = Limited::new(body, limit_bytes);
     let discard = async {
-        let mut remaining = limit_bytes;
         while let Some(frame) = body.frame().await {
-            let size = match frame {
-                Ok(frame) => frame.data_ref().map_or(0, Bytes::len),
-                Err(_) => return false,
-            };
-            if size > remaining {
+            if frame.is_err() {
                 return false;
             }
-            remaining -= size;
         }
         true
     };
--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -442,7 +442,9 @@
         return Err(on_lost(context, call, CallFailure::CLOSED, cause));
     }
     let gateway = &context.gateway;
-    let body = gateway.buffer_budget.read(&mut response.body, MAX_BODY_BYTES);
+    let body = gateway
+        .buffer_budget
+        .read(&mut response.body, MAX_BODY_BYTES);
     match timeout(context.time_left(), body).await {
         Ok(Ok(body)) => {
             gateway
