--- a/crates/wagtailarch-gateway/src/control/relay.rs
+++ b/crates/wagtailarch-gateway/src/control/relay.rs
@@ -141,20 +141,17 @@
             RelayView::Unchanged(read) => RelayResponse::Unchanged(self.relayed(read)),
             RelayView::All(read, objects) => {
                 let objects: Vec<_> = objects.into_iter().map(|(_, object)| object).collect();
-                if too_large(objects.iter()) {
-                    return RelayResponse::TooLarge;
+                let size_bytes: usize = objects.iter().map(|object| object.content.len()).sum();
+                match size_bytes > MAX_RELAYED_BYTES {
+                    true => RelayResponse::TooLarge,
+                    false => RelayResponse::All(self.relayed(read), objects),
                 }
-                RelayResponse::All(self.relayed(read), objects)
             }
+            // The log keeps no more changes than a response may have.
             RelayView::Changes(read, changes) => {
                 let changes = changes.into_iter();
-                let changes: Vec<_> = changes
-                    .map(|change| (change.object, change.deleted))
-                    .collect();
-                if too_large(changes.iter().map(|(object, _)| object)) {
-                    return RelayResponse::TooLarge;
-                }
-                RelayResponse::Changes(self.relayed(read), changes)
+                let changes = changes.map(|change| (change.object, change.deleted));
+                RelayResponse::Changes(self.relayed(read), changes.collect())
             }
         }
     }
@@ -186,10 +183,6 @@
     })
 }
 
-fn too_large<'a>(objects: impl Iterator<Item = &'a RelayedObject>) -> bool {
-    objects.map(|object| object.content.len()).sum::<usize>() > MAX_RELAYED_BYTES
-}
-
 /// Serves the requests of other instances until the process ends.
 pub async fn serve_relay(relay: Relay, listener: Rc<TcpListener>, log: Logger) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
--- a/crates/wagtailarch-gateway/src/control/sources.rs
+++ b/crates/wagtailarch-gateway/src/control/sources.rs
@@ -220,16 +220,15 @@
     /// relay; returns whether all objects are known.
     #[must_use]
     pub fn on_relay_update(&self, have: Option<ObjectVersion>, update: &RelayUpdate) -> bool {
+        let relay = &self.sources.relay;
         let (read, changes) = match update {
             RelayUpdate::Unchanged(read) => (*read, [].as_slice()),
             RelayUpdate::Changes(read, changes) => (*read, changes.as_slice()),
             RelayUpdate::All(read, objects) => {
-                let relay = &self.sources.relay;
                 relay.on_list(self.kind, LogSource::Relay, *read, objects);
                 return true;
             }
         };
-        let relay = &self.sources.relay;
         have.is_some_and(|after| {
             relay.on_changes(self.kind, LogSource::Relay, after, read, changes)
         })
