Move the files of wagtailarch-dispatch into folders by subject

Some forty files lay side by side, so that a newcomer had to read names to find where a decision lives. The files move into evidence, limits, membership, orders, paths, placing, relays and servers; only module declarations and imports change. The public names of the crate stay the same.

clippy of the crate with all targets: no finding.

--- a/crates/wagtailarch-dispatch/src/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/evidence/part_evidence.rs
@@ -9,8 +9,8 @@
 
 use crate::{
     LimitMembers,
-    part_blame::{BLAME_TTL, Blame},
-    part_outputs::PartOutputs,
+    evidence::part_blame::{BLAME_TTL, Blame},
+    evidence::part_outputs::PartOutputs,
 };
 
 /// Number of crashes that a part must be a candidate for to be blamed.
--- a/crates/wagtailarch-dispatch/src/service_versions.rs
+++ b/crates/wagtailarch-dispatch/src/membership/service_versions.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use wagtailarch_types::{ServiceName, VersionKey};
 
-use crate::{BackendServer, stream_origins::STREAM_LIFETIME};
+use crate::{BackendServer, membership::stream_origins::STREAM_LIFETIME};
 
 /// Software versions of each service of which streams may be open: those of its servers, and those
 /// whose last server left recently.
--- a/crates/wagtailarch-dispatch/src/forward_targets.rs
+++ b/crates/wagtailarch-dispatch/src/paths/forward_targets.rs
@@ -6,7 +6,7 @@
 use wagtailarch_types::{InstanceId, ServiceName, ZoneName, rendezvous_weight};
 use wagtailarch_wire::{load_note::LoadNote, path_report::LostPaths};
 
-use crate::service_versions::service_key;
+use crate::membership::service_versions::service_key;
 
 /// Age of the last load note from which an instance takes no requests of others.
 ///
--- a/crates/wagtailarch-dispatch/src/service_paths.rs
+++ b/crates/wagtailarch-dispatch/src/paths/service_paths.rs
@@ -7,8 +7,8 @@
 use wagtailarch_wire::path_report::LostPaths;
 
 use crate::{
-    service_path::{ConnectAttempt, PathChange, PathState, ServicePath},
-    service_versions::service_key,
+    membership::service_key,
+    paths::service_path::{ConnectAttempt, PathChange, PathState, ServicePath},
 };
 
 /// Maximum number of probes per second of one instance over longer times, for all services together.
--- a/crates/wagtailarch-dispatch/src/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -15,7 +15,7 @@
 use crate::{
     BackendServer, EngineState, GenerationRequest, LeavingServers, LimitMembers, Placement,
     PrefillNumber, PrefillSpeed, RateLimit, RoleDemand, RoutingConfig, ServerEndpoint,
-    ServerProcess, Urgency, backend::Backend, placement,
+    ServerProcess, Urgency, placing::placement, servers::backend::Backend,
 };
 
 use engine_load::OwnPrefill;
--- a/crates/wagtailarch-dispatch/src/load_balancer/limits.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer/limits.rs
@@ -9,7 +9,7 @@
 };
 
 use super::LoadBalancer;
-use crate::{HolderStep, LimitMembers, NamedLimit, RateLimit, backend::Backend};
+use crate::{HolderStep, LimitMembers, NamedLimit, RateLimit, servers::backend::Backend};
 
 /// Rate at which a server is called at least, whatever limit it names.
 ///
--- a/crates/wagtailarch-dispatch/src/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placing/placement.rs
@@ -9,7 +9,7 @@
 
 #[cfg(doc)]
 use crate::PrefillSpeed;
-use crate::{EngineState, PrefixLink, ServerEndpoint, backend::Backend};
+use crate::{EngineState, PrefixLink, ServerEndpoint, servers::backend::Backend};
 
 /// Overhead of one call to an engine: connection setup and the round trip. It does not scale with
 /// the speed of the engine.
--- /dev/null
+++ b/crates/wagtailarch-dispatch/src/relays.rs
@@ -0,0 +1,15 @@
+//! What instances read from the store and pass on to each other.
+
+mod freshness;
+mod note_routes;
+mod read_limits;
+mod relay_log;
+pub(crate) mod relay_plan;
+mod versioned_list;
+
+pub use freshness::{Freshness, StoreRead};
+pub use note_routes::NoteRoutes;
+pub use read_limits::ReadLimits;
+pub use relay_log::{LogSource, MAX_RELAYED_BYTES, RelayChange, RelayLog, RelayView};
+pub use relay_plan::{RelayPlan, UpdateSource};
+pub use versioned_list::VersionedList;
--- a/crates/wagtailarch-dispatch/src/note_routes.rs
+++ b/crates/wagtailarch-dispatch/src/relays/note_routes.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use wagtailarch_types::{InstanceId, ZoneName, rendezvous_weight};
 
-use crate::relay_plan::relays;
+use crate::relays::relay_plan::relays;
 
 /// Number of peers up to which every instance sends to every other.
 ///
