Serve requests for the team of their key

Callers had no teams, so that servers ran requests without the name of the caller's team. The configuration's teams now share one type with the fleet file, a key ring maps hashed keys to them, and each call to a server states the team. Keys are hashed when a configuration enters the process.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -48,7 +48,7 @@
 };
 pub use request::{PrefixLink, Prompt, PromptPart, RequestKind};
 pub use routing::{
-    ClientLimits, EngineProperties, Route, RouteTarget, RoutingConfig, ServiceConfig,
+    Access, ClientLimits, EngineProperties, Route, RouteTarget, RoutingConfig, ServiceConfig,
 };
 pub use servers::{BackendServer, ServerEndpoint, ServerHealth, ServerProcess, version_key};
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
--- a/crates/wagtailarch-dispatch/src/relays/freshness.rs
+++ b/crates/wagtailarch-dispatch/src/relays/freshness.rs
@@ -34,6 +34,11 @@
         self.version
     }
 
+    /// Returns the time of the newest proof.
+    pub fn proven_at(&self) -> Duration {
+        self.proven_at
+    }
+
     /// Drops the version of the objects, of which all have to be read anew.
     pub fn reset(&mut self) {
         self.version = None;
--- a/crates/wagtailarch-dispatch/src/routing.rs
+++ b/crates/wagtailarch-dispatch/src/routing.rs
@@ -4,7 +4,9 @@
 
 use indexmap::IndexMap;
 use smol_str::SmolStr;
-use wagtailarch_types::{Generation, ServiceName};
+use wagtailarch_fleet::Team;
+use wagtailarch_traffic::{KeyRing, SharedKey};
+use wagtailarch_types::{Generation, HashedKey, ServiceName};
 
 use crate::RequestKind;
 
@@ -19,6 +21,26 @@
     by_host: HashMap<SmolStr, Vec<usize>>,
     /// Shortest gap objective among the routes of each service; absent if none states one.
     gap_objectives: HashMap<ServiceName, Duration>,
+    /// Teams with their keys; absent if the configuration has no list of teams.
+    teams: Option<Teams>,
+}
+
+/// Teams with their keys.
+#[derive(Debug, Clone)]
+struct Teams {
+    list: Vec<Team>,
+    key_ring: KeyRing,
+}
+
+/// Whether a request may use a route, by its key.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Access<'a> {
+    /// The route asks for no key, so that the request has no team.
+    Open,
+    /// The key belongs to this team.
+    Team(&'a Team),
+    /// The key is missing or belongs to no team.
+    Denied,
 }
 
 /// A route, which matches requests by host and path.
@@ -40,6 +62,8 @@
     pub gap_objective: Option<Duration>,
     /// Priority among the routes of a service; 0 is the highest.
     pub priority: u8,
+    /// Whether requests need no key.
+    pub public: bool,
     /// Services that receive the requests; never empty, and at least one weight is above 0.
     pub targets: Vec<RouteTarget>,
     /// Maximum number of backend servers on which one request may run.
@@ -126,6 +150,38 @@
             limits,
             by_host,
             gap_objectives,
+            teams: None,
+        }
+    }
+
+    /// Sets the teams, one of whose keys each request to a route that is not public must have.
+    pub fn with_teams(self, list: Vec<Team>) -> Self {
+        let key_ring = KeyRing::new(&list);
+        Self {
+            teams: Some(Teams { list, key_ring }),
+            ..self
+        }
+    }
+
+    /// Returns the teams; none if the configuration has no list of them.
+    pub fn teams(&self) -> &[Team] {
+        self.teams.as_ref().map_or(&[], |teams| &teams.list)
+    }
+
+    /// Returns the teams for which the same key is listed, so that it belongs to neither.
+    pub fn shared_keys(&self) -> &[SharedKey] {
+        let teams = self.teams.as_ref();
+        teams.map_or(&[], |teams| teams.key_ring.shared_keys())
+    }
+
+    /// Decides whether a request with the given key may use a route.
+    pub fn access(&self, route: &Route, key: Option<&HashedKey>) -> Access<'_> {
+        let Some(teams) = self.teams.as_ref().filter(|_| !route.public) else {
+            return Access::Open;
+        };
+        match key.and_then(|key| teams.key_ring.team_index(key)) {
+            Some(index) => Access::Team(&teams.list[index]),
+            None => Access::Denied,
         }
     }
 
--- a/crates/wagtailarch-entry/src/snapshot.rs
+++ b/crates/wagtailarch-entry/src/snapshot.rs
@@ -4,11 +4,9 @@
 
 use smol_str::SmolStr;
 use wagtailarch_fleet::{Fleet, Group, GroupKind, Service, Team};
-use wagtailarch_traffic::RetryBudget;
+use wagtailarch_traffic::{KeyRing, RetryBudget};
 use wagtailarch_types::{Generation, GroupName, HashedKey, ServiceName};
 
-use crate::auth::parse_key_hash;
-
 /// An immutable configuration with lookup tables for the traffic threads.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -17,7 +15,7 @@
     /// Complete configuration.
     pub fleet: Arc<Fleet>,
     /// Indices in `fleet.teams` by hashed key.
-    team_indices: HashMap<HashedKey, usize>,
+    key_ring: KeyRing,
     /// Indices of the model services in `fleet.services` by name.
     model_services: HashMap<ServiceName, usize>,
     /// Path prefixes of the plain services with their indices in `fleet.services`, the longest
@@ -32,9 +30,6 @@
 impl Snapshot {
     /// Creates a snapshot and builds its lookup tables.
     pub fn new(generation: Generation, fleet: Arc<Fleet>) -> Self {
-        let teams = fleet.teams.iter().enumerate();
-        let teams =
-            teams.filter_map(|(index, team)| Some((parse_key_hash(&team.key_hash)?, index)));
         let services = || fleet.services.iter().enumerate();
         let models = services().filter(|(_, service)| service.model.is_some());
         let plain = services().filter_map(|(index, s)| Some((s.path_prefix.clone()?, index)));
@@ -49,7 +44,7 @@
         let retry_budgets = fleet.services.iter().map(budget).collect();
         Self {
             generation,
-            team_indices: teams.collect(),
+            key_ring: KeyRing::new(&fleet.teams),
             model_services: models
                 .map(|(index, service)| (service.name.clone(), index))
                 .collect(),
@@ -84,7 +79,7 @@
 
     /// Returns the index in `fleet.teams` of the team with the given key.
     pub fn team_index(&self, key: &HashedKey) -> Option<usize> {
-        self.team_indices.get(key).copied()
+        self.key_ring.team_index(key)
     }
 
     /// Returns the model service with the given name.
--- a/crates/wagtailarch-fleet/src/check_teams.rs
+++ b/crates/wagtailarch-fleet/src/check_teams.rs
@@ -42,24 +42,24 @@
                 report_unresolved(sink, "service", service, &services);
             }
         }
-        let Some(text) = &team.key_hash else {
-            continue;
-        };
-        let Some(hash) = parse_key_hash(&text.value) else {
-            report_malformed_key(sink, text);
-            continue;
-        };
-        let Some((owner, span)) = owners.get(&hash) else {
-            owners.insert(hash, (team, &text.span));
-            continue;
-        };
-        let name = owner.name.as_ref().map_or("?", |name| name.value.as_str());
-        let message = format!("team {name:?} has the same key_hash");
-        let hint = format!(
-            "give each team a key of its own; see line {}",
-            sink.line(span)
-        );
-        sink.report(&text.span, message, hint);
+        let further = team.further_key_hashes.iter().flatten();
+        for text in team.key_hash.iter().chain(further) {
+            let Some(hash) = parse_key_hash(&text.value) else {
+                report_malformed_key(sink, text);
+                continue;
+            };
+            let Some((owner, span)) = owners.get(&hash) else {
+                owners.insert(hash, (team, &text.span));
+                continue;
+            };
+            let name = owner.name.as_ref().map_or("?", |name| name.value.as_str());
+            let message = format!("team {name:?} has the same key_hash");
+            let hint = format!(
+                "give each team a key of its own; see line {}",
+                sink.line(span)
+            );
+            sink.report(&text.span, message, hint);
+        }
     }
 }
 
--- a/crates/wagtailarch-fleet/src/draft.rs
+++ b/crates/wagtailarch-fleet/src/draft.rs
@@ -95,6 +95,7 @@
 pub(crate) struct TeamDraft {
     pub(crate) name: Draft<SmolStr>,
     pub(crate) key_hash: Draft<SmolStr>,
+    pub(crate) further_key_hashes: Option<Vec<Field<SmolStr>>>,
     pub(crate) requests_per_s: Draft<f64>,
     pub(crate) tokens_per_s: Draft<f64>,
     pub(crate) weight: Draft<f64>,
@@ -361,6 +362,7 @@
         Self {
             name: team.name("name"),
             key_hash: team.text("key_hash"),
+            further_key_hashes: team.texts("further_key_hashes"),
             requests_per_s: team.number("requests_per_s"),
             tokens_per_s: team.number("tokens_per_s"),
             weight: team.number("weight"),
@@ -380,6 +382,8 @@
             weight: self.weight.map_or(1.0, |weight| weight.value),
             priority: self.priority.unwrap_or_default(),
             services: values(self.services.unwrap_or_default()),
+            further_key_hashes: values(self.further_key_hashes.unwrap_or_default()),
+            route_priority: None,
         })
     }
 }
--- a/crates/wagtailarch-fleet/src/model.rs
+++ b/crates/wagtailarch-fleet/src/model.rs
@@ -182,14 +182,19 @@
     pub idempotent: bool,
 }
 
-/// A team with its key and limits.
+/// A team with its keys and limits.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Team {
     /// Name of the team.
     pub name: TeamName,
     /// Hash of the bearer key: `blake3:` followed by 64 hexadecimal digits.
+    ///
+    /// Empty for a team without a key.
     pub key_hash: SmolStr,
+    /// Hashes of further keys of the team, in the same form.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub further_key_hashes: Vec<SmolStr>,
     /// Limit on the requests per second over all instances.
     pub requests_per_s: f64,
     /// Limit on the prompt and output tokens per second over all instances.
@@ -203,6 +208,18 @@
     /// Services that the team may call; an empty list permits all.
     #[serde(default)]
     pub services: Vec<ServiceName>,
+    /// Priority that the team's requests have instead of that of their route; 0 is the highest.
+    ///
+    /// Only the configuration of a platform states it; a fleet file states `priority`.
+    #[serde(skip)]
+    pub route_priority: Option<u8>,
+}
+
+impl Team {
+    /// Returns the hashes of all keys of the team.
+    pub fn key_hashes(&self) -> impl Iterator<Item = &SmolStr> {
+        std::iter::once(&self.key_hash).chain(&self.further_key_hashes)
+    }
 }
 
 fn default_weight() -> f64 {
--- a/crates/wagtailarch-fleet/src/reader.rs
+++ b/crates/wagtailarch-fleet/src/reader.rs
@@ -137,6 +137,27 @@
         }
     }
 
+    /// Returns the texts of a list; reports other values.
+    pub(crate) fn texts(&mut self, name: &'static str) -> Option<Vec<Field<SmolStr>>> {
+        let (spec, value) = self.value(name)?;
+        let DeValue::Array(items) = value.get_ref() else {
+            return self.wrong_type(spec, value);
+        };
+        let mut texts = Vec::with_capacity(items.len());
+        for item in items.iter() {
+            match item.get_ref() {
+                DeValue::String(text) => texts.push(Field {
+                    value: SmolStr::new(text),
+                    span: item.span(),
+                }),
+                _ => {
+                    self.wrong_type::<()>(spec, item);
+                }
+            }
+        }
+        Some(texts)
+    }
+
     pub(crate) fn choice(&mut self, name: &'static str) -> Option<Field<SmolStr>> {
         let (spec, _) = self.value(name)?;
         let field = self.text(name)?;
--- a/crates/wagtailarch-fleet/src/schema.rs
+++ b/crates/wagtailarch-fleet/src/schema.rs
@@ -20,6 +20,8 @@
     Names(usize),
     /// Text with a description of its format.
     Text(&'static str),
+    /// List of texts with a description of their format.
+    Texts(&'static str),
     /// `true` or `false`.
     Boolean,
     /// Whole number with its minimum and maximum.
@@ -197,6 +199,10 @@
     optional("weight", number_above("weight", 0.0, 1_000.0)),
     optional("priority", ValueType::Choice(&["low", "normal", "high"])),
     optional("services", ValueType::Names(0)),
+    optional(
+        "further_key_hashes",
+        ValueType::Texts("\"blake3:\" and 64 lower-case hexadecimal digits each"),
+    ),
 ];
 
 /// HTTP methods that a route may have.
@@ -221,6 +227,7 @@
             ),
             Self::Names(min) => write!(f, "a list of {min} to {MAX_NAMES} names in quotes"),
             Self::Text(format) => write!(f, "{format}, in quotes"),
+            Self::Texts(format) => write!(f, "a list of texts in quotes, {format}"),
             Self::Boolean => f.write_str("true or false without quotes"),
             Self::Count(min, u32::MAX) => write!(f, "a whole number from {min}"),
             Self::Count(min, max) => write!(f, "a whole number from {min} to {max}"),
--- a/crates/wagtailarch-fleet/src/split.rs
+++ b/crates/wagtailarch-fleet/src/split.rs
@@ -15,8 +15,13 @@
 const BUCKETS_PER_INDEX: usize = 32;
 /// Prefix of every key hash, which is omitted in the parts.
 const KEY_HASH_PREFIX: &str = "blake3:";
+/// Separates the hashes of the keys of a team in a row.
+const HASH_SEPARATOR: &str = ",";
 
 /// A team as a JSON array; without field names, a bucket takes two thirds of the bytes.
+///
+/// The second field has the hashes of all keys without their prefix. A row of a team with one key
+/// has no separator; an older build takes a row with several for one malformed hash.
 type TeamRow = (TeamName, SmolStr, f64, f64, f64, Priority, Vec<ServiceName>);
 
 /// Splits a valid fleet into content-addressed parts.
@@ -167,13 +172,12 @@
 }
 
 fn to_row(team: &Team) -> TeamRow {
-    let hash = team
-        .key_hash
-        .strip_prefix(KEY_HASH_PREFIX)
-        .unwrap_or(&team.key_hash);
+    let hashes = team.key_hashes();
+    let hashes = hashes.map(|hash| hash.strip_prefix(KEY_HASH_PREFIX).unwrap_or(hash));
+    let hashes: Vec<_> = hashes.collect();
     (
         team.name.clone(),
-        SmolStr::new(hash),
+        SmolStr::new(hashes.join(HASH_SEPARATOR)),
         team.requests_per_s,
         team.tokens_per_s,
         team.weight,
@@ -183,10 +187,14 @@
 }
 
 fn from_row(row: TeamRow) -> Team {
-    let (name, hash, requests_per_s, tokens_per_s, weight, priority, services) = row;
+    let (name, hashes, requests_per_s, tokens_per_s, weight, priority, services) = row;
+    let hashes = hashes.split(HASH_SEPARATOR);
+    let mut hashes = hashes.map(|hash| SmolStr::from(format!("{KEY_HASH_PREFIX}{hash}")));
     Team {
         name,
-        key_hash: SmolStr::from(format!("{KEY_HASH_PREFIX}{hash}")),
+        key_hash: hashes.next().unwrap_or_default(),
+        further_key_hashes: hashes.collect(),
+        route_priority: None,
         requests_per_s,
         tokens_per_s,
         weight,
--- a/crates/wagtailarch-fleet/tests/parse.rs
+++ b/crates/wagtailarch-fleet/tests/parse.rs
@@ -211,6 +211,14 @@
     "[[team]]\nname = \"x\"\nkey_hash = \"HASH\"\nrequests_per_s = 1\ntokens_per_s = 1\n",
     "team \"kitchen\" has the same key_hash"
 )]
+#[case::shared_further_key(
+    "[[team]]\nname = \"x\"\nkey_hash = \"blake3:0000000000000000000000000000000000000000000000000000000000000001\"\nfurther_key_hashes = [\"HASH\"]\nrequests_per_s = 1\ntokens_per_s = 1\n",
+    "team \"kitchen\" has the same key_hash"
+)]
+#[case::malformed_further_key(
+    "[[team]]\nname = \"x\"\nkey_hash = \"blake3:0000000000000000000000000000000000000000000000000000000000000001\"\nfurther_key_hashes = [\"md5:1\"]\nrequests_per_s = 1\ntokens_per_s = 1\n",
+    "key_hash does not begin with blake3:"
+)]
 #[case::no_engine_can_decode(
     "[[group]]\nname = \"g\"\nkind = \"engine\"\nmodel = \"fedel\"\nversion = \"2026-10\"\n\
      max_running = 1\nroles = { decode = { min = 0, max = 0 }, mixed = { min = 0, max = 0 } }\n",
--- a/crates/wagtailarch-fleet/tests/parts.rs
+++ b/crates/wagtailarch-fleet/tests/parts.rs
@@ -22,6 +22,8 @@
     Team {
         name: format!("team-{number:05}").into(),
         key_hash: format_key_hash(&hash_key(&number.to_string())).into(),
+        further_key_hashes: Vec::new(),
+        route_priority: None,
         requests_per_s,
         tokens_per_s: 1_000.0 * requests_per_s,
         weight: 1.0,
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -178,6 +178,7 @@
             time_left: context.time_left(),
             priority: call.priority,
             resume_after: call.resume_after,
+            team: context.team.clone(),
             step: call.step.clone(),
         },
     );
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -44,6 +44,8 @@
     pub store_address: SocketAddr,
     /// Time within which a new configuration must be in force.
     pub config_bound: Duration,
+    /// Whether requests with a key need a proof that the configuration is current.
+    pub is_proof_required: bool,
     /// Time after which a leaving server must receive no more requests.
     pub leaving_bound: Duration,
     /// Start of the process.
--- a/crates/wagtailarch-gateway/src/control/relay.rs
+++ b/crates/wagtailarch-gateway/src/control/relay.rs
@@ -20,7 +20,7 @@
     sync::{Semaphore, watch},
     time::{sleep, timeout},
 };
-use wagtailarch_adapter::StoreObject;
+use wagtailarch_adapter::{StoreObject, hash_keys};
 use wagtailarch_dispatch::{
     LogSource, MAX_RELAYED_BYTES, RelayChange, RelayLog, RelayView, StoreRead,
 };
@@ -174,10 +174,17 @@
     }
 }
 
-/// Decodes an object that a relay sent.
-pub fn decode_object(object: RelayedObject) -> Result<StoreObject, serde_json::Error> {
+/// Decodes an object that a relay sent; a relay of an older build sends keys instead of hashes.
+pub fn decode_object(
+    kind: RelayKind,
+    object: RelayedObject,
+) -> Result<StoreObject, serde_json::Error> {
+    let mut content = serde_json::from_str(&object.content)?;
+    if kind == RelayKind::Routing {
+        hash_keys(&mut content, true);
+    }
     Ok(StoreObject {
-        content: serde_json::from_str(&object.content)?,
+        content,
         name: object.name,
         version: object.version,
     })
--- a/crates/wagtailarch-gateway/src/control/routing.rs
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -4,7 +4,7 @@
 
 use slog::{info, warn};
 use tokio::sync::watch;
-use wagtailarch_adapter::{ObjectKind, StoreObject, decode_routing};
+use wagtailarch_adapter::{DecodedRouting, ObjectKind, StoreObject, decode_routing};
 use wagtailarch_wire::relay::RelayKind;
 
 use crate::{
@@ -30,9 +30,13 @@
             }
             WatchUpdate::StoreLost => continue,
         };
+        let proven_at = context.is_proof_required.then(|| watcher.proven_at());
         for object in &objects {
             apply_config(&context, &publisher, object, &watcher);
         }
+        if let Some(proven_at) = proven_at {
+            publish(&publisher, |snapshot| snapshot.config_proven_at = proven_at);
+        }
         let newest_change = watcher.newest_change();
         if publisher.borrow().store_versions.routing != newest_change {
             publish(&publisher, |snapshot| {
@@ -49,8 +53,8 @@
     object: &StoreObject,
     watcher: &Watcher,
 ) {
-    let config = match decode_routing(&object.content) {
-        Ok(config) => config,
+    let DecodedRouting { config, odd_teams } = match decode_routing(&object.content) {
+        Ok(decoded) => decoded,
         Err(error) => {
             warn!(context.log, "configuration ignored"; "name" => %object.name,
                 "version" => object.version, "cause" => %error);
@@ -62,9 +66,18 @@
     if in_force.is_some_and(|in_force| in_force >= generation) {
         return;
     }
+    for odd_team in odd_teams {
+        warn!(context.log, "team ignored"; "generation" => generation, "index" => odd_team.index,
+            "cause" => %odd_team.error);
+    }
+    for shared in config.shared_keys() {
+        warn!(context.log, "key of two teams ignored"; "generation" => generation,
+            "team" => %shared.first, "other" => %shared.second);
+    }
     let trail = watcher.trail();
     info!(context.log, "configuration taken over"; "generation" => generation,
         "before" => in_force, "version" => object.version, "routes" => config.routes().len(),
+        "teams" => config.teams().len(),
         "source" => trail.source(), "age_ms" => watcher.age().as_millis() as u64, "gap_ms" => trail.gap_ms(), "tried" => trail.tried());
     context.metrics.set_generation(generation);
     publish(publisher, |snapshot| {
--- a/crates/wagtailarch-gateway/src/control/sources.rs
+++ b/crates/wagtailarch-gateway/src/control/sources.rs
@@ -284,12 +284,16 @@
                 Ok(RelayUpdate::Unchanged(read(relayed, unchanged_at)))
             }
             RelayResponse::All(relayed, objects) => {
-                let objects = objects.into_iter().map(object).collect::<Result<_, _>>()?;
+                let objects = objects
+                    .into_iter()
+                    .map(|relayed| object(self.kind, relayed));
+                let objects = objects.collect::<Result<_, _>>()?;
                 Ok(RelayUpdate::All(read(relayed, sent_at), objects))
             }
             RelayResponse::Changes(relayed, changes) => {
-                let changes = changes.into_iter();
-                let changes = changes.map(|(changed, deleted)| Ok((object(changed)?, deleted)));
+                let (kind, changes) = (self.kind, changes.into_iter());
+                let changes =
+                    changes.map(|(changed, deleted)| Ok((object(kind, changed)?, deleted)));
                 Ok(RelayUpdate::Changes(
                     read(relayed, sent_at),
                     changes.collect::<Result<_, _>>()?,
@@ -314,6 +318,6 @@
     }
 }
 
-fn object(relayed: RelayedObject) -> Result<StoreObject, RelayError> {
-    decode_object(relayed).map_err(RelayError::Object)
+fn object(kind: RelayKind, relayed: RelayedObject) -> Result<StoreObject, RelayError> {
+    decode_object(kind, relayed).map_err(RelayError::Object)
 }
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -128,6 +128,12 @@
         self.freshness.age(self.now())
     }
 
+    /// Returns the time since the start of the process at which the objects were last proven to be
+    /// current.
+    pub fn proven_at(&self) -> Duration {
+        self.freshness.proven_at()
+    }
+
     /// Waits for the next update; its list of changes may be empty.
     pub async fn next(&mut self) -> WatchUpdate {
         loop {
--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -15,8 +15,8 @@
     body_framing::BodyFraming,
     connection_headers::remove_connection_headers,
     forward::{
-        CALL_HEADER, ForwardCall, ForwardOutcome, ForwardResume, NOT_TAKEN_STATUS, NotTaken,
-        OUTCOME_HEADER, decode, decode_leaving, encode,
+        self, ForwardCall, ForwardOutcome, ForwardResume, NOT_TAKEN_STATUS, NotTaken,
+        OUTCOME_HEADER, TeamCall, decode, decode_leaving,
     },
 };
 
@@ -409,7 +409,11 @@
     };
     let mut head = encode_client_request(&context.client);
     let headers = head.headers_mut();
-    headers.insert(CALL_HEADER, encode(number, &content)?);
+    let call = TeamCall {
+        call: content,
+        team: context.team.clone(),
+    };
+    forward::encode_call(headers, number, &call)?;
     // The end of a stream is stated in a trailer.
     headers.insert(header::TE, HeaderValue::from_static("trailers"));
     Some(head)
--- a/crates/wagtailarch-gateway/src/forward/server.rs
+++ b/crates/wagtailarch-gateway/src/forward/server.rs
@@ -14,8 +14,8 @@
 use wagtailarch_dispatch::ServerProcess;
 use wagtailarch_types::VersionKey;
 use wagtailarch_wire::forward::{
-    CALL_HEADER, END_TRAILER, ForwardCall, ForwardOutcome, LEAVING_HEADER, NOT_TAKEN_STATUS,
-    NotTaken, OUTCOME_HEADER, decode, encode, encode_leaving,
+    END_TRAILER, ForwardOutcome, LEAVING_HEADER, NOT_TAKEN_STATUS, NotTaken, OUTCOME_HEADER,
+    TeamCall, encode, encode_leaving, take_call,
 };
 
 use crate::{
@@ -104,8 +104,7 @@
     mut request: Request<Incoming>,
     from: SocketAddr,
 ) -> Response<LinkBody> {
-    let value = request.headers_mut().remove(CALL_HEADER);
-    let Some((number, call)) = value.as_ref().and_then(decode::<ForwardCall>) else {
+    let Some((number, call)) = take_call(request.headers_mut()) else {
         gateway.metrics.count_forward(ForwardEvent::Declined);
         info!(gateway.log, "call of an instance refused"; "from" => %from,
             "reason" => %NotTaken::Malformed);
@@ -115,7 +114,7 @@
     };
     let (response, guard) = match admit(gateway, number, call, from) {
         Ok((call, guard)) => {
-            let sender = call.sender.clone();
+            let sender = call.call.sender.clone();
             debug!(gateway.log, "call of an instance"; "peer" => %sender, "number" => number);
             let served = serve_request(gateway, request, Some(call));
             let served = catch_panic(&gateway.log, "request of an instance", served).await;
@@ -196,10 +195,11 @@
 fn admit(
     gateway: &Rc<Gateway>,
     number: u64,
-    call: Option<ForwardCall>,
+    call: Option<TeamCall>,
     from: SocketAddr,
-) -> Result<(ForwardCall, PeerRequestGuard), NotTaken> {
-    let call = call.ok_or(NotTaken::Malformed)?;
+) -> Result<(TeamCall, PeerRequestGuard), NotTaken> {
+    let team_call = call.ok_or(NotTaken::Malformed)?;
+    let call = &team_call.call;
     let snapshot = gateway.snapshot();
     let sender = snapshot.peers.iter().find(|peer| peer.name == call.sender);
     if sender.is_none_or(|peer| peer.address.ip() != from.ip()) {
@@ -218,7 +218,7 @@
         return Err(NotTaken::OlderConfiguration);
     }
     let guard = PeerRequestGuard::new(gateway).ok_or(NotTaken::NoRoom)?;
-    Ok((call, guard))
+    Ok((team_call, guard))
 }
 
 /// Returns the response to a call that is not taken.
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -167,6 +167,15 @@
         Arc::clone(&self.snapshot.borrow())
     }
 
+    /// Returns whether the configuration is proven recent enough to accept or refuse keys by it.
+    pub fn is_key_proof_recent(&self) -> bool {
+        let Some(bound) = self.settings.key_proof_bound() else {
+            return true;
+        };
+        let proven_at = self.snapshot.borrow().config_proven_at;
+        self.now().saturating_sub(proven_at) <= bound
+    }
+
     /// Returns whether the instance is ready for clients.
     pub fn ready(&self) -> bool {
         *self.shutdown.borrow() == ShutdownState::Running && self.snapshot.borrow().is_complete()
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -525,7 +525,9 @@
 fn priority_class(context: &RequestContext, urgency: Urgency, has_events: bool) -> PriorityClass {
     match urgency {
         _ if has_events => RESUMED_PRIORITY,
-        Urgency::OnTime => (FIRST_ON_TIME_PRIORITY + context.route.priority).min(NEAR_PRIORITY - 1),
+        Urgency::OnTime => FIRST_ON_TIME_PRIORITY
+            .saturating_add(context.priority())
+            .min(NEAR_PRIORITY - 1),
         Urgency::Near => NEAR_PRIORITY,
         Urgency::Late => LATE_PRIORITY,
     }
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -111,6 +111,7 @@
         forward_address: settings.forward_address,
         store_address: settings.store_address,
         config_bound: settings.config_bound(),
+        is_proof_required: settings.key_proof_bound().is_some(),
         leaving_bound: settings.leaving_bound(),
         epoch,
         log: log.clone(),
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -14,7 +14,7 @@
 };
 use wagtailarch_traffic::Verdict;
 use wagtailarch_types::{
-    Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, VersionKey, fingerprint,
+    Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, TeamName, VersionKey, fingerprint,
 };
 use wagtailarch_wire::{forward::ForwardCall, part_report::ReportedPart, permit::PermitRank};
 
@@ -43,6 +43,8 @@
     pub body: BufferedBody,
     /// Route that the request matches.
     pub route: Route,
+    /// Team whose key the request has.
+    pub team: Option<RequestTeam>,
     /// Configuration in force when the request arrived.
     pub config: Arc<RoutingConfig>,
     /// Time of arrival since the start of the process.
@@ -53,6 +55,15 @@
     pub open: Rc<OpenRequest>,
 }
 
+/// The team of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestTeam {
+    /// Name.
+    pub name: TeamName,
+    /// Priority that the team's requests have instead of that of their route; 0 is the highest.
+    pub priority: Option<u8>,
+}
+
 /// A client's request with the data needed to serve it.
 #[derive(Debug)]
 pub struct RequestContext {
@@ -66,6 +77,11 @@
     pub route: Route,
     /// Service selected by the route.
     pub service: ServiceName,
+    /// Team of the request, which stays the same when the configuration changes; absent on public
+    /// routes and without teams.
+    pub team: Option<TeamName>,
+    /// Priority of the team or the route; 0 is the highest.
+    priority: u8,
     /// Configuration in force when the request arrived.
     pub config: Arc<RoutingConfig>,
     /// Time of arrival at this instance since the start of the process.
@@ -105,11 +121,13 @@
             mut client,
             body,
             route,
+            team,
             config,
             arrived,
             forwarded,
             open,
         } = received;
+        let team_priority = team.as_ref().and_then(|team| team.priority);
         let resume = forwarded.as_ref().and_then(|call| call.resume);
         if let Some(resume) = resume {
             // The stream that goes on is that of this attempt, unless the client resumes another.
@@ -145,6 +163,8 @@
             leaving_servers: RefCell::default(),
             client,
             body,
+            priority: team_priority.unwrap_or(route.priority),
+            team: team.map(|team| team.name),
             route,
             service,
             config,
@@ -251,7 +271,13 @@
 
     /// Returns the rank among the requests to rate-limited servers.
     pub fn rank(&self) -> PermitRank {
-        PermitRank::of_priority(self.route.priority)
+        PermitRank::of_priority(self.priority)
+    }
+
+    /// Returns the priority of the request's team, or of its route if the team has none; 0 is the
+    /// highest.
+    pub fn priority(&self) -> u8 {
+        self.priority
     }
 
     /// Returns the refusal of a request for which no server can be selected.
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -12,9 +12,9 @@
     time::sleep,
 };
 use wagtailarch_adapter::{ClientRequest, decode_client_request, encode_refusal};
-use wagtailarch_dispatch::ClientLimits;
-use wagtailarch_types::{Ran, RefusalReason};
-use wagtailarch_wire::forward::{ForwardCall, NotTaken};
+use wagtailarch_dispatch::{Access, ClientLimits, Route, RoutingConfig};
+use wagtailarch_types::{Ran, RefusalReason, TeamName};
+use wagtailarch_wire::forward::{ForwardCall, NotTaken, TeamCall};
 
 use crate::{
     attempts::Attempts,
@@ -32,7 +32,7 @@
     panic_handling::catch_panic,
     plain,
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
-    request_context::{ReceivedRequest, RequestContext},
+    request_context::{ReceivedRequest, RequestContext, RequestTeam},
     response_body::ResponseBody,
     stall_detector::ClientStall,
 };
@@ -150,7 +150,7 @@
 pub async fn serve_request(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
-    forwarded: Option<ForwardCall>,
+    forwarded: Option<TeamCall>,
 ) -> Response<ResponseBody> {
     let (parts, mut body) = request.into_parts();
     let mut response = serve_parts(gateway, parts, &mut body, forwarded).await;
@@ -173,10 +173,10 @@
     gateway: &Rc<Gateway>,
     parts: request::Parts,
     body: &mut Incoming,
-    forwarded: Option<ForwardCall>,
+    forwarded: Option<TeamCall>,
 ) -> Response<ResponseBody> {
     let arrived = gateway.now();
-    let client = match decode_client_request(parts) {
+    let mut client = match decode_client_request(parts) {
         Ok(client) => client,
         Err(error) => {
             info!(gateway.log, "refused"; "reason" => %RefusalReason::BadRequest,
@@ -200,6 +200,14 @@
             .count_refusal(RefusalReason::UnknownRoute);
         return empty_response(StatusCode::NOT_FOUND);
     };
+    let team = match &forwarded {
+        None => identify(gateway, &config, &route, &mut client),
+        Some(call) => Ok(call.team.as_ref().map(|name| forwarded_team(&config, name))),
+    };
+    let team = match team {
+        Ok(team) => team,
+        Err(response) => return response,
+    };
     match forwarded {
         // The sender has counted the request.
         Some(_) => gateway.metrics.count_forward(ForwardEvent::Received),
@@ -223,9 +231,10 @@
         client,
         body,
         route,
+        team,
         config,
         arrived,
-        forwarded,
+        forwarded: forwarded.map(|call| call.call),
         open: Rc::clone(&open_request),
     };
     let context = Rc::new(RequestContext::new(gateway, received));
@@ -240,6 +249,53 @@
     response.map(|body| body.with_request_guard(request_guard))
 }
 
+/// Determines the team of a client's request by its key, which is dropped.
+fn identify(
+    gateway: &Gateway,
+    config: &RoutingConfig,
+    route: &Route,
+    client: &mut ClientRequest,
+) -> Result<Option<RequestTeam>, Response<ResponseBody>> {
+    let key = client.key.take();
+    let access = config.access(route, key.as_ref());
+    // A configuration that may be outdated neither proves that a key is valid nor that it is not.
+    if access != Access::Open && !gateway.is_key_proof_recent() {
+        return Err(refuse(
+            gateway,
+            client,
+            RefusalReason::ConfigurationUnproven,
+        ));
+    }
+    match access {
+        Access::Open => Ok(None),
+        Access::Team(team) => Ok(Some(RequestTeam {
+            name: team.name.clone(),
+            priority: team.route_priority,
+        })),
+        Access::Denied => {
+            let reason = RefusalReason::Unauthorized;
+            let cause = match key {
+                Some(_) => "unknown key",
+                None => "no usable key",
+            };
+            info!(gateway.log, "refused"; "request" => %client.id, "route" => %route.name,
+                "reason" => %reason, "cause" => cause, "generation" => config.generation());
+            gateway.metrics.outcomes.count_refusal(reason);
+            Err(empty_response(StatusCode::UNAUTHORIZED))
+        }
+    }
+}
+
+/// Returns the team that another instance has determined.
+fn forwarded_team(config: &RoutingConfig, name: &TeamName) -> RequestTeam {
+    let mut teams = config.teams().iter();
+    let team = teams.find(|team| team.name == *name);
+    RequestTeam {
+        name: name.clone(),
+        priority: team.and_then(|team| team.route_priority),
+    }
+}
+
 /// Serves a request that was read whole.
 async fn serve(context: &Rc<RequestContext>) -> Response<ResponseBody> {
     match &context.forwarded {
--- a/crates/wagtailarch-gateway/src/settings.rs
+++ b/crates/wagtailarch-gateway/src/settings.rs
@@ -40,6 +40,21 @@
     retry_slack: f64,
     /// Length in seconds of the retry window; from 0.1 to 3600.
     retry_window_s: f64,
+    /// Keys of teams; without this table an instance accepts them by the configuration it has.
+    #[serde(default)]
+    keys: KeySettings,
+}
+
+/// Settings of the keys of teams.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct KeySettings {
+    /// Whether a key is only accepted or refused while the configuration is proven to be current.
+    #[serde(default)]
+    proof_required: bool,
+    /// Maximum age of that proof in milliseconds, from 200 to 600000; required with
+    /// `proof_required`.
+    proof_bound_ms: Option<u64>,
 }
 
 /// The settings that take effect while the process runs.
@@ -82,6 +97,13 @@
         Duration::from_millis(self.leaving_bound_ms)
     }
 
+    /// Returns the maximum age of the proof that the configuration is current, without which no key
+    /// is accepted or refused; absent if no proof is required.
+    pub fn key_proof_bound(&self) -> Option<Duration> {
+        let bound = self.keys.proof_bound_ms.map(Duration::from_millis);
+        bound.filter(|_| self.keys.proof_required)
+    }
+
     /// Returns the settings that take effect while the process runs.
     pub fn reloadable(&self) -> ReloadableSettings {
         ReloadableSettings {
@@ -124,6 +146,14 @@
         if !(0.1..=3_600.0).contains(&self.retry_window_s) {
             return out_of_range("retry_window_s", "0.1 to 3600 seconds");
         }
+        let bound_ms = self.keys.proof_bound_ms;
+        if self.keys.proof_required && bound_ms.is_none() {
+            let hint = "state it if keys.proof_required is true";
+            return out_of_range("keys.proof_bound_ms", hint);
+        }
+        if bound_ms.is_some_and(|bound_ms| !(200..=600_000).contains(&bound_ms)) {
+            return out_of_range("keys.proof_bound_ms", "200 to 600000 milliseconds");
+        }
         Ok(())
     }
 }
--- a/crates/wagtailarch-gateway/src/snapshot.rs
+++ b/crates/wagtailarch-gateway/src/snapshot.rs
@@ -12,6 +12,9 @@
 pub struct Snapshot {
     /// Configuration in force; `None` until one was read.
     pub config: Option<Arc<RoutingConfig>>,
+    /// Time since the start of the process at which the configuration was last proven to be current;
+    /// only kept if the settings ask for a proof.
+    pub config_proven_at: Duration,
     /// Servers that may receive requests.
     pub servers: Arc<Vec<BackendServer>>,
     /// Time since which all changes of the servers are known; absent while they cannot be read.
--- a/crates/wagtailarch-load/src/capacity/config.rs
+++ b/crates/wagtailarch-load/src/capacity/config.rs
@@ -109,6 +109,8 @@
     let team = |number: u32| Team {
         name: format_smolstr!("team-{number:05}"),
         key_hash: format_key_hash(&hash_key(&format!("key-{number}"))).into(),
+        further_key_hashes: Vec::new(),
+        route_priority: None,
         requests_per_s: 50.0,
         tokens_per_s: 100_000.0,
         weight: 1.0,
--- a/crates/wagtailarch-load/src/experiment/entry_instance.rs
+++ b/crates/wagtailarch-load/src/experiment/entry_instance.rs
@@ -218,6 +218,8 @@
     let team = |index: u32| Team {
         name: format!("team-{index}").into(),
         key_hash: "".into(),
+        further_key_hashes: Vec::new(),
+        route_priority: None,
         requests_per_s: 1e6,
         tokens_per_s: 1e9,
         weight: 1.0,
--- a/crates/wagtailarch-traffic/benches/decisions.rs
+++ b/crates/wagtailarch-traffic/benches/decisions.rs
@@ -116,6 +116,8 @@
         .map(|index| Team {
             name: format!("team-{index:05}").into(),
             key_hash: "".into(),
+            further_key_hashes: Vec::new(),
+            route_priority: None,
             requests_per_s: 1e6,
             tokens_per_s: 1e9,
             weight: 1.0,
--- a/crates/wagtailarch-traffic/src/lib.rs
+++ b/crates/wagtailarch-traffic/src/lib.rs
@@ -12,6 +12,7 @@
 mod claim_log;
 mod claim_record;
 mod group_load;
+mod key_ring;
 mod quarantine;
 mod retry_budget;
 mod retry_policy;
@@ -29,6 +30,7 @@
     claim_key, claim_partition,
 };
 pub use group_load::GroupCapacity;
+pub use key_ring::{KeyRing, SharedKey};
 pub use quarantine::{Quarantine, StrikeEvent, StrikeKind, Verdict};
 pub use retry_budget::RetryBudget;
 pub use retry_policy::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
--- a/crates/wagtailarch-traffic/tests/admission.rs
+++ b/crates/wagtailarch-traffic/tests/admission.rs
@@ -15,6 +15,8 @@
     Team {
         name: name.into(),
         key_hash: "".into(),
+        further_key_hashes: Vec::new(),
+        route_priority: None,
         requests_per_s,
         tokens_per_s: 1e9,
         weight,
--- a/crates/wagtailarch-types/src/outcome.rs
+++ b/crates/wagtailarch-types/src/outcome.rs
@@ -103,6 +103,8 @@
         BackendFailedMidway = "backend_failed_midway",
         /// The instance has not loaded a configuration yet.
         NotConfigured = "not_configured",
+        /// The instance cannot prove that its configuration is recent enough to accept a key.
+        ConfigurationUnproven = "configuration_unproven",
     }
 }
 
@@ -129,7 +131,8 @@
             | Self::ClaimsUnavailable
             | Self::RetryBudgetExhausted
             | Self::Draining
-            | Self::NotConfigured => 503,
+            | Self::NotConfigured
+            | Self::ConfigurationUnproven => 503,
         }
     }
 }
--- a/crates/wagtailarch-wire/src/forward.rs
+++ b/crates/wagtailarch-wire/src/forward.rs
@@ -5,13 +5,19 @@
 //! response. The end of a streamed response states in the trailer [`END_TRAILER`] whether the stream
 //! is complete.
 
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::SmolStr;
-use wagtailarch_types::{BootId, Generation, InstanceId, Ran, VersionKey};
+use wagtailarch_types::{BootId, Generation, InstanceId, Ran, TeamName, VersionKey};
 
-/// Version of the encoding; calls of other versions are refused.
+/// Version of the encoding; calls of versions that an instance does not know are refused.
 pub const FORWARD_VERSION: u8 = 1;
+/// Version of a call for a request that has a team, which only instances take that pass it on.
+const TEAM_VERSION: u8 = 2;
+/// Header with the name of the request's team, in calls of version [`TEAM_VERSION`].
+///
+/// `Connection` lists it, so that it reaches no server.
+const TEAM_HEADER: HeaderName = HeaderName::from_static("wagtail-team");
 /// Header with the encoded [`ForwardCall`].
 pub const CALL_HEADER: HeaderName = HeaderName::from_static("wagtail-call");
 /// Header with the encoded [`ForwardOutcome`].
@@ -56,6 +62,15 @@
     pub version: VersionKey,
 }
 
+/// A call with the team of its request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamCall {
+    /// The call.
+    pub call: ForwardCall,
+    /// Team of the request, as the sender has determined it by the key.
+    pub team: Option<TeamName>,
+}
+
 /// What the other instance did with a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardOutcome {
@@ -151,8 +166,48 @@
 /// The version and the number come first as text, so that instances with another version of the
 /// encoding can name the call that they refuse.
 pub fn encode<T: Serialize>(number: u64, message: &T) -> Option<HeaderValue> {
+    encode_version(FORWARD_VERSION, number, message)
+}
+
+/// Adds a call to the head of a client's request; returns `None` if its values are no valid headers.
+pub fn encode_call(headers: &mut HeaderMap, number: u64, call: &TeamCall) -> Option<()> {
+    // A client may have sent a header of this name.
+    headers.remove(TEAM_HEADER);
+    let version = match &call.team {
+        None => FORWARD_VERSION,
+        Some(team) => {
+            headers.insert(TEAM_HEADER, HeaderValue::from_str(team).ok()?);
+            headers.append(header::CONNECTION, HeaderValue::from(TEAM_HEADER));
+            TEAM_VERSION
+        }
+    };
+    headers.insert(CALL_HEADER, encode_version(version, number, &call.call)?);
+    Some(())
+}
+
+/// Takes a call from the head of a request; its content is `None` if it is malformed or has a
+/// version that is not known.
+pub fn take_call(headers: &mut HeaderMap) -> Option<(u64, Option<TeamCall>)> {
+    let team = headers.remove(TEAM_HEADER);
+    let value = headers.remove(CALL_HEADER)?;
+    let (version, number, message) = fields(&value)?;
+    let team = match version {
+        FORWARD_VERSION => Some(None),
+        TEAM_VERSION => {
+            team.and_then(|team| Some(Some(std::str::from_utf8(team.as_bytes()).ok()?.into())))
+        }
+        _ => None,
+    };
+    let call = team.and_then(|team| {
+        let call = decode_message(message?)?;
+        Some(TeamCall { call, team })
+    });
+    Some((number, call))
+}
+
+fn encode_version<T: Serialize>(version: u8, number: u64, message: &T) -> Option<HeaderValue> {
     let bytes = postcard::to_stdvec(message).ok()?;
-    let mut text = format!("{FORWARD_VERSION} {number} ");
+    let mut text = format!("{version} {number} ");
     for byte in bytes {
         text.push_str(&format!("{byte:02x}"));
     }
@@ -162,11 +217,17 @@
 /// Decodes the number and the message in the value of a header; the message is `None` if it is
 /// malformed or has another version.
 pub fn decode<T: DeserializeOwned>(value: &HeaderValue) -> Option<(u64, Option<T>)> {
+    let (version, number, message) = fields(value)?;
+    let message = message.filter(|_| version == FORWARD_VERSION);
+    Some((number, message.and_then(decode_message)))
+}
+
+/// Returns the version, the number and the encoded message.
+fn fields(value: &HeaderValue) -> Option<(u8, u64, Option<&str>)> {
     let mut fields = value.to_str().ok()?.splitn(3, ' ');
-    let version: u8 = fields.next()?.parse().ok()?;
+    let version = fields.next()?.parse().ok()?;
     let number = fields.next()?.parse().ok()?;
-    let message = fields.next().filter(|_| version == FORWARD_VERSION);
-    Some((number, message.and_then(decode_message)))
+    Some((version, number, fields.next()))
 }
 
 fn decode_message<T: DeserializeOwned>(text: &str) -> Option<T> {
--- a/crates/wagtailarch-wire/tests/forward.rs
+++ b/crates/wagtailarch-wire/tests/forward.rs
@@ -6,8 +6,9 @@
 use wagtailarch_wire::{
     connection_headers::remove_connection_headers,
     forward::{
-        ForwardCall, ForwardOutcome, ForwardResume, LEAVING_HEADER, NotTaken, StreamEnd, decode,
-        decode_leaving, encode, encode_leaving,
+        CALL_HEADER, ForwardCall, ForwardOutcome, ForwardResume, LEAVING_HEADER, NotTaken,
+        StreamEnd, TeamCall, decode, decode_leaving, encode, encode_call, encode_leaving,
+        take_call,
     },
 };
 
@@ -101,3 +102,51 @@
     remove_connection_headers(&mut headers, &[]);
     assert!(headers.is_empty());
 }
+
+/// Guards against a team that gets lost between instances, or that a client states.
+#[rstest]
+#[case::no_team(None, 1)]
+#[case::team(Some("hule930"), 2)]
+#[case::not_ascii(Some("hul\u{e9}"), 2)]
+fn a_call_carries_its_team(#[case] team: Option<&str>, #[case] version: u8) {
+    let sent = TeamCall {
+        call: call(),
+        team: team.map(Into::into),
+    };
+    let mut headers = HeaderMap::new();
+    headers.insert("wagtail-team", HeaderValue::from_static("forged"));
+    encode_call(&mut headers, 5, &sent).expect("encoded");
+    // An instance of an older build decodes only calls of version 1.
+    let old = decode::<ForwardCall>(&headers[CALL_HEADER]);
+    assert_eq!(old, Some((5, (version == 1).then(call))));
+    assert_eq!(headers.contains_key("wagtail-team"), team.is_some());
+    let mut on_the_way = headers.clone();
+    remove_connection_headers(&mut on_the_way, &[]);
+    assert!(!on_the_way.contains_key("wagtail-team"));
+    assert_eq!(take_call(&mut headers), Some((5, Some(sent))));
+    assert!(!headers.contains_key("wagtail-team") && !headers.contains_key(CALL_HEADER));
+}
+
+/// Guards against a call of the new version that is taken without its team, and against a team in
+/// a call of the old version.
+#[rstest]
+#[case::without_team(2, None, None)]
+#[case::forged_team(1, Some("forged"), Some(None))]
+#[case::unknown_version(3, Some("hule930"), None)]
+fn a_team_counts_only_in_its_version(
+    #[case] version: u8,
+    #[case] team: Option<&'static str>,
+    #[case] taken: Option<Option<&str>>,
+) {
+    let mut headers = HeaderMap::new();
+    let value = format!("{version}{}", &CALL_TEXT[1..]);
+    headers.insert(CALL_HEADER, HeaderValue::try_from(value).expect("a value"));
+    if let Some(team) = team {
+        headers.insert("wagtail-team", HeaderValue::from_static(team));
+    }
+    let call = take_call(&mut headers).expect("a number").1;
+    assert_eq!(
+        call.map(|call| call.team),
+        taken.map(|team| team.map(Into::into))
+    );
+}
