--- a/crates/wagtailarch-traffic/tests/key_ring.rs
+++ b/crates/wagtailarch-traffic/tests/key_ring.rs
@@ -5,11 +5,11 @@
 use wagtailarch_traffic::KeyRing;
 use wagtailarch_types::{Priority, hash_key};
 
-/// Creates a team with the hashes of the given keys.
-fn team(name: &str, keys: &[&str]) -> Team {
-    let hashes = keys
-        .iter()
-        .map(|key| format_key_hash(&hash_key(key)).into());
+/// Creates a team from its name and its keys.
+fn team(text: &str) -> Team {
+    let mut words = text.split(' ');
+    let name = words.next().unwrap_or_default();
+    let hashes = words.map(|key| format_key_hash(&hash_key(key)).into());
     let mut hashes = hashes.collect::<Vec<_>>().into_iter();
     Team {
         name: name.into(),
