--- a/crates/wagtailarch-entry/src/snapshot.rs
+++ b/crates/wagtailarch-entry/src/snapshot.rs
@@ -15,7 +15,7 @@
     /// Complete configuration.
     pub fleet: Arc<Fleet>,
     /// Indices in `fleet.teams` by hashed key.
-    key_ring: KeyRing,
+    key_ring: Box<KeyRing>,
     /// Indices of the model services in `fleet.services` by name.
     model_services: HashMap<ServiceName, usize>,
     /// Path prefixes of the plain services with their indices in `fleet.services`, the longest
@@ -44,7 +44,7 @@
         let retry_budgets = fleet.services.iter().map(budget).collect();
         Self {
             generation,
-            key_ring: KeyRing::new(&fleet.teams),
+            key_ring: Box::new(KeyRing::new(&fleet.teams)),
             model_services: models
                 .map(|(index, service)| (service.name.clone(), index))
                 .collect(),
--- a/crates/wagtailarch-gateway/src/server.rs
+++ b/crates/wagtailarch-gateway/src/server.rs
@@ -206,7 +206,8 @@
     };
     let team = match team {
         Ok(team) => team,
-        Err(response) => return response,
+        Err(RefusalReason::Unauthorized) => return empty_response(StatusCode::UNAUTHORIZED),
+        Err(reason) => return refuse(gateway, &client, reason),
     };
     match forwarded {
         // The sender has counted the request.
@@ -249,22 +250,19 @@
     response.map(|body| body.with_request_guard(request_guard))
 }
 
-/// Determines the team of a client's request by its key, which is dropped.
+/// Determines the team of a client's request by its key, which is dropped; logs and counts a key
+/// that is denied.
 fn identify(
     gateway: &Gateway,
     config: &RoutingConfig,
     route: &Route,
     client: &mut ClientRequest,
-) -> Result<Option<RequestTeam>, Response<ResponseBody>> {
+) -> Result<Option<RequestTeam>, RefusalReason> {
     let key = client.key.take();
     let access = config.access(route, key.as_ref());
     // A configuration that may be outdated neither proves that a key is valid nor that it is not.
     if access != Access::Open && !gateway.is_key_proof_recent() {
-        return Err(refuse(
-            gateway,
-            client,
-            RefusalReason::ConfigurationUnproven,
-        ));
+        return Err(RefusalReason::ConfigurationUnproven);
     }
     match access {
         Access::Open => Ok(None),
@@ -281,7 +279,7 @@
             info!(gateway.log, "refused"; "request" => %client.id, "route" => %route.name,
                 "reason" => %reason, "cause" => cause, "generation" => config.generation());
             gateway.metrics.outcomes.count_refusal(reason);
-            Err(empty_response(StatusCode::UNAUTHORIZED))
+            Err(reason)
         }
     }
 }
