Add a caller for duties of one instance, and share the claims of orders with it

Calls to the platform's address for duties need a fencing number that rises and one holder at a time. The claim protocol of orders to engines moves from roles.rs to claims.rs and may record a payload; DutyCaller claims a subject, records the content of the call, and sends it. Settings get an optional table [duties], rendered where the site has such calls.

--- a/crates/wagtailarch-dispatch/src/orders/order_claim.rs
+++ b/crates/wagtailarch-dispatch/src/orders/order_claim.rs
@@ -5,11 +5,11 @@
 use serde::{Deserialize, Serialize};
 use wagtailarch_types::{FencingNumber, InstanceId, ObjectVersion};
 
-/// Time for which the claim of another instance must be unchanged before this instance acquires it.
-///
-/// The holder sends its order within `SEND_WITHIN` of the claim. The remaining time is longer than
-/// the 3 seconds within which orders of different holders are not allowed.
-const ACQUIRE_AFTER: Duration = Duration::from_millis(4_500);
+/// Time within which orders of different holders to a server are not allowed.
+const ORDER_LEASE: Duration = Duration::from_millis(3_000);
+/// Time besides the lease for which the claim of another instance must be unchanged before this
+/// instance acquires it; the holder sends its order within `SEND_WITHIN` of the claim.
+const ACQUIRE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Time after the start of the claim's write within which the order must be sent.
 const SEND_WITHIN: Duration = Duration::from_millis(1_000);
 
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 pub struct OrderClaim {
     instance: InstanceId,
+    /// Time for which the claim of another instance must be unchanged before it is acquired.
+    acquire_after: Duration,
     /// Version of another instance's claim, with the time at which it was first read.
     other_claim: Option<(ObjectVersion, Duration)>,
 }
@@ -50,8 +52,15 @@
 impl OrderClaim {
     /// Creates an attempt of `instance`.
     pub fn new(instance: InstanceId) -> Self {
+        Self::with_lease(instance, ORDER_LEASE)
+    }
+
+    /// Creates an attempt of `instance` where calls of different holders are not allowed within
+    /// `lease`.
+    pub fn with_lease(instance: InstanceId, lease: Duration) -> Self {
         Self {
             instance,
+            acquire_after: lease + ACQUIRE_MARGIN,
             other_claim: None,
         }
     }
@@ -72,8 +81,8 @@
             };
             self.other_claim = Some((version, since));
             let waited = now.saturating_sub(since);
-            if waited < ACQUIRE_AFTER {
-                return ClaimStep::Wait(ACQUIRE_AFTER - waited);
+            if waited < self.acquire_after {
+                return ClaimStep::Wait(self.acquire_after - waited);
             }
         }
         self.write(content.fence + 1, Some(version))
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -1,5 +1,7 @@
 //! The control thread: reads the configuration, the servers and the peers from the store.
 
+mod claims;
+pub mod duties;
 mod instances;
 mod read_trail;
 mod relay;
@@ -25,8 +27,11 @@
 use wagtailarch_types::{InstanceId, ZoneName};
 
 use crate::{
-    control::sources::Sources, metrics::Metrics, panic_handling::restart_on_panic,
-    snapshot::Snapshot, traffic_view::TrafficView,
+    control::{duties::DutyCaller, sources::Sources},
+    metrics::Metrics,
+    panic_handling::restart_on_panic,
+    snapshot::Snapshot,
+    traffic_view::TrafficView,
 };
 
 /// Settings and shared state of the control thread.
@@ -54,6 +59,8 @@
     pub metrics: Arc<Metrics>,
     /// State reported by the traffic thread.
     pub traffic: Arc<TrafficView>,
+    /// Calls that are the duty of one instance at a time; `None` if there are none.
+    pub duties: Option<DutyCaller>,
 }
 
 impl ControlContext {
--- a/crates/wagtailarch-gateway/src/control/roles.rs
+++ b/crates/wagtailarch-gateway/src/control/roles.rs
@@ -6,7 +6,6 @@
 use displaydoc::Display;
 use http::{Request, StatusCode, response};
 use indexmap::IndexMap;
-use serde::Deserialize;
 use slog::{info, warn};
 use tokio::{
     sync::watch,
@@ -14,20 +13,20 @@
     time::{sleep, timeout},
 };
 use wagtailarch_adapter::{
-    ObjectKind, OrderResponse, PutOutcome, RoleOrder, create_request, decode_get,
-    decode_order_response, decode_put, decode_report, get_request, order_request, replace_request,
+    ObjectKind, OrderResponse, RoleOrder, decode_order_response, decode_report, order_request,
     report_request, states_leaving,
 };
 use wagtailarch_dispatch::{
-    BackendServer, ClaimContent, ClaimStep, OrderClaim, PlannedEngine, RoleChange, RolePlan,
-    RolePlanInput, is_designated,
+    BackendServer, OrderClaim, PlannedEngine, RoleChange, RolePlan, RolePlanInput, is_designated,
 };
-use wagtailarch_types::{InstanceId, ObjectVersion, Role, ServiceName, ZoneName};
+use wagtailarch_types::{InstanceId, Role, ServiceName, ZoneName};
 
 use crate::{
-    control::{ControlContext, store_error::StoreError},
+    control::{
+        ControlContext,
+        claims::{ClaimError, ClaimPayload, Claimed, claim},
+    },
     http_client::{CONNECT_LIMIT, CallError, HttpClient},
-    metrics::StoreCall,
     snapshot::Snapshot,
 };
 
@@ -38,7 +37,7 @@
 const START_DELAY: Duration = Duration::from_millis(1_000);
 /// Time without a request after which the fleet counts as idle.
 const IDLE_AFTER: Duration = Duration::from_secs(5);
-/// Timeout for a call to the store or to an engine.
+/// Timeout for a call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout for an order, which includes waiting for another instance's claim to expire.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(7);
@@ -54,21 +53,17 @@
     Leaving,
     /// the engine's report cannot be decoded: {0}
     Report(serde_json::Error),
-    /// the store cannot be used: {0}
-    Store(StoreError),
-    /// the claim cannot be decoded: {0}
-    Claim(serde_json::Error),
-    /// another instance claimed the engine
-    AlreadyClaimed,
+    /// {0}
+    Claim(ClaimError),
     /// the claim was written too long ago
     ClaimTooOld,
     /// engines cannot be ordered to take the role {0}
     Role(Role),
 }
 
-impl<E: Into<StoreError>> From<E> for OrderError {
-    fn from(error: E) -> Self {
-        Self::Store(error.into())
+impl From<ClaimError> for OrderError {
+    fn from(error: ClaimError) -> Self {
+        Self::Claim(error)
     }
 }
 
@@ -196,7 +191,17 @@
     if report.role == Some(role) {
         return Ok(OrderResponse::AlreadyInRole);
     }
-    let (fence, written_at) = claim(context, engine).await?;
+    let attempt = OrderClaim::new(context.instance.clone());
+    let claimed = claim(
+        context,
+        ObjectKind::OrderClaims,
+        &engine.id,
+        attempt,
+        |_| ClaimPayload::Absent,
+    );
+    let Claimed {
+        fence, written_at, ..
+    } = claimed.await?;
     let order = RoleOrder {
         engine: engine.id.clone(),
         role,
@@ -229,61 +234,3 @@
     }
     Ok((parts, body))
 }
-
-/// Claims an engine; returns the fencing number and when the write began.
-async fn claim(
-    context: &ControlContext,
-    engine: &BackendServer,
-) -> Result<(u64, Duration), OrderError> {
-    let mut store = HttpClient::new(context.store_address, CONNECT_LIMIT);
-    let mut claim = OrderClaim::new(context.instance.clone());
-    loop {
-        let found = read_claim(context, &mut store, engine).await?;
-        let (content, expect) = match claim.on_read(context.epoch.elapsed(), found) {
-            ClaimStep::Write { content, expect } => (content, expect),
-            ClaimStep::Wait(time) => {
-                sleep(time).await;
-                continue;
-            }
-        };
-        let written_at = context.epoch.elapsed();
-        return match write_claim(context, &mut store, engine, &content, expect).await? {
-            PutOutcome::Done(_) => Ok((content.fence, written_at)),
-            PutOutcome::Conflict(_) | PutOutcome::Missing => Err(OrderError::AlreadyClaimed),
-        };
-    }
-}
-
-async fn read_claim(
-    context: &ControlContext,
-    store: &mut HttpClient,
-    engine: &BackendServer,
-) -> Result<Option<(ClaimContent, ObjectVersion)>, OrderError> {
-    context.metrics.count_store_call(StoreCall::Get);
-    let request = get_request(ObjectKind::OrderClaims, &engine.id);
-    let (status, body) = store.call(request, CALL_TIMEOUT).await?;
-    let Some(object) = decode_get(ObjectKind::OrderClaims, status, &body)? else {
-        return Ok(None);
-    };
-    let content = ClaimContent::deserialize(&object.content).map_err(OrderError::Claim)?;
-    Ok(Some((content, object.version)))
-}
-
-async fn write_claim(
-    context: &ControlContext,
-    store: &mut HttpClient,
-    engine: &BackendServer,
-    content: &ClaimContent,
-    expect: Option<ObjectVersion>,
-) -> Result<PutOutcome, OrderError> {
-    context.metrics.count_store_call(StoreCall::Write);
-    let value = serde_json::to_value(content).map_err(OrderError::Claim)?;
-    let request = match expect {
-        None => create_request(ObjectKind::OrderClaims, &engine.id, &value),
-        Some(version) => {
-            replace_request(ObjectKind::OrderClaims, &engine.id, &value, Some(version))
-        }
-    };
-    let (status, body) = store.call(request, CALL_TIMEOUT).await?;
-    Ok(decode_put(ObjectKind::OrderClaims, status, &body)?)
-}
--- a/crates/wagtailarch-gateway/src/control/watcher.rs
+++ b/crates/wagtailarch-gateway/src/control/watcher.rs
@@ -434,7 +434,10 @@
     let newest_change = |versions: &StoreVersions| match kind {
         ObjectKind::Config => versions.routing,
         ObjectKind::Servers => versions.servers,
-        ObjectKind::Instances | ObjectKind::OrderClaims | ObjectKind::ServiceVersions => 0,
+        ObjectKind::Instances
+        | ObjectKind::OrderClaims
+        | ObjectKind::Duties
+        | ObjectKind::ServiceVersions => 0,
     };
     if peer_versions
         .wait_for(|versions| newest_change(versions) > version)
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod client_meter;
 mod connection;
 mod control;
+mod duty_settings;
 mod engine_report;
 mod forward;
 mod gateway;
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -23,7 +23,7 @@
 use wagtailarch_types::BootId;
 
 use crate::{
-    control::{self, ControlContext},
+    control::{self, ControlContext, duties::DutyCaller},
     forward::server::serve_instances,
     gateway::{Gateway, ShutdownState},
     metrics::Metrics,
@@ -116,6 +116,7 @@
         log: log.clone(),
         metrics: Arc::clone(&metrics),
         traffic: Arc::clone(&traffic),
+        duties: settings.duties.as_ref().map(DutyCaller::new),
     };
     let relay_listener = std::net::TcpListener::bind(settings.peer_address);
     let relay_listener =
--- a/crates/wagtailarch-gateway/src/settings.rs
+++ b/crates/wagtailarch-gateway/src/settings.rs
@@ -7,6 +7,8 @@
 use smol_str::SmolStr;
 use wagtailarch_types::{InstanceId, ZoneName};
 
+use crate::duty_settings::DutySettings;
+
 /// Settings of a process; docs/platform.md describes the keys and which need a restart.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -40,6 +42,8 @@
     retry_slack: f64,
     /// Length in seconds of the retry window; from 0.1 to 3600.
     retry_window_s: f64,
+    /// Duties of one instance at a time; absent if there are none.
+    pub duties: Option<DutySettings>,
 }
 
 /// The settings that take effect while the process runs.
@@ -124,7 +128,10 @@
         if !(0.1..=3_600.0).contains(&self.retry_window_s) {
             return out_of_range("retry_window_s", "0.1 to 3600 seconds");
         }
-        Ok(())
+        match &self.duties {
+            Some(duties) => duties.validate(),
+            None => Ok(()),
+        }
     }
 }
 
--- a/crates/wagtailarch-types/src/lib.rs
+++ b/crates/wagtailarch-types/src/lib.rs
@@ -3,11 +3,13 @@
 //! This crate does no I/O. Identifiers are type aliases. Roles, states and reasons are enums whose
 //! text form is stable, since it is used in logs, metric labels and JSON.
 
+mod duty;
 mod id;
 mod outcome;
 mod role;
 mod urgency;
 
+pub use duty::{DutyKind, DutySubject};
 pub use id::{
     AdapterName, AttemptNo, BootId, FencingNumber, Fingerprint, Generation, GroupName, HashedKey,
     InstanceId, ModelName, Nonce, ObjectVersion, RequestId, ServiceName, SoftwareVersion, TeamName,
