Count the use of teams, and report it window by window

Each instance counts the requests that began to run by window and team, sends absolute counts to two keepers in different zones every 0.5 s, and the first keeper records each report in the store before it sends it. A new holder repeats the recorded report and goes on with the next window.

--- a/crates/wagtailarch-control/src/lib.rs
+++ b/crates/wagtailarch-control/src/lib.rs
@@ -17,6 +17,10 @@
 mod planner_capacity;
 mod planner_demand;
 mod rollout;
+mod use_counter;
+mod use_keepers;
+mod use_report;
+mod use_sums;
 mod zone_status;
 
 pub use generation::GenerationTracker;
@@ -30,4 +34,8 @@
     ChangeReason, Demand, Planner, PlannerConfig, PlannerGroup, RoleChange, ZoneEngine, ZoneView,
 };
 pub use rollout::{Rollout, RolloutAction, RolloutEngine, RolloutGroup, RolloutView};
+pub use use_counter::UseCounter;
+pub use use_keepers::use_keepers;
+pub use use_report::{UseReport, UseReporter};
+pub use use_sums::UseSums;
 pub use zone_status::ZoneStatus;
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -10,6 +10,7 @@
 mod servers;
 mod sources;
 mod store_error;
+mod use_report;
 mod versions;
 mod watcher;
 
@@ -31,6 +32,7 @@
     metrics::Metrics,
     panic_handling::restart_on_panic,
     snapshot::Snapshot,
+    team_use::SharedUse,
     traffic_view::TrafficView,
 };
 
@@ -61,6 +63,8 @@
     pub traffic: Arc<TrafficView>,
     /// Calls that are the duty of one instance at a time; `None` if there are none.
     pub duties: Option<DutyCaller>,
+    /// Sums of the use of teams, joined by the traffic thread.
+    pub team_use: SharedUse,
 }
 
 impl ControlContext {
@@ -110,6 +114,7 @@
                     let (_, publisher) = shared();
                     versions::maintain_version_record(context.clone(), publisher)
                 };
+                let team_use = || use_report::report_use(context.clone());
                 let listener = Rc::new(listener);
                 let relay =
                     || relay::serve_relay(sources.relay.clone(), Rc::clone(&listener), log.clone());
@@ -120,6 +125,7 @@
                     restart_on_panic(log, "list of instances", instances),
                     restart_on_panic(log, "roles", roles),
                     restart_on_panic(log, "record of software versions", versions),
+                    restart_on_panic(log, "reports of use", team_use),
                 );
             });
         })?;
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     permits::PendingPermits,
     settings::{ReloadableSettings, Settings},
     snapshot::Snapshot,
+    team_use::{SharedUse, TeamUse},
     traffic_view::TrafficView,
 };
 
@@ -64,6 +65,8 @@
     pub pending_permits: PendingPermits,
     /// Software versions at which streams began.
     pub origins: Origins,
+    /// Use of teams; `None` if it is not reported.
+    pub team_use: Option<TeamUse>,
     /// Calls to and from other instances.
     pub forwarding: ForwardState,
     /// Memory limit for buffered bodies.
@@ -144,6 +147,7 @@
             peer_socket,
             pending_permits: PendingPermits::default(),
             origins: Origins::default(),
+            team_use: None,
             forwarding: ForwardState::new(boot),
             buffer_budget: Rc::default(),
             open_requests: OpenRequests::default(),
@@ -157,6 +161,12 @@
         }
     }
 
+    /// Starts counting the use of teams if the settings include its report.
+    pub fn set_team_use(&mut self, boot: BootId, sums: SharedUse) {
+        let duties = self.settings.duties.as_ref();
+        self.team_use = TeamUse::new(duties, &self.settings.instance, boot, sums);
+    }
+
     /// Returns the time since the start of the process.
     pub fn now(&self) -> Duration {
         self.epoch.elapsed()
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod stall_detector;
 mod status_server;
 mod stream_relay;
+mod team_use;
 mod traffic_view;
 
 pub use panic_handling::{catch_panic, log_panics, restart_on_panic};
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -75,6 +75,26 @@
     }
 }
 
+/// What happened to a report of the use of teams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UseEvent {
+    /// The platform has accepted it.
+    Sent,
+    /// It was not accepted and is repeated.
+    Failed,
+}
+
+impl UseEvent {
+    const ALL: [Self; 2] = [Self::Sent, Self::Failed];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// What happened to clients' requests that go through another instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ForwardEvent {
@@ -133,6 +153,10 @@
     permits: LabeledCounters,
     forwards: LabeledCounters,
     requests: LabeledCounters,
+    use_reports: LabeledCounters,
+    missed_windows: Counter,
+    lost_use: Counter,
+    ignored_datagrams: Counter,
     client_gone: Counter,
     repeats: Counter,
     open_requests: Gauge,
@@ -172,6 +196,18 @@
         let forwards = register_counters(r, "forwards", help, "event", &events);
         let kinds = ["idempotent", "at_most_once", "stream", "resumable_stream"];
         let requests = register_counters(r, "requests", "Requests received", "kind", &kinds);
+        let events = UseEvent::ALL.map(UseEvent::as_str);
+        let help = "Reports of the use of teams by this instance";
+        let use_reports = register_counters(r, "use_reports", help, "event", &events);
+        let missed_windows = Counter::default();
+        let help = "Windows of use without a report in time";
+        r.register("use_windows_missed", help, missed_windows.clone());
+        let lost_use = Counter::default();
+        let help = "Requests of this instance that are missing in the use of their team";
+        r.register("use_requests_lost", help, lost_use.clone());
+        let ignored_datagrams = Counter::default();
+        let help = "Datagrams of an unknown version";
+        r.register("datagrams_ignored", help, ignored_datagrams.clone());
         let store_failures = Counter::default();
         let help = "Calls to the store without a result";
         r.register("store_failures", help, store_failures.clone());
@@ -229,6 +265,10 @@
             permits,
             forwards,
             requests,
+            use_reports,
+            missed_windows,
+            lost_use,
+            ignored_datagrams,
             client_gone,
             repeats,
             open_requests,
@@ -255,6 +295,28 @@
             .inc();
     }
 
+    /// Counts a report of the use of teams.
+    pub fn count_use_report(&self, event: UseEvent) {
+        self.use_reports
+            .get_or_create(&[("event", event.as_str())])
+            .inc();
+    }
+
+    /// Counts windows of use without a report in time.
+    pub fn count_missed_windows(&self, windows: u64) {
+        self.missed_windows.inc_by(windows);
+    }
+
+    /// Counts requests that are missing in the use of their team.
+    pub fn count_lost_use(&self, requests: u64) {
+        self.lost_use.inc_by(requests);
+    }
+
+    /// Counts a datagram of an unknown version.
+    pub fn count_ignored_datagram(&self) {
+        self.ignored_datagrams.inc();
+    }
+
     /// Counts a request whose client disconnected before the end of the response.
     pub fn count_client_left(&self) {
         self.client_gone.inc();
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -16,6 +16,7 @@
     load_note::{LoadNote, NoteBundle},
     origin::OriginMessage,
     permit::PermitMessage,
+    team_use::UseMessage,
 };
 
 use crate::{
@@ -23,7 +24,7 @@
     origins,
     outbox::{LIVENESS_GRACE, NOTE_INTERVAL, PendingUpdates, batch_delay},
     pending_notes::PendingNotes,
-    permits,
+    permits, team_use,
 };
 
 /// Interval between reports of the engines' demand to the control thread.
@@ -197,7 +198,12 @@
                 origins::on_message(&self.gateway, message, from).await;
                 continue;
             }
+            if let Some(message) = UseMessage::decode(datagram) {
+                team_use::on_message(&self.gateway, message, from).await;
+                continue;
+            }
             let Some(bundle) = NoteBundle::decode(datagram) else {
+                self.gateway.metrics.count_ignored_datagram();
                 debug!(log, "notes ignored"; "from" => %from);
                 continue;
             };
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -15,6 +15,7 @@
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
     response_body::ResponseBody,
+    team_use::count_use,
 };
 
 /// Maximum number of servers to which one request is sent, including those that did not run it.
@@ -62,7 +63,17 @@
             priority: None,
             resume_after: context.client.resume_after,
         };
-        let failure = match attempt(&context, &call, permit).await {
+        let started_at = gateway.now();
+        let result = attempt(&context, &call, permit).await;
+        if result
+            .as_ref()
+            .err()
+            .is_none_or(|failure| failure.ran != Ran::No)
+        {
+            // A server begins a plain request when it arrives.
+            count_use(&context, gateway.now().saturating_sub(started_at));
+        }
+        let failure = match result {
             Ok(response) if !response.status().is_server_error() => return response,
             Ok(response) => {
                 error_response = Some(response);
--- a/crates/wagtailarch-gateway/src/process.rs
+++ b/crates/wagtailarch-gateway/src/process.rs
@@ -35,6 +35,7 @@
     settings::Settings,
     snapshot::Snapshot,
     status_server::serve_status,
+    team_use::{SharedUse, send_use},
     traffic_view::TrafficView,
 };
 
@@ -104,6 +105,7 @@
     let forwarded = listen(settings.forward_address).await?;
     let socket = UdpSocket::bind(settings.peer_address).await;
     let socket = socket.map_err(|error| StartError::Listen(settings.peer_address, error))?;
+    let team_use = SharedUse::default();
     let context = ControlContext {
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
@@ -117,6 +119,7 @@
         metrics: Arc::clone(&metrics),
         traffic: Arc::clone(&traffic),
         duties: settings.duties.as_ref().map(DutyCaller::new),
+        team_use: team_use.clone(),
     };
     let relay_listener = std::net::TcpListener::bind(settings.peer_address);
     let relay_listener =
@@ -126,7 +129,8 @@
     info!(log, "started"; "clients" => %settings.client_address,
         "store" => %settings.store_address, "version" => env!("CARGO_PKG_VERSION"));
     let boot = boot_id();
-    let gateway = Gateway::new(settings, log, metrics, traffic, socket, epoch, boot);
+    let mut gateway = Gateway::new(settings, log, metrics, traffic, socket, epoch, boot);
+    gateway.set_team_use(boot, team_use);
     let gateway = Rc::new(gateway);
     start_tasks(&gateway, published, boot);
     start_listening(&gateway, clients, [ready, scrapes]);
@@ -149,6 +153,7 @@
     });
     spawn_restarting(gateway, "demand", report_demand);
     spawn_restarting(gateway, "path probes", probe_paths);
+    spawn_restarting(gateway, "use of teams", send_use);
     let notes = Rc::new(NoteExchange::new(Rc::clone(gateway), boot));
     let shared = Rc::clone(&notes);
     spawn_restarting(gateway, "receivers of notes", move |_| {
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -14,7 +14,7 @@
 };
 use wagtailarch_traffic::Verdict;
 use wagtailarch_types::{
-    Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, VersionKey, fingerprint,
+    Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, TeamName, VersionKey, fingerprint,
 };
 use wagtailarch_wire::{forward::ForwardCall, part_report::ReportedPart, permit::PermitRank};
 
@@ -90,6 +90,10 @@
     pub leaving_servers: RefCell<Vec<ServerProcess>>,
     /// Time that the client had waited when the request arrived.
     waited: Duration,
+    /// Team of the request; `None` if it has none.
+    pub team: Option<TeamName>,
+    /// Whether the request is counted in the use of its team.
+    pub is_use_counted: Cell<bool>,
     /// Number of calls that may have run the request.
     pub possible_runs: Cell<u32>,
     /// Whether the request is counted in the retry budget of an instance.
@@ -139,6 +143,11 @@
             is_version_shared: Cell::new(resume.is_some()),
             waited,
             possible_runs: Cell::new(call.map_or(0, |call| call.possible_runs)),
+            team: None,
+            // An instance that may have run a request, or has begun its stream, has counted it.
+            is_use_counted: Cell::new(
+                client.resume_after.is_some() || call.is_some_and(|call| call.possible_runs > 0),
+            ),
             is_counted: Cell::new(call.is_some_and(|call| call.is_counted)),
             forwarded,
             open,
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -25,6 +25,7 @@
     relayed_run::RelayedRun,
     request_context::RequestContext,
     response_body::{BodyError, ResponseBody},
+    team_use::count_use,
 };
 
 /// Fraction of the client timeout after which an idle stream that may be resumed moves to another
@@ -238,6 +239,7 @@
             if let GenerationPlace::Engine(engine) = &mut run.started.place {
                 engine.suspect = None;
                 if self.first_event_ms.is_none() {
+                    count_use(&self.context, Duration::ZERO);
                     origins::on_begun(&self.context, &engine.call.server);
                 }
                 if !std::mem::replace(&mut run.output_recorded, true) {
--- a/crates/wagtailarch-wire/src/lib.rs
+++ b/crates/wagtailarch-wire/src/lib.rs
@@ -3,7 +3,7 @@
 //! The JSON messages are in [`engine`] (the engine protocol), [`service`] (the load report of plain
 //! services), [`platform`] (the platform protocol) and [`records`] (the objects that the system
 //! stores in the platform). The messages between instances are encoded with postcard: [`peer`],
-//! [`load_note`] with [`part_report`] and [`path_report`], [`permit`], [`origin`], [`relay`] for requests to relays, and
+//! [`load_note`] with [`part_report`] and [`path_report`], [`permit`], [`origin`], [`team_use`], [`relay`] for requests to relays, and
 //! [`forward`] for clients' requests that go through another instance. [`connection_headers`] removes
 //! the headers that must not be forwarded. [`body_framing`] and [`event_splitter`] show whether a response is whole.
 
@@ -22,3 +22,4 @@
 pub mod records;
 pub mod relay;
 pub mod service;
+pub mod team_use;
