--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -43,6 +43,8 @@
     pub body: BufferedBody,
     /// Route that the request matches.
     pub route: Route,
+    /// Team whose key the request has.
+    pub team: Option<RequestTeam>,
     /// Configuration in force when the request arrived.
     pub config: Arc<RoutingConfig>,
     /// Time of arrival since the start of the process.
@@ -53,6 +55,15 @@
     pub open: Rc<OpenRequest>,
 }
 
+/// The team of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestTeam {
+    /// Name.
+    pub name: TeamName,
+    /// Priority that the team's requests have instead of that of their route; 0 is the highest.
+    pub priority: Option<u8>,
+}
+
 /// A client's request with the data needed to serve it.
 #[derive(Debug)]
 pub struct RequestContext {
@@ -66,6 +77,11 @@
     pub route: Route,
     /// Service selected by the route.
     pub service: ServiceName,
+    /// Team of the request, which stays the same when the configuration changes; absent on public
+    /// routes and without teams.
+    pub team: Option<TeamName>,
+    /// Priority of the team or the route; 0 is the highest.
+    priority: u8,
     /// Configuration in force when the request arrived.
     pub config: Arc<RoutingConfig>,
     /// Time of arrival at this instance since the start of the process.
@@ -90,8 +106,6 @@
     pub leaving_servers: RefCell<Vec<ServerProcess>>,
     /// Time that the client had waited when the request arrived.
     waited: Duration,
-    /// Team of the request; `None` if it has none.
-    pub team: Option<TeamName>,
     /// Whether the request is counted in the use of its team.
     pub is_use_counted: Cell<bool>,
     /// Number of calls that may have run the request.
@@ -109,11 +123,13 @@
             mut client,
             body,
             route,
+            team,
             config,
             arrived,
             forwarded,
             open,
         } = received;
+        let team_priority = team.as_ref().and_then(|team| team.priority);
         let resume = forwarded.as_ref().and_then(|call| call.resume);
         if let Some(resume) = resume {
             // The stream that goes on is that of this attempt, unless the client resumes another.
@@ -143,7 +159,6 @@
             is_version_shared: Cell::new(resume.is_some()),
             waited,
             possible_runs: Cell::new(call.map_or(0, |call| call.possible_runs)),
-            team: None,
             // An instance that may have run a request, or has begun its stream, has counted it.
             is_use_counted: Cell::new(
                 client.resume_after.is_some() || call.is_some_and(|call| call.possible_runs > 0),
@@ -154,6 +169,8 @@
             leaving_servers: RefCell::default(),
             client,
             body,
+            priority: team_priority.unwrap_or(route.priority),
+            team: team.map(|team| team.name),
             route,
             service,
             config,
@@ -260,7 +277,13 @@
 
     /// Returns the rank among the requests to rate-limited servers.
     pub fn rank(&self) -> PermitRank {
-        PermitRank::of_priority(self.route.priority)
+        PermitRank::of_priority(self.priority)
+    }
+
+    /// Returns the priority of the request's team, or of its route if the team has none; 0 is the
+    /// highest.
+    pub fn priority(&self) -> u8 {
+        self.priority
     }
 
     /// Returns the refusal of a request for which no server can be selected.
