--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -1,5 +1,7 @@
 //! The control thread: reads the configuration, the servers and the peers from the store.
 
+mod claims;
+pub mod duties;
 mod instances;
 mod read_trail;
 mod relay;
@@ -8,6 +10,7 @@
 mod servers;
 mod sources;
 mod store_error;
+mod use_report;
 mod versions;
 mod watcher;
 
@@ -25,8 +28,12 @@
 use wagtailarch_types::{InstanceId, ZoneName};
 
 use crate::{
-    control::sources::Sources, metrics::Metrics, panic_handling::restart_on_panic,
-    snapshot::Snapshot, traffic_view::TrafficView,
+    control::{duties::DutyCaller, sources::Sources},
+    metrics::Metrics,
+    panic_handling::restart_on_panic,
+    snapshot::Snapshot,
+    team_use::SharedUse,
+    traffic_view::TrafficView,
 };
 
 /// Settings and shared state of the control thread.
@@ -56,6 +63,10 @@
     pub metrics: Arc<Metrics>,
     /// State reported by the traffic thread.
     pub traffic: Arc<TrafficView>,
+    /// Calls that are the duty of one instance at a time; `None` if there are none.
+    pub duties: Option<DutyCaller>,
+    /// Sums of the use of teams, joined by the traffic thread.
+    pub team_use: SharedUse,
 }
 
 impl ControlContext {
@@ -105,6 +116,7 @@
                     let (_, publisher) = shared();
                     versions::maintain_version_record(context.clone(), publisher)
                 };
+                let team_use = || use_report::report_use(context.clone());
                 let listener = Rc::new(listener);
                 let relay =
                     || relay::serve_relay(sources.relay.clone(), Rc::clone(&listener), log.clone());
@@ -115,6 +127,7 @@
                     restart_on_panic(log, "list of instances", instances),
                     restart_on_panic(log, "roles", roles),
                     restart_on_panic(log, "record of software versions", versions),
+                    restart_on_panic(log, "reports of use", team_use),
                 );
             });
         })?;
--- a/crates/wagtailarch-gateway/src/settings.rs
+++ b/crates/wagtailarch-gateway/src/settings.rs
@@ -7,6 +7,8 @@
 use smol_str::SmolStr;
 use wagtailarch_types::{InstanceId, ZoneName};
 
+use crate::duty_settings::DutySettings;
+
 /// Settings of a process; docs/platform.md describes the keys and which need a restart.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -40,6 +42,8 @@
     retry_slack: f64,
     /// Length in seconds of the retry window; from 0.1 to 3600.
     retry_window_s: f64,
+    /// Duties of one instance at a time; absent if there are none.
+    pub duties: Option<DutySettings>,
     /// Keys of teams; without this table an instance accepts them by the configuration it has.
     #[serde(default)]
     keys: KeySettings,
@@ -154,7 +158,10 @@
         if bound_ms.is_some_and(|bound_ms| !(200..=600_000).contains(&bound_ms)) {
             return out_of_range("keys.proof_bound_ms", "200 to 600000 milliseconds");
         }
-        Ok(())
+        match &self.duties {
+            Some(duties) => duties.validate(),
+            None => Ok(()),
+        }
     }
 }
 
