Decode how servers of a service may be ordered

The configuration states limits, start time and prices of servers that may be ordered, and a registration states whether the server may be reclaimed; both were ignored. An odd scaling is ignored alone, with a log line.

--- a/crates/wagtailarch-dispatch/src/routing.rs
+++ b/crates/wagtailarch-dispatch/src/routing.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use smol_str::SmolStr;
-use wagtailarch_types::{Generation, ServiceName};
+use wagtailarch_types::{Generation, ScalingLimits, ServiceName};
 
 use crate::RequestKind;
 
@@ -63,6 +63,8 @@
     pub max_connections: u32,
     /// Properties of the service's engines; absent for plain services.
     pub engine: Option<EngineProperties>,
+    /// How servers of the service may be ordered; absent if they cannot be ordered.
+    pub scaling: Option<ScalingLimits>,
 }
 
 /// Properties that all engines of a service share.
@@ -144,6 +146,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> &IndexMap<ServiceName, ServiceConfig> {
+        &self.services
+    }
+
     /// Returns the shortest gap objective among the routes of a service.
     pub fn gap_objective(&self, service: &ServiceName) -> Option<Duration> {
         self.gap_objectives.get(service).copied()
--- a/crates/wagtailarch-dispatch/src/servers/server.rs
+++ b/crates/wagtailarch-dispatch/src/servers/server.rs
@@ -27,6 +27,9 @@
     pub slots: u32,
     /// Whether the server has announced that it leaves.
     pub leaving: bool,
+    /// Whether the platform may reclaim the server at short notice, together with the others of its
+    /// zone.
+    pub reclaimable: bool,
     /// Role of an engine; absent for plain services.
     pub role: Option<Role>,
 }
--- a/crates/wagtailarch-dispatch/tests/common/mod.rs
+++ b/crates/wagtailarch-dispatch/tests/common/mod.rs
@@ -33,10 +33,12 @@
     let engines = ServiceConfig {
         max_connections: 370,
         engine: Some(properties),
+        scaling: None,
     };
     let plain = ServiceConfig {
         max_connections: 110,
         engine: None,
+        scaling: None,
     };
     let services = IndexMap::from([(ENGINES.into(), engines), (PLAIN.into(), plain)]);
     RoutingConfig::new(1, Vec::new(), services, ClientLimits::default())
@@ -65,6 +67,7 @@
         version: "v1".into(),
         slots: 6,
         leaving: false,
+        reclaimable: false,
         role: None,
     }
 }
--- a/crates/wagtailarch-gateway/src/control/routing.rs
+++ b/crates/wagtailarch-gateway/src/control/routing.rs
@@ -4,7 +4,7 @@
 
 use slog::{info, warn};
 use tokio::sync::watch;
-use wagtailarch_adapter::{ObjectKind, StoreObject, decode_routing};
+use wagtailarch_adapter::{ObjectKind, StoreObject, decode_routing, scaling_errors};
 use wagtailarch_wire::relay::RelayKind;
 
 use crate::{
@@ -66,6 +66,10 @@
     info!(context.log, "configuration taken over"; "generation" => generation,
         "before" => in_force, "version" => object.version, "routes" => config.routes().len(),
         "source" => trail.source(), "age_ms" => watcher.age().as_millis() as u64, "gap_ms" => trail.gap_ms(), "tried" => trail.tried());
+    for (service, error) in scaling_errors(&object.content) {
+        warn!(context.log, "scaling of a service ignored"; "generation" => generation,
+            "service" => %service, "cause" => %error);
+    }
     context.metrics.set_generation(generation);
     publish(publisher, |snapshot| {
         snapshot.config = Some(Arc::new(config))
--- a/crates/wagtailarch-load/src/capacity/dispatch.rs
+++ b/crates/wagtailarch-load/src/capacity/dispatch.rs
@@ -98,6 +98,7 @@
         version: "v1".into(),
         slots: 64,
         leaving: false,
+        reclaimable: false,
         role: Some(match number % 3 {
             0 => Role::Decode,
             _ => Role::Prefill,
@@ -116,6 +117,7 @@
     let service = ServiceConfig {
         max_connections: 780,
         engine: Some(properties),
+        scaling: None,
     };
     let services = IndexMap::from([(ServiceName::from(SERVICE), service)]);
     let config = RoutingConfig::new(1, Vec::new(), services, ClientLimits::default());
--- a/crates/wagtailarch-types/src/lib.rs
+++ b/crates/wagtailarch-types/src/lib.rs
@@ -6,6 +6,7 @@
 mod id;
 mod outcome;
 mod role;
+mod scaling;
 mod urgency;
 
 pub use id::{
@@ -16,4 +17,5 @@
 };
 pub use outcome::{Ran, RefusalReason, RetryReason};
 pub use role::{Assignment, BackendKind, BackendState, Phase, Priority, Role};
+pub use scaling::ScalingLimits;
 pub use urgency::Urgency;
