Decide in virtual time how many servers run in each zone

Nothing decides how many servers of a service run. ServerOrders keeps regular servers that serve the recent peak after the loss of a zone and of all reclaimable servers, and adds reclaimable ones.

--- a/crates/wagtailarch-control/src/lib.rs
+++ b/crates/wagtailarch-control/src/lib.rs
@@ -17,6 +17,8 @@
 mod planner_capacity;
 mod planner_demand;
 mod rollout;
+mod server_demand;
+mod server_orders;
 mod zone_status;
 
 pub use generation::GenerationTracker;
@@ -30,4 +32,9 @@
     ChangeReason, Demand, Planner, PlannerConfig, PlannerGroup, RoleChange, ZoneEngine, ZoneView,
 };
 pub use rollout::{Rollout, RolloutAction, RolloutEngine, RolloutGroup, RolloutView};
+pub use server_demand::ServerDemand;
+pub use server_orders::{
+    OrderFigures, ServerKind, ServerOrder, ServerOrderOutcome, ServerOrderReason, ServerOrders,
+    ServerOrdersInput, ZoneServers,
+};
 pub use zone_status::ZoneStatus;
