--- a/crates/wagtailarch-control/src/server_orders.rs
+++ b/crates/wagtailarch-control/src/server_orders.rs
@@ -97,7 +97,7 @@
     pub limits: &'a ScalingLimits,
     /// Present servers by zone.
     pub zones: &'a [ZoneServers],
-    /// Demand on the servers; absent before the first request.
+    /// Demand on the servers; absent if no server is listed.
     pub demand: Option<ServerDemand>,
     /// Whether the demand of nearly all instances is known; otherwise no servers leave.
     pub complete: bool,
@@ -175,9 +175,10 @@
     pub fn orders(&mut self, now: Duration, input: &ServerOrdersInput<'_>) -> Vec<ServerOrder> {
         let limits = input.limits;
         self.record(input.zones);
-        // Demand is read only while it is complete: a part would look like less.
+        // Before the first request, nothing is known about the demand.
         let keep = longer(PEAK_TIME, limits);
-        if let Some(demand) = input.demand {
+        let demand = input.demand.unwrap_or_default();
+        if self.peak.peak().is_some() || demand.occupied_servers() > 0.0 {
             self.peak.add(now, &demand, keep);
         }
         let Some(peak) = self.peak.peak() else {
--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -38,9 +38,9 @@
     ForwardTargets, MAX_SERVED_FOR_PEERS, PathChange, PathState, ServicePath, ServicePaths,
 };
 pub use placing::{
-    EngineState, GenerationPlan, GenerationRequest, LimitChange, LoadBalancer, PermitStep,
-    Placement, PrefillNumber, PrefillPlan, PrefillQueue, PrefillSample, PrefillSpeed, PrefixCache,
-    QueuedPrompt, ServerLoad, UrgentUtilization,
+    EngineState, EngineUse, GenerationPlan, GenerationRequest, LimitChange, LoadBalancer,
+    PermitStep, Placement, PrefillNumber, PrefillPlan, PrefillQueue, PrefillSample, PrefillSpeed,
+    PrefixCache, QueuedPrompt, ServerLoad, UrgentUtilization,
 };
 pub use relays::{
     Freshness, LogSource, MAX_RELAYED_BYTES, NoteRoutes, ReadLimits, RelayChange, RelayLog,
--- a/crates/wagtailarch-dispatch/src/placing.rs
+++ b/crates/wagtailarch-dispatch/src/placing.rs
@@ -9,7 +9,7 @@
 mod urgent_utilization;
 
 pub use engine_state::EngineState;
-pub use load_balancer::{LimitChange, LoadBalancer, PermitStep, ServerLoad};
+pub use load_balancer::{EngineUse, LimitChange, LoadBalancer, PermitStep, ServerLoad};
 pub use placement::{GenerationPlan, GenerationRequest, Placement, PrefillPlan};
 pub use prefill_queue::{PrefillNumber, PrefillQueue, QueuedPrompt};
 pub use prefill_speed::{PrefillSample, PrefillSpeed};
--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -53,6 +53,21 @@
     limit_members: LimitMembers,
 }
 
+/// Use of the engines of a service by the requests of all instances.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EngineUse {
+    /// Engines that are listed.
+    pub engines: u32,
+    /// Engines with the prefill role.
+    pub prefill_engines: u32,
+    /// Engines with prompts that wait or are being prefilled.
+    pub prefilling: u32,
+    /// Predicted prefill time of those prompts, on one engine.
+    pub prefill_work: Duration,
+    /// Requests that are being decoded.
+    pub running: u32,
+}
+
 /// Load of one backend server in the local view, for metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerLoad {
@@ -359,6 +374,26 @@
         demand
     }
 
+    /// Returns how much the engines of each service are used, by all instances.
+    pub fn engine_use(&self, now: Duration) -> IndexMap<ServiceName, EngineUse> {
+        let mut engine_use: IndexMap<ServiceName, EngineUse> = IndexMap::new();
+        for backend in self.backends.values() {
+            let Some(engine) = &backend.engine else {
+                continue;
+            };
+            let entry = engine_use
+                .entry(backend.server.service.clone())
+                .or_default();
+            let work = engine.queue.wait(now, Urgency::Late);
+            entry.engines += 1;
+            entry.prefill_engines += u32::from(engine.role == Role::Prefill);
+            entry.prefilling += u32::from(!work.is_zero());
+            entry.prefill_work += work;
+            entry.running += engine.running(now);
+        }
+        engine_use
+    }
+
     /// Returns the available servers that are below their connection limit and whose rate limit
     /// leaves room for a request.
     fn usable(
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod roles;
 mod routing;
+mod server_orders;
 mod servers;
 mod sources;
 mod store_error;
@@ -106,6 +107,8 @@
                     instances::maintain_registration(sources, publisher)
                 };
                 let roles = || roles::manage_roles(context.clone(), publisher.subscribe());
+                let server_orders =
+                    || server_orders::manage_servers(context.clone(), publisher.subscribe());
                 let versions = || {
                     let (_, publisher) = shared();
                     versions::maintain_version_record(context.clone(), publisher)
@@ -119,6 +122,7 @@
                     restart_on_panic(log, "watch of the servers", servers),
                     restart_on_panic(log, "list of instances", instances),
                     restart_on_panic(log, "roles", roles),
+                    restart_on_panic(log, "orders for servers", server_orders),
                     restart_on_panic(log, "record of software versions", versions),
                 );
             });
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -11,6 +11,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use wagtailarch_control::ServerKind;
 use wagtailarch_dispatch::{LoadBalancer, RequestKind};
 use wagtailarch_telemetry::{LabeledCounters, OutcomeCounters, register_counters};
 
@@ -110,6 +111,37 @@
     }
 }
 
+/// Results of orders for servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerOrderResult {
+    /// The platform accepted the order.
+    Accepted,
+    /// No such server is available in the zone at the moment.
+    NoneAvailable,
+    /// The order was not given, or refused for another reason.
+    NotGiven,
+    /// The platform did not respond.
+    Unanswered,
+}
+
+impl ServerOrderResult {
+    const ALL: [Self; 4] = [
+        Self::Accepted,
+        Self::NoneAvailable,
+        Self::NotGiven,
+        Self::Unanswered,
+    ];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::NoneAvailable => "none_available",
+            Self::NotGiven => "not_given",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// Numbers of open requests and connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OpenCounts {
@@ -132,6 +164,8 @@
     store_failures: Counter,
     permits: LabeledCounters,
     forwards: LabeledCounters,
+    server_orders: LabeledCounters,
+    servers_wanted: Family<[(&'static str, String); 2], Gauge>,
     requests: LabeledCounters,
     client_gone: Counter,
     repeats: Counter,
@@ -170,6 +204,12 @@
         let events = ForwardEvent::ALL.map(ForwardEvent::as_str);
         let help = "Requests that go through another instance";
         let forwards = register_counters(r, "forwards", help, "event", &events);
+        let results = ServerOrderResult::ALL.map(ServerOrderResult::as_str);
+        let help = "Orders for the number of servers";
+        let server_orders = register_counters(r, "server_orders", help, "result", &results);
+        let servers_wanted = Family::default();
+        let help = "Servers that are there or ordered, at the instance that orders them";
+        r.register("servers_wanted", help, servers_wanted.clone());
         let kinds = ["idempotent", "at_most_once", "stream", "resumable_stream"];
         let requests = register_counters(r, "requests", "Requests received", "kind", &kinds);
         let store_failures = Counter::default();
@@ -228,6 +268,8 @@
             store_failures,
             permits,
             forwards,
+            server_orders,
+            servers_wanted,
             requests,
             client_gone,
             repeats,
@@ -286,6 +328,21 @@
             .inc();
     }
 
+    /// Counts an order for servers.
+    pub fn count_server_order(&self, result: ServerOrderResult) {
+        self.server_orders
+            .get_or_create(&[("result", result.as_str())])
+            .inc();
+    }
+
+    /// Sets the number of servers of a kind that are there or ordered.
+    pub fn set_servers_wanted(&self, service: &str, kind: ServerKind, servers: u32) {
+        let labels = [("service", service.to_owned()), ("kind", kind.to_string())];
+        self.servers_wanted
+            .get_or_create(&labels)
+            .set(servers.into());
+    }
+
     /// Counts a call to the store that had no result.
     pub fn count_store_failure(&self) {
         self.store_failures.inc();
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -304,6 +304,9 @@
         gateway
             .traffic
             .set_limited_servers(load_balancer.limited_servers());
+        gateway
+            .traffic
+            .set_engine_use(load_balancer.engine_use(gateway.now()));
         gateway.origins.expire(gateway.now());
     }
 }
--- a/crates/wagtailarch-gateway/src/traffic_view.rs
+++ b/crates/wagtailarch-gateway/src/traffic_view.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 use tokio::sync::{Notify, watch};
-use wagtailarch_dispatch::{RoleDemand, ServerProcess};
+use wagtailarch_dispatch::{EngineUse, RoleDemand, ServerProcess};
 use wagtailarch_types::{InstanceId, ServiceName, ZoneName};
 use wagtailarch_wire::load_note::{LoadNote, StoreVersions};
 
@@ -35,6 +35,8 @@
     last_notes: IndexMap<InstanceId, (ZoneName, Duration)>,
     /// Demand for engines by service.
     demand: IndexMap<ServiceName, RoleDemand>,
+    /// Use of the engines by service.
+    engine_use: IndexMap<ServiceName, EngineUse>,
     /// Servers that name a rate limit.
     limited_servers: HashSet<InstanceId>,
     /// When the last request arrived.
@@ -95,6 +97,16 @@
         self.lock().demand.get(service).copied().unwrap_or_default()
     }
 
+    /// Replaces the use of the engines.
+    pub fn set_engine_use(&self, engine_use: IndexMap<ServiceName, EngineUse>) {
+        self.lock().engine_use = engine_use;
+    }
+
+    /// Returns the use of the engines of a service; `None` if none is listed.
+    pub fn engine_use(&self, service: &ServiceName) -> Option<EngineUse> {
+        self.lock().engine_use.get(service).copied()
+    }
+
     /// Replaces the servers that name a rate limit.
     pub fn set_limited_servers(&self, servers: HashSet<InstanceId>) {
         self.lock().limited_servers = servers;
