Read the demand from the prompts that arrive, and order less often

Prompts now count when they are added. Orders of a zone and kind follow each other after the averaging time at the earliest, an order that was not given is no refusal, and reclaimed servers are ordered again at once.

--- a/crates/wagtailarch-control/src/server_demand.rs
+++ b/crates/wagtailarch-control/src/server_demand.rs
@@ -5,7 +5,7 @@
 /// Time over which the demand is averaged.
 ///
 /// A few readings differ by chance; a peak that is shorter waits in the queues of the servers.
-const AVERAGING_TIME: Duration = Duration::from_secs(2);
+pub(crate) const AVERAGING_TIME: Duration = Duration::from_secs(2);
 /// Time within which prompts that wait have to be read, so that they still meet common objectives of
 /// 0.4 to 1.5 s.
 const BACKLOG_TIME: Duration = Duration::from_secs(1);
@@ -18,8 +18,8 @@
 /// One reading of the demand on all servers of a service.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ServerDemand {
-    /// Servers that are busy with reading prompts.
-    pub reading: u32,
+    /// Servers that reading the prompts that arrive keeps busy.
+    pub reading: f64,
     /// Predicted time that one server would need for all prompts that wait or are being read.
     pub backlog: Duration,
     /// Requests that are being decoded.
@@ -35,7 +35,7 @@
         let (low, high) = READING_SHARE_RANGE;
         let reading_share = self.reading_share.clamp(low, high);
         let backlog = self.backlog.as_secs_f64() / BACKLOG_TIME.as_secs_f64();
-        let reading = f64::from(self.reading).max(backlog);
+        let reading = self.reading.max(backlog);
         let decoding = f64::from(self.running) / RUNNING_PER_SERVER;
         (reading / reading_share).max(decoding / (1.0 - reading_share))
     }
--- a/crates/wagtailarch-control/src/server_orders.rs
+++ b/crates/wagtailarch-control/src/server_orders.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use wagtailarch_types::{ScalingLimits, ZoneName};
 
-use crate::server_demand::{DemandPeak, ServerDemand};
+use crate::server_demand::{AVERAGING_TIME, DemandPeak, ServerDemand};
 
 /// Largest share of the regular servers' time that the peak may take after a loss.
 ///
@@ -73,7 +73,7 @@
     Accepted,
     /// None of these servers is available there at the moment.
     NoneAvailable,
-    /// It was not given, or refused for another reason.
+    /// It was not given, or refused for now.
     NotGiven,
     /// It may have been accepted.
     Unknown,
@@ -142,6 +142,8 @@
     present: u32,
     /// The last order that may have been accepted, and when it was given.
     ordered: Option<(u32, Duration)>,
+    /// When the last order was given or attempted.
+    last_order_at: Option<Duration>,
     /// Time of a refusal after which no order is given for a while.
     refused_at: Option<Duration>,
 }
@@ -153,10 +155,17 @@
         self.present.max(ordered)
     }
 
-    fn is_paused(&self, now: Duration, limits: &ScalingLimits) -> bool {
+    /// Returns whether none were available a short time ago.
+    fn is_refused(&self, now: Duration, limits: &ScalingLimits) -> bool {
         let pause = longer(REFUSAL_PAUSE, limits);
-        self.refused_at
-            .is_some_and(|at| now.saturating_sub(at) < pause)
+        let refused_at = self.refused_at;
+        refused_at.is_some_and(|at| now.saturating_sub(at) < pause)
+    }
+
+    /// Returns whether the average of the demand has not followed since the last order.
+    fn is_recent(&self, now: Duration) -> bool {
+        let last = self.last_order_at;
+        last.is_some_and(|at| now.saturating_sub(at) < AVERAGING_TIME)
     }
 
     /// Returns whether ordered servers are missing.
@@ -200,6 +209,7 @@
         for order in &orders {
             let state = self.state_mut(&order.zone, order.kind);
             state.ordered = Some((order.count, now));
+            state.last_order_at = Some(now);
         }
         orders
     }
@@ -209,7 +219,8 @@
         let state = self.state_mut(&order.zone, order.kind);
         match outcome {
             ServerOrderOutcome::Accepted | ServerOrderOutcome::Unknown => {}
-            ServerOrderOutcome::NoneAvailable | ServerOrderOutcome::NotGiven => {
+            ServerOrderOutcome::NotGiven => state.ordered = None,
+            ServerOrderOutcome::NoneAvailable => {
                 state.ordered = None;
                 state.refused_at = Some(now);
             }
@@ -247,6 +258,13 @@
             zone.reclaimable.present = servers.reclaimable;
         }
         self.zones.sort_keys();
+        for zone in self.zones.values_mut() {
+            // Reclaimable servers that came and went are gone; regular ones that cannot be seen may
+            // be back.
+            if !zone.reclaimable.is_missing() {
+                zone.reclaimable.ordered = None;
+            }
+        }
     }
 
     /// Returns the smallest number of regular servers for each zone that leaves `after_loss` servers
@@ -265,7 +283,7 @@
             let room = limits
                 .max_servers
                 .saturating_sub(zone.reclaimable.expected());
-            match zone.regular.is_paused(now, limits) {
+            match zone.regular.is_refused(now, limits) {
                 true => zone.regular.present,
                 false => room,
             }
@@ -302,7 +320,8 @@
         let mut orders = Vec::new();
         for ((name, zone), &target) in self.zones.iter().zip(targets) {
             let state = &zone.regular;
-            if state.is_paused(now, limits) || state.present >= target {
+            let is_closed = state.is_refused(now, limits) || state.is_recent(now);
+            if is_closed || state.present >= target {
                 continue;
             }
             let reason = match state.expected() < target {
@@ -331,7 +350,7 @@
     ) -> Vec<ServerOrder> {
         let wanted = self.wanted_reclaimable(limits, regular);
         let zones: Vec<_> = self.zones.iter().collect();
-        let open = |index: usize| !zones[index].1.reclaimable.is_paused(now, limits);
+        let open = |index: usize| !zones[index].1.reclaimable.is_refused(now, limits);
         // Servers that were ordered and are overdue do not count, so that they are repeated or come
         // from another zone.
         let counts = zones.iter().map(|(_, zone)| {
@@ -362,7 +381,7 @@
         }
         let mut orders = Vec::new();
         for (index, (name, zone)) in zones.iter().enumerate() {
-            if counts[index] == before[index] {
+            if counts[index] == before[index] || zone.reclaimable.is_recent(now) {
                 continue;
             }
             let reason = match zone.reclaimable.is_overdue(now, limits) {
--- a/crates/wagtailarch-control/tests/server_orders.rs
+++ b/crates/wagtailarch-control/tests/server_orders.rs
@@ -123,7 +123,7 @@
         self.backlog_s = (self.backlog_s + excess).clamp(0.0, occupied * 2.0);
         let busy = occupied.min(f64::from(servers)) * READING_SHARE;
         let demand = ServerDemand {
-            reading: busy.round() as u32,
+            reading: busy,
             backlog: Duration::from_secs_f64((busy * 0.1) + self.backlog_s),
             running: (occupied * 2.0) as u32,
             reading_share: READING_SHARE,
--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -51,18 +51,20 @@
     instances: u32,
     /// The instances that share the rate limits of servers.
     limit_members: LimitMembers,
+    /// When the use of the engines was last taken.
+    engine_use_at: Duration,
 }
 
 /// Use of the engines of a service by the requests of all instances.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct EngineUse {
     /// Engines that are listed.
     pub engines: u32,
     /// Engines with the prefill role.
     pub prefill_engines: u32,
-    /// Engines with prompts that wait or are being prefilled.
-    pub prefilling: u32,
-    /// Predicted prefill time of those prompts, on one engine.
+    /// Engines that the prompts keep busy that arrive at present.
+    pub prefilling: f64,
+    /// Predicted time that one engine needs for all prompts that wait or are being prefilled.
     pub prefill_work: Duration,
     /// Requests that are being decoded.
     pub running: u32,
@@ -374,11 +376,16 @@
         demand
     }
 
-    /// Returns how much the engines of each service are used, by all instances.
-    pub fn engine_use(&self, now: Duration) -> IndexMap<ServiceName, EngineUse> {
+    /// Returns how much the engines of each service are used, by all instances, since the last call.
+    ///
+    /// Prompts count when they are added: the reports of peers about their end come late, so that
+    /// the engines that have prompts at one time are more than the busy ones.
+    pub fn take_engine_use(&mut self, now: Duration) -> IndexMap<ServiceName, EngineUse> {
         let mut engine_use: IndexMap<ServiceName, EngineUse> = IndexMap::new();
-        for backend in self.backends.values() {
-            let Some(engine) = &backend.engine else {
+        let elapsed = now.saturating_sub(self.engine_use_at);
+        self.engine_use_at = now;
+        for backend in self.backends.values_mut() {
+            let Some(engine) = &mut backend.engine else {
                 continue;
             };
             let entry = engine_use
@@ -387,7 +394,10 @@
             let work = engine.queue.wait(now, Urgency::Late);
             entry.engines += 1;
             entry.prefill_engines += u32::from(engine.role == Role::Prefill);
-            entry.prefilling += u32::from(!work.is_zero());
+            let added = engine.queue.take_added_work();
+            if !elapsed.is_zero() {
+                entry.prefilling += added.div_duration_f64(elapsed);
+            }
             entry.prefill_work += work;
             entry.running += engine.running(now);
         }
--- a/crates/wagtailarch-dispatch/src/placing/prefill_queue.rs
+++ b/crates/wagtailarch-dispatch/src/placing/prefill_queue.rs
@@ -31,6 +31,8 @@
     last_finished: Duration,
     /// Utilization of the engine by prompts that were on time when they were added.
     urgent_utilization: UrgentUtilization,
+    /// Predicted prefill time of the prompts added since it was last taken.
+    added_work: Duration,
 }
 
 /// A prompt in a [`PrefillQueue`].
@@ -77,6 +79,7 @@
         if urgency == Urgency::OnTime {
             self.urgent_utilization.add(now, work);
         }
+        self.added_work += work;
         let expected = self.wait(now, urgency) + work;
         let prompt = QueuedPrompt {
             work,
@@ -88,6 +91,11 @@
         self.prompts.insert((sender.clone(), number), prompt);
     }
 
+    /// Takes the predicted prefill time of the prompts that were added since the last call.
+    pub fn take_added_work(&mut self) -> Duration {
+        std::mem::take(&mut self.added_work)
+    }
+
     /// Removes a prompt whose prefill finished or was abandoned.
     pub fn remove(
         &mut self,
--- a/crates/wagtailarch-gateway/src/control/server_orders.rs
+++ b/crates/wagtailarch-gateway/src/control/server_orders.rs
@@ -123,7 +123,7 @@
     for order in &due {
         info!(context.log, "order for servers due"; "service" => %service, "zone" => %order.zone,
             "kind" => %order.kind, "count" => order.count, "present" => order.present,
-            "reason" => %order.reason, "reading" => demand.reading,
+            "reason" => %order.reason, "reading" => format!("{:.1}", demand.reading),
             "backlog_ms" => demand.backlog.as_millis() as u64, "running" => demand.running,
             "reading_share" => format!("{:.2}", demand.reading_share),
             "peak" => format!("{:.1}", figures.peak), "after_loss" => figures.after_loss,
@@ -213,8 +213,9 @@
                 "status" => response.status.as_u16());
             match response.status {
                 status if status.is_success() => ServerOrderOutcome::Accepted,
-                StatusCode::CONFLICT => ServerOrderOutcome::NoneAvailable,
-                _ => ServerOrderOutcome::NotGiven,
+                StatusCode::TOO_MANY_REQUESTS => ServerOrderOutcome::NotGiven,
+                status if status.is_server_error() => ServerOrderOutcome::NotGiven,
+                _ => ServerOrderOutcome::NoneAvailable,
             }
         }
         Err(error) => {
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -297,16 +297,15 @@
 pub async fn report_demand(gateway: Rc<Gateway>) {
     loop {
         sleep(DEMAND_INTERVAL).await;
-        let load_balancer = gateway.load_balancer.borrow();
+        let mut load_balancer = gateway.load_balancer.borrow_mut();
+        let engine_use = load_balancer.take_engine_use(gateway.now());
+        gateway.traffic.set_engine_use(engine_use);
         gateway
             .traffic
             .set_demand(load_balancer.demand(gateway.now()));
         gateway
             .traffic
             .set_limited_servers(load_balancer.limited_servers());
-        gateway
-            .traffic
-            .set_engine_use(load_balancer.engine_use(gateway.now()));
         gateway.origins.expire(gateway.now());
     }
 }
