--- a/crates/wagtailarch-dispatch/tests/load_note.rs
+++ b/crates/wagtailarch-dispatch/tests/load_note.rs
@@ -57,3 +57,31 @@
     assert!(started.is_some());
     assert_eq!(balancer.open_prefills()[0].engine, server_key("d2"));
 }
+
+/// Guards against prompts that are counted again while they are read, or not at all once the next
+/// note of their sender no longer contains them.
+#[test]
+fn the_use_of_engines_counts_each_prompt_once() {
+    let mut balancer = LoadBalancer::default();
+    let servers = [
+        engine("r", "a", Role::Prefill),
+        engine("s", "b", Role::Prefill),
+        engine("d", "a", Role::Decode),
+    ];
+    balancer.apply(&servers, &config());
+    let service = ServiceName::from(ENGINES);
+    let mut take = |balancer: &mut LoadBalancer, now| balancer.take_engine_use(now)[&service];
+    let start = Duration::from_secs(1);
+    take(&mut balancer, start);
+    // Each prompt of a note takes 100 ms.
+    balancer.on_load_note(start, &note("p", &[("r", 1), ("s", 2)], &[("d", 3)]));
+    balancer.on_load_note(start, &note("p", &[("r", 1)], &[("d", 3)]));
+    let first = take(&mut balancer, start + Duration::from_millis(500));
+    assert!((first.prefilling - 0.4).abs() < 1e-9, "{first:?}");
+    assert_eq!(
+        (first.engines, first.prefill_engines, first.running),
+        (3, 2, 3)
+    );
+    let second = take(&mut balancer, start + Duration::from_millis(1_000));
+    assert_eq!(second.prefilling, 0.0);
+}
--- a/crates/wagtailarch-dispatch/tests/role_plan.rs
+++ b/crates/wagtailarch-dispatch/tests/role_plan.rs
@@ -236,3 +236,35 @@
         assert!(plan.changes(now, known, &input).is_empty());
     }
 }
+
+/// Guards against orders for the number of engines that lead to as many changes of roles: 12 engines
+/// join within 12 s, or leave, while requests are served, and all have the role of most engines or
+/// of few.
+#[rstest]
+#[case::prefill_engines_join([2, 2, 2], Role::Prefill, 0)]
+#[case::decode_engines_join([2, 2, 2], Role::Decode, 0)]
+#[case::prefill_engines_leave([2, 2, 2], Role::Prefill, 12)]
+#[case::decode_engines_leave([2, 2, 2], Role::Decode, 12)]
+fn engines_that_join_or_leave_change_few_roles(
+    #[case] decode_engines: [usize; 3],
+    #[case] role: Role,
+    #[case] joined_before: usize,
+) {
+    let mut plan = RolePlan::default();
+    let mut changes = 0;
+    for step in 0..120 {
+        let moved = (step / 2_usize).min(12);
+        let joined = joined_before.abs_diff(moved);
+        let mut all = engines(decode_engines);
+        for number in 0..joined {
+            all.push(PlannedEngine {
+                id: format!("joined-{number}").into(),
+                zone: ["a", "b", "c"][number % 3].into(),
+                role,
+            });
+        }
+        let now = START + Duration::from_millis(500) * step as u32;
+        changes += plan.changes(now, &all, &serving(20)).len();
+    }
+    assert!(changes <= 10, "{changes} changes within a minute");
+}
