Keep the regular servers while caches fill

The peak is now read anew after 10 s, and regular servers neither leave nor are added for a loss before. Surplus reclaimable servers leave all zones by one decision.

--- a/crates/wagtailarch-control/src/server_demand.rs
+++ b/crates/wagtailarch-control/src/server_demand.rs
@@ -11,6 +11,11 @@
 const BACKLOG_TIME: Duration = Duration::from_secs(1);
 /// Number of requests that one server decodes at the same time without slowing them down noticeably.
 const RUNNING_PER_SERVER: f64 = 40.0;
+/// Time after the first request in which the caches of the servers fill.
+///
+/// Each shared part of the prompts is read for the first time, which does not recur, so that the
+/// demand is more than twice the later one.
+const WARM_UP_TIME: Duration = Duration::from_secs(10);
 /// Bounds of the share of the servers that read prompts, so that a service whose roles are changing
 /// does not yield an extreme demand.
 const READING_SHARE_RANGE: (f64, f64) = (0.3, 0.8);
@@ -46,6 +51,8 @@
 pub(crate) struct DemandPeak {
     /// Time of the first reading.
     first_at: Option<Duration>,
+    /// Whether the caches count as filled; readings before do not count afterwards.
+    is_warm: bool,
     /// Readings within `AVERAGING_TIME`, as occupied servers.
     recent: VecDeque<(Duration, f64)>,
     /// Averages that no later one exceeds, so that the first is the peak.
@@ -55,7 +62,7 @@
 impl DemandPeak {
     /// Adds a reading; averages older than `keep` no longer count.
     pub(crate) fn add(&mut self, now: Duration, demand: &ServerDemand, keep: Duration) {
-        self.first_at.get_or_insert(now);
+        let first_at = *self.first_at.get_or_insert(now);
         self.recent.push_back((now, demand.occupied_servers()));
         drop_older(&mut self.recent, now.saturating_sub(AVERAGING_TIME));
         let sum: f64 = self.recent.iter().map(|(_, occupied)| occupied).sum();
@@ -63,6 +70,10 @@
         while self.peaks.back().is_some_and(|(_, peak)| *peak <= average) {
             self.peaks.pop_back();
         }
+        if !self.is_warm && now >= first_at + WARM_UP_TIME {
+            self.is_warm = true;
+            self.peaks.clear();
+        }
         self.peaks.push_back((now, average));
         drop_older(&mut self.peaks, now.saturating_sub(keep));
     }
@@ -72,10 +83,9 @@
         self.peaks.front().map(|(_, peak)| *peak)
     }
 
-    /// Returns for how long the demand has been read.
-    pub(crate) fn observed(&self, now: Duration) -> Duration {
-        self.first_at
-            .map_or(Duration::ZERO, |first_at| now.saturating_sub(first_at))
+    /// Returns whether the caches of the servers count as filled.
+    pub(crate) fn is_warm(&self) -> bool {
+        self.is_warm
     }
 }
 
--- a/crates/wagtailarch-control/src/server_orders.rs
+++ b/crates/wagtailarch-control/src/server_orders.rs
@@ -19,9 +19,11 @@
 /// Start-up times for which more servers than needed must be there before some leave: a server that
 /// leaves and is missed is back after one.
 const SURPLUS_START_TIMES: u32 = 2;
-/// Largest share of the regular servers of a zone that leave by one order, so that the roles of the
-/// others and the next readings follow.
-const MAX_LEAVING_SHARE: f64 = 0.25;
+/// Largest share of the regular servers of a zone that leave by one order.
+///
+/// As many as with one of three zones, whose loss is borne, so that the next readings show whether
+/// the others suffice.
+const MAX_LEAVING_SHARE: f64 = 0.33;
 /// Share by which servers that may be reclaimed exceed the need before some of them leave.
 const RECLAIMABLE_SURPLUS: f64 = 0.25;
 /// Shortest pause after a refused order, and in start-up times; the longer one applies.
@@ -195,7 +197,11 @@
         };
         let after_loss = (peak / MAX_OCCUPIED_AFTER_LOSS).ceil() as u32;
         let regular = self.regular_targets(now, input, after_loss);
-        let total = total_target(limits, peak).max(regular.iter().sum());
+        let total = match self.peak.is_warm() {
+            true => total_target(limits, peak).max(regular.iter().sum()),
+            // Caches of servers that join are empty as well.
+            false => after_loss.max(regular.iter().sum()),
+        };
         self.figures = OrderFigures {
             peak,
             after_loss,
@@ -291,7 +297,9 @@
         let caps: Vec<u32> = caps.collect();
         let mut targets: Vec<u32> = caps.iter().map(|&c| limits.min_servers.min(c)).collect();
         loop {
-            let lost = match input.bear_zone_loss && targets.len() > 1 {
+            // A loss while the caches fill is not borne by servers that serve only for this time.
+            let bears_loss = input.bear_zone_loss && self.peak.is_warm();
+            let lost = match bears_loss && targets.len() > 1 {
                 true => targets.iter().copied().max().unwrap_or(0),
                 false => 0,
             };
@@ -414,7 +422,7 @@
         let hold = limits.start_time * SURPLUS_START_TIMES;
         let mut zones = self.zones.values();
         let is_missing = zones.any(|zone| zone.regular.is_missing() || zone.lost());
-        if had_to_rise || is_missing || !input.complete || self.peak.observed(now) < hold {
+        if had_to_rise || is_missing || !input.complete || !self.peak.is_warm() {
             self.surplus_since = None;
             return Vec::new();
         }
@@ -461,31 +469,36 @@
         orders
     }
 
-    /// Returns an order that lets reclaimable servers leave the zone with the most of them.
+    /// Returns orders that let reclaimable servers leave the zones with the most of them.
     fn leaving_reclaimable(&self, limits: &ScalingLimits, regular: &[u32]) -> Vec<ServerOrder> {
         let wanted = self.wanted_reclaimable(limits, regular);
-        let present: u32 = self
-            .zones
-            .values()
-            .map(|zone| zone.reclaimable.present)
-            .sum();
+        let zones: Vec<_> = self.zones.iter().collect();
+        let counts = zones.iter().map(|(_, zone)| zone.reclaimable.present);
+        let mut counts: Vec<u32> = counts.collect();
         let kept = (f64::from(wanted) * (1.0 + RECLAIMABLE_SURPLUS)).ceil() as u32;
-        let zones = self.zones.iter();
-        let Some((name, zone)) = zones.max_by_key(|(_, zone)| zone.reclaimable.present) else {
-            return Vec::new();
-        };
-        let most = (f64::from(zone.reclaimable.present) * MAX_LEAVING_SHARE).ceil() as u32;
-        let leaving = present.saturating_sub(kept).min(most);
-        if leaving == 0 {
+        if counts.iter().sum::<u32>() <= kept {
             return Vec::new();
         }
-        vec![ServerOrder {
-            zone: name.clone(),
-            kind: ServerKind::Reclaimable,
-            count: zone.reclaimable.present - leaving,
-            present: zone.reclaimable.present,
-            reason: ServerOrderReason::Surplus,
-        }]
+        while counts.iter().sum::<u32>() > wanted
+            && let Some(most) = counts.iter_mut().max()
+        {
+            *most -= 1;
+        }
+        let mut orders = Vec::new();
+        for ((name, zone), count) in zones.into_iter().zip(counts) {
+            let present = zone.reclaimable.present;
+            if count == present {
+                continue;
+            }
+            orders.push(ServerOrder {
+                zone: name.clone(),
+                kind: ServerKind::Reclaimable,
+                count,
+                present,
+                reason: ServerOrderReason::Surplus,
+            });
+        }
+        orders
     }
 
     /// Returns the number of reclaimable servers that complete the regular ones to the wanted total.
