--- a/crates/wagtailarch-control/src/lib.rs
+++ b/crates/wagtailarch-control/src/lib.rs
@@ -19,6 +19,10 @@
 mod rollout;
 mod server_demand;
 mod server_orders;
+mod use_counter;
+mod use_keepers;
+mod use_report;
+mod use_sums;
 mod zone_status;
 
 pub use generation::GenerationTracker;
@@ -37,4 +41,8 @@
     OrderFigures, ServerKind, ServerOrder, ServerOrderOutcome, ServerOrderReason, ServerOrders,
     ServerOrdersInput, ZoneServers,
 };
+pub use use_counter::UseCounter;
+pub use use_keepers::use_keepers;
+pub use use_report::{UseReport, UseReporter};
+pub use use_sums::UseSums;
 pub use zone_status::ZoneStatus;
--- a/crates/wagtailarch-gateway/src/control.rs
+++ b/crates/wagtailarch-gateway/src/control.rs
@@ -11,6 +11,7 @@
 mod servers;
 mod sources;
 mod store_error;
+mod use_report;
 mod versions;
 mod watcher;
 
@@ -32,6 +33,7 @@
     metrics::Metrics,
     panic_handling::restart_on_panic,
     snapshot::Snapshot,
+    team_use::SharedUse,
     traffic_view::TrafficView,
 };
 
@@ -50,6 +52,8 @@
     pub store_address: SocketAddr,
     /// Time within which a new configuration must be in force.
     pub config_bound: Duration,
+    /// Whether requests with a key need a proof that the configuration is current.
+    pub is_proof_required: bool,
     /// Time after which a leaving server must receive no more requests.
     pub leaving_bound: Duration,
     /// Start of the process.
@@ -62,6 +66,8 @@
     pub traffic: Arc<TrafficView>,
     /// Calls that are the duty of one instance at a time; `None` if there are none.
     pub duties: Option<DutyCaller>,
+    /// Sums of the use of teams, joined by the traffic thread.
+    pub team_use: SharedUse,
 }
 
 impl ControlContext {
@@ -113,6 +119,7 @@
                     let (_, publisher) = shared();
                     versions::maintain_version_record(context.clone(), publisher)
                 };
+                let team_use = || use_report::report_use(context.clone());
                 let listener = Rc::new(listener);
                 let relay =
                     || relay::serve_relay(sources.relay.clone(), Rc::clone(&listener), log.clone());
@@ -124,6 +131,7 @@
                     restart_on_panic(log, "roles", roles),
                     restart_on_panic(log, "orders for servers", server_orders),
                     restart_on_panic(log, "record of software versions", versions),
+                    restart_on_panic(log, "reports of use", team_use),
                 );
             });
         })?;
