Order by chance of waits, and occupy servers by nine tenths after a loss

The total is now the peak and two and a half roots of it over the root of the price. An average over the start-up time instead of 2 s was tried: short waves were then not borne, so that it was dropped.

--- a/crates/wagtailarch-control/src/server_orders.rs
+++ b/crates/wagtailarch-control/src/server_orders.rs
@@ -10,8 +10,13 @@
 
 /// Largest share of the regular servers' time that the peak may take after a loss.
 ///
-/// The rest covers requests that are not spread evenly; above, waits grow quickly.
-const MAX_OCCUPIED_AFTER_LOSS: f64 = 0.75;
+/// The rest covers requests that are not spread evenly. Nearer to 1, the work of a peak waits until
+/// its end.
+const MAX_OCCUPIED_AFTER_LOSS: f64 = 0.9;
+/// Servers beyond the occupied ones that are worth the full price, in roots of those.
+///
+/// Demands vary by chance by about one root; with two and a half, waits for a server are rare.
+const SPARE_ROOTS: f64 = 2.5;
 /// Time for which a peak counts, and in start-up times; the longer one applies.
 ///
 /// Too few servers for one peak cost callers more than too many for a minute.
@@ -526,11 +531,10 @@
 
 /// Returns the number of servers of both kinds for a peak.
 ///
-/// The price of the servers falls with the share of their time that is occupied, and the waits rise
-/// with it about as fast; their sum is smallest at a share that follows the root of the price.
+/// Spare servers are worth their price as long as they shorten waits: cheaper ones for rarer waits.
 fn total_target(limits: &ScalingLimits, peak: f64) -> u32 {
     let price = limits.reclaimable_price.unwrap_or(1.0).clamp(0.1, 1.0);
-    (peak / (MAX_OCCUPIED_AFTER_LOSS * price.sqrt())).ceil() as u32
+    (peak + SPARE_ROOTS / price.sqrt() * peak.sqrt()).ceil() as u32
 }
 
 fn longer((shortest, start_times): (Duration, u32), limits: &ScalingLimits) -> Duration {
