--- a/crates/wagtailarch-gateway/src/control/server_orders.rs
+++ b/crates/wagtailarch-gateway/src/control/server_orders.rs
@@ -40,11 +40,13 @@
     count: u32,
 }
 
-/// Gives orders for the services for which this instance is designated, if its settings name the
-/// duty.
+/// Gives orders for the services for which this instance is designated, if its settings ask
+/// for them and name the duty.
 pub async fn manage_servers(context: ControlContext, published: watch::Receiver<Arc<Snapshot>>) {
     let duties = context.duties.clone();
-    let Some(caller) = duties.filter(|caller| caller.settings.includes(DutyKind::Scale)) else {
+    let Some(caller) = duties.filter(|caller| {
+        caller.settings.order_servers && caller.settings.includes(DutyKind::Scale)
+    }) else {
         // The task ends only with the process.
         return std::future::pending().await;
     };
--- a/crates/wagtailarch-gateway/src/duty_settings.rs
+++ b/crates/wagtailarch-gateway/src/duty_settings.rs
@@ -43,6 +43,9 @@
     /// Time in seconds after the end of a window within which its report is due; from 1 to 86400.
     #[serde(default = "default_usage_late_s")]
     usage_late_s: f64,
+    /// Whether servers are ordered where the duty is among `kinds`; off unless the operators set it.
+    #[serde(default)]
+    pub order_servers: bool,
 }
 
 impl DutySettings {
