--- a/crates/wagtailarch-control/src/lib.rs
+++ b/crates/wagtailarch-control/src/lib.rs
@@ -17,6 +17,8 @@
 mod planner_capacity;
 mod planner_demand;
 mod rollout;
+mod server_demand;
+mod server_orders;
 mod use_counter;
 mod use_keepers;
 mod use_report;
@@ -34,6 +36,11 @@
     ChangeReason, Demand, Planner, PlannerConfig, PlannerGroup, RoleChange, ZoneEngine, ZoneView,
 };
 pub use rollout::{Rollout, RolloutAction, RolloutEngine, RolloutGroup, RolloutView};
+pub use server_demand::ServerDemand;
+pub use server_orders::{
+    OrderFigures, ServerKind, ServerOrder, ServerOrderOutcome, ServerOrderReason, ServerOrders,
+    ServerOrdersInput, ZoneServers,
+};
 pub use use_counter::UseCounter;
 pub use use_keepers::use_keepers;
 pub use use_report::{UseReport, UseReporter};
--- a/crates/wagtailarch-dispatch/src/routing.rs
+++ b/crates/wagtailarch-dispatch/src/routing.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 use wagtailarch_fleet::Team;
 use wagtailarch_traffic::{KeyRing, SharedKey};
-use wagtailarch_types::{Generation, HashedKey, ServiceName};
+use wagtailarch_types::{Generation, HashedKey, ScalingLimits, ServiceName};
 
 use crate::RequestKind;
 
@@ -87,6 +87,8 @@
     pub max_connections: u32,
     /// Properties of the service's engines; absent for plain services.
     pub engine: Option<EngineProperties>,
+    /// How servers of the service may be ordered; absent if they cannot be ordered.
+    pub scaling: Option<ScalingLimits>,
 }
 
 /// Properties that all engines of a service share.
@@ -200,6 +202,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> &IndexMap<ServiceName, ServiceConfig> {
+        &self.services
+    }
+
     /// Returns the shortest gap objective among the routes of a service.
     pub fn gap_objective(&self, service: &ServiceName) -> Option<Duration> {
         self.gap_objectives.get(service).copied()
--- a/crates/wagtailarch-types/src/lib.rs
+++ b/crates/wagtailarch-types/src/lib.rs
@@ -7,6 +7,7 @@
 mod id;
 mod outcome;
 mod role;
+mod scaling;
 mod urgency;
 
 pub use duty::{DutyKind, DutySubject};
@@ -18,4 +19,5 @@
 };
 pub use outcome::{Ran, RefusalReason, RetryReason};
 pub use role::{Assignment, BackendKind, BackendState, Phase, Priority, Role};
+pub use scaling::ScalingLimits;
 pub use urgency::Urgency;
