Learn the pace of servers and place by it

Cause: plain servers were chosen by load alone, and an engine's pace was learned with a weight of 0.08 from prompts at idle engines only. On liga a third of the engines take about 1.6 of the expected time, two thirds 0.9, and machines slow down by 2.5 for parts of a second.

Change: ServerPace holds a figure for each server, learned from completed work in the unit of its service's usual time; the machine's stated figure is divided out of samples and counts for some hundred milliseconds.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -50,7 +50,9 @@
 pub use routing::{
     ClientLimits, EngineProperties, Route, RouteTarget, RoutingConfig, ServiceConfig,
 };
-pub use servers::{BackendServer, ServerEndpoint, ServerHealth, ServerProcess, version_key};
+pub use servers::{
+    BackendServer, ServerEndpoint, ServerHealth, ServerPace, ServerProcess, UsualTime, version_key,
+};
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
 pub use time_left::TimeLeft;
 pub use wagtailarch_types::Urgency;
--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -15,7 +15,7 @@
 use crate::{
     BackendServer, EngineState, GenerationRequest, LeavingServers, LimitMembers, Placement,
     PrefillNumber, PrefillSpeed, RateLimit, RoleDemand, RoutingConfig, ServerEndpoint,
-    ServerProcess, Urgency, placing::placement, servers::backend::Backend,
+    ServerProcess, Urgency, UsualTime, placing::placement, servers::backend::Backend,
 };
 
 use engine_load::OwnPrefill;
@@ -25,6 +25,9 @@
 const FAILURE_LOAD: f64 = 3.0;
 /// Cost of a plain server in another availability zone, in load per slot.
 const OTHER_ZONE_LOAD: f64 = 0.3;
+/// Weight of the time of one request in the pace of a plain server; the requests of one service differ
+/// by far more than the prompts of engines, whose length is known.
+const PLAIN_SAMPLE_WEIGHT: f64 = 0.2;
 /// Cost in milliseconds of an engine that fails every request.
 const FAILURE_MS: f64 = 1_500.0;
 
@@ -44,6 +47,8 @@
     next_prefill: PrefillNumber,
     /// Measured prefill speed of the engines of each service.
     prefill_speeds: HashMap<ServiceName, PrefillSpeed>,
+    /// Usual time of a request at the servers of each plain service.
+    usual_times: HashMap<ServiceName, UsualTime>,
     /// Keys of the engines that the last note of each peer contained. Besides the engines of the
     /// next note, only these can change.
     reported_engines: IndexMap<InstanceId, IndexSet<u32>>,
@@ -135,9 +140,11 @@
         rank: PermitRank,
         excluded: &[InstanceId],
     ) -> Option<ServerEndpoint> {
+        let usual = self.usual_times.get(service).and_then(UsualTime::seconds);
+        let usual_s = usual.unwrap_or_default();
         let usable = self.usable(now, service, rank, excluded);
         let best = usable.min_by(|a, b| {
-            let cost = |backend: &Backend| plain_cost(now, backend, zone);
+            let cost = |backend: &Backend| plain_cost(now, backend, zone, usual_s);
             cost(a).total_cmp(&cost(b))
         })?;
         Some(best.server.endpoint())
@@ -252,6 +259,36 @@
         }
     }
 
+    /// Records the time that work takes on a server's machine at this moment, in percent of the usual
+    /// time, as the server states it.
+    pub fn on_stated_pace(&mut self, now: Duration, id: &InstanceId, percent: u32) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.pace_mut().on_stated(now, percent);
+        }
+    }
+
+    /// Records a request that a plain server completed within `took`.
+    pub fn on_plain_completed(&mut self, now: Duration, id: &InstanceId, took: Duration) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        let took_s = took.as_secs_f64();
+        let service = backend.server.service.clone();
+        let usual = self.usual_times.entry(service).or_default();
+        usual.add(took_s / backend.pace.momentary(now));
+        if let Some(usual_s) = usual.seconds() {
+            backend
+                .pace
+                .on_completed(now, took_s, usual_s, PLAIN_SAMPLE_WEIGHT);
+        }
+    }
+
+    /// Returns the expected pace of an engine relative to its service, for logs.
+    pub fn engine_pace(&self, now: Duration, id: &InstanceId) -> Option<f64> {
+        let engine = self.backends.get(id)?.engine.as_ref();
+        engine.map(|engine| engine.relative_pace(now))
+    }
+
     /// Records a response that shows that a server works.
     pub fn on_success(&mut self, now: Duration, id: &InstanceId) {
         if let Some(backend) = self.backends.get_mut(id) {
@@ -402,6 +439,7 @@
         server: server.clone(),
         version_key: server.version_key(),
         health: Default::default(),
+        pace: Default::default(),
         health_before_loss: None,
         in_flight: 0,
         max_connections: 0,
@@ -430,11 +468,12 @@
     backend
 }
 
-/// Returns the cost of selecting a plain server, in load per slot.
+/// Returns the cost of selecting a plain server: the expected time, in usual times of a request, of
+/// which each request per slot adds one.
 ///
 /// The load that the server reported counts half and at most as one request per slot; the load from
 /// this instance counts fully.
-fn plain_cost(now: Duration, backend: &Backend, zone: &ZoneName) -> f64 {
+fn plain_cost(now: Duration, backend: &Backend, zone: &ZoneName, usual_s: f64) -> f64 {
     let slots = f64::from(backend.server.slots.max(1));
     let own_load = f64::from(backend.in_flight) / slots;
     let zone_cost = if backend.server.zone == *zone {
@@ -442,7 +481,9 @@
     } else {
         OTHER_ZONE_LOAD
     };
-    own_load.max(backend.reported_load.min(1.0) * 0.5)
+    let load = own_load.max(backend.reported_load.min(1.0) * 0.5);
+    // The request itself takes the time of one more.
+    (1.0 + load) * backend.pace.at(now, usual_s)
         + backend.health.failure_rate(now) * FAILURE_LOAD
         + zone_cost
 }
--- a/crates/wagtailarch-dispatch/src/placing/prefill_queue.rs
+++ b/crates/wagtailarch-dispatch/src/placing/prefill_queue.rs
@@ -42,6 +42,8 @@
     pub urgency: Urgency,
     /// Time at which the prompt was added.
     pub added_at: Duration,
+    /// Predicted wait at that time.
+    pub wait: Duration,
     /// Whether the queue was empty at that time.
     pub queue_was_empty: bool,
     /// Time at which the prompt expires.
@@ -77,11 +79,13 @@
         if urgency == Urgency::OnTime {
             self.urgent_utilization.add(now, work);
         }
-        let expected = self.wait(now, urgency) + work;
+        let wait = self.wait(now, urgency);
+        let expected = wait + work;
         let prompt = QueuedPrompt {
             work,
             urgency,
             added_at: now,
+            wait,
             queue_was_empty: self.prompts.is_empty(),
             expires_at: now + expected * 3 + EXPIRY_MARGIN,
         };
--- a/crates/wagtailarch-dispatch/src/servers/backend.rs
+++ b/crates/wagtailarch-dispatch/src/servers/backend.rs
@@ -2,7 +2,10 @@
 
 use wagtailarch_types::{InstanceId, VersionKey};
 
-use crate::{BackendServer, EngineState, LimitStatement, PermitBucket, PermitHolder, ServerHealth};
+use crate::{
+    BackendServer, EngineState, LimitStatement, PermitBucket, PermitHolder, ServerHealth,
+    ServerPace,
+};
 
 /// Number of connections that each instance may open to a server, regardless of the number of
 /// instances.
@@ -15,6 +18,8 @@
     /// Key of the server's software version.
     pub version_key: VersionKey,
     pub health: ServerHealth,
+    /// Pace of a plain server; an engine's is in its state.
+    pub pace: ServerPace,
     /// Health at the time at which the path to the service was suspected to be lost; absent while it
     /// is direct.
     pub health_before_loss: Option<ServerHealth>,
@@ -46,4 +51,12 @@
         let share = (self.max_connections / instances.max(1)).max(MIN_CONNECTIONS);
         self.max_connections > 0 && self.in_flight >= share
     }
+
+    /// Returns the pace of the server, to update it.
+    pub(crate) fn pace_mut(&mut self) -> &mut ServerPace {
+        match &mut self.engine {
+            Some(engine) => &mut engine.pace,
+            None => &mut self.pace,
+        }
+    }
 }
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -219,6 +219,9 @@
     if let Some(load) = facts.load {
         let mut load_balancer = gateway.load_balancer.borrow_mut();
         load_balancer.on_load_report(id, load.running, load.waiting, load.slots);
+        if let Some(percent) = load.pace_percent {
+            load_balancer.on_stated_pace(gateway.now(), id, percent);
+        }
     }
     gateway.on_named_limit(id, sent_at, facts.rate_limit);
     if let Some(failure) = response_failure(&parts, &facts, &call.step) {
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -167,6 +167,7 @@
     permit: Permit,
 ) -> Result<Response<ResponseBody>, CallFailure> {
     let gateway = &context.gateway;
+    let sent_at = gateway.now();
     let mut response = send(context, call, permit).await?;
     let head = response.take_head();
     let body = collect_body(context, call, response, context.time_left()).await?;
@@ -177,10 +178,10 @@
             .borrow_mut()
             .on_failure(now, &call.server.id);
     } else {
-        gateway
-            .load_balancer
-            .borrow_mut()
-            .on_success(now, &call.server.id);
+        let mut load_balancer = gateway.load_balancer.borrow_mut();
+        load_balancer.on_success(now, &call.server.id);
+        load_balancer.on_plain_completed(now, &call.server.id, now.saturating_sub(sent_at));
+        drop(load_balancer);
         gateway.quarantine.on_completed(context.fingerprint);
     }
     gateway
