Send slow repeatable requests to a second server within a share

A few slow answers decide the worst percentiles of plain requests. With the new setting second_call_share above 0, a repeatable request whose call is slower than nearly all completed calls of its service, kind and size goes to a second server; the first good answer ends the other call. Off by default. No measurement yet.

--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod relays;
 mod request;
 mod routing;
+mod second_calls;
 mod servers;
 mod shutdown;
 mod time_left;
@@ -50,6 +51,7 @@
 pub use routing::{
     ClientLimits, EngineProperties, Route, RouteTarget, RoutingConfig, ServiceConfig,
 };
+pub use second_calls::{CallClass, EndedCall, SecondCallDenial, SecondCalls, SizeClass, SlowCall};
 pub use servers::{BackendServer, ServerEndpoint, ServerHealth, ServerProcess, version_key};
 pub use shutdown::{ShutdownPhase, ShutdownPlan};
 pub use time_left::TimeLeft;
--- a/crates/wagtailarch-dispatch/src/limits/retry_window.rs
+++ b/crates/wagtailarch-dispatch/src/limits/retry_window.rs
@@ -16,6 +16,9 @@
 /// the one after it together stay below the whole.
 const SLACK_SHARE: f64 = 0.4;
 
+/// Share of an instance's retries that second calls leave to the retries of failed calls.
+const FAILED_CALLS_SHARE: f64 = 0.5;
+
 /// The retry budget of all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SharedRetryBudget {
@@ -81,15 +84,42 @@
 
     /// Returns whether a retry is left in the budget.
     pub fn may_retry(&mut self, now: Duration, budget: &SharedRetryBudget) -> bool {
+        let (retries, allowed) = self.used_and_allowed(now, budget);
+        retries + 1.0 <= allowed
+    }
+
+    /// Takes one retry for a second call, whose first call has not failed; returns false if what is
+    /// left is kept for failed calls.
+    pub fn try_second_call(&mut self, now: Duration, budget: &SharedRetryBudget) -> bool {
+        if !self.may_spare(now, budget) {
+            return false;
+        }
+        self.bucket(now, budget).retries += 1;
+        true
+    }
+
+    /// Returns whether a retry is left besides those that are kept for failed calls.
+    pub fn may_spare(&mut self, now: Duration, budget: &SharedRetryBudget) -> bool {
+        let (retries, allowed) = self.used_and_allowed(now, budget);
+        retries + 1.0 <= allowed * (1.0 - FAILED_CALLS_SHARE)
+    }
+
+    /// Returns the number of requests in the window.
+    pub fn requests(&mut self, now: Duration, budget: &SharedRetryBudget) -> u32 {
         self.bucket(now, budget);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        self.buckets.iter().map(|bucket| bucket.requests).sum()
+    }
+
+    /// Returns the retries of the window and those that this instance may make in it.
+    fn used_and_allowed(&mut self, now: Duration, budget: &SharedRetryBudget) -> (f64, f64) {
+        let requests = self.requests(now, budget);
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let ratio_share = match budget.counted_for < budget.window {
             true => FIRST_RATIO_SHARE,
             false => RATIO_SHARE,
         };
         let allowed = f64::from(requests) * budget.ratio * ratio_share + budget.own_slack();
-        f64::from(retries) + 1.0 <= allowed
+        (f64::from(retries), allowed)
     }
 
     /// Returns the bucket of `now` after removing those outside the window.
--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -5,6 +5,7 @@
 
 mod engine_load;
 mod limits;
+mod second_server;
 
 use std::{collections::HashMap, time::Duration};
 
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -1,6 +1,6 @@
 //! One call to a backend server.
 
-use std::time::Duration;
+use std::{cell::Cell, pin::pin, time::Duration};
 
 use http::{Response, StatusCode, header, response};
 use http_body_util::Full;
@@ -55,6 +55,8 @@
     pub resume_after: Option<u64>,
     /// Time within which the head of the response must arrive.
     pub head_limit: Duration,
+    /// Whether the head is awaited beyond that time, since a second call runs beside this one.
+    pub is_kept: Cell<bool>,
 }
 
 /// A response whose body has not been read.
@@ -185,8 +187,12 @@
     let sent_at = gateway.now();
     context.open.on_sent(sent_at, id);
     let request = head.map(|()| Full::new(context.body.bytes.clone()));
-    let sent = connection.sender.send_request(request);
-    let response = match timeout(call.head_limit, sent).await {
+    let mut sent = pin!(connection.sender.send_request(request));
+    let mut response = timeout(call.head_limit, sent.as_mut()).await;
+    if response.is_err() && call.is_kept.get() {
+        response = timeout(context.time_left(), sent).await;
+    }
+    let response = match response {
         Err(_) => {
             gateway
                 .load_balancer
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -11,8 +11,8 @@
 use slog::{Logger, info};
 use tokio::{net::UdpSocket, sync::watch};
 use wagtailarch_dispatch::{
-    LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, ServerProcess,
-    SharedRetryBudget, ShutdownPlan,
+    LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, SecondCalls,
+    ServerProcess, SharedRetryBudget, ShutdownPlan,
 };
 use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{BootId, InstanceId, ServiceName};
@@ -78,6 +78,8 @@
     stopping_since: Cell<Option<Duration>>,
     snapshot: RefCell<Arc<Snapshot>>,
     retry_windows: RefCell<IndexMap<ServiceName, RetryWindow>>,
+    /// Decides about calls to a second server.
+    pub second_calls: RefCell<SecondCalls>,
     /// Since when the retry windows have been counting; the start of the process is zero.
     retries_counted_since: Cell<Duration>,
     reloadable_settings: Cell<ReloadableSettings>,
@@ -152,6 +154,7 @@
             stopping_since: Cell::default(),
             snapshot: RefCell::default(),
             retry_windows: RefCell::default(),
+            second_calls: RefCell::default(),
             retries_counted_since: Cell::default(),
             epoch,
         }
@@ -240,6 +243,12 @@
     pub fn count_request(&self, service: &ServiceName) {
         self.traffic.on_request(self.now());
         self.with_retry_window(service, RetryWindow::on_request);
+        let share = self.reloadable_settings().second_call_share;
+        if share > 0.0 {
+            let window_requests = self.with_retry_window(service, RetryWindow::requests);
+            let mut second_calls = self.second_calls.borrow_mut();
+            second_calls.on_request(service, share, window_requests);
+        }
     }
 
     /// Returns whether the budget of a service allows a retry.
@@ -256,6 +265,20 @@
         taken
     }
 
+    /// Returns whether the budget of a service has a retry besides those for failed calls.
+    pub fn may_spare_retry(&self, service: &ServiceName) -> bool {
+        self.with_retry_window(service, RetryWindow::may_spare)
+    }
+
+    /// Takes one retry for a second call from the budget of a service; returns whether one was left.
+    pub fn try_second_call(&self, service: &ServiceName) -> bool {
+        let taken = self.with_retry_window(service, RetryWindow::try_second_call);
+        if taken {
+            self.metrics.count_repeat();
+        }
+        taken
+    }
+
     /// Records that a response of a server states that it leaves: nothing more is sent there, whatever
     /// its registration says.
     pub fn on_stated_leaving(&self, process: ServerProcess, source: LeavingSource) {
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -1,7 +1,7 @@
 //! Generations on the users' platform: selection of the prefill and decode engines, and retries
 //! after failures.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use http::{Response, StatusCode};
 use slog::{debug, info};
@@ -212,6 +212,7 @@
                 true => plan.attempt_timeout(context.stream_time_left().for_call()),
                 false => context.time_left(),
             },
+            is_kept: Cell::new(false),
         };
         // Evidence may have arrived during the prefill or while a permit was awaited.
         context.judge_parts(attempts.ran())?;
@@ -419,6 +420,7 @@
             true => context.time_left(),
             false => plan.attempt_timeout(context.stream_time_left().for_call()),
         },
+        is_kept: Cell::new(false),
     };
     let sent_at = context.gateway.now();
     let handle = request_prefill(context, &call, permit).await;
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod reload;
 mod request_context;
 mod response_body;
+mod second_call;
 mod server;
 mod settings;
 mod snapshot;
--- a/crates/wagtailarch-gateway/src/metrics.rs
+++ b/crates/wagtailarch-gateway/src/metrics.rs
@@ -11,7 +11,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
-use wagtailarch_dispatch::{LoadBalancer, RequestKind};
+use wagtailarch_dispatch::{LoadBalancer, RequestKind, SecondCallDenial};
 use wagtailarch_telemetry::{LabeledCounters, OutcomeCounters, register_counters};
 
 /// Upper bounds in seconds of the buckets for the time to a response or to the first event.
@@ -110,6 +110,32 @@
     }
 }
 
+/// What happened to calls to a second server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SecondCallEvent {
+    /// The call was sent.
+    Sent,
+    /// Its response went to the client.
+    Won,
+    /// It was cancelled, since the first call was answered or the client has left.
+    Cancelled,
+    /// It failed, or the first call failed and it did not succeed.
+    Failed,
+}
+
+impl SecondCallEvent {
+    const ALL: [Self; 4] = [Self::Sent, Self::Won, Self::Cancelled, Self::Failed];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Won => "won",
+            Self::Cancelled => "cancelled",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Numbers of open requests and connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OpenCounts {
@@ -135,6 +161,9 @@
     requests: LabeledCounters,
     client_gone: Counter,
     repeats: Counter,
+    second_calls: LabeledCounters,
+    second_calls_denied: LabeledCounters,
+    second_call_time: Counter<f64, AtomicU64>,
     open_requests: Gauge,
     open_connections: Gauge,
     generation: Gauge,
@@ -186,6 +215,16 @@
         let repeats = Counter::default();
         let help = "Calls taken from the retry budgets of services";
         r.register("repeats", help, repeats.clone());
+        let events = SecondCallEvent::ALL.map(SecondCallEvent::as_str);
+        let help = "Calls to a second server while the first one was slow";
+        let second_calls = register_counters(r, "second_calls", help, "event", &events);
+        let reasons = SecondCallDenial::ALL.map(SecondCallDenial::as_str);
+        let help = "Slow calls without a call to a second server";
+        let second_calls_denied =
+            register_counters(r, "second_calls_denied", help, "reason", &reasons);
+        let second_call_time = Counter::default();
+        let help = "Time of the servers that second calls took";
+        r.register("second_call_seconds", help, second_call_time.clone());
         let path_probes = Counter::default();
         let help = "Connections that only show whether a path is there";
         r.register("path_probes", help, path_probes.clone());
@@ -231,6 +270,9 @@
             requests,
             client_gone,
             repeats,
+            second_calls,
+            second_calls_denied,
+            second_call_time,
             open_requests,
             open_connections,
             generation,
@@ -265,6 +307,25 @@
         self.repeats.inc();
     }
 
+    /// Counts an event of a call to a second server.
+    pub fn count_second_call(&self, event: SecondCallEvent) {
+        self.second_calls
+            .get_or_create(&[("event", event.as_str())])
+            .inc();
+    }
+
+    /// Counts a slow call that was not sent to a second server.
+    pub fn count_second_call_denied(&self, denial: SecondCallDenial) {
+        self.second_calls_denied
+            .get_or_create(&[("reason", denial.as_str())])
+            .inc();
+    }
+
+    /// Adds the time from a second call to its end.
+    pub fn add_second_call_time(&self, time: Duration) {
+        self.second_call_time.inc_by(time.as_secs_f64());
+    }
+
     /// Counts a call to the store.
     pub fn count_store_call(&self, call: StoreCall) {
         self.store_calls
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -1,6 +1,6 @@
 //! Requests to plain services.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use http::Response;
 use slog::debug;
@@ -15,10 +15,11 @@
     refusal::{DEFAULT_RETRY_AFTER, Refusal},
     request_context::RequestContext,
     response_body::ResponseBody,
+    second_call::{self, CallOutcome},
 };
 
 /// Maximum number of servers to which one request is sent, including those that did not run it.
-const MAX_SERVERS: usize = 4;
+pub const MAX_SERVERS: usize = 4;
 /// Fraction of the objective for which a repeatable request waits for its first server.
 const FIRST_SERVER_FRACTION: f64 = 0.8;
 
@@ -57,19 +58,31 @@
         calls += 1;
         let call = Call {
             head_limit: head_limit(&context, calls, &excluded),
+            is_kept: Cell::new(false),
             server: selected,
             step: CallStep::Whole,
             priority: None,
             resume_after: context.client.resume_after,
         };
-        let failure = match attempt(&context, &call, permit).await {
-            Ok(response) if !response.status().is_server_error() => return response,
+        let round = second_call::attempt(&context, &call, permit, &mut excluded, &mut calls).await;
+        let mut failure_of = |outcome: CallOutcome| match outcome {
             Ok(response) => {
                 error_response = Some(response);
                 CallFailure::SERVER_ERROR
             }
             Err(failure) => failure,
         };
+        if let Some(other) = round.other_failure {
+            let failure = failure_of(other);
+            if failure.ran != Ran::No {
+                context.possible_runs.update(|runs| runs + 1);
+            }
+            ran = RetryPolicy::combine(ran, failure.ran);
+        }
+        let failure = match round.outcome {
+            Ok(response) if !response.status().is_server_error() => return response,
+            outcome => failure_of(outcome),
+        };
         if failure.ran != Ran::No {
             context.possible_runs.update(|runs| runs + 1);
         }
@@ -161,7 +174,7 @@
 }
 
 /// Sends a request to one server and buffers its whole response.
-async fn attempt(
+pub async fn attempt(
     context: &RequestContext,
     call: &Call,
     permit: Permit,
--- a/crates/wagtailarch-gateway/src/reload.rs
+++ b/crates/wagtailarch-gateway/src/reload.rs
@@ -76,7 +76,8 @@
     }
     info!(gateway.log, "settings taken over"; "grace_ms" => reloadable.grace.as_millis() as u64,
         "retry_ratio" => reloadable.retry_ratio, "retry_slack" => reloadable.retry_slack,
-        "retry_window_ms" => reloadable.retry_window.as_millis() as u64);
+        "retry_window_ms" => reloadable.retry_window.as_millis() as u64,
+        "second_call_share" => reloadable.second_call_share);
 }
 
 /// Returns the modification time of a file; a missing file is reported when it is read.
--- a/crates/wagtailarch-gateway/src/settings.rs
+++ b/crates/wagtailarch-gateway/src/settings.rs
@@ -40,6 +40,10 @@
     retry_slack: f64,
     /// Length in seconds of the retry window; from 0.1 to 3600.
     retry_window_s: f64,
+    /// Share of a service's requests that may be sent a second time while their first call is slow,
+    /// over all instances; from 0 to 0.2, and 0 for none.
+    #[serde(default)]
+    second_call_share: f64,
 }
 
 /// The settings that take effect while the process runs.
@@ -53,6 +57,8 @@
     pub retry_slack: f64,
     /// Length of the retry window.
     pub retry_window: Duration,
+    /// Share of a service's requests that may be sent a second time; 0 for none.
+    pub second_call_share: f64,
 }
 
 /// Why settings are invalid.
@@ -89,6 +95,7 @@
             retry_ratio: self.retry_ratio,
             retry_slack: self.retry_slack,
             retry_window: Duration::from_secs_f64(self.retry_window_s),
+            second_call_share: self.second_call_share,
         }
     }
 
@@ -99,6 +106,7 @@
             retry_ratio: self.retry_ratio,
             retry_slack: self.retry_slack,
             retry_window_s: self.retry_window_s,
+            second_call_share: self.second_call_share,
             ..newer.clone()
         };
         *self != with_own_reloadable
@@ -124,6 +132,9 @@
         if !(0.1..=3_600.0).contains(&self.retry_window_s) {
             return out_of_range("retry_window_s", "0.1 to 3600 seconds");
         }
+        if !(0.0..=0.2).contains(&self.second_call_share) {
+            return out_of_range("second_call_share", "0 to 0.2");
+        }
         Ok(())
     }
 }
