--- a/crates/wagtailarch-dispatch/src/placing/load_balancer/second_server.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer/second_server.rs
@@ -30,23 +30,25 @@
         Some(best.server.endpoint())
     }
 
-    /// Returns the load of the available servers of a service in requests per slot; infinite without
+    /// Returns the share of the slots of a service's available servers that are taken; 1 without
     /// servers.
+    ///
+    /// What waits at one server takes no room at the others.
     pub fn service_load(&self, now: Duration, service: &ServiceName) -> f64 {
-        let (mut load, mut slots) = (0.0, 0.0);
+        let (mut taken, mut slots) = (0.0, 0.0);
         for backend in self.available(now, service, &[]) {
             let own_slots = f64::from(backend.server.slots.max(1));
             let own_load = match backend.at_connection_limit(self.instances) {
-                true => load_per_slot(backend).max(FULL_LOAD),
-                false => load_per_slot(backend),
+                true => FULL_LOAD,
+                false => load_per_slot(backend).min(FULL_LOAD),
             };
-            load += own_load * own_slots;
+            taken += own_load * own_slots;
             slots += own_slots;
         }
         if slots == 0.0 {
-            return f64::INFINITY;
+            return FULL_LOAD;
         }
-        load / slots
+        taken / slots
     }
 
     /// Returns the servers of a service that are not in backoff.
--- a/crates/wagtailarch-dispatch/src/second_calls.rs
+++ b/crates/wagtailarch-dispatch/src/second_calls.rs
@@ -16,8 +16,8 @@
 use second_credit::SecondCredit;
 use server_pace::ServerPace;
 
-/// Load in requests per slot of a service's servers from which no second calls are sent: above it
-/// requests wait for slots, and extra work lengthens the waits of others.
+/// Share of the slots of a service's servers that are taken from which no second calls are sent: above
+/// it requests wait for slots, and extra work lengthens the waits of others.
 const MAX_SERVICE_LOAD: f64 = 0.7;
 /// Share of a service's servers that are slow at the same time from which the service as a whole is
 /// slow; another server is then hardly quicker.
@@ -55,7 +55,7 @@
     pub time_left: Duration,
     /// Whether the retry budget has a retry left besides those kept for failed calls.
     pub has_spare_retry: bool,
-    /// Load of the service's servers in requests per slot.
+    /// Share of the slots of the service's servers that are taken.
     pub service_load: f64,
 }
 
--- a/crates/wagtailarch-dispatch/src/second_calls/call_times.rs
+++ b/crates/wagtailarch-dispatch/src/second_calls/call_times.rs
@@ -4,8 +4,9 @@
 
 use hdrhistogram::Histogram;
 
-/// Number of calls below which no quantile is known.
-const MIN_CALLS: u64 = 30;
+/// Number of calls below which no quantile is known: one call in eleven exceeds the longest of ten, and
+/// the share bounds how many of them are sent a second time.
+const MIN_CALLS: u64 = 10;
 /// Time after which calls move to the older half, if there are enough newer ones.
 const PERIOD: Duration = Duration::from_secs(60);
 /// Unit of the recorded times in microseconds.
