--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -5,6 +5,7 @@
 
 mod engine_load;
 mod limits;
+mod second_server;
 
 use std::{collections::HashMap, time::Duration};
 
@@ -157,8 +158,7 @@
         rank: PermitRank,
         excluded: &[InstanceId],
     ) -> Option<ServerEndpoint> {
-        let usual = self.usual_times.get(service).and_then(UsualTime::seconds);
-        let usual_s = usual.unwrap_or_default();
+        let usual_s = self.usual_s(service);
         let usable = self.usable(now, service, rank, excluded);
         let best = usable.min_by(|a, b| {
             let cost = |backend: &Backend| plain_cost(now, backend, zone, usual_s);
@@ -167,6 +167,12 @@
         Some(best.server.endpoint())
     }
 
+    /// Returns the usual time of a plain request of a service in seconds; 0 while it is not known.
+    fn usual_s(&self, service: &ServiceName) -> f64 {
+        let usual = self.usual_times.get(service);
+        usual.and_then(UsualTime::seconds).unwrap_or_default()
+    }
+
     /// Places a generation on engines of a service that are not in `excluded`.
     ///
     /// The engines of a generation have one software version, since what two versions write does not
--- a/crates/wagtailarch-dispatch/tests/load_note.rs
+++ b/crates/wagtailarch-dispatch/tests/load_note.rs
@@ -70,7 +70,7 @@
     ];
     balancer.apply(&servers, &config());
     let service = ServiceName::from(ENGINES);
-    let mut take = |balancer: &mut LoadBalancer, now| balancer.take_engine_use(now)[&service];
+    let take = |balancer: &mut LoadBalancer, now| balancer.take_engine_use(now)[&service];
     let start = Duration::from_secs(1);
     take(&mut balancer, start);
     // Each prompt of a note takes 100 ms.
