--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -5,6 +5,7 @@
 
 mod engine_load;
 mod limits;
+mod weighing;
 
 use std::{collections::HashMap, time::Duration};
 
--- a/crates/wagtailarch-dispatch/src/placing/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placing/placement.rs
@@ -1,6 +1,8 @@
 //! Placement of generations: the selection of the engines that prefill the prompt and decode the
 //! output.
 
+mod weighing;
+
 use std::{cmp::Reverse, time::Duration};
 
 use indexmap::IndexMap;
@@ -11,6 +13,8 @@
 use crate::PrefillSpeed;
 use crate::{EngineState, PrefixLink, ServerEndpoint, servers::backend::Backend};
 
+pub(crate) use weighing::weigh;
+
 /// Overhead of one call to an engine: connection setup and the round trip. It does not scale with
 /// the speed of the engine.
 const CALL_OVERHEAD_MS: f64 = 3.0;
@@ -242,11 +246,7 @@
     request: &GenerationRequest<'_>,
     engines: impl Iterator<Item = &'a Backend>,
 ) -> Placement {
-    let mut versions: IndexMap<VersionKey, Vec<&Backend>> = IndexMap::new();
-    for engine in engines {
-        versions.entry(engine.version_key).or_default().push(engine);
-    }
-    let versions: Vec<_> = versions.into_values().collect();
+    let versions = by_version(engines);
     let preferred = place_among(now, request, &versions, MAX_CANDIDATES);
     let most = versions.iter().map(Vec::len).max().unwrap_or(0);
     match &preferred {
@@ -256,6 +256,15 @@
     }
 }
 
+/// Groups engines by their software version.
+fn by_version<'a>(engines: impl Iterator<Item = &'a Backend>) -> Vec<Vec<&'a Backend>> {
+    let mut versions: IndexMap<VersionKey, Vec<&Backend>> = IndexMap::new();
+    for engine in engines {
+        versions.entry(engine.version_key).or_default().push(engine);
+    }
+    versions.into_values().collect()
+}
+
 /// Places a generation on the `limit` engines of each software version and role that its prompt
 /// prefers.
 fn place_among(
