Explain where a request would go now, without sending it

Operators could not see why a request was refused or which server it would reach without sending it. wagtailctl explain posts the request, read from a file or standard input, to /explain at the metrics address of an instance. The answer names route, team, service, the decision and the servers or engines that were compared, with the figures that decide. Keys appear nowhere.

--- a/crates/wagtailarch-cli/src/args.rs
+++ b/crates/wagtailarch-cli/src/args.rs
@@ -1,6 +1,7 @@
 //! Parsing of the command line.
 
 use std::ffi::OsString;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -23,8 +24,12 @@
   get                                 print the configuration in force as a fleet file
   status [--wait] [--generation <n>]  tell whether a generation is in force everywhere
   hash-key                            read a bearer key from standard input and print its key_hash
+  explain [<file>]                    tell where a request would go now, and why, without sending it;
+                                      the file, or standard input, holds the request as a client
+                                      sends it: request line, headers, empty line, body
 
 options:
+  --instance <http://ip:port>  metrics address of an entry instance; for explain
   --platform <http://ip:port>  object API of the platform; for apply, get, status and diff <file>
   --output text|json           form of the output (default: text)
   --by <name>                  apply: name of the operator in the manifest (default: $USER)
@@ -38,7 +43,7 @@
   1  the file has faults
   2  wrong usage, or a file cannot be read
   3  conflict: another generation is in force than --base says
-  4  the platform is unreachable, or the outcome is unknown
+  4  the platform or the instance is unreachable, or the outcome is unknown
   5  the generation is not in force everywhere
 ";
 
@@ -102,6 +107,13 @@
     },
     /// Read a bearer key and print its hash.
     HashKey,
+    /// Ask an instance where a request would go.
+    Explain {
+        /// File that holds the request; `None` for standard input.
+        file: Option<PathBuf>,
+        /// Metrics address of the instance.
+        instance: SocketAddr,
+    },
 }
 
 /// Generation that must be in force when a file is applied.
@@ -192,6 +204,7 @@
         },
         "status" => parse_status(&mut arguments, platform)?,
         "hash-key" => Command::HashKey,
+        "explain" => parse_explain(&mut arguments)?,
         _ => return Err(UsageError::UnknownCommand(name)),
     };
     match arguments.finish().first() {
@@ -277,6 +290,22 @@
     })
 }
 
+fn parse_explain(arguments: &mut Arguments) -> Result<Command, UsageError> {
+    let instance = parse_option(arguments, "--instance", "http://ip:port", |text| {
+        text.strip_prefix("http://")?
+            .trim_end_matches('/')
+            .parse()
+            .ok()
+    })?;
+    let instance = instance.ok_or(UsageError::Missing("--instance <http://ip:port>"))?;
+    let file = match positional_files(arguments) {
+        Ok(files) => Some(single_file(files)?),
+        Err(UsageError::Missing(_)) => None,
+        Err(error) => return Err(error),
+    };
+    Ok(Command::Explain { file, instance })
+}
+
 fn parse_output(arguments: &mut Arguments) -> Result<OutputFormat, UsageError> {
     let output = parse_option(arguments, "--output", "text or json", |text| match text {
         "text" => Some(OutputFormat::Text),
--- a/crates/wagtailarch-cli/src/lib.rs
+++ b/crates/wagtailarch-cli/src/lib.rs
@@ -4,9 +4,11 @@
 //! the platform. The binary `wagtailctl` prints the [`Report`] and exits with its exit code.
 
 mod args;
+mod ask;
 mod report;
 mod run;
 mod status;
+mod weighed;
 
 pub use args::{ApplyBase, Args, Command, DiffSource, HELP, OutputFormat, UsageError, parse_args};
 pub use report::{ExitStatus, Report};
--- a/crates/wagtailarch-cli/src/report.rs
+++ b/crates/wagtailarch-cli/src/report.rs
@@ -8,7 +8,10 @@
 use wagtailarch_platform::{ApplyOutcome, ConfigError};
 use wagtailarch_types::Generation;
 
+use wagtailarch_wire::explanation::{Decision, Explanation};
+
 use crate::status::StatusReport;
+use crate::weighed::write_weighed;
 
 /// Result of a command.
 #[derive(Debug, Clone, PartialEq)]
@@ -36,6 +39,10 @@
     Status(StatusReport),
     /// The `key_hash` of a bearer key.
     KeyHash(String),
+    /// Where a request would go.
+    Explanation(Box<Explanation>),
+    /// An instance could not be asked.
+    InstanceFailed(String),
     /// The platform is unavailable, its data is invalid, or the outcome of an apply is unknown.
     Failed(ConfigError),
 }
@@ -71,7 +78,7 @@
             Self::Usage(_) => ExitStatus::Usage,
             Self::Findings(findings) if !findings.is_empty() => ExitStatus::Findings,
             Self::Applied(ApplyOutcome::Conflict { .. }) => ExitStatus::Conflict,
-            Self::Failed(_) => ExitStatus::Platform,
+            Self::Failed(_) | Self::InstanceFailed(_) => ExitStatus::Platform,
             Self::NoConfiguration => ExitStatus::NotInForce,
             Self::Status(status) if !status.everywhere => ExitStatus::NotInForce,
             Self::Text(_)
@@ -80,6 +87,7 @@
             | Self::Diff(_)
             | Self::Fleet { .. }
             | Self::Status(_)
+            | Self::Explanation(_)
             | Self::KeyHash(_) => ExitStatus::Ok,
         }
     }
@@ -87,13 +95,16 @@
     /// Returns whether the text output is written to standard error.
     pub fn is_error(&self) -> bool {
         match self {
-            Self::Usage(_) | Self::Failed(_) | Self::NoConfiguration => true,
+            Self::Usage(_) | Self::Failed(_) | Self::InstanceFailed(_) | Self::NoConfiguration => {
+                true
+            }
             Self::Findings(findings) => !findings.is_empty(),
             Self::Applied(outcome) => matches!(outcome, ApplyOutcome::Conflict { .. }),
             Self::Text(_)
             | Self::Diff(_)
             | Self::Fleet { .. }
             | Self::Status(_)
+            | Self::Explanation(_)
             | Self::KeyHash(_) => false,
         }
     }
@@ -114,6 +125,8 @@
             }
             Self::Status(status) => json!(status),
             Self::KeyHash(hash) => json!({ "key_hash": hash }),
+            Self::Explanation(explanation) => json!(explanation),
+            Self::InstanceFailed(message) => json!({ "error": "instance", "message": message }),
             Self::Failed(error) => json!({ "error": "platform", "message": error.to_string() }),
         }
     }
@@ -132,6 +145,8 @@
             Self::NoConfiguration => writeln!(f, "no configuration was ever applied"),
             Self::Status(status) => write!(f, "{status}"),
             Self::KeyHash(hash) => writeln!(f, "{hash}"),
+            Self::Explanation(explanation) => write_explanation(f, explanation),
+            Self::InstanceFailed(message) => writeln!(f, "{message}"),
             Self::Failed(error) => writeln!(f, "{error}"),
         }
     }
@@ -191,3 +206,48 @@
     let text = fleet.to_toml().map_err(|_| fmt::Error)?;
     f.write_str(&text)
 }
+
+fn write_explanation(f: &mut fmt::Formatter<'_>, explanation: &Explanation) -> fmt::Result {
+    let name = |name: &Option<smol_str::SmolStr>| match name {
+        Some(name) => name.to_string(),
+        None => "-".to_owned(),
+    };
+    writeln!(f, "instance    {}", explanation.instance)?;
+    writeln!(f, "generation  {}", explanation.generation.unwrap_or(0))?;
+    writeln!(f, "route       {}", name(&explanation.route))?;
+    writeln!(f, "team        {}", name(&explanation.team))?;
+    writeln!(f, "service     {}", name(&explanation.service))?;
+    match &explanation.decision {
+        Decision::Send {
+            server,
+            prefill_engine,
+            urgency,
+        } => {
+            write!(f, "decision    send to {server}")?;
+            if let Some(engine) = prefill_engine {
+                write!(f, ", prompt read by {engine}")?;
+            }
+            if let Some(urgency) = urgency {
+                write!(f, ", {urgency:?}")?;
+            }
+            writeln!(f)?;
+        }
+        Decision::ThroughInstance => {
+            writeln!(
+                f,
+                "decision    send through another instance: no path to the servers"
+            )?;
+        }
+        Decision::Refuse {
+            reason,
+            retry_after_ms,
+        } => {
+            write!(f, "decision    refuse: {reason}")?;
+            if let Some(ms) = retry_after_ms {
+                write!(f, ", retry after {ms} ms")?;
+            }
+            writeln!(f)?;
+        }
+    }
+    write_weighed(f, &explanation.weighed)
+}
--- a/crates/wagtailarch-cli/src/run.rs
+++ b/crates/wagtailarch-cli/src/run.rs
@@ -1,6 +1,7 @@
 //! Execution of commands.
 
 use std::io::Read;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -11,9 +12,10 @@
     ConfigError, ConfigStore, HttpPlatform, HttpPlatformConfig, Platform, RetryLimits,
 };
 use wagtailarch_types::{Generation, hash_key};
-use wagtailarch_wire::records::status_key;
+use wagtailarch_wire::{explanation::MAX_EXPLAINED_BYTES, records::status_key};
 
 use crate::args::{ApplyBase, Command, DiffSource};
+use crate::ask::{AskError, ask};
 use crate::report::Report;
 use crate::status::{StatusReport, evaluate_status};
 
@@ -81,6 +83,7 @@
             wait_for_status(platform, generation, max_wait).await
         }
         Command::HashKey => hash_key_from(std::io::stdin().lock()),
+        Command::Explain { file, instance } => explain(file.as_deref(), instance).await,
     }
 }
 
@@ -229,6 +232,31 @@
     Ok(Report::KeyHash(format_key_hash(&hash_key(key))))
 }
 
+/// Asks an instance where a request would go; the request is neither printed nor sent to a server.
+async fn explain(file: Option<&Path>, instance: SocketAddr) -> Result<Report, ErrorReport> {
+    let message = match file {
+        Some(file) => std::fs::File::open(file).and_then(read_message),
+        None => read_message(std::io::stdin().lock()),
+    };
+    let message = message.map_err(|error| {
+        let name = file.map_or("standard input".into(), |file| file.display().to_string());
+        Box::new(Report::Usage(format!("{name} cannot be read: {error}")))
+    })?;
+    match ask(instance, message).await {
+        Ok(explanation) => Ok(Report::Explanation(Box::new(explanation))),
+        Err(AskError::Refused(message)) => Err(Box::new(Report::Usage(message))),
+        Err(AskError::Failed(message)) => Err(Box::new(Report::InstanceFailed(message))),
+    }
+}
+
+/// Reads a request, but at most one byte more than the maximum size, which the instance reports.
+fn read_message(reader: impl Read) -> std::io::Result<Vec<u8>> {
+    let mut message = Vec::new();
+    let mut reader = reader.take(MAX_EXPLAINED_BYTES as u64 + 1);
+    reader.read_to_end(&mut message)?;
+    Ok(message)
+}
+
 fn platform_failure(error: ConfigError) -> ErrorReport {
     Box::new(Report::Failed(error))
 }
--- a/crates/wagtailarch-dispatch/src/evidence/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/evidence/part_evidence.rs
@@ -176,6 +176,12 @@
         verdicts.max().unwrap_or(PartVerdict::Clear)
     }
 
+    /// Returns whether one of the parts is blamed by the evidence that was applied so far.
+    pub fn is_blamed(&self, now: Duration, parts: &[ReportedPart]) -> bool {
+        let mut blames = parts.iter().filter_map(|part| self.blames.get(&part.key));
+        blames.any(|blame| !blame.is_expired(now))
+    }
+
     /// Returns the blamed parts.
     pub fn blamed(&self) -> impl Iterator<Item = PartKey> {
         self.blames.keys().copied()
--- a/crates/wagtailarch-gateway/src/explain.rs
+++ b/crates/wagtailarch-gateway/src/explain.rs
@@ -7,12 +7,12 @@
 use http::{HeaderName, HeaderValue, Method, Request, StatusCode, Uri, request};
 use wagtailarch_adapter::{ClientRequest, ClientRequestError, decode_client_request};
 use wagtailarch_dispatch::{
-    GenerationRequest, PartVerdict, Placement, PrefillPlan, Prompt, Route, RoutingConfig,
+    Access, GenerationRequest, Placement, PrefillPlan, PrefixLink, Prompt, Route,
 };
 use wagtailarch_traffic::Verdict;
 use wagtailarch_types::{RefusalReason, ServiceName, fingerprint};
 use wagtailarch_wire::{
-    explanation::{Decision, Explanation, Figures, WeighedChoice},
+    explanation::{Decision, Explanation, WeighedChoice},
     permit::PermitRank,
 };
 
@@ -74,7 +74,8 @@
 pub fn explain(gateway: &Gateway, message: &Bytes) -> Result<Explanation, ExplainError> {
     gateway.explain_limit.take(gateway.now())?;
     let (parts, body) = parse_message(message)?;
-    let client = decode_client_request(parts).map_err(ExplainError::Head)?;
+    let mut client = decode_client_request(parts).map_err(ExplainError::Head)?;
+    let key = client.key.take();
     let snapshot = gateway.snapshot();
     let mut explanation = Explanation {
         instance: gateway.settings.instance.clone(),
@@ -95,12 +96,27 @@
     let service = route.target(&client.id);
     explanation.route = Some(route.name.clone());
     explanation.service = Some(service.clone());
+    let access = config.access(route, key.as_ref());
+    if access != Access::Open && !gateway.is_key_proof_recent() {
+        explanation.decision = refuse(RefusalReason::ConfigurationUnproven, None);
+        return Ok(explanation);
+    }
+    let team = match access {
+        Access::Open => None,
+        Access::Team(team) => Some(team),
+        Access::Denied => {
+            explanation.decision = refuse(RefusalReason::Unauthorized, None);
+            return Ok(explanation);
+        }
+    };
+    explanation.team = team.map(|team| team.name.clone());
+    let team_priority = team.and_then(|team| team.route_priority);
     let question = Question {
         gateway,
         client: &client,
         route,
-        config,
         service,
+        priority: team_priority.unwrap_or(route.priority),
     };
     (explanation.decision, explanation.weighed) = question.decide(body);
     explanation.weighed.truncate(MAX_WEIGHED);
@@ -112,8 +128,9 @@
     gateway: &'a Gateway,
     client: &'a ClientRequest,
     route: &'a Route,
-    config: &'a RoutingConfig,
     service: &'a ServiceName,
+    /// Priority of the team, or of the route if the team has none; 0 is the highest.
+    priority: u8,
 }
 
 impl Question<'_> {
@@ -156,7 +173,9 @@
     }
 
     fn decide_plain(&self, weighed: &[WeighedChoice]) -> Decision {
-        let selectable = weighed.first().filter(|choice| choice.excluded_by.is_none());
+        let selectable = weighed
+            .first()
+            .filter(|choice| choice.excluded_by.is_none());
         match selectable {
             Some(choice) => Decision::Send {
                 server: choice.server.clone(),
@@ -194,10 +213,7 @@
         load_balancer.unavailable_reason(self.gateway.now(), self.service, self.rank(), &[])
     }
 
-    fn generation_request<'b>(
-        &'b self,
-        prefixes: &'b [wagtailarch_dispatch::PrefixLink],
-    ) -> GenerationRequest<'b> {
+    fn generation_request<'b>(&'b self, prefixes: &'b [PrefixLink]) -> GenerationRequest<'b> {
         let prompt = self.client.prompt.as_ref();
         let time_left = self.client.timeout.unwrap_or(self.route.timeout);
         let time_left = time_left.min(self.route.timeout);
@@ -214,7 +230,7 @@
     }
 
     fn rank(&self) -> PermitRank {
-        PermitRank::of_priority(self.route.priority)
+        PermitRank::of_priority(self.priority)
     }
 
     /// Returns whether the request or a part of its prompt is refused because it crashed servers.
@@ -225,7 +241,7 @@
         let now = self.gateway.now();
         let parts = client.prompt.as_ref().map(Prompt::shared_parts);
         let parts = parts.unwrap_or_default();
-        self.gateway.peek_part_verdict(now, &parts) == PartVerdict::Blamed
+        self.gateway.is_part_blamed(&parts)
             || self.gateway.quarantine.check(now, fingerprint(&fields)) == Verdict::Quarantined
     }
 }
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     body_buffer::BufferBudget,
+    explain::ExplainLimit,
     forward::ForwardState,
     metrics::Metrics,
     open_requests::OpenRequests,
@@ -72,6 +73,8 @@
     pub open_requests: OpenRequests,
     /// Number of open connections of clients and of other instances that pass requests on.
     pub open_connections: Cell<usize>,
+    /// Bounds the questions that are answered; see [`explain`](crate::explain::explain).
+    pub explain_limit: ExplainLimit,
     /// State of the shutdown.
     pub shutdown: watch::Sender<ShutdownState>,
     /// When the shutdown was requested; `None` while the process serves.
@@ -148,6 +151,7 @@
             buffer_budget: Rc::default(),
             open_requests: OpenRequests::default(),
             open_connections: Cell::new(0),
+            explain_limit: ExplainLimit::default(),
             shutdown: watch::Sender::new(ShutdownState::Running),
             stopping_since: Cell::default(),
             snapshot: RefCell::default(),
@@ -369,6 +373,11 @@
         evidence.take_reports(self.now(), load_balancer.members())
     }
 
+    /// Returns whether a request with one of the parts is refused, without changing the evidence.
+    pub fn is_part_blamed(&self, parts: &[ReportedPart]) -> bool {
+        self.part_evidence.borrow().is_blamed(self.now(), parts)
+    }
+
     /// Applies the evidence that a peer reports.
     pub fn on_peer_parts(&self, reports: &PartReports) {
         if reports.is_empty() {
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod control;
 mod engine_report;
+mod explain;
 mod forward;
 mod gateway;
 mod generation;
