--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -6,6 +6,7 @@
 mod engine_load;
 mod limits;
 mod second_server;
+mod weighing;
 
 use std::{collections::HashMap, time::Duration};
 
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod control;
 mod duty_settings;
 mod engine_report;
+mod explain;
 mod forward;
 mod gateway;
 mod generation;
