--- a/crates/wagtailarch-dispatch/src/placing/engine_state.rs
+++ b/crates/wagtailarch-dispatch/src/placing/engine_state.rs
@@ -5,8 +5,7 @@
 use wagtailarch_types::{InstanceId, Role};
 
 use crate::{
-    EngineProperties, PrefillNumber, PrefillQueue, PrefillSample, PrefixCache, PrefixLink,
-    ServerPace, Urgency,
+    EngineProperties, PrefillNumber, PrefillQueue, PrefillSample, PrefixCache, PrefixLink, Urgency,
 };
 
 /// Prompt tokens per millisecond that a reference prefill engine prefills.
@@ -18,10 +17,13 @@
 const DECODE_ENGINE_PREFILL_FACTOR: f64 = 2.0;
 /// Time that the scheduling steps of an engine add to each prefill.
 const STEP_OVERHEAD_MS: f64 = 6.0;
-/// Weight of the sample of a prompt that did not wait as far as this instance knows.
-const EXACT_WEIGHT: f64 = 1.0;
-/// Weight of the sample of a prompt whose time contains a predicted wait.
-const WAITED_WEIGHT: f64 = 0.3;
+/// Weight of one sample in the learned slowdown of an engine.
+const SAMPLE_WEIGHT: f64 = 0.08;
+/// Bounds of one sample, which may include the wait for prompts that were not reported to this
+/// instance.
+const SAMPLE_RANGE: (f64, f64) = (0.5, 3.0);
+/// Bounds of the learned slowdown, so that outliers do not exclude an engine.
+const SLOWDOWN_RANGE: (f64, f64) = (0.7, 4.0);
 /// Shortest reference prefill time that yields a sample; for shorter prompts, the network takes too
 /// large a part of the measured time.
 const MIN_SAMPLED_TIME: Duration = Duration::from_millis(25);
@@ -54,8 +56,8 @@
     /// Prefill time of the service's engines relative to the reference engine; see
     /// [`PrefillSpeed`](crate::PrefillSpeed).
     pub service_slowdown: f64,
-    /// Pace of this engine relative to the other engines of its service.
-    pub pace: ServerPace,
+    /// Prefill time of this engine relative to the other engines of its service.
+    engine_slowdown: f64,
     /// Requests of this instance that the engine decodes.
     own_running: u32,
     /// Requests of each peer that the engine decodes, with the time of the report.
@@ -72,7 +74,7 @@
             cache: PrefixCache::new(properties.kv_capacity_tokens),
             properties,
             service_slowdown: 1.0,
-            pace: ServerPace::default(),
+            engine_slowdown: 1.0,
             own_running: 0,
             peers_running: HashMap::new(),
         }
@@ -80,12 +82,7 @@
 
     /// Returns the predicted prefill time of a prompt without the tokens that the engine has
     /// cached.
-    pub fn prefill_time(
-        &self,
-        now: Duration,
-        prefixes: &[PrefixLink],
-        prompt_tokens: u32,
-    ) -> Duration {
+    pub fn prefill_time(&self, prefixes: &[PrefixLink], prompt_tokens: u32) -> Duration {
         let cached = self.cache.cached_tokens(prefixes).min(prompt_tokens);
         let new_tokens = f64::from(prompt_tokens - cached);
         let pairs = new_tokens * (f64::from(cached) + new_tokens / 2.0);
@@ -95,7 +92,7 @@
             ms *= DECODE_ENGINE_PREFILL_FACTOR;
         }
         ms += STEP_OVERHEAD_MS;
-        Duration::from_secs_f64(ms * self.slowdown(now) / 1_000.0)
+        Duration::from_secs_f64(ms * self.slowdown() / 1_000.0)
     }
 
     /// Returns the number of tokens of a prompt that the engine does not have cached.
@@ -124,10 +121,10 @@
         prefixes: &[PrefixLink],
         prompt_tokens: u32,
     ) -> (Duration, Duration) {
-        let work = self.prefill_time(now, prefixes, prompt_tokens);
+        let work = self.prefill_time(prefixes, prompt_tokens);
         self.cache.insert(prefixes);
         self.queue.add(now, sender, number, urgency, work);
-        (work, work.div_f64(self.slowdown(now)))
+        (work, work.div_f64(self.slowdown()))
     }
 
     /// Removes a finished or abandoned prompt of `sender` from the queue; `reference_time` is its
@@ -150,22 +147,15 @@
         let took = now
             .saturating_sub(prompt.added_at)
             .saturating_sub(CALL_OVERHEAD);
-        let took_s = took.max(MIN_PREFILL_TIME).as_secs_f64();
-        let ratio = took_s / reference_time.as_secs_f64();
-        if prompt.urgency == Urgency::Late {
+        let ratio = took.max(MIN_PREFILL_TIME).as_secs_f64() / reference_time.as_secs_f64();
+        if !prompt.queue_was_empty || prompt.urgency == Urgency::Late {
             return Some(PrefillSample::AtMost(ratio));
         }
-        if !prompt.queue_was_empty {
-            // The whole queue ran at the pace of this engine.
-            let expected_s = (prompt.wait + prompt.work).as_secs_f64();
-            let time = self.slowdown(prompt.added_at) * took_s / expected_s;
-            self.pace
-                .on_completed(now, time, self.service_slowdown, WAITED_WEIGHT);
-            return Some(PrefillSample::AtMost(ratio));
-        }
-        self.pace
-            .on_completed(now, ratio, self.service_slowdown, EXACT_WEIGHT);
-        Some(PrefillSample::Exact(ratio / self.pace.momentary(now)))
+        let deviation = ratio / self.slowdown();
+        let sample = self.engine_slowdown * deviation.clamp(SAMPLE_RANGE.0, SAMPLE_RANGE.1);
+        let smoothed = self.engine_slowdown * (1.0 - SAMPLE_WEIGHT) + sample * SAMPLE_WEIGHT;
+        self.engine_slowdown = smoothed.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
+        Some(PrefillSample::Exact(ratio))
     }
 
     /// Predicts how long a new prompt waits for its prefill.
@@ -180,14 +170,9 @@
         }
     }
 
-    /// Returns the time that work on this engine takes relative to the reference engine.
-    pub fn slowdown(&self, now: Duration) -> f64 {
-        self.service_slowdown * self.relative_pace(now)
-    }
-
-    /// Returns the time that work on this engine takes relative to the engines of its service.
-    pub fn relative_pace(&self, now: Duration) -> f64 {
-        self.pace.at(now, self.service_slowdown)
+    /// Returns the prefill time of this engine relative to the reference engine.
+    fn slowdown(&self) -> f64 {
+        self.service_slowdown * self.engine_slowdown
     }
 
     /// Adds `delta` to the number of requests of this instance that the engine decodes.
--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -287,7 +287,7 @@
     /// time, as the server states it.
     pub fn on_stated_pace(&mut self, now: Duration, id: &InstanceId, percent: u32) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.pace_mut().on_stated(now, percent);
+            backend.pace.on_stated(now, percent);
         }
     }
 
@@ -307,12 +307,6 @@
         }
     }
 
-    /// Returns the expected pace of an engine relative to its service, for logs.
-    pub fn engine_pace(&self, now: Duration, id: &InstanceId) -> Option<f64> {
-        let engine = self.backends.get(id)?.engine.as_ref();
-        engine.map(|engine| engine.relative_pace(now))
-    }
-
     /// Records a response that shows that a server works.
     pub fn on_success(&mut self, now: Duration, id: &InstanceId) {
         if let Some(backend) = self.backends.get_mut(id) {
--- a/crates/wagtailarch-dispatch/src/placing/placement.rs
+++ b/crates/wagtailarch-dispatch/src/placing/placement.rs
@@ -27,8 +27,7 @@
 const OTHER_ZONE_MS: f64 = 12.0;
 /// Weight of the prefill time, which is counted in addition to the time to the first event.
 ///
-/// It keeps prompts on the engines that have their prefixes cached, even if other engines are idle. The
-/// engine's own pace is left out: it is part of the time to the first event already.
+/// It keeps prompts on the engines that have their prefixes cached, even if other engines are idle.
 const PREFILL_TIME_WEIGHT: f64 = 1.5;
 /// Cost of a prefill that stalls the streams of its engine beyond their gap objective.
 ///
@@ -221,7 +220,7 @@
         true => ISOLATED_RUNNING_REQUEST_MS,
         false => RUNNING_REQUEST_MS,
     };
-    let cost_ms = f64::from(running) * running_ms * state.relative_pace(now)
+    let cost_ms = f64::from(running) * running_ms
         + rank as f64 * AFFINITY_RANK_MS
         + zone_cost_ms(&decode_engine.server.zone, request.zone)
         + decode_engine.failure_cost(now);
@@ -373,21 +372,19 @@
             continue;
         };
         let prefill_wait_ms = ms(state.prefill_wait(now, urgency));
-        let prefill_ms = ms(state.prefill_time(now, request.prefixes, request.prompt_tokens));
+        let prefill_ms = ms(state.prefill_time(request.prefixes, request.prompt_tokens));
         let new_tokens = state.new_tokens(request.prefixes, request.prompt_tokens);
         let preference_ms = rank as f64 * AFFINITY_RANK_MS
             + zone_cost_ms(&prefill_engine.server.zone, request.zone)
             + prefill_engine.failure_cost(now);
-        let prefill_cost_ms = prefill_ms / state.relative_pace(now) * PREFILL_TIME_WEIGHT
-            + preference_ms * state.service_slowdown;
+        let prefill_cost_ms =
+            prefill_ms * PREFILL_TIME_WEIGHT + preference_ms * state.service_slowdown;
         for (zone, (decode_engine, decode_engine_ms)) in &best_by_zone {
-            let decode_state = decode_engine.engine.as_ref().unwrap_or(state);
             let same_zone = prefill_engine.server.zone == **zone;
             let first_event_ms = prefill_wait_ms
                 + prefill_ms
                 + transfer_ms(state, request.prompt_tokens, same_zone)
-                + call_ms(now, state)
-                + call_ms(now, decode_state);
+                + 2.0 * call_ms(state);
             let cross_zone_ms =
                 zone_cost_ms(&prefill_engine.server.zone, zone) * state.service_slowdown;
             candidates.push(Candidate {
@@ -429,9 +426,9 @@
 ) -> Candidate<'a> {
     let running = state.running(now);
     let prefill_wait_ms = ms(state.prefill_wait(now, urgency));
-    let prefill_time = state.prefill_time(now, request.prefixes, request.prompt_tokens);
+    let prefill_time = state.prefill_time(request.prefixes, request.prompt_tokens);
     let prefill_ms = ms(prefill_time);
-    let first_event_ms = prefill_wait_ms + prefill_ms + call_ms(now, state);
+    let first_event_ms = prefill_wait_ms + prefill_ms + call_ms(state);
     let stalls_streams = state.stalls_streams(now, prefill_time);
     let stall_ms = if stalls_streams {
         STALLED_STREAMS_MS
@@ -446,7 +443,7 @@
         new_tokens: state.new_tokens(request.prefixes, request.prompt_tokens),
         first_event_ms,
         cost_ms: first_event_ms
-            + prefill_ms / state.relative_pace(now) * PREFILL_TIME_WEIGHT
+            + prefill_ms * PREFILL_TIME_WEIGHT
             + decode_cost_ms
             + prefill_ms * f64::from(running) * DELAYED_STREAM_WEIGHT
             + stall_ms,
@@ -497,8 +494,8 @@
 }
 
 /// Returns the overhead of a call to an engine, without waiting and prefill.
-fn call_ms(now: Duration, state: &EngineState) -> f64 {
-    CALL_OVERHEAD_MS + FIRST_TOKEN_OVERHEAD_MS * state.slowdown(now)
+fn call_ms(state: &EngineState) -> f64 {
+    CALL_OVERHEAD_MS + FIRST_TOKEN_OVERHEAD_MS * state.service_slowdown
 }
 
 fn zone_cost_ms(zone: &ZoneName, own: &ZoneName) -> f64 {
--- a/crates/wagtailarch-dispatch/src/placing/prefill_queue.rs
+++ b/crates/wagtailarch-dispatch/src/placing/prefill_queue.rs
@@ -44,8 +44,6 @@
     pub urgency: Urgency,
     /// Time at which the prompt was added.
     pub added_at: Duration,
-    /// Predicted wait at that time.
-    pub wait: Duration,
     /// Whether the queue was empty at that time.
     pub queue_was_empty: bool,
     /// Time at which the prompt expires.
@@ -82,13 +80,11 @@
             self.urgent_utilization.add(now, work);
         }
         self.added_work += work;
-        let wait = self.wait(now, urgency);
-        let expected = wait + work;
+        let expected = self.wait(now, urgency) + work;
         let prompt = QueuedPrompt {
             work,
             urgency,
             added_at: now,
-            wait,
             queue_was_empty: self.prompts.is_empty(),
             expires_at: now + expected * 3 + EXPIRY_MARGIN,
         };
--- a/crates/wagtailarch-dispatch/src/servers/backend.rs
+++ b/crates/wagtailarch-dispatch/src/servers/backend.rs
@@ -51,12 +51,4 @@
         let share = (self.max_connections / instances.max(1)).max(MIN_CONNECTIONS);
         self.max_connections > 0 && self.in_flight >= share
     }
-
-    /// Returns the pace of the server, to update it.
-    pub(crate) fn pace_mut(&mut self) -> &mut ServerPace {
-        match &mut self.engine {
-            Some(engine) => &mut engine.pace,
-            None => &mut self.pace,
-        }
-    }
 }
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -432,8 +432,7 @@
         "server" => %prefill_engine.id, "read" => handle.is_ok(),
         "took_ms" => context.gateway.now().saturating_sub(sent_at).as_millis() as u64,
         "expected_ms" => plan.prefill_time.as_millis() as u64,
-        "expected_wait_ms" => plan.prefill_wait.as_millis() as u64,
-        "pace_percent" => pace_percent(context, &prefill_engine.id));
+        "expected_wait_ms" => plan.prefill_wait.as_millis() as u64);
     let failure = match handle {
         Ok(source) => {
             attempts.arrivals.on_prefill_accepted();
@@ -450,16 +449,6 @@
     Err(PrefillError::Replan)
 }
 
-/// Returns the expected pace of an engine in percent, for logs.
-fn pace_percent(context: &RequestContext, engine: &InstanceId) -> Option<u32> {
-    let gateway = &context.gateway;
-    let pace = gateway
-        .load_balancer
-        .borrow()
-        .engine_pace(gateway.now(), engine);
-    pace.map(|pace| (pace * 100.0).round() as u32)
-}
-
 /// Runs a prefill and returns the location of the resulting cache.
 ///
 /// The limit of the call on the response head covers the whole response here, since it is short.
