--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -159,9 +159,20 @@
         rank: PermitRank,
         excluded: &[InstanceId],
     ) -> Option<ServerEndpoint> {
-        let usual_s = self.usual_s(service);
         let usable = self.usable(now, service, rank, excluded);
-        let best = usable.min_by(|a, b| {
+        self.cheapest(now, service, zone, usable)
+    }
+
+    /// Returns the plain server of a service with the lowest cost.
+    fn cheapest<'a>(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        zone: &ZoneName,
+        servers: impl Iterator<Item = &'a Backend>,
+    ) -> Option<ServerEndpoint> {
+        let usual_s = self.usual_s(service);
+        let best = servers.min_by(|a, b| {
             let cost = |backend: &Backend| plain_cost(now, backend, zone, usual_s);
             cost(a).total_cmp(&cost(b))
         })?;
--- a/crates/wagtailarch-dispatch/src/placing/load_balancer/second_server.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer/second_server.rs
@@ -5,7 +5,7 @@
 use wagtailarch_types::{InstanceId, ServiceName, ZoneName};
 use wagtailarch_wire::permit::PermitRank;
 
-use super::{LoadBalancer, plain_cost};
+use super::LoadBalancer;
 use crate::{ServerEndpoint, servers::backend::Backend};
 
 /// Load in requests per slot from which a server has no room for a second call: all slots are taken.
@@ -21,14 +21,9 @@
         rank: PermitRank,
         excluded: &[InstanceId],
     ) -> Option<ServerEndpoint> {
-        let usual_s = self.usual_s(service);
         let usable = self.usable(now, service, rank, excluded);
         let with_room = usable.filter(|backend| load_per_slot(backend) < FULL_LOAD);
-        let best = with_room.min_by(|a, b| {
-            let cost = |backend: &Backend| plain_cost(now, backend, zone, usual_s);
-            cost(a).total_cmp(&cost(b))
-        })?;
-        Some(best.server.endpoint())
+        self.cheapest(now, service, zone, with_room)
     }
 
     /// Returns the share of the slots of a service's available servers that are taken; 1 without
