Let the pace of an idle server return to that of its service

Cause (review): a learned figure changed only with completed work, so that a plain server that was slow once could get nothing from an instance for good; a fast refusal counted as quick work. The use of a request whose client left was not counted, though its server had begun it.

Change: the figure returns with a time constant of 10 s, only successful responses count, and the use of a call is counted when it is dropped.

a_server_without_work_returns_to_the_pace_of_its_service fails without the change (the figure stays above 2.0).

--- a/crates/wagtailarch-dispatch/src/servers/server_pace.rs
+++ b/crates/wagtailarch-dispatch/src/servers/server_pace.rs
@@ -6,6 +6,9 @@
 ///
 /// Machines that are shared with others change their pace several times per second.
 const STATEMENT_TIME_CONSTANT_S: f64 = 0.25;
+/// Time after which a learned figure has lost two thirds of its logarithm, so that a server that gets
+/// no work because it was slow once is tried again.
+const LEARNED_TIME_CONSTANT_S: f64 = 10.0;
 /// Bounds of a stated figure in percent; figures outside are no measurement of a machine.
 const STATED_RANGE_PERCENT: (u32, u32) = (10, 2_000);
 /// Weight of the assumption that a server has the pace of its service, in samples.
@@ -28,6 +31,8 @@
     learned_log: f64,
     /// Weight of the samples; at most `MAX_WEIGHT`.
     weight: f64,
+    /// Time of the latest sample.
+    sampled_at: Duration,
     /// Latest figure that the server stated of its machine, with the time of its receipt.
     stated: Option<(f64, Duration)>,
 }
@@ -57,6 +62,7 @@
         let previous = self.weight.min(MAX_WEIGHT - weight);
         self.weight = previous + weight;
         self.learned_log += (sample - self.learned_log) * weight / self.weight;
+        self.sampled_at = now;
     }
 
     /// Returns the pace learned from completed work, without the momentary figure, where the service
@@ -71,8 +77,12 @@
     }
 
     /// Returns the expected pace of work that starts at `now`.
+    ///
+    /// Without samples the learned figure returns to that of the service.
     pub fn at(&self, now: Duration, usual: f64) -> f64 {
-        self.learned(usual) * self.momentary(now)
+        let age_s = now.saturating_sub(self.sampled_at).as_secs_f64();
+        let kept = (-age_s / LEARNED_TIME_CONSTANT_S).exp();
+        self.learned(usual).powf(kept) * self.momentary(now)
     }
 
     /// Returns the figure that the machine's last statement implies at `now`; 1 without a recent one.
--- a/crates/wagtailarch-dispatch/tests/server_pace.rs
+++ b/crates/wagtailarch-dispatch/tests/server_pace.rs
@@ -77,6 +77,20 @@
     assert!((learned / expected - 1.0).abs() < 1e-9, "{learned}");
 }
 
+/// Guards against a server that was slow once and gets no work any more, so that nothing corrects its
+/// figure.
+#[test]
+fn a_server_without_work_returns_to_the_pace_of_its_service() {
+    let mut pace = ServerPace::default();
+    for _ in 0..12 {
+        pace.on_completed(NOW, 3.0, 1.0, 1.0);
+    }
+    let figures = [0, 10, 30].map(|age_s| pace.at(NOW + Duration::from_secs(age_s), 1.0));
+    assert!(figures[0] > 2.0, "{figures:?}");
+    assert!(figures[1] < 1.5, "{figures:?}");
+    assert!(figures[2] < 1.1, "{figures:?}");
+}
+
 /// Guards against an engine that counts as slow because its service was taken for quicker than it is.
 #[test]
 fn a_corrected_usual_time_corrects_the_pace() {
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -152,7 +152,7 @@
 ///
 /// A repeatable request leaves an unresponsive server while another one can still meet the
 /// objective. Without an alternative the response is awaited up to the request's timeout.
-fn head_limit(context: &RequestContext, calls: usize, excluded: &[InstanceId]) -> Duration {
+pub fn head_limit(context: &RequestContext, calls: usize, excluded: &[InstanceId]) -> Duration {
     let left = context.time_left();
     let gateway = &context.gateway;
     let can_fail_over = context.route.kind.repeatable()
@@ -180,17 +180,36 @@
     call: &Call,
     permit: Permit,
 ) -> Result<Response<ResponseBody>, CallFailure> {
-    let gateway = &context.gateway;
-    let started_at = gateway.now();
+    let mut use_of_call = UseOfCall {
+        context,
+        started_at: context.gateway.now(),
+        not_run: false,
+    };
     let result = call_server(context, call, permit).await;
-    let not_run = matches!(&result, Err(failure) if failure.ran == Ran::No);
-    if !not_run {
-        // A server begins a plain request when it arrives.
-        count_use(context, gateway.now().saturating_sub(started_at));
-    }
+    use_of_call.not_run = matches!(&result, Err(failure) if failure.ran == Ran::No);
     result
 }
 
+/// Counts the use of a call when it is dropped, also because its client has left, unless it is known
+/// that it did not run.
+///
+/// A server begins a plain request when it arrives.
+struct UseOfCall<'a> {
+    context: &'a RequestContext,
+    started_at: Duration,
+    not_run: bool,
+}
+
+impl Drop for UseOfCall<'_> {
+    fn drop(&mut self) {
+        // A call that was cancelled before it was sent has not begun.
+        if !self.not_run && self.context.open.ran() != Ran::No {
+            let now = self.context.gateway.now();
+            count_use(self.context, now.saturating_sub(self.started_at));
+        }
+    }
+}
+
 /// Sends a request to one server and buffers its whole response.
 async fn call_server(
     context: &RequestContext,
@@ -211,7 +230,11 @@
     } else {
         let mut load_balancer = gateway.load_balancer.borrow_mut();
         load_balancer.on_success(now, &call.server.id);
-        load_balancer.on_plain_completed(now, &call.server.id, now.saturating_sub(sent_at));
+        // A refused request takes a server little time.
+        if head.status().is_success() {
+            let took = now.saturating_sub(sent_at);
+            load_balancer.on_plain_completed(now, &call.server.id, took);
+        }
         drop(load_balancer);
         gateway.quarantine.on_completed(context.fingerprint);
     }
