Accept use of teams only from listed instances, and no windows of the future

Cause (review): any datagram could state that windows are reported, which every instance passes on, and a window without counts or in the future took room at a keeper until it ended.

Change: messages of unknown senders and of reports in the future are ignored, windows after the next one and empty ones are left out, and sums saturate.

windows_of_the_future_and_empty_ones_take_no_room shows it.

--- a/crates/wagtailarch-control/src/use_sums.rs
+++ b/crates/wagtailarch-control/src/use_sums.rs
@@ -35,14 +35,19 @@
 impl UseSums {
     /// Joins the counts of an instance; returns `false` if there is no room, so that the message must not
     /// be accepted.
-    pub fn on_counts(&mut self, message: &UseCounts) -> bool {
+    ///
+    /// `newest` is the present window by the own clock. Windows after the next one are left out, since
+    /// they would take room until they end.
+    pub fn on_counts(&mut self, message: &UseCounts, newest: WindowId) -> bool {
         self.on_reported(message.reported_through);
         let new_counts: usize = message.windows.iter().map(|w| w.teams.len()).sum();
         if self.counts + new_counts > MAX_COUNTS {
             return false;
         }
         for window in &message.windows {
-            if window.window <= self.closed_through {
+            let is_outside =
+                window.window <= self.closed_through || window.window > newest.saturating_add(1);
+            if is_outside || window.teams.is_empty() {
                 continue;
             }
             let sums = self.windows.entry(window.window).or_default();
@@ -58,7 +63,8 @@
                 };
                 let added = count.saturating_sub(*known);
                 *known += added;
-                *sums.totals.entry(team.clone()).or_default() += added;
+                let total = sums.totals.entry(team.clone()).or_default();
+                *total = total.saturating_add(added);
             }
         }
         let complete = self.complete.entry(message.sender.clone()).or_default();
--- a/crates/wagtailarch-control/tests/team_use.rs
+++ b/crates/wagtailarch-control/tests/team_use.rs
@@ -13,6 +13,8 @@
 /// Time until a report is due in seconds.
 const LATE_S: u64 = 10;
 const W: u64 = 200;
+/// Present window by the clock of the keeper, after all that the tests use.
+const NEWEST: u64 = W + 1_000;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -41,7 +43,7 @@
 /// Delivers all messages of a counter to a keeper, and their acceptance back.
 fn exchange(counter: &mut UseCounter, keeper: &str, boot: u64, sums: &mut UseSums, ended: u64) {
     for message in counter.messages(&keeper.into(), ended) {
-        assert!(sums.on_counts(&message));
+        assert!(sums.on_counts(&message, NEWEST));
         counter.on_accepted(&accepted(keeper, boot, &message, sums));
     }
 }
@@ -90,7 +92,7 @@
     }
     let mut sums = UseSums::default();
     for index in delivered {
-        sums.on_counts(&messages[*index]);
+        sums.on_counts(&messages[*index], NEWEST);
     }
     assert_eq!(totals(&sums, W), [("t".to_owned(), 6)]);
 }
@@ -121,7 +123,7 @@
     assert_eq!(messages[0].windows[0].teams, [("u".into(), 2)]);
     // The keeper has restarted: it accepts this message and has nothing else.
     let mut restarted = UseSums::default();
-    assert!(restarted.on_counts(&messages[0]));
+    assert!(restarted.on_counts(&messages[0], NEWEST));
     counter.on_accepted(&accepted("k", 2, &messages[0], &restarted));
     exchange(&mut counter, "k", 2, &mut restarted, W - 1);
     let expected = [("t".to_owned(), 1), ("u".to_owned(), 2)];
@@ -168,7 +170,7 @@
                 .sum();
             assert!(teams <= 1_100, "{teams} bytes");
             assert!(message.complete_through < W);
-            assert!(sums.on_counts(message));
+            assert!(sums.on_counts(message, NEWEST));
             counter.on_accepted(&accepted("k", 1, message, &sums));
         }
         rounds += 1;
@@ -360,3 +362,24 @@
     let missing = 1.0 - reported as f64 / f64::from(counted);
     assert!(missing <= at_most + 1e-9, "{missing} of the requests");
 }
+
+/// Guards against a message that fills a keeper with windows that have not begun, or that have no
+/// counts, so that it accepts no others.
+#[test]
+fn windows_of_the_future_and_empty_ones_take_no_room() {
+    let mut counter = UseCounter::new("i1".into(), 1);
+    let mut sums = UseSums::default();
+    for window in [W, W + 1, W + 2] {
+        count(&mut counter, window, "clerks", 3);
+    }
+    for mut message in counter.messages(&"k1".into(), W) {
+        for window in &mut message.windows {
+            if window.window == W {
+                window.teams.clear();
+            }
+        }
+        assert!(sums.on_counts(&message, W));
+    }
+    let kept = [W, W + 1, W + 2].map(|window| totals(&sums, window).len());
+    assert_eq!(kept, [0, 1, 0]);
+}
--- a/crates/wagtailarch-gateway/src/team_use.rs
+++ b/crates/wagtailarch-gateway/src/team_use.rs
@@ -143,6 +143,22 @@
     let Some(team_use) = &gateway.team_use else {
         return;
     };
+    let snapshot = gateway.snapshot();
+    let mut peers = snapshot.peers.iter();
+    if !peers.any(|peer| peer.address.ip() == from.ip()) {
+        debug!(gateway.log, "use of teams ignored"; "from" => %from, "cause" => "unknown sender");
+        return;
+    }
+    let reported_through = match &message.body {
+        UseBody::Counts(counts) => counts.reported_through,
+        UseBody::Accepted(accepted) => accepted.reported_through,
+    };
+    // A window that has not begun cannot be reported; the clock of its sender is wrong.
+    if reported_through > team_use.window_at(unix_now()) {
+        info!(gateway.log, "use of teams ignored"; "from" => %from,
+            "cause" => "a window in the future is reported");
+        return;
+    }
     match message.body {
         UseBody::Counts(counts) => {
             if let Some(accepted) = accept(gateway, team_use, &counts) {
@@ -170,7 +186,7 @@
 /// Joins counts; returns the acceptance unless there is no room.
 fn accept(gateway: &Gateway, team_use: &TeamUse, counts: &UseCounts) -> Option<UseAccepted> {
     let mut sums = team_use.sums.lock();
-    if !sums.on_counts(counts) {
+    if !sums.on_counts(counts, team_use.window_at(unix_now())) {
         info!(gateway.log, "use of teams not accepted"; "peer" => %counts.sender,
             "cause" => "too many counts");
         return None;
