Leave out a late report of use that is not answered, and bound the age of a duty's claim

Cause (review): a report whose call had no answer was repeated although it was late, so that later windows waited; a call could begin 0.8 s later than its claim allows; a recorded content that cannot be decoded counted as none, so that another one could have been sent for the same window.

Change: a late report is left out after a failed call too, a foreign claim is waited out 0.8 s longer, and an undecodable content is logged and nothing sent.

--- a/crates/wagtailarch-gateway/src/control/duties.rs
+++ b/crates/wagtailarch-gateway/src/control/duties.rs
@@ -9,8 +9,9 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{Request, StatusCode};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
+use slog::warn;
 use tokio::time::sleep;
 use wagtailarch_adapter::ObjectKind;
 use wagtailarch_dispatch::OrderClaim;
@@ -131,10 +132,17 @@
             subject: subject.clone(),
         };
         self.wait_for_rate(context).await;
-        let attempt = OrderClaim::with_lease(context.instance.clone(), self.settings.lease());
-        let payload = |last: &Value| match plan(T::deserialize(last).ok()) {
-            None => ClaimPayload::NothingDue,
-            Some(content) => match serde_json::to_value(content) {
+        // The connection is opened after the age of the claim was checked.
+        let lease = self.settings.lease() + CONNECT_LIMIT;
+        let attempt = OrderClaim::with_lease(context.instance.clone(), lease);
+        let payload = |last: &Value| match Option::<T>::deserialize(last).map(&plan) {
+            // What the last claim recorded may have been sent; another content would contradict it.
+            Err(error) => {
+                warn!(context.log, "claim of a duty not decoded"; "cause" => %error);
+                ClaimPayload::NothingDue
+            }
+            Ok(None) => ClaimPayload::NothingDue,
+            Ok(Some(content)) => match serde_json::to_value(content) {
                 Ok(value) => ClaimPayload::Present(value),
                 Err(_) => ClaimPayload::NothingDue,
             },
--- a/crates/wagtailarch-gateway/src/control/use_report.rs
+++ b/crates/wagtailarch-gateway/src/control/use_report.rs
@@ -1,6 +1,9 @@
 //! Reports of the use of each team by the holder of that duty.
 
-use std::{cell::RefCell, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
 
 use http::StatusCode;
 use slog::{info, warn};
@@ -8,6 +11,7 @@
 use wagtailarch_adapter::usage_request;
 use wagtailarch_control::{UseReport, UseReporter};
 use wagtailarch_types::{DutyKind, DutySubject, InstanceId};
+use wagtailarch_wire::team_use::WindowId;
 
 use crate::{
     control::{
@@ -93,6 +97,7 @@
     caller: &DutyCaller,
     reporter: &RefCell<UseReporter>,
 ) -> Result<(), ReportError> {
+    let planned_window = Cell::new(None);
     let plan = |recorded: Option<UseReport>| {
         // The lease of another holder may have been waited for.
         if !holds_duty(context) {
@@ -100,27 +105,29 @@
         }
         let live = live_instances(context);
         let sums = context.team_use.lock();
-        reporter
+        let planned = reporter
             .borrow()
-            .plan(unix_now(), recorded, &sums, live.iter())
+            .plan(unix_now(), recorded, &sums, live.iter());
+        planned_window.set(planned.as_ref().map(|report| report.window));
+        planned
     };
     let called = caller.call(context, &DutySubject::Usage, plan, |right, report| {
         usage_request(&right.holder, right.fence, report.window, &report.counts)
     });
+    let called = called.await;
+    let now = unix_now();
+    if let (Err(DutyError::Call(..)), Some(window)) = (&called, planned_window.get()) {
+        give_up_if_late(context, reporter, window, now);
+    }
     let DutyResponse {
         status,
         fence,
         content,
-    } = called.await.map_err(ReportError::Call)?;
-    let now = unix_now();
+    } = called.map_err(ReportError::Call)?;
     let end = reporter.borrow().end(content.window);
     let window = content.window;
     if !status.is_success() {
-        // A report that is late already counts for nothing; the next one must not wait for it.
-        if window < reporter.borrow().oldest_useful(now) {
-            context.metrics.count_missed_windows(1);
-            reporter.borrow_mut().on_done(window);
-        }
+        give_up_if_late(context, reporter, window, now);
         return Err(ReportError::Status(window, status));
     }
     if let Some(last) = reporter.borrow().done()
@@ -140,3 +147,18 @@
         "after_end_ms" => now.saturating_sub(end).as_millis() as u64);
     Ok(())
 }
+
+/// Leaves out a report that was not accepted and is late already: it counts for nothing, and the next
+/// one must not wait for it.
+fn give_up_if_late(
+    context: &ControlContext,
+    reporter: &RefCell<UseReporter>,
+    window: WindowId,
+    now: Duration,
+) {
+    let is_late = window < reporter.borrow().oldest_useful(now);
+    if is_late {
+        context.metrics.count_missed_windows(1);
+        reporter.borrow_mut().on_done(window);
+    }
+}
