Bound the call that is left when one of two calls has failed

Cause (review): after the second server refused at once, a first server that hangs was awaited until the route's timeout, where it is left after 0.8 of the objective without second calls.

Change: the remaining call has the limit of a single one.

The 14 cases of second_calls pass; no new case was written.

--- a/crates/wagtailarch-gateway/src/second_call.rs
+++ b/crates/wagtailarch-gateway/src/second_call.rs
@@ -209,10 +209,25 @@
         false => {
             let failed = outcome;
             second_call.event = SecondCallEvent::Failed;
-            let outcome = match is_first {
-                true => second.await,
-                false => first.await,
+            let failed_ran = !matches!(&failed, Err(failure) if failure.ran == Ran::No);
+            let runs = context.possible_runs.get() + u32::from(failed_ran);
+            // The call that is left alone is bounded like any other one.
+            let limit = match runs + 1 < context.route.max_attempts {
+                true => plain::head_limit(context, *calls, excluded),
+                false => context.time_left(),
             };
+            let (server, outcome) = match is_first {
+                true => (
+                    &prepared.call.server.id,
+                    timeout(limit, second.as_mut()).await,
+                ),
+                false => (&call.server.id, timeout(limit, first.as_mut()).await),
+            };
+            let outcome = outcome.unwrap_or_else(|_| {
+                let mut load_balancer = gateway.load_balancer.borrow_mut();
+                load_balancer.on_failure(gateway.now(), server);
+                Err(CallFailure::TIMED_OUT)
+            });
             let is_good = is_answer(&outcome);
             let round = Round {
                 outcome,
