--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -9,10 +9,13 @@
     env,
     fs::{self, File, OpenOptions},
     io::{self, Read, Write},
-    net::{TcpListener, TcpStream},
+    net::{Shutdown, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio, exit},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -470,6 +473,52 @@
     Ok(())
 }
 
+// ---------------------------------------------------------------- link
+
+/// The link to a worker. While it is cut it holds what either side sent, and what their kernels would
+/// send again, and delivers it afterwards.
+fn start_link(worker_port: u16, cut: Arc<AtomicBool>) -> io::Result<u16> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let port = listener.local_addr()?.port();
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let cut = Arc::clone(&cut);
+            thread::spawn(move || {
+                wait_for_link(&cut);
+                let Ok(far) = TcpStream::connect(("127.0.0.1", worker_port)) else {
+                    return;
+                };
+                let _ = near.set_nodelay(true);
+                let _ = far.set_nodelay(true);
+                if let (Ok(near_read), Ok(far_read)) = (near.try_clone(), far.try_clone()) {
+                    let back = Arc::clone(&cut);
+                    thread::spawn(move || carry(near_read, far, &cut));
+                    carry(far_read, near, &back);
+                }
+            });
+        }
+    });
+    Ok(port)
+}
+
+fn wait_for_link(cut: &AtomicBool) {
+    while cut.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Carries bytes and their end in one direction.
+fn carry(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool) {
+    let mut chunk = [0; 16 * 1024];
+    while let Ok(count) = from.read(&mut chunk) {
+        wait_for_link(cut);
+        if count == 0 || to.write_all(&chunk[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Write);
+}
+
 // ---------------------------------------------------------------- client
 
 /// What a client received.
@@ -623,6 +672,10 @@
     client_port: u16,
     workers: Vec<Running>,
     entries: Entries,
+    /// Whether the links to the workers are cut; `None` without links of the stand-in.
+    cut: Option<Arc<AtomicBool>>,
+    /// Ports of links by the ports of their workers.
+    links: BTreeMap<u16, u16>,
     starts: u64,
 }
 
@@ -677,7 +730,7 @@
 
 impl Deployment {
     /// Starts the store, the workers and the gateway, and waits until the gateway is ready.
-    fn start(case: &str, plain_status: &'static str) -> Res<Self> {
+    fn start(case: &str, plain_status: &'static str, has_links: bool) -> Res<Self> {
         let dir = env::temp_dir().join(format!("standins-2-{case}-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
         let record = Record::open(&dir.join("record-driver"))?;
@@ -706,6 +759,8 @@
             client_port: ports[0],
             workers: Vec::new(),
             entries: Entries::default(),
+            cut: has_links.then(Arc::default),
+            links: BTreeMap::new(),
             starts: 0,
         };
         let (store, entries) = (deployment.store.clone(), deployment.entries.clone());
@@ -751,13 +806,20 @@
             }
             thread::sleep(Duration::from_millis(5));
         }
+        let mut address_port = port;
+        if let Some(cut) = &self.cut {
+            if !self.links.contains_key(&port) {
+                self.links.insert(port, start_link(port, Arc::clone(cut))?);
+            }
+            address_port = self.links[&port];
+        }
         let stage = if service == "llm" {
             r#","stage":"decode","models":[{"name":"m","version":1,"adapters":[]}]"#
         } else {
             ""
         };
         let fields = format!(
-            r#""service":"{service}","address":"127.0.0.1:{port}","zone":"{zone}","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"born":{}{stage}"#,
+            r#""service":"{service}","address":"127.0.0.1:{address_port}","zone":"{zone}","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"born":{}{stage}"#,
             now_ms()
         );
         let entry = Entry {
@@ -794,6 +856,21 @@
         Err(format!("no worker recorded {text:?}").into())
     }
 
+    /// Begins or ends the freeze of the gateway or the cut of the links.
+    fn delay(&self, delay: Delay, begins: bool) {
+        let text = match (delay, begins) {
+            (Delay::Freeze, true) => "gateway frozen",
+            (Delay::Freeze, false) => "gateway awake",
+            (Delay::Cut, true) => "links cut",
+            (Delay::Cut, false) => "links whole",
+        };
+        self.record.add(text);
+        match (delay, &self.cut) {
+            (Delay::Cut, Some(cut)) => cut.store(begins, Ordering::SeqCst),
+            _ => signal(&self.gateway, if begins { SIGSTOP } else { SIGCONT }),
+        }
+    }
+
     /// Kills a worker.
     fn crash(&mut self, index: usize) -> io::Result<()> {
         let worker = &mut self.workers[index];
@@ -935,16 +1012,44 @@
     ));
 }
 
-/// A gateway stands still while workers crash in the middle of their answers and start again.
-fn frozen(trouble: bool, record_path: &str) -> Res<bool> {
-    let mut deployment = Deployment::start("frozen", "200 OK")?;
+/// What delays the end of an answer until its worker is back.
+#[derive(Clone, Copy)]
+enum Delay {
+    /// The gateway stands still.
+    Freeze,
+    /// The links to the workers are cut; the workers crash behind the cut and start again.
+    Cut,
+}
+
+/// Workers crash in the middle of their answers and start again before the gateway reads the ends.
+fn ends(trouble: bool, record_path: &str) -> Res<bool> {
+    let mut broken = Vec::new();
+    let mut records = String::new();
+    for delay in [Delay::Cut, Delay::Freeze] {
+        let part = match delay {
+            Delay::Cut => "workers crash behind a cut of their links and start again",
+            Delay::Freeze => "workers crash and start again while the gateway is frozen",
+        };
+        records.push_str(&format!("== {part}\n"));
+        let found = delayed_ends(trouble, delay, record_path)?;
+        records.push_str(&fs::read_to_string(record_path)?);
+        records.push('\n');
+        broken.extend(found.into_iter().map(|text| format!("{part}: {text}")));
+    }
+    fs::write(record_path, records)?;
+    println!("{}", verdict(&broken));
+    Ok(broken.is_empty())
+}
+
+fn delayed_ends(trouble: bool, delay: Delay, record_path: &str) -> Res<Vec<String>> {
+    let has_links = matches!(delay, Delay::Cut);
+    let mut deployment = Deployment::start("ends", "200 OK", has_links)?;
     let port = deployment.client_port;
     let mut broken = Vec::new();
     for round in 0..3 {
-        let (stream_name, plain_name) = (
-            format!("5a{round:02}00000000000a"),
-            format!("5b{round:02}00000000000b"),
-        );
+        let stream_name = format!("5a{round:02}00000000000a");
+        let plain_name = format!("5b{round:02}00000000000b");
+        let names = [&stream_name, &plain_name];
         deployment.record.add(&format!(
             "client sends {stream_name} (stream) and {plain_name} (unsafe)"
         ));
@@ -956,20 +1061,18 @@
         deployment.worker_that(&format!("has sent half of {plain_name}"))?;
         if trouble {
             thread::sleep(Duration::from_millis(50));
-            signal(&deployment.gateway, SIGSTOP);
-            deployment.record.add("gateway frozen");
-            for request in [&stream_name, &plain_name] {
-                let index = deployment.worker_that(request)?;
+            deployment.delay(delay, true);
+            for name in names {
+                let index = deployment.worker_that(name)?;
                 deployment.crash(index)?;
             }
             thread::sleep(Duration::from_millis(600));
-            for request in [&stream_name, &plain_name] {
-                let index = deployment.worker_that(request)?;
+            for name in names {
+                let index = deployment.worker_that(name)?;
                 deployment.restart(index)?;
             }
             thread::sleep(Duration::from_millis(300));
-            signal(&deployment.gateway, SIGCONT);
-            deployment.record.add("gateway awake");
+            deployment.delay(delay, false);
         }
         let stream = stream.join().map_err(|_| "client failed")??;
         let plain = plain.join().map_err(|_| "client failed")??;
@@ -979,12 +1082,13 @@
         broken.extend(judge_plain(&plain_name, &plain));
         thread::sleep(Duration::from_millis(6_000));
     }
-    finish(&deployment, record_path, &broken)
+    deployment.write_record(record_path, &verdict(&broken))?;
+    Ok(broken)
 }
 
 /// A worker crashes in the middle of an answer with status 500.
 fn failure(trouble: bool, record_path: &str) -> Res<bool> {
-    let mut deployment = Deployment::start("failure", "500 Internal Server Error")?;
+    let mut deployment = Deployment::start("failure", "500 Internal Server Error", false)?;
     let port = deployment.client_port;
     let mut broken = Vec::new();
     for round in 0..3 {
@@ -1007,17 +1111,17 @@
         }
         thread::sleep(Duration::from_millis(6_000));
     }
-    finish(&deployment, record_path, &broken)
+    let verdict = verdict(&broken);
+    println!("{verdict}");
+    deployment.write_record(record_path, &verdict)?;
+    Ok(broken.is_empty())
 }
 
-fn finish(deployment: &Deployment, record_path: &str, broken: &[String]) -> Res<bool> {
-    let verdict = match broken {
+fn verdict(broken: &[String]) -> String {
+    match broken {
         [] => "held".to_owned(),
         broken => format!("BROKEN\n{}", broken.join("\n")),
-    };
-    println!("{verdict}");
-    deployment.write_record(record_path, &verdict)?;
-    Ok(broken.is_empty())
+    }
 }
 
 fn main() {
@@ -1026,9 +1130,9 @@
     let record = env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
     let played = match arguments.first().map(String::as_str) {
         Some("worker") => worker(&arguments[1..]).map(|()| true),
-        Some("frozen") => frozen(trouble, &record),
+        Some("ends") => ends(trouble, &record),
         Some("failure") => failure(trouble, &record),
-        _ => Err("standins-2 frozen | failure | worker".into()),
+        _ => Err("standins-2 ends | failure | worker".into()),
     };
     match played {
         Ok(true) => exit(0),
