--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -10,6 +10,7 @@
     fs::{self, File, OpenOptions},
     io::{self, Read, Write},
     net::{Shutdown, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio, exit},
     sync::{
@@ -22,11 +23,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
-#[cfg(target_os = "linux")]
+const SIGKILL: u64 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
 const SIGCONT: i32 = 18;
-#[cfg(target_os = "linux")]
 const SIGSTOP: i32 = 19;
 
 /// Events of each stream.
@@ -359,24 +361,31 @@
 
 /// Serves requests of one service; its answers have no length and end with their connections.
 ///
-/// Arguments: port, id, status of plain answers, record.
+/// Arguments: port, id, status of plain answers, start time in Unix milliseconds, record.
 fn worker(arguments: &[String]) -> Res<()> {
-    let [port, id, status, record] = arguments else {
-        return Err("worker PORT ID STATUS RECORD".into());
+    let [port, id, status, born, record] = arguments else {
+        return Err("worker PORT ID STATUS BORN RECORD".into());
     };
     let record = Record::open(Path::new(record))?;
     let listener = TcpListener::bind(("127.0.0.1", port.parse()?))?;
     record.add(&format!("worker {id} started at port {port}"));
     for stream in listener.incoming().flatten() {
         let (id, status, record) = (id.clone(), status.clone(), record.clone());
+        let born = born.clone();
         thread::spawn(move || {
-            let _ = serve_worker(stream, &id, &status, &record);
+            let _ = serve_worker(stream, &id, &status, &born, &record);
         });
     }
     Ok(())
 }
 
-fn serve_worker(mut stream: TcpStream, id: &str, status: &str, record: &Record) -> io::Result<()> {
+fn serve_worker(
+    mut stream: TcpStream,
+    id: &str,
+    status: &str,
+    born: &str,
+    record: &Record,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer)? {
@@ -405,12 +414,14 @@
             continue;
         }
         if line.starts_with("GET /v1/report ") {
-            let report = r#"{"stage":"decode","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq_no":0,"queued":0,"running":0,"kv_used":0,"kv_total":504666,"kv_handles":0}"#;
+            let report = format!(
+                r#"{{"stage":"decode","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"seq_no":0,"born":{born},"queued":0,"running":0,"kv_used":0,"kv_total":504666,"kv_handles":0}}"#
+            );
             respond(
                 &mut stream,
                 "200 OK",
                 "Content-Type: application/json\r\n",
-                report,
+                &report,
             )?;
             continue;
         }
@@ -618,16 +629,16 @@
 struct Entry {
     id: String,
     fields: String,
-    writes: u64,
     silent_since: Option<Instant>,
 }
 
-/// Writes each worker's entry at every heartbeat, and removes it after three heartbeats of silence.
-fn write_entries(store: &Store, entries: &Entries) {
+/// Removes each worker's entry after three heartbeats of silence. While only `seq_no` changes, an entry
+/// stays as it is.
+fn remove_silent_entries(store: &Store, entries: &Entries) {
     loop {
         thread::sleep(HEARTBEAT / 12);
         let mut entries = entries.lock().unwrap();
-        entries.retain_mut(|entry| {
+        entries.retain(|entry| {
             if entry
                 .silent_since
                 .is_some_and(|since| since.elapsed() >= HEARTBEAT * 3)
@@ -635,10 +646,6 @@
                 store.remove("servers", &entry.id);
                 return false;
             }
-            entry.writes += 1;
-            if entry.silent_since.is_none() && entry.writes % 12 == 0 {
-                entry.write(store);
-            }
             true
         });
     }
@@ -646,11 +653,10 @@
 
 impl Entry {
     fn write(&self, store: &Store) {
-        let seq_no = self.writes / 12 + 1;
         store.put(
             "servers",
             &self.id,
-            &format!("{{{},\"seq_no\":{seq_no}}}", self.fields),
+            &format!("{{{},\"seq_no\":1}}", self.fields),
         );
     }
 }
@@ -691,6 +697,17 @@
     }
 }
 
+/// Starts a process that ends with this one, however this one ends.
+fn spawn(command: &mut Command) -> io::Result<Child> {
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command.spawn()
+}
+
 fn signal(child: &Child, number: i32) {
     unsafe { kill(child.id() as i32, number) };
 }
@@ -744,13 +761,15 @@
         let settings_path = dir.join("node.toml");
         fs::write(&settings_path, settings)?;
         let log = File::create(dir.join("gateway.log"))?;
-        let gateway = Command::new("target/release/wagtail-gateway")
+        let mut command = Command::new("target/release/wagtail-gateway");
+        command
             .env_clear()
-            .env("WAGTAILARCH_NODE_FILE", &settings_path)
+            .env("WAGTAILARCH_NODE_FILE", &settings_path);
+        command
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        let gateway = spawn(&mut command)?;
         let mut deployment = Self {
             dir,
             record,
@@ -764,7 +783,7 @@
             starts: 0,
         };
         let (store, entries) = (deployment.store.clone(), deployment.entries.clone());
-        thread::spawn(move || write_entries(&store, &entries));
+        thread::spawn(move || remove_silent_entries(&store, &entries));
         for (service, zone, port) in [
             ("llm", "a", ports[5]),
             ("llm", "b", ports[6]),
@@ -794,11 +813,13 @@
     ) -> Res<()> {
         self.starts += 1;
         let id = format!("i-{service}-{zone}-{}", self.starts);
-        let child = Command::new(env::current_exe()?)
-            .args(["worker", &port.to_string(), &id, status])
+        let born = now_ms();
+        let mut command = Command::new(env::current_exe()?);
+        command.args(["worker", &port.to_string(), &id, status, &born.to_string()]);
+        command
             .arg(self.dir.join(format!("record-{id}")))
-            .stdin(Stdio::null())
-            .spawn()?;
+            .stdin(Stdio::null());
+        let child = spawn(&mut command)?;
         let until = Instant::now() + Duration::from_secs(5);
         while TcpStream::connect(("127.0.0.1", port)).is_err() {
             if Instant::now() > until {
@@ -819,13 +840,11 @@
             ""
         };
         let fields = format!(
-            r#""service":"{service}","address":"127.0.0.1:{address_port}","zone":"{zone}","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"born":{}{stage}"#,
-            now_ms()
+            r#""service":"{service}","address":"127.0.0.1:{address_port}","zone":"{zone}","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"born":{born}{stage}"#
         );
         let entry = Entry {
             id: id.clone(),
             fields,
-            writes: 0,
             silent_since: None,
         };
         entry.write(&self.store);
