--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -15,7 +15,7 @@
     process::{Child, Command, Stdio, exit},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -147,6 +147,18 @@
     deleted: bool,
 }
 
+/// The link of one machine to the store.
+#[derive(Default)]
+struct Gate {
+    is_cut: AtomicBool,
+    /// Number of watches of the workers.
+    server_watches: AtomicU64,
+    /// The next watch of the workers is cut off while it waits, and this entry is removed.
+    leaves_with_next_watch: Mutex<Option<String>>,
+    /// When that happened.
+    left_at: Mutex<Option<u64>>,
+}
+
 #[derive(Default)]
 struct StoreState {
     revision: u64,
@@ -168,21 +180,31 @@
 
 impl Store {
     fn start() -> io::Result<(Self, u16)> {
+        let store = Self::new();
+        let port = store.open_port(Arc::default())?;
+        Ok((store, port))
+    }
+
+    fn new() -> Self {
         let state = StoreState {
             revision: 100,
             ..StoreState::default()
         };
-        let store = Self(Arc::new((Mutex::new(state), Condvar::new())));
+        Self(Arc::new((Mutex::new(state), Condvar::new())))
+    }
+
+    /// Opens a port, the end of the link of one machine.
+    fn open_port(&self, gate: Arc<Gate>) -> io::Result<u16> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let port = listener.local_addr()?.port();
-        let shared = store.clone();
+        let shared = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = shared.clone();
-                thread::spawn(move || store.serve(stream));
+                let (store, gate) = (shared.clone(), Arc::clone(&gate));
+                thread::spawn(move || store.serve(stream, &gate));
             }
         });
-        Ok((store, port))
+        Ok(port)
     }
 
     fn put(&self, kind: &str, name: &str, spec: &str) {
@@ -216,11 +238,24 @@
         self.0.1.notify_all();
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: TcpStream, gate: &Gate) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = read_request(&mut stream, &mut buffer) {
+            wait_for_link(&gate.is_cut);
+            if request.first_line.contains("/servers?watch=") {
+                gate.server_watches.fetch_add(1, Ordering::SeqCst);
+                let entry = gate.leaves_with_next_watch.lock().unwrap().take();
+                if let Some(entry) = entry {
+                    thread::sleep(Duration::from_millis(5));
+                    drop(stream);
+                    self.remove("servers", &entry);
+                    *gate.left_at.lock().unwrap() = Some(now_ms());
+                    return;
+                }
+            }
             let (status, body) = self.answer(&request);
+            wait_for_link(&gate.is_cut);
             let json = "Content-Type: application/json\r\n";
             if respond(&mut stream, status, json, &body).is_err() {
                 return;
@@ -441,6 +476,17 @@
         };
         let signature =
             format!("Wagtailarch-Request-Id: {name}\r\nWagtailarch-Server-Stamp: {id}.{name}\r\n");
+        if line.contains(" /fast/") {
+            record.add(&format!("worker {id} runs {name}"));
+            let connection = "Content-Type: application/json\r\n";
+            respond(
+                &mut stream,
+                "200 OK",
+                &format!("{signature}{connection}"),
+                &plain_body(&name),
+            )?;
+            continue;
+        }
         if line.contains(" /ask/") {
             let after = request
                 .header("last-event-id")
@@ -739,12 +785,33 @@
         "/book/",
         r#""kind":"unsafe","timeout_ms":1500,"target_latency_ms":300,"service":"app","max_attempts":1"#,
     );
+    let fast = book.replace("book", "fast");
     let engine = r#"{"slots":64,"kv_capacity":504666,"kv_token_bytes":327680,"link_mbps":3200000.0,"moves":true,"backups":true,"kv_hold_s":5.0,"reconfig_s":3.0,"models":[{"name":"m"}]}"#;
     format!(
-        r#"{{"version":7,"routes":[{ask},{book}],"services":[{{"name":"llm","health_path":"/health","max_conns":360,"protocol":"h1","tls":false,"engine":{engine}}},{{"name":"app","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":7,"routes":[{ask},{book},{fast}],"services":[{{"name":"llm","health_path":"/health","max_conns":360,"protocol":"h1","tls":false,"engine":{engine}}},{{"name":"app","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+    )
+}
+
+/// Settings of a gateway, as the template gives them; `ports` are clients, ready, peers, forward, metrics.
+fn settings(instance: &str, ports: &[u16], store_port: u16) -> String {
+    format!(
+        "instance = \"{instance}\"\nzone = \"a\"\nclient_address = \"127.0.0.1:{}\"\nready_address = \"127.0.0.1:{}\"\npeer_address = \"127.0.0.1:{}\"\nforward_address = \"127.0.0.1:{}\"\nmetrics_address = \"127.0.0.1:{}\"\nstore_address = \"127.0.0.1:{store_port}\"\nconfig_bound_ms = 2000\nleaving_bound_ms = 2000\ngrace_s = 8\nretry_ratio = 0.2\nretry_slack = 52\nretry_window_s = 10\n",
+        ports[0], ports[1], ports[2], ports[3], ports[4]
     )
 }
 
+fn start_gateway(dir: &Path, instance: &str, settings: &str, log: &File) -> Res<Child> {
+    let path = dir.join(format!("{instance}.toml"));
+    fs::write(&path, settings)?;
+    let mut command = Command::new("target/release/wagtail-gateway");
+    command
+        .env_clear()
+        .env("WAGTAILARCH_NODE_FILE", &path)
+        .stdin(Stdio::null());
+    command.stdout(log.try_clone()?).stderr(log.try_clone()?);
+    Ok(spawn(&mut command)?)
+}
+
 impl Deployment {
     /// Starts the store, the workers and the gateway, and waits until the gateway is ready.
     fn start(case: &str, plain_status: &'static str, has_links: bool) -> Res<Self> {
@@ -754,22 +821,9 @@
         let (store, store_port) = Store::start()?;
         store.put("config", "main", &configuration());
         let ports = free_ports(8)?;
-        let settings = format!(
-            "instance = \"front-a-1\"\nzone = \"a\"\nclient_address = \"127.0.0.1:{}\"\nready_address = \"127.0.0.1:{}\"\npeer_address = \"127.0.0.1:{}\"\nforward_address = \"127.0.0.1:{}\"\nmetrics_address = \"127.0.0.1:{}\"\nstore_address = \"127.0.0.1:{store_port}\"\nconfig_bound_ms = 2000\nleaving_bound_ms = 2000\ngrace_s = 8\nretry_ratio = 0.2\nretry_slack = 52\nretry_window_s = 10\n",
-            ports[0], ports[1], ports[2], ports[3], ports[4]
-        );
-        let settings_path = dir.join("node.toml");
-        fs::write(&settings_path, settings)?;
+        let settings = settings("front-a-1", &ports, store_port);
         let log = File::create(dir.join("gateway.log"))?;
-        let mut command = Command::new("target/release/wagtail-gateway");
-        command
-            .env_clear()
-            .env("WAGTAILARCH_NODE_FILE", &settings_path);
-        command
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log);
-        let gateway = spawn(&mut command)?;
+        let gateway = start_gateway(&dir, "front-a-1", &settings, &log)?;
         let mut deployment = Self {
             dir,
             record,
@@ -1136,6 +1190,155 @@
     Ok(broken.is_empty())
 }
 
+/// Gateways beside that of the deployment.
+struct Others(Vec<Child>);
+
+impl Drop for Others {
+    fn drop(&mut self) {
+        for child in &mut self.0 {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Two of three machines of a zone are cut off from the store; the third one, which isn't, has a watch
+/// cut off, and a worker leaves without reporting `draining`.
+fn zone(trouble: bool, record_path: &str) -> Res<bool> {
+    let dir = env::temp_dir().join(format!("standins-2-zone-{}", std::process::id()));
+    fs::create_dir_all(&dir)?;
+    let record = Record::open(&dir.join("record-driver"))?;
+    let store = Store::new();
+    store.put("config", "main", &configuration());
+    let log = File::create(dir.join("gateway.log"))?;
+    let gates: Vec<Arc<Gate>> = (0..3).map(|_| Arc::default()).collect();
+    let mut clients = Vec::new();
+    let mut ready = Vec::new();
+    let mut gateways = Vec::new();
+    for (number, gate) in gates.iter().enumerate() {
+        let ports = free_ports(5)?;
+        let instance = format!("front-a-{}", number + 1);
+        let settings = settings(&instance, &ports, store.open_port(Arc::clone(gate))?);
+        gateways.push(start_gateway(&dir, &instance, &settings, &log)?);
+        clients.push(ports[0]);
+        ready.push(ports[1]);
+    }
+    let mut deployment = Deployment {
+        gateway: gateways.remove(0),
+        dir,
+        record,
+        store: store.clone(),
+        client_port: clients[0],
+        workers: Vec::new(),
+        entries: Entries::default(),
+        cut: None,
+        links: BTreeMap::new(),
+        starts: 0,
+    };
+    let _others = Others(gateways);
+    for port in free_ports(3)? {
+        deployment.start_worker("app", "a", port, "200 OK")?;
+    }
+    let until = Instant::now() + Duration::from_secs(20);
+    while !ready.iter().all(|port| is_ready(*port)) {
+        if Instant::now() > until {
+            return Err("a gateway isn't ready".into());
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    thread::sleep(Duration::from_secs(9));
+    let watches = || {
+        gates
+            .iter()
+            .map(|gate| gate.server_watches.load(Ordering::SeqCst))
+    };
+    let before: Vec<u64> = watches().collect();
+    thread::sleep(Duration::from_secs(3));
+    let after: Vec<u64> = watches().collect();
+    let member = (0..3).find(|&index| before[index] == after[index]);
+    let member = member.ok_or("no machine reads from the others")?;
+    let name = format!("front-a-{}", member + 1);
+    deployment.record.add(&format!(
+        "{name} reads from the others of its zone, these from the store"
+    ));
+    let leaving = deployment.workers[0].id.clone();
+    let port = clients[member];
+    let is_over = Arc::new(AtomicBool::new(false));
+    let over = Arc::clone(&is_over);
+    let sender = thread::spawn(move || {
+        let mut sent = 0;
+        while !over.load(Ordering::SeqCst) {
+            sent += 1;
+            let name = format!("5d{sent:06}0000000d");
+            let _ = call(
+                port,
+                "/fast/1",
+                &name,
+                PLAIN_HEADERS,
+                "{}",
+                Duration::from_secs(3),
+            );
+            thread::sleep(Duration::from_millis(20));
+        }
+        sent
+    });
+    let others = (0..3).filter(|index| *index != member);
+    let cut = |is_cut: bool| {
+        for index in others.clone() {
+            gates[index].is_cut.store(is_cut, Ordering::SeqCst);
+        }
+    };
+    thread::sleep(Duration::from_secs(1));
+    let mut left_at = None;
+    if trouble {
+        deployment
+            .record
+            .add("the others are cut off from the store");
+        cut(true);
+        thread::sleep(Duration::from_millis(2_500));
+        *gates[member].leaves_with_next_watch.lock().unwrap() = Some(leaving.clone());
+        let until = Instant::now() + Duration::from_secs(3);
+        while left_at.is_none() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(1));
+            left_at = *gates[member].left_at.lock().unwrap();
+        }
+    } else {
+        thread::sleep(Duration::from_millis(2_500));
+        store.remove("servers", &leaving);
+        left_at = Some(now_ms());
+    }
+    let left_at = left_at.ok_or("the machine watches no workers")?;
+    deployment.record.add(&format!(
+        "{leaving} is gone: its entry is removed, and it serves on"
+    ));
+    thread::sleep(Duration::from_secs(3));
+    if trouble {
+        cut(false);
+        deployment.record.add("the others reach the store again");
+    }
+    thread::sleep(Duration::from_secs(3));
+    is_over.store(true, Ordering::SeqCst);
+    let sent = sender.join().map_err(|_| "client failed")?;
+    deployment
+        .record
+        .add(&format!("{sent} requests were sent to {name}"));
+    let text = fs::read_to_string(deployment.dir.join(format!("record-{leaving}")))?;
+    let runs = text.lines().filter(|line| line.contains(" runs "));
+    let times = runs.filter_map(|line| line.split(' ').next()?.parse::<u64>().ok());
+    let late: Vec<u64> = times.filter(|time| *time > left_at + 2_000).collect();
+    let mut broken = Vec::new();
+    if let Some(last) = late.last() {
+        let (count, last) = (late.len(), last - left_at);
+        broken.push(format!(
+            "{count} requests reached {leaving} from {name} later than 2000 ms after it was gone, the last after {last} ms"
+        ));
+    }
+    let verdict = verdict(&broken);
+    println!("{verdict}");
+    deployment.write_record(record_path, &verdict)?;
+    Ok(broken.is_empty())
+}
+
 fn verdict(broken: &[String]) -> String {
     match broken {
         [] => "held".to_owned(),
@@ -1151,7 +1354,8 @@
         Some("worker") => worker(&arguments[1..]).map(|()| true),
         Some("ends") => ends(trouble, &record),
         Some("failure") => failure(trouble, &record),
-        _ => Err("standins-2 ends | failure | worker".into()),
+        Some("zone") => zone(trouble, &record),
+        _ => Err("standins-2 ends | failure | zone | worker".into()),
     };
     match played {
         Ok(true) => exit(0),
