--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -9,7 +9,7 @@
     env,
     fs::{self, File, OpenOptions},
     io::{self, Read, Write},
-    net::{Shutdown, TcpListener, TcpStream},
+    net::{Shutdown, TcpListener, TcpStream, UdpSocket},
     os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio, exit},
@@ -740,6 +740,7 @@
             let _ = worker.child.kill();
             let _ = worker.child.wait();
         }
+        let _ = fs::remove_dir_all(&self.dir);
     }
 }
 
@@ -758,14 +759,23 @@
     unsafe { kill(child.id() as i32, number) };
 }
 
+/// Returns free ports below those that the system gives to outgoing connections.
 fn free_ports(count: usize) -> io::Result<Vec<u16>> {
-    let listeners: io::Result<Vec<_>> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect();
-    listeners?
-        .iter()
-        .map(|listener| Ok(listener.local_addr()?.port()))
-        .collect()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()) * 97;
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let tried = NEXT.fetch_add(1, Ordering::SeqCst);
+        if tried > 10_000 {
+            return Err(io::Error::other("no free ports"));
+        }
+        let port = 12_000 + ((first + tried) % 18_000) as u16;
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if is_free && UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
+        }
+    }
+    Ok(ports)
 }
 
 /// Figures of `sites/bollenplatform.toml`.
