--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -1275,19 +1275,16 @@
     let port = clients[member];
     let is_over = Arc::new(AtomicBool::new(false));
     let over = Arc::clone(&is_over);
+    let sent_record = deployment.record.clone();
     let sender = thread::spawn(move || {
         let mut sent = 0;
         while !over.load(Ordering::SeqCst) {
             sent += 1;
             let name = format!("5d{sent:06}0000000d");
-            let _ = call(
-                port,
-                "/fast/1",
-                &name,
-                PLAIN_HEADERS,
-                "{}",
-                Duration::from_secs(3),
-            );
+            let limit = Duration::from_secs(3);
+            let answer = call(port, "/fast/1", &name, PLAIN_HEADERS, "{}", limit);
+            let status = answer.map_or(0, |answer| answer.status);
+            sent_record.add(&format!("client sent {name} and got {status}"));
             thread::sleep(Duration::from_millis(20));
         }
         sent
