--- a/review/rig-9-10.rs
+++ b/review/rig-9-10.rs
@@ -810,7 +810,10 @@
     let (broken, found) = match case.as_str() {
         "pages" => deployment.large_entry(),
         "fields" => deployment.entry_with_missing_fields(),
-        _ => std::process::exit(2),
+        _ => {
+            drop(deployment);
+            std::process::exit(2);
+        }
     };
     deployment.gateways.clear();
     let summary = deployment.summary(&found);
