--- a/review/standins-3.rs
+++ b/review/standins-3.rs
@@ -1272,7 +1272,7 @@
         let (rig, gateways) = (&rig, &gateways);
         let mut drained_at = 0;
         thread::scope(|scope| {
-            let traffic = scope.spawn(move || load(rig, gateways, 230, Duration::from_secs(30)));
+            let traffic = scope.spawn(move || load(rig, gateways, 400, Duration::from_secs(30)));
             if trouble() {
                 rig.note("the clock of the machine of i-0 has jumped ahead by 2 s");
             }
