--- a/review/standins-3.rs
+++ b/review/standins-3.rs
@@ -930,7 +930,7 @@
                 let lines = text.lines().filter(|line| {
                     is_workers || words.iter().any(|word| line.contains(word))
                 });
-                for line in lines.take(400) {
+                for line in lines {
                     let _ = writeln!(record, "{line}");
                 }
             }
@@ -1153,6 +1153,7 @@
                     );
                     let answer = call(address, &request, Duration::from_secs(3));
                     let status = answer.map_or(0, |answer| answer.message.status());
+                    rig.note(&format!("client sent GET {path} as c{number} to {address}: {status}"));
                     let mut results = results.lock().unwrap();
                     let statuses = match is_board {
                         true => &mut results.0,
