--- a/review/standins-3.rs
+++ b/review/standins-3.rs
@@ -30,6 +30,7 @@
         Some("refused-route") => cases::refused_route(),
         Some("late-drain") => cases::late_drain(),
         Some("cut-release") => cases::cut_release(),
+        Some("cut-pause") => cases::cut_pause(),
         _ => 2,
     };
     std::process::exit(code);
@@ -253,7 +254,12 @@
         }
     }
 
-    pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) -> io::Result<()> {
+    pub fn answer(
+        stream: &mut TcpStream,
+        status: &str,
+        headers: &str,
+        body: &[u8],
+    ) -> io::Result<()> {
         let length = body.len();
         let mut bytes =
             format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes();
@@ -320,7 +326,8 @@
             };
             let text = Self::render(name, &object);
             self.objects.insert(key, object);
-            self.history.push((revision, kind.to_owned(), text.clone(), false));
+            self.history
+                .push((revision, kind.to_owned(), text.clone(), false));
             text
         }
 
@@ -331,7 +338,8 @@
             };
             self.revision += 1;
             let text = Self::render(name, &object);
-            self.history.push((self.revision, kind.to_owned(), text, true));
+            self.history
+                .push((self.revision, kind.to_owned(), text, true));
             true
         }
     }
@@ -372,8 +380,13 @@
         /// Returns the numbers of ready entries of workers.
         pub fn ready_workers(&self) -> usize {
             let state = self.state.lock().unwrap();
-            let workers = state.objects.iter().filter(|((kind, _), _)| kind == "servers");
-            workers.filter(|(_, o)| o.spec.contains("\"ready\"")).count()
+            let workers = state
+                .objects
+                .iter()
+                .filter(|((kind, _), _)| kind == "servers");
+            workers
+                .filter(|(_, o)| o.spec.contains("\"ready\""))
+                .count()
         }
 
         fn expire(&self) {
@@ -447,7 +460,9 @@
             let state = self.state.lock().unwrap();
             let objects = state.objects.iter();
             let of_kind = objects.filter(|((k, name), _)| k == kind && name.as_str() > after);
-            let items: Vec<_> = of_kind.map(|((_, name), o)| State::render(name, o)).collect();
+            let items: Vec<_> = of_kind
+                .map(|((_, name), o)| State::render(name, o))
+                .collect();
             let body = format!(
                 "{{\"items\":[{}],\"has_more\":false,\"current_rev\":{}}}",
                 items.join(","),
@@ -480,7 +495,13 @@
             }
         }
 
-        fn write(&self, method: &str, kind: &str, name: &str, body: &str) -> (&'static str, String) {
+        fn write(
+            &self,
+            method: &str,
+            kind: &str,
+            name: &str,
+            body: &str,
+        ) -> (&'static str, String) {
             let metadata = json::field(body, "metadata").unwrap_or("{}");
             let name = match name {
                 "" => json::text(metadata, "name").unwrap_or(""),
@@ -529,6 +550,11 @@
         events: u32,
         /// Time between two events, or of a plain request.
         work: Duration,
+        /// Time to read a prompt.
+        prefill: Duration,
+        /// Silence between the last event of a stream and its last chunk; streams are sent in chunks if
+        /// there is one, and end with their connections otherwise.
+        last_pause: Option<Duration>,
         /// File whose presence asks the worker to leave.
         leave: PathBuf,
         is_leaving: AtomicBool,
@@ -539,9 +565,14 @@
     pub fn run(args: &[String]) -> i32 {
         let value = |name: &str| {
             let at = args.iter().position(|arg| arg == name);
-            at.and_then(|at| args.get(at + 1)).cloned().unwrap_or_default()
+            at.and_then(|at| args.get(at + 1))
+                .cloned()
+                .unwrap_or_default()
         };
-        let log = OpenOptions::new().create(true).append(true).open(value("--log"));
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(value("--log"));
         let worker = Arc::new(Worker {
             id: value("--id"),
             address: value("--address").parse().expect("an address"),
@@ -558,6 +589,11 @@
             handles: AtomicU64::new(0),
             events: value("--events").parse().unwrap_or(0),
             work: Duration::from_millis(value("--work-ms").parse().expect("a number")),
+            prefill: Duration::from_millis(value("--prefill-ms").parse().unwrap_or(0)),
+            last_pause: value("--last-pause-ms")
+                .parse()
+                .ok()
+                .map(Duration::from_millis),
             leave: PathBuf::from(format!("{}.leave-{}", value("--log"), value("--id"))),
             is_leaving: AtomicBool::new(false),
             log: Mutex::new(log.expect("a log")),
@@ -600,7 +636,12 @@
         while worker.running.load(Ordering::SeqCst) > 0 {
             thread::sleep(Duration::from_millis(1));
         }
-        call(worker.store, "DELETE", &format!("/v1/objects/servers/{}", worker.id), "");
+        call(
+            worker.store,
+            "DELETE",
+            &format!("/v1/objects/servers/{}", worker.id),
+            "",
+        );
         worker.record("exits");
         0
     }
@@ -631,7 +672,10 @@
                  \"seq_no\":{beat}}}",
                 self.service, self.address, self.zone, self.slots, self.born
             );
-            let body = format!("{{\"metadata\":{{\"name\":\"{}\"}},\"spec\":{spec}}}", self.id);
+            let body = format!(
+                "{{\"metadata\":{{\"name\":\"{}\"}},\"spec\":{spec}}}",
+                self.id
+            );
             let path = format!("/v1/objects/servers/{}", self.id);
             if call(self.store, "PUT", &path, &body) == Some(404) {
                 call(self.store, "POST", "/v1/objects/servers", &body);
@@ -647,7 +691,10 @@
             let Some(request) = http::read_request(&mut reader)? else {
                 return Ok(());
             };
-            let id = request.header("wagtailarch-request-id").unwrap_or("").to_owned();
+            let id = request
+                .header("wagtailarch-request-id")
+                .unwrap_or("")
+                .to_owned();
             let running = self.running.load(Ordering::SeqCst);
             let common = format!(
                 "Connection: close\r\nWagtailarch-Server-Load: {running},0,{}\r\n",
@@ -696,6 +743,7 @@
                 self.id
             );
             if request.header("wagtailarch-stage") == Some("prefill") {
+                thread::sleep(self.prefill);
                 let handle = self.handles.fetch_add(1, Ordering::SeqCst);
                 let body = format!(
                     "{{\"handle_id\":\"{:x}{handle:x}\",\"tokens\":1460,\"version\":1}}",
@@ -703,21 +751,43 @@
                 );
                 return http::answer(&mut writer, "200 OK", &common, body.as_bytes());
             }
-            let first = request.header("last-event-id").and_then(|text| text.parse().ok());
+            let first = request
+                .header("last-event-id")
+                .and_then(|text| text.parse().ok());
             match request.header("wagtailarch-model") {
-                Some(_) => self.stream(&mut writer, &common, &id, first.map_or(0, |last: u32| last + 1)),
+                Some(_) => self.stream(
+                    &mut writer,
+                    &common,
+                    &id,
+                    first.map_or(0, |last: u32| last + 1),
+                ),
                 None => self.run_plain(&mut writer, &common, &id),
             }
         }
 
-        /// Sends the events of a stream, whose end is the end of the connection.
-        fn stream(&self, writer: &mut TcpStream, common: &str, id: &str, first: u32) -> io::Result<()> {
+        /// Sends the events of a stream after `first`.
+        fn stream(
+            &self,
+            writer: &mut TcpStream,
+            common: &str,
+            id: &str,
+            first: u32,
+        ) -> io::Result<()> {
             self.record(&format!("runs {id} from event {first}"));
-            let head = format!("HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\n\r\n");
+            let coding = match self.last_pause {
+                Some(_) => "Transfer-Encoding: chunked\r\n",
+                None => "",
+            };
+            let head = format!(
+                "HTTP/1.1 200 OK\r\n{common}{coding}Content-Type: text/event-stream\r\n\r\n"
+            );
             writer.write_all(head.as_bytes())?;
             for event in first..self.events {
                 thread::sleep(self.work);
-                let text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+                let mut text = format!("id: {event}\ndata: piece {event} of {id}\n\n");
+                if self.last_pause.is_some() {
+                    text = format!("{:x}\r\n{text}\r\n", text.len());
+                }
                 if let Err(error) = writer.write_all(text.as_bytes()) {
                     self.record(&format!("stops {id} at event {event}: caller left"));
                     return Err(error);
@@ -726,6 +796,12 @@
                     self.record(&format!("made event {event} of {id}"));
                 }
             }
+            if let Some(pause) = self.last_pause {
+                if first < self.events {
+                    thread::sleep(pause);
+                }
+                writer.write_all(b"0\r\n\r\n")?;
+            }
             self.record(&format!("ends {id}"));
             Ok(())
         }
@@ -804,6 +880,10 @@
         pub clock_ahead_ms: u64,
         /// How long it takes connections after the store has accepted that it is draining.
         pub serve_ms: u64,
+        /// How long it reads a prompt.
+        pub prefill_ms: u64,
+        /// How long it is silent before the last chunk of a stream; without it streams have no chunks.
+        pub last_pause_ms: Option<u64>,
     }
 
     pub struct Gateway {
@@ -855,12 +935,26 @@
                 .arg("worker")
                 .args(["--id", &spec.id, "--address", &spec.address.to_string()])
                 .args(["--store", &self.store.address.to_string()])
-                .args(["--service", spec.service, "--zone", spec.zone, "--stage", spec.stage])
+                .args([
+                    "--service",
+                    spec.service,
+                    "--zone",
+                    spec.zone,
+                    "--stage",
+                    spec.stage,
+                ])
                 .args(["--slots", &spec.slots.to_string()])
                 .args(["--events", &spec.events.to_string()])
                 .args(["--work-ms", &spec.work_ms.to_string()])
                 .args(["--clock-ahead-ms", &spec.clock_ahead_ms.to_string()])
                 .args(["--serve-ms", &spec.serve_ms.to_string()])
+                .args(["--prefill-ms", &spec.prefill_ms.to_string()])
+                .args([
+                    "--last-pause-ms",
+                    &spec
+                        .last_pause_ms
+                        .map_or(String::new(), |ms| ms.to_string()),
+                ])
                 .arg("--log")
                 .arg(self.dir.join("workers.log"))
                 .spawn();
@@ -935,15 +1029,22 @@
                 .map(|entries| entries.flatten().map(|entry| entry.path()).collect())
                 .unwrap_or_default();
             logs.sort();
-            for path in logs.iter().filter(|path| path.extension().is_some_and(|e| e == "log")) {
+            for path in logs
+                .iter()
+                .filter(|path| path.extension().is_some_and(|e| e == "log"))
+            {
                 let is_workers = path.ends_with("workers.log");
-                let _ = writeln!(record, "\n== {}", path.file_name().unwrap().to_string_lossy());
+                let _ = writeln!(
+                    record,
+                    "\n== {}",
+                    path.file_name().unwrap().to_string_lossy()
+                );
                 let Ok(text) = std::fs::read_to_string(path) else {
                     continue;
                 };
-                let lines = text.lines().filter(|line| {
-                    is_workers || words.iter().any(|word| line.contains(word))
-                });
+                let lines = text
+                    .lines()
+                    .filter(|line| is_workers || words.iter().any(|word| line.contains(word)));
                 for line in lines {
                     let _ = writeln!(record, "{line}");
                 }
@@ -1072,7 +1173,7 @@
         let Some(rig) = Rig::new() else {
             return 2;
         };
-                let specs: Vec<_> = (0..WORKERS)
+        let specs: Vec<_> = (0..WORKERS)
             .map(|index| WorkerSpec {
                 id: format!("i-{index}-first"),
                 address: rig.address(),
@@ -1084,11 +1185,16 @@
                 work_ms: 60,
                 clock_ahead_ms: 0,
                 serve_ms: 6_000,
+                prefill_ms: 0,
+                last_pause_ms: None,
             })
             .collect();
         let mut workers: Vec<_> = specs.iter().map(|spec| rig.worker(spec)).collect();
         rig.store.put("config", "main", &plain_config(7, false));
-        let gateways = [rig.gateway("front-lisse-1", "lisse"), rig.gateway("front-lisse-2", "lisse")];
+        let gateways = [
+            rig.gateway("front-lisse-1", "lisse"),
+            rig.gateway("front-lisse-2", "lisse"),
+        ];
         if !rig.until_ready(&[&gateways[0], &gateways[1]], WORKERS) {
             rig.note("the deployment did not become ready");
             rig.finish(&["level=warn"]);
@@ -1098,18 +1204,25 @@
         rig.store.put("config", "main", &plain_config(8, true));
         thread::sleep(Duration::from_secs(5));
         let (look, board) = load(&rig, &gateways, 50, Duration::from_secs(4));
-        rig.note(&format!("before: /look/ {:?}, /board/ {:?}", look.counts, board.counts));
+        rig.note(&format!(
+            "before: /look/ {:?}, /board/ {:?}",
+            look.counts, board.counts
+        ));
         let (rig_ref, gateways_ref) = (&rig, &gateways);
         let (specs_ref, workers_ref) = (&specs, &mut workers);
         thread::scope(|scope| {
-            let traffic = scope.spawn(move || load(rig_ref, gateways_ref, 300, Duration::from_secs(34)));
+            let traffic =
+                scope.spawn(move || load(rig_ref, gateways_ref, 300, Duration::from_secs(34)));
             for round in 0..6 {
                 thread::sleep(Duration::from_secs(2));
                 if trouble() {
                     // A quarter of the workers.
                     let crashed = [round * 2 % WORKERS, round * 2 % WORKERS + 1];
                     for index in crashed {
-                        rig_ref.note(&format!("worker of {} crashes (SIGKILL)", specs_ref[index].address));
+                        rig_ref.note(&format!(
+                            "worker of {} crashes (SIGKILL)",
+                            specs_ref[index].address
+                        ));
                         workers_ref[index].kill();
                     }
                     thread::sleep(Duration::from_secs(3));
@@ -1124,20 +1237,34 @@
                 }
             }
             let (look, board) = traffic.join().unwrap();
-            rig_ref.note(&format!("around the crashes: /look/ {:?}, /board/ {:?}", look.counts, board.counts));
+            rig_ref.note(&format!(
+                "around the crashes: /look/ {:?}, /board/ {:?}",
+                look.counts, board.counts
+            ));
         });
         // Twice the stable window, so that the machines are in touch and the state is steady.
         thread::sleep(Duration::from_secs(6));
         let (look, board) = load(&rig, &gateways, 50, Duration::from_secs(20));
-        rig.note(&format!("steady state: /look/ {:?}, /board/ {:?}", look.counts, board.counts));
-        let share = |statuses: &Statuses| f64::from(statuses.served()) / f64::from(statuses.total().max(1));
+        rig.note(&format!(
+            "steady state: /look/ {:?}, /board/ {:?}",
+            look.counts, board.counts
+        ));
+        let share =
+            |statuses: &Statuses| f64::from(statuses.served()) / f64::from(statuses.total().max(1));
         let is_broken = board.total() >= 20 && share(&board) < share(&look) / 4.0;
         if is_broken {
-            rig.note("BROKEN: the later route is served less than a quarter as often as the first one");
+            rig.note(
+                "BROKEN: the later route is served less than a quarter as often as the first one",
+            );
         }
         drop(workers);
         drop(gateways);
-        rig.finish(&["request suspected", "server crashed", "reason=quarantine", "Quarantined"]);
+        rig.finish(&[
+            "request suspected",
+            "server crashed",
+            "reason=quarantine",
+            "Quarantined",
+        ]);
         i32::from(is_broken)
     }
 
@@ -1159,11 +1286,16 @@
                 work_ms: 60,
                 clock_ahead_ms: 0,
                 serve_ms: 6_000,
+                prefill_ms: 0,
+                last_pause_ms: None,
             })
             .collect();
         let mut workers: Vec<_> = specs.iter().skip(1).map(|spec| rig.worker(spec)).collect();
         rig.store.put("config", "main", &plain_config(7, true));
-        let gateways = [rig.gateway("front-lisse-1", "lisse"), rig.gateway("front-lisse-2", "lisse")];
+        let gateways = [
+            rig.gateway("front-lisse-1", "lisse"),
+            rig.gateway("front-lisse-2", "lisse"),
+        ];
         if !rig.until_ready(&[&gateways[0], &gateways[1]], 2) {
             rig.note("the deployment did not become ready");
             rig.finish(&["level=warn"]);
@@ -1194,16 +1326,25 @@
             let flag = rig.dir.join("workers.log.leave-i-0");
             let _ = File::create(flag);
             let (look, board) = traffic.join().unwrap();
-            rig.note(&format!("answers: /look/ {:?}, /board/ {:?}", look.counts, board.counts));
+            rig.note(&format!(
+                "answers: /look/ {:?}, /board/ {:?}",
+                look.counts, board.counts
+            ));
         });
         let log = std::fs::read_to_string(rig.dir.join("workers.log")).unwrap_or_default();
         let late = log.lines().filter(|line| {
-            let at: u64 = line.split(' ').next().and_then(|at| at.parse().ok()).unwrap_or(0);
+            let at: u64 = line
+                .split(' ')
+                .next()
+                .and_then(|at| at.parse().ok())
+                .unwrap_or(0);
             // The acknowledgement follows within 100 ms.
             line.contains(" worker i-0 runs ") && at > drained_at + 100 + DRAIN.as_millis() as u64
         });
         let late = late.count();
-        rig.note(&format!("{late} requests reach i-0 later than drain_ms after the acknowledgement"));
+        rig.note(&format!(
+            "{late} requests reach i-0 later than drain_ms after the acknowledgement"
+        ));
         if late > 0 {
             rig.note("BROKEN: requests reach a worker that leaves");
         }
@@ -1226,8 +1367,26 @@
         \"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
         \"idle_timeout_ms\":15000}}";
 
+    /// What a worker does beside the change of the settings.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    enum Beside {
+        /// Two workers leave and send the streams that they have to their ends.
+        Release,
+        /// All workers are silent before the last chunk of a stream.
+        Pause,
+    }
+
     /// Whole answers of workers that leave, beside a change of the settings.
     pub fn cut_release() -> i32 {
+        cut_streams(Beside::Release)
+    }
+
+    /// Whole answers of workers that are silent before their ends, beside a change of the settings.
+    pub fn cut_pause() -> i32 {
+        cut_streams(Beside::Pause)
+    }
+
+    fn cut_streams(beside: Beside) -> i32 {
         const EVENTS: u32 = 40;
         const STREAMS: usize = 24;
         let Some(rig) = Rig::new() else {
@@ -1249,11 +1408,20 @@
                 work_ms: 100,
                 clock_ahead_ms: 0,
                 serve_ms: 2_500,
+                prefill_ms: if beside == Beside::Pause { 340 } else { 0 },
+                last_pause_ms: (beside == Beside::Pause).then_some(if trouble() {
+                    2_000
+                } else {
+                    0
+                }),
             })
             .collect();
         let workers: Vec<_> = specs.iter().map(|spec| rig.worker(spec)).collect();
         rig.store.put("config", "main", ENGINE_CONFIG);
-        let gateways = [rig.gateway("front-lisse-1", "lisse"), rig.gateway("front-hillegom-1", "hillegom")];
+        let gateways = [
+            rig.gateway("front-lisse-1", "lisse"),
+            rig.gateway("front-hillegom-1", "hillegom"),
+        ];
         if !rig.until_ready(&[&gateways[0], &gateways[1]], specs.len()) {
             rig.note("the deployment did not become ready");
             rig.finish(&["level=warn"]);
@@ -1279,31 +1447,40 @@
                 let request = format!(
                     "POST /{route}/{index} HTTP/1.1\r\nHost: bulbs.example\r\n\
                      Wagtailarch-Request-Id: {id}\r\nWagtailarch-Model: m\r\n\
-                     Wagtailarch-Token-Counts: 1460,80\r\n\
-                     Wagtailarch-Prompt-Prefix: 5c1e07a2:800,a{index}:660\r\n\
+                     Wagtailarch-Token-Counts: 17020,80\r\n\
+                     Wagtailarch-Prompt-Prefix: 5c1e07a2:13300,a{index}:3720\r\n\
                      Wagtailarch-Deadline-Ms: 8000\r\nContent-Length: 5\r\n\r\nhello"
                 );
-                let call = thread::spawn(move || call(address, &request, Duration::from_millis(2_400)));
+                let call =
+                    thread::spawn(move || call(address, &request, Duration::from_millis(2_400)));
                 thread::sleep(Duration::from_millis(20));
                 (id, call)
             })
             .collect();
-        if trouble() {
+        if trouble() && beside == Beside::Release {
             thread::sleep(Duration::from_millis(300));
             // A quarter of the workers.
             for &index in &rig.busiest(&specs)[..2] {
                 rig.note(&format!("worker {} is to leave", specs[index].id));
-                let _ = File::create(rig.dir.join(format!("workers.log.leave-{}", specs[index].id)));
+                let _ = File::create(
+                    rig.dir
+                        .join(format!("workers.log.leave-{}", specs[index].id)),
+                );
             }
         }
-        let answers: Vec<_> = calls.into_iter().map(|(id, call)| (id, call.join())).collect();
+        let answers: Vec<_> = calls
+            .into_iter()
+            .map(|(id, call)| (id, call.join()))
+            .collect();
         let log = std::fs::read_to_string(rig.dir.join("workers.log")).unwrap_or_default();
         let mut broken = 0;
         for (id, answer) in answers {
             let ended = format!(" ends {id}");
             let is_whole_at_worker = log.lines().any(|line| line.ends_with(&ended));
             let Ok(Some(answer)) = answer else {
-                rig.note(&format!("client of {id} has no answer; whole at a worker: {is_whole_at_worker}"));
+                rig.note(&format!(
+                    "client of {id} has no answer; whole at a worker: {is_whole_at_worker}"
+                ));
                 broken += u32::from(is_whole_at_worker);
                 continue;
             };
@@ -1316,14 +1493,25 @@
                 answer.end
             ));
             if answer.end != http::End::Complete && is_whole_at_worker {
-                rig.note(&format!("BROKEN: the connection of {id} ends without a complete answer"));
+                rig.note(&format!(
+                    "BROKEN: the connection of {id} ends without a complete answer"
+                ));
                 broken += 1;
             }
         }
-        rig.note(&format!("{broken} of {STREAMS} streams are cut though their workers sent them whole"));
+        rig.note(&format!(
+            "{broken} of {STREAMS} streams are cut though no worker broke one off"
+        ));
         drop(workers);
         drop(gateways);
-        rig.finish(&["stream broken", "stream resumed", "stream not resumed", "server crashed", "settings", "registry"]);
+        rig.finish(&[
+            "stream broken",
+            "stream resumed",
+            "stream not resumed",
+            "server crashed",
+            "settings",
+            "registry",
+        ]);
         i32::from(broken > 0)
     }
 }
