--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
-REPOSITORY="$(cd ../.. && pwd)" exec ../../target/review-3/standins-3 refused-route
+REPOSITORY="$(cd ../.. && pwd)" exec ../../target/review-3/standins-3 barred-release
--- a/review/standins-3.rs
+++ b/review/standins-3.rs
@@ -31,6 +31,7 @@
         Some("late-drain") => cases::late_drain(),
         Some("cut-release") => cases::cut_release(),
         Some("cut-pause") => cases::cut_pause(),
+        Some("barred-release") => cases::barred_release(),
         _ => 2,
     };
     std::process::exit(code);
@@ -1514,4 +1515,150 @@
         ]);
         i32::from(broken > 0)
     }
+
+    /// Sends streams of both routes to both gateways for `time`, those of the later route all alike;
+    /// returns the statuses of the first route and of the later one.
+    fn load_streams(rig: &Rig, gateways: &[Gateway], time: Duration) -> (Statuses, Statuses) {
+        let results = Mutex::new((Statuses::default(), Statuses::default()));
+        let start = rig.elapsed();
+        let mut number = 0u64;
+        thread::scope(|scope| {
+            while rig.elapsed() - start < time {
+                number += 1;
+                let address = gateways[(number / 2 % 2) as usize].client;
+                let (results, is_later) = (&results, number % 2 == 0);
+                let (path, body) = match is_later {
+                    true => (
+                        "/draft/rules".to_owned(),
+                        "which bulbs for clay?".to_owned(),
+                    ),
+                    false => (
+                        format!("/check/{number}"),
+                        format!("order {number} of {}", start.as_millis()),
+                    ),
+                };
+                let id = format!("s{number}-{}", start.as_millis());
+                let part = match is_later {
+                    true => "c0ffee:660".to_owned(),
+                    false => format!("a{number}:660"),
+                };
+                let request = format!(
+                    "POST {path} HTTP/1.1\r\nHost: bulbs.example\r\nWagtailarch-Request-Id: {id}\r\n\
+                     Wagtailarch-Model: m\r\nWagtailarch-Token-Counts: 1460,80\r\n\
+                     Wagtailarch-Prompt-Prefix: 5c1e07a2:800,{part}\r\nWagtailarch-Deadline-Ms: 8000\r\n\
+                     Content-Length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                scope.spawn(move || {
+                    let answer = call(address, &request, Duration::from_millis(2_400));
+                    let (status, end) = answer.map_or((0, http::End::CutOff), |answer| {
+                        (answer.message.status(), answer.end)
+                    });
+                    rig.note(&format!(
+                        "client sent {path} as {id} to {address}: {status}, {end:?}"
+                    ));
+                    let mut results = results.lock().unwrap();
+                    let statuses = match is_later {
+                        true => &mut results.1,
+                        false => &mut results.0,
+                    };
+                    *statuses.counts.entry(status).or_default() += 1;
+                });
+                thread::sleep(Duration::from_millis(60));
+            }
+        });
+        results.into_inner().unwrap()
+    }
+
+    /// A later route whose callers all ask the same, and workers that leave as announced.
+    pub fn barred_release() -> i32 {
+        let Some(rig) = Rig::new() else {
+            return 2;
+        };
+        let stages = [
+            "decode", "decode", "decode", "decode", "prefill", "prefill", "prefill", "prefill",
+        ];
+        let specs: Vec<_> = (0..stages.len())
+            .map(|index| WorkerSpec {
+                id: format!("i-{index}"),
+                address: rig.address(),
+                service: "llm",
+                zone: "lisse",
+                stage: stages[index],
+                slots: 64,
+                events: 40,
+                work_ms: 100,
+                clock_ahead_ms: 0,
+                serve_ms: 2_500,
+                prefill_ms: 0,
+                last_pause_ms: None,
+            })
+            .collect();
+        let workers: Vec<_> = specs.iter().map(|spec| rig.worker(spec)).collect();
+        let first = ENGINE_CONFIG
+            .find("{\"name\":\"r-draft\"")
+            .zip(ENGINE_CONFIG.find("{\"name\":\"r-check\""));
+        let Some((draft, check)) = first else {
+            return 2;
+        };
+        let without = format!("{}{}", &ENGINE_CONFIG[..draft], &ENGINE_CONFIG[check..]);
+        rig.store.put("config", "main", &without);
+        let gateways = [
+            rig.gateway("front-lisse-1", "lisse"),
+            rig.gateway("front-lisse-2", "lisse"),
+        ];
+        if !rig.until_ready(&[&gateways[0], &gateways[1]], specs.len()) {
+            rig.note("the deployment did not become ready");
+            rig.finish(&["level=warn"]);
+            return 2;
+        }
+        rig.note("the operator adds the route /draft/");
+        let with = ENGINE_CONFIG.replace("\"version\":7", "\"version\":8");
+        rig.store.put("config", "main", &with);
+        thread::sleep(Duration::from_secs(5));
+        let (rig, gateways, specs) = (&rig, &gateways, &specs);
+        let mut joined = Vec::new();
+        thread::scope(|scope| {
+            let traffic = scope.spawn(move || load_streams(rig, gateways, Duration::from_secs(14)));
+            thread::sleep(Duration::from_secs(5));
+            if trouble() {
+                // A quarter of the workers.
+                for &index in &rig.busiest(specs)[..2] {
+                    rig.note(&format!("worker {} is to leave", specs[index].id));
+                    let _ = File::create(
+                        rig.dir
+                            .join(format!("workers.log.leave-{}", specs[index].id)),
+                    );
+                    let spec = WorkerSpec {
+                        id: format!("{}-next", specs[index].id),
+                        address: rig.address(),
+                        ..specs[index].clone()
+                    };
+                    joined.push(rig.worker(&spec));
+                }
+            }
+            let (first, later) = traffic.join().unwrap();
+            rig.note(&format!(
+                "around the release: /check/ {:?}, /draft/ {:?}",
+                first.counts, later.counts
+            ));
+        });
+        thread::sleep(Duration::from_secs(6));
+        let (first, later) = load_streams(rig, gateways, Duration::from_secs(16));
+        rig.note(&format!(
+            "steady state: /check/ {:?}, /draft/ {:?}",
+            first.counts, later.counts
+        ));
+        let share =
+            |statuses: &Statuses| f64::from(statuses.served()) / f64::from(statuses.total().max(1));
+        let is_broken = later.total() >= 20 && share(&later) < share(&first) / 4.0;
+        if is_broken {
+            rig.note(
+                "BROKEN: the later route is served less than a quarter as often as the first one",
+            );
+        }
+        drop((workers, joined));
+        rig.finish(&["request suspected", "server crashed", "registry changed"]);
+        i32::from(is_broken)
+    }
 }
