Whole responses of servers that leave are passed on

A whole plain response became a 502.

Cause: the end of such a response counted as the server's only if its port accepted a connection, but a server that leaves closes its port before its last responses end.

ServerLife decides by what the registry has announced and by evidence that the process outlived the connection; an announcement alone proves nothing. Both programs use it.

Evidence: in the log each stream that was cut had all its events, and its server was known to leave for 3 s.

--- a/crates/wagtailarch-control/src/membership.rs
+++ b/crates/wagtailarch-control/src/membership.rs
@@ -83,6 +83,8 @@
     pub load_at: Option<Duration>,
     /// Whether the server accepts new work.
     pub accepting: bool,
+    /// Whether it is known to leave, from any source.
+    pub leaving: bool,
     /// Whether the platform's list shows it as leaving.
     pub listed_leaving: bool,
     /// Lifecycle phase.
@@ -421,6 +423,7 @@
             load: self.load,
             load_at: self.load_at,
             accepting: available && self.leaving_report.is_none() && self.planned_drain.is_none(),
+            leaving: self.leaving_report.is_some(),
             listed_leaving: self.listed.state == ListedState::Leaving,
             phase,
             serving_since: self.lifecycle.serving_since(),
--- a/crates/wagtailarch-dispatch/src/lib.rs
+++ b/crates/wagtailarch-dispatch/src/lib.rs
@@ -27,7 +27,7 @@
     RateLimit, RequestArrivals, RetryWindow, SharedRetryBudget,
 };
 pub use membership::{
-    LeavingServers, Membership, MembershipChange, RegistrationTracker, STREAM_LIFETIME,
+    Departures, LeavingServers, Membership, MembershipChange, RegistrationTracker, STREAM_LIFETIME,
     ServiceVersions, StreamOrigins, asked_keepers, origin_keepers, service_key,
 };
 pub use orders::{
--- a/crates/wagtailarch-dispatch/src/membership/server_list.rs
+++ b/crates/wagtailarch-dispatch/src/membership/server_list.rs
@@ -210,6 +210,22 @@
         member.remove_at.filter(|at| !is_kept(*at))
     }
 
+    /// Returns the start of a server that is registered, or kept though its registration is missing.
+    pub fn process(&self, id: &InstanceId) -> Option<ServerProcess> {
+        self.servers.get(id).map(|member| member.server.process())
+    }
+
+    /// Returns the starts of all such servers.
+    pub fn processes(&self) -> Vec<ServerProcess> {
+        let servers = self.servers.values();
+        servers.map(|member| member.server.process()).collect()
+    }
+
+    /// Returns whether a start of a server is known to leave.
+    pub fn is_leaving(&self, process: &ServerProcess) -> bool {
+        self.leaving.contains(process)
+    }
+
     /// Returns the servers that may receive requests.
     pub fn usable(&self) -> impl Iterator<Item = &BackendServer> {
         let servers = self.servers.values().map(|member| &member.server);
--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -8,8 +8,8 @@
 use slog::info;
 use wagtailarch_control::BackendObservation;
 use wagtailarch_traffic::{
-    AdmitRequest, Admitted, AttemptFailure, RequestTraits, RetryDecision, RetryPolicy, Selection,
-    SelectionRequest, StrikeKind, Verdict,
+    AdmitRequest, Admitted, AttemptFailure, PortState, RequestTraits, RetryDecision, RetryPolicy,
+    Selection, SelectionRequest, StrikeKind, Verdict,
 };
 use wagtailarch_types::{
     Fingerprint, GroupName, InstanceId, Ran, RefusalReason, RetryReason, ServiceName, fingerprint,
@@ -17,6 +17,7 @@
 
 use crate::{
     engine_client::CallError, in_flight::InFlightGuard, refusal::Refusal, request::RequestContext,
+    server_ends::probe,
 };
 
 /// Maximum number of attempts for a request to a plain service.
@@ -24,12 +25,6 @@
 /// Maximum number of attempts for a generation, whose stream can be resumed.
 const MAX_STREAM_ATTEMPTS: u32 = 4;
 
-/// Timeout of the connection attempt that distinguishes a crashed server from a broken connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Time for which a probe watches whether an accepted connection is closed.
-const PROBE_READ_TIMEOUT: Duration = Duration::from_millis(30);
-
 /// Delay before a server on which this request failed is used again, multiplied by the number of
 /// failed attempts.
 const REUSE_DELAY: Duration = Duration::from_millis(50);
@@ -326,11 +321,11 @@
     /// Checks a server after a connection to it broke; returns whether it seems to have crashed,
     /// and records the crash.
     async fn probe_for_crash(&self, selection: &Selection) -> bool {
-        let crashed = seems_crashed(&selection.address).await;
-        if crashed {
-            self.context.shared.on_crash(&selection.id);
+        if probe(&selection.address).await != PortState::Closed {
+            return false;
         }
-        crashed
+        self.context.shared.on_crash(&selection.id);
+        true
     }
 
     /// Returns whether the request is a suspect; refuses it if it is quarantined.
@@ -350,23 +345,6 @@
     }
 }
 
-/// Connects to a server; returns whether its process seems to have ended.
-///
-/// A refused connection indicates this, as does an accepted one that is closed immediately.
-pub async fn seems_crashed(address: &str) -> bool {
-    let connect = tokio::net::TcpStream::connect(address);
-    match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
-        Ok(Ok(stream)) => {
-            // A process that exits closes the connections of its requests before its listener, so
-            // this connection may be accepted and reset immediately.
-            let closed = tokio::time::timeout(PROBE_READ_TIMEOUT, stream.readable()).await;
-            closed.is_ok()
-        }
-        Ok(Err(_)) => true,
-        Err(_) => false,
-    }
-}
-
 impl crate::shared::Shared {
     /// Records the crash of a backend server as a strike against each request in flight on it.
     pub fn on_crash(&self, server: &InstanceId) {
--- a/crates/wagtailarch-entry/src/lib.rs
+++ b/crates/wagtailarch-entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod refusal;
 mod request;
 mod server;
+mod server_ends;
 mod settings;
 mod settings_check;
 mod shared;
--- a/crates/wagtailarch-entry/src/proxy.rs
+++ b/crates/wagtailarch-entry/src/proxy.rs
@@ -193,8 +193,9 @@
             self.attempts.report_failed_call(selection, &refusal);
         }
         Ok(buffer_response(
+            shared,
             response,
-            &selection.address,
+            selection,
             shared.settings.limits.response_buffer_bytes,
             response_timeout,
         )
--- a/crates/wagtailarch-entry/src/proxy_response.rs
+++ b/crates/wagtailarch-entry/src/proxy_response.rs
@@ -1,7 +1,7 @@
 //! Responses of plain services, whose beginning is buffered so that a broken response can be
 //! retried.
 
-use std::{any::Any, time::Duration};
+use std::{any::Any, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::timeout;
+use wagtailarch_traffic::Selection;
 use wagtailarch_types::Ran;
 use wagtailarch_wire::{
     body_framing::BodyFraming,
@@ -17,10 +18,11 @@
 };
 
 use crate::{
-    attempts::seems_crashed,
     body::{BodyError, ClientBody, full, with_guard},
     engine_client::{CallError, parse_ran_header},
     proxy_message::remove_unforwarded_headers,
+    server_ends::WatchedResponse,
+    shared::Shared,
 };
 
 /// Result of buffering the beginning of a response.
@@ -71,22 +73,25 @@
 /// Buffers the beginning of a response, or all of it if it fits in `buffer_bytes`.
 ///
 /// The call can be retried if the response breaks while it is being buffered. Event streams and
-/// larger bodies are forwarded without buffering. `address` is that of the server.
+/// larger bodies are forwarded without buffering.
 pub async fn buffer_response(
+    shared: &Arc<Shared>,
     response: Response<Incoming>,
-    address: &str,
+    server: &Selection,
     buffer_bytes: usize,
     time_limit: Duration,
 ) -> BufferResult {
     let (mut head, body) = response.into_parts();
     let framing = BodyFraming::of_response(&head.headers, body.is_end_stream());
+    let watched = match framing {
+        BodyFraming::Length | BodyFraming::Chunked => None,
+        BodyFraming::Connection => Some(WatchedResponse::new(shared, &server.id, &server.address)),
+    };
     let mut body = ServiceBody {
         body,
-        framing,
-        address: address.to_owned(),
+        watched,
         events: is_event_stream(&head).then(EventSplitter::default),
         is_empty: true,
-        is_success: head.status.is_success(),
     };
     remove_unforwarded_headers(&mut head.headers);
     let large = body.body.size_hint().lower() > buffer_bytes as u64;
@@ -144,15 +149,12 @@
 /// The body of a service's response; an end that the server did not declare is an error.
 struct ServiceBody {
     body: Incoming,
-    framing: BodyFraming,
-    /// Address of the server.
-    address: String,
+    /// Present if the body ends with the connection.
+    watched: Option<WatchedResponse>,
     /// Splits the body if it is an event stream.
     events: Option<EventSplitter>,
     /// Whether no content has been read: no byte, or no complete event of a stream.
     is_empty: bool,
-    /// Whether the status is a success, whose body must be whole.
-    is_success: bool,
 }
 
 /// Why a body ends early.
@@ -199,6 +201,9 @@
     }
 
     fn on_data(&mut self, data: &[u8]) -> Result<(), ServiceBodyError> {
+        if let Some(watched) = &self.watched {
+            watched.on_heard();
+        }
         let Some(events) = &mut self.events else {
             self.is_empty &= data.is_empty();
             return Ok(());
@@ -216,10 +221,7 @@
     /// Returns whether the end of the body is the end that the server meant.
     ///
     /// A process that crashes closes its connections in order.
-    async fn is_declared_end(&self) -> bool {
-        if !self.is_success {
-            return true;
-        }
+    async fn is_declared_end(&mut self) -> bool {
         if self
             .events
             .as_ref()
@@ -227,9 +229,10 @@
         {
             return false;
         }
-        match self.framing {
-            BodyFraming::Length | BodyFraming::Chunked => true,
-            BodyFraming::Connection => !self.is_empty && !seems_crashed(&self.address).await,
+        match &mut self.watched {
+            None => true,
+            Some(_) if self.is_empty => false,
+            Some(watched) => watched.was_whole().await,
         }
     }
 }
--- a/crates/wagtailarch-entry/src/shared.rs
+++ b/crates/wagtailarch-entry/src/shared.rs
@@ -26,6 +26,7 @@
     in_flight::InFlight,
     metrics::Metrics,
     refusal::Refusal,
+    server_ends::ServerEnds,
     settings::{Settings, ms},
     snapshot::Snapshot,
 };
@@ -65,6 +66,8 @@
     pub router: Router,
     /// Admits or refuses requests.
     pub admission: Admission,
+    /// How backend servers end that leave.
+    pub server_ends: ServerEnds,
     /// Requests that have crashed backend servers.
     pub quarantine: Quarantine,
     /// Requests in flight by backend server.
@@ -107,6 +110,7 @@
             backends: ArcSwap::default(),
             router: Router::new(settings.zone.clone(), rand::random()),
             admission: Admission::new(rand::random()),
+            server_ends: ServerEnds::default(),
             quarantine: Quarantine::new(),
             in_flight: Arc::default(),
             events,
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -1,6 +1,6 @@
 //! One call to a backend server.
 
-use std::{cell::Cell, pin::pin, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use http::{Response, StatusCode, header, response};
 use http_body_util::Full;
@@ -22,6 +22,7 @@
     paths::has_crashed,
     permits::Permit,
     request_context::RequestContext,
+    server_ends::WatchedResponse,
 };
 
 /// Timeout for opening a connection.
@@ -69,7 +70,7 @@
     /// What marks the end of the body.
     pub framing: BodyFraming,
     /// Keeps the connection open and the request counted as in flight.
-    pub _guard: ResponseGuard,
+    pub guard: ResponseGuard,
 }
 
 /// Keeps the connection of a response open; dropping it cancels the request at the server.
@@ -77,6 +78,8 @@
 pub struct ResponseGuard {
     _driver: Driver,
     _counted: CountedCall,
+    /// Present if the response ends with the connection.
+    watched: Option<Rc<WatchedResponse>>,
 }
 
 /// Counts a call until its response ends.
@@ -94,6 +97,20 @@
         Self {
             _driver: driver,
             _counted: CountedCall::Instance { _guard: guard },
+            watched: None,
+        }
+    }
+
+    /// Returns whether the end of the response that its connection reported is the end that the server
+    /// meant, which is decided within `limit`; `is_empty` states whether the response had no content.
+    ///
+    /// A length or a last chunk declares it. The end of a connection does so only after some content,
+    /// and only if the process went on: one that crashes closes its connections in order.
+    pub async fn is_declared_end(&self, is_empty: bool, limit: Duration) -> bool {
+        match &self.watched {
+            None => true,
+            Some(_) if is_empty => false,
+            Some(watched) => watched.was_whole(limit).await,
         }
     }
 }
@@ -244,15 +261,24 @@
         return Err(failure);
     }
     connection.meter.allow(body_allowance(context, &call.step));
+    let watched = match framing {
+        BodyFraming::Length | BodyFraming::Chunked => None,
+        BodyFraming::Connection => {
+            let watched = Rc::new(WatchedResponse::new(gateway, &call.server));
+            connection.meter.watch(Rc::clone(&watched));
+            Some(watched)
+        }
+    };
     Ok(BackendResponse {
         parts,
         body,
         framing,
-        _guard: ResponseGuard {
+        guard: ResponseGuard {
             _driver: connection.driver,
             _counted: CountedCall::Server {
                 _in_flight: in_flight,
             },
+            watched,
         },
     })
 }
@@ -282,15 +308,14 @@
     limit: Duration,
 ) -> Result<BufferedBody, CallFailure> {
     let gateway = &context.gateway;
-    let framing = response.framing;
-    let is_success = response.parts.status.is_success();
     let body = gateway
         .buffer_budget
         .read(&mut response.body, max_body_bytes(&call.step));
     match timeout(limit, body).await {
         Ok(Ok(body)) => {
             let is_empty = body.bytes.is_empty();
-            if is_success && !is_declared_end(framing, is_empty, &call.server).await {
+            let guard = &response.guard;
+            if !guard.is_declared_end(is_empty, context.time_left()).await {
                 let now = gateway.now();
                 gateway
                     .load_balancer
@@ -329,29 +354,6 @@
     }
 }
 
-/// Returns whether the end of a response that the connection reported is the end that the server
-/// meant.
-///
-/// A length or a last chunk declares it. The end of a connection does so only after some content,
-/// and only if the server still accepts connections: a process that crashes closes its connections
-/// in order.
-pub async fn is_declared_end(
-    framing: BodyFraming,
-    is_empty: bool,
-    server: &ServerEndpoint,
-) -> bool {
-    match framing {
-        BodyFraming::Length | BodyFraming::Chunked => true,
-        BodyFraming::Connection if is_empty => false,
-        BodyFraming::Connection => {
-            match connect(server.address, CONNECT_LIMIT, SilenceLimit::Probe).await {
-                Ok(_) => true,
-                Err(error) => !error.is_refused(),
-            }
-        }
-    }
-}
-
 /// Returns the failure that a response stands for, if it cannot be passed on.
 fn response_failure(
     parts: &response::Parts,
@@ -404,7 +406,7 @@
 ///
 /// A server that only this instance cannot reach has not crashed.
 pub fn probe_for_crash(context: &RequestContext, server: &ServerEndpoint, progress: RunProgress) {
-    let gateway = std::rc::Rc::clone(&context.gateway);
+    let gateway = Rc::clone(&context.gateway);
     let service = context.service.clone();
     let server = server.clone();
     let fingerprint = context.fingerprint;
--- a/crates/wagtailarch-gateway/src/connection.rs
+++ b/crates/wagtailarch-gateway/src/connection.rs
@@ -80,6 +80,11 @@
         matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Returns whether the connection was reset while it was being opened, as by a process that ends.
+    pub fn is_reset(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == io::ErrorKind::ConnectionReset)
+    }
+
     /// Returns whether the failure says something about the path to the address, or the process
     /// there, rather than about this process; a timeout does if it was `limit` or longer.
     pub fn concerns_path(&self, limit: Duration) -> bool {
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -5,7 +5,9 @@
 use slog::{debug, info, warn};
 use tokio::{sync::watch, time::sleep};
 use wagtailarch_adapter::{ObjectKind, StoreObject, decode_server};
-use wagtailarch_dispatch::{BackendServer, Membership, MembershipChange, ReadLimits, StoreLoss};
+use wagtailarch_dispatch::{
+    BackendServer, Departures, Membership, MembershipChange, ReadLimits, ServerProcess, StoreLoss,
+};
 use wagtailarch_types::{InstanceId, ObjectVersion};
 use wagtailarch_wire::relay::RelayKind;
 
@@ -26,7 +28,7 @@
     let context = sources.context.clone();
     let limits = context.read_limits(context.leaving_bound);
     let mut watcher = Watcher::new(ObjectKind::Servers, RelayKind::Servers, limits, sources);
-    let mut membership = Membership::default();
+    let mut registry = Registry::default();
     let mut ignored = IgnoredRegistrations::default();
     let mut listed_at = None;
     loop {
@@ -37,28 +39,29 @@
             loop {
                 tokio::select! {
                     update = next.as_mut() => break update,
-                    () = removal_due(&context, &membership) => {
-                        remove_missing(&context, &mut membership);
-                        publish_servers(&publisher, &membership, newest_change);
+                    () = removal_due(&context, &registry.membership) => {
+                        registry.remove_missing(&context);
+                        publish_servers(&publisher, &registry, newest_change);
                     }
                     leaving = context.traffic.take_leaving() => {
                         for process in leaving {
-                            let id = process.id.clone();
-                            log_change(&context, &id, membership.on_stated_leaving(process));
+                            registry.on_stated_leaving(&context, process);
                         }
-                        publish_servers(&publisher, &membership, newest_change);
+                        publish_servers(&publisher, &registry, newest_change);
                     }
                 }
             }
         };
         match (&update, watcher.take_ended_loss()) {
-            (WatchUpdate::StoreLost { outage_from }, _) => membership.on_store_lost(*outage_from),
-            (_, Some(loss)) => keep_missing(&context, &mut membership, loss, &limits),
+            (WatchUpdate::StoreLost { outage_from }, _) => {
+                registry.membership.on_store_lost(*outage_from);
+            }
+            (_, Some(loss)) => keep_missing(&context, &mut registry.membership, loss, &limits),
             (_, None) => {}
         }
         publish_since(&context, &publisher, &update, &mut listed_at);
-        if apply_update(&context, &mut membership, &mut ignored, update) {
-            publish_servers(&publisher, &membership, watcher.newest_change());
+        if apply_update(&context, &mut registry, &mut ignored, update) {
+            publish_servers(&publisher, &registry, watcher.newest_change());
         }
         publisher.send_if_modified(|snapshot| {
             Arc::make_mut(snapshot).servers_read = watcher.read_version();
@@ -94,7 +97,7 @@
 /// Applies an update of the watch; returns whether the servers have to be published.
 fn apply_update(
     context: &ControlContext,
-    membership: &mut Membership,
+    registry: &mut Registry,
     ignored: &mut IgnoredRegistrations,
     update: WatchUpdate,
 ) -> bool {
@@ -105,9 +108,7 @@
             let servers = objects
                 .iter()
                 .filter_map(|object| ignored.decode(context, object));
-            for (id, change) in membership.on_list(now, servers.collect()) {
-                log_change(context, &id, change);
-            }
+            registry.on_list(context, now, servers.collect());
             true
         }
         WatchUpdate::Changed(changes) => {
@@ -117,12 +118,10 @@
                     true => None,
                     false => ignored.decode(context, &object),
                 };
-                let change = match server {
-                    Some(server) => membership.on_registered(server),
-                    None => membership.on_removed(now, &object.name),
+                changed |= match server {
+                    Some(server) => registry.on_registered(context, now, server),
+                    None => registry.on_removed(context, now, &object.name),
                 };
-                changed |= change != MembershipChange::Unchanged;
-                log_change(context, &object.name, change);
             }
             changed
         }
@@ -152,25 +151,106 @@
     }
 }
 
-fn remove_missing(context: &ControlContext, membership: &mut Membership) {
-    for id in membership.remove_missing(context.epoch.elapsed()) {
-        log_change(context, &id, MembershipChange::Removed);
-    }
-}
-
 fn publish_servers(
     publisher: &watch::Sender<Arc<Snapshot>>,
-    membership: &Membership,
+    registry: &Registry,
     newest_change: ObjectVersion,
 ) {
-    let servers: Vec<_> = membership.usable().cloned().collect();
+    let servers: Vec<_> = registry.membership.usable().cloned().collect();
     publish(publisher, |snapshot| {
         snapshot.servers = Arc::new(servers);
+        snapshot.departures = Arc::clone(&registry.departures);
         snapshot.servers_listed = true;
         snapshot.store_versions.servers = newest_change;
     });
 }
 
+/// The servers that may receive requests, and those that leave or have left.
+#[derive(Debug, Default)]
+struct Registry {
+    membership: Membership,
+    departures: Arc<Departures>,
+}
+
+impl Registry {
+    /// Applies a complete list of registrations.
+    fn on_list(&mut self, context: &ControlContext, now: Duration, listed: Vec<BackendServer>) {
+        let before = self.membership.processes();
+        let registered = listed.clone();
+        for (id, change) in self.membership.on_list(now, listed) {
+            log_change(context, &id, change);
+        }
+        for server in &registered {
+            self.record_registration(now, server);
+        }
+        for process in before {
+            if self.membership.process(&process.id).is_none() {
+                Arc::make_mut(&mut self.departures).on_removed(now, process);
+            }
+        }
+    }
+
+    /// Applies one registration; returns whether anything has changed.
+    fn on_registered(
+        &mut self,
+        context: &ControlContext,
+        now: Duration,
+        server: BackendServer,
+    ) -> bool {
+        let change = self.membership.on_registered(server.clone());
+        log_change(context, &server.id, change);
+        let departs =
+            change != MembershipChange::Outdated && self.record_registration(now, &server);
+        departs || change != MembershipChange::Unchanged
+    }
+
+    /// Applies the removal of a registration; returns whether anything has changed.
+    fn on_removed(&mut self, context: &ControlContext, now: Duration, id: &InstanceId) -> bool {
+        let process = self.membership.process(id);
+        let change = self.membership.on_removed(now, id);
+        log_change(context, id, change);
+        if change == MembershipChange::Removed
+            && let Some(process) = process
+        {
+            Arc::make_mut(&mut self.departures).on_removed(now, process);
+        }
+        change != MembershipChange::Unchanged
+    }
+
+    /// Records that a response of a server states that it leaves.
+    fn on_stated_leaving(&mut self, context: &ControlContext, process: ServerProcess) {
+        let now = context.epoch.elapsed();
+        Arc::make_mut(&mut self.departures).on_stated_leaving(now, process.clone());
+        let id = process.id.clone();
+        log_change(context, &id, self.membership.on_stated_leaving(process));
+    }
+
+    /// Removes the servers that have not registered again in time.
+    fn remove_missing(&mut self, context: &ControlContext) {
+        let now = context.epoch.elapsed();
+        let before = self.membership.processes();
+        let removed = self.membership.remove_missing(now);
+        for id in &removed {
+            log_change(context, id, MembershipChange::Removed);
+        }
+        for process in before {
+            if removed.contains(&process.id) {
+                Arc::make_mut(&mut self.departures).on_removed(now, process);
+            }
+        }
+    }
+
+    fn record_registration(&mut self, now: Duration, server: &BackendServer) -> bool {
+        let process = server.process();
+        let leaving = self.membership.is_leaving(&process);
+        // Most registrations concern servers that stay, for which nothing is copied.
+        if !leaving && self.departures.get(&process).is_none() {
+            return false;
+        }
+        Arc::make_mut(&mut self.departures).on_registered(now, server, leaving)
+    }
+}
+
 /// Registrations that cannot be decoded, of which each is logged once.
 #[derive(Debug, Default)]
 struct IgnoredRegistrations {
--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -382,7 +382,7 @@
             parts,
             body,
             framing,
-            _guard: ResponseGuard::of_instance(connection.driver, guard),
+            guard: ResponseGuard::of_instance(connection.driver, guard),
         },
         possible_runs,
         version,
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -12,9 +12,9 @@
 use tokio::{net::UdpSocket, sync::watch};
 use wagtailarch_dispatch::{
     LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, SecondCalls,
-    ServerProcess, SharedRetryBudget, ShutdownPlan,
+    ServerEndpoint, ServerProcess, SharedRetryBudget, ShutdownPlan,
 };
-use wagtailarch_traffic::{Quarantine, StrikeEvent, StrikeKind};
+use wagtailarch_traffic::{Departure, Quarantine, StrikeEvent, StrikeKind};
 use wagtailarch_types::{BootId, InstanceId, ServiceName};
 use wagtailarch_wire::{
     load_note::{LimitReport, SentPrefixes, StrikeNote, server_key},
@@ -31,6 +31,7 @@
     outbox::Outbox,
     paths::Paths,
     permits::PendingPermits,
+    server_ends::ServerEnds,
     settings::{ReloadableSettings, Settings},
     snapshot::Snapshot,
     team_use::{SharedUse, TeamUse},
@@ -52,6 +53,8 @@
     pub load_balancer: RefCell<LoadBalancer>,
     /// Paths to the servers.
     pub paths: Paths,
+    /// Servers with open responses that end with their connections.
+    pub server_ends: ServerEnds,
     /// Requests suspected of crashing servers.
     pub quarantine: Quarantine,
     /// Evidence about parts of prompts that crash servers.
@@ -145,6 +148,7 @@
             traffic,
             load_balancer: RefCell::default(),
             paths: Paths::default(),
+            server_ends: ServerEnds::default(),
             quarantine: Quarantine::new(),
             part_evidence: RefCell::default(),
             suspect_runs: RefCell::default(),
@@ -381,6 +385,12 @@
         }
     }
 
+    /// Returns what the registry says about a server that leaves or has left; `None` if it does not.
+    pub fn departure(&self, server: &ServerEndpoint) -> Option<Departure> {
+        let snapshot = self.snapshot.borrow();
+        snapshot.departures.get(&server.process()).copied()
+    }
+
     /// Records that a server crashed while it was beginning a request with the given parts.
     pub fn record_part_crash(&self, server: &InstanceId, parts: &[ReportedPart]) {
         // A server that leaves or was removed ends by itself.
--- a/crates/wagtailarch-gateway/src/lib.rs
+++ b/crates/wagtailarch-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod response_meter;
 mod second_call;
 mod server;
+mod server_ends;
 mod settings;
 mod snapshot;
 mod stall_detector;
--- a/crates/wagtailarch-gateway/src/response_meter.rs
+++ b/crates/wagtailarch-gateway/src/response_meter.rs
@@ -1,12 +1,16 @@
 //! Limits on what a server may send: the number of bytes, and when the connection may end.
 
-use std::{cell::Cell, io};
+use std::{
+    cell::{Cell, OnceCell},
+    io,
+    rc::Rc,
+};
 
 use displaydoc::Display;
 use tokio::net::TcpStream;
 use wagtailarch_traffic::RequestProgress;
 
-use crate::metered_stream::Meter;
+use crate::{metered_stream::Meter, server_ends::WatchedResponse};
 
 /// Observes a connection to a server.
 #[derive(Debug)]
@@ -18,6 +22,8 @@
     remaining: Cell<usize>,
     /// Progress of the request, without which the connection may not end.
     progress: Cell<RequestProgress>,
+    /// Response that ends with the connection, once its head has arrived.
+    watched: OnceCell<Rc<WatchedResponse>>,
 }
 
 /// the other side sent more bytes than a response may have
@@ -32,6 +38,7 @@
         Self {
             remaining: Cell::new(bytes),
             progress: Cell::default(),
+            watched: OnceCell::new(),
         }
     }
 
@@ -39,6 +46,12 @@
     pub fn allow(&self, bytes: usize) {
         self.remaining.set(bytes);
     }
+
+    /// Reports data that arrives from now on to a response that ends with the connection.
+    pub fn watch(&self, response: Rc<WatchedResponse>) {
+        // The first response on a connection that ends with it is the only one.
+        let _ = self.watched.set(response);
+    }
 }
 
 impl Meter for ResponseMeter {
@@ -52,6 +65,9 @@
     fn on_read(&self, count: usize) {
         self.remaining
             .set(self.remaining.get().saturating_sub(count));
+        if let Some(watched) = self.watched.get() {
+            watched.on_heard();
+        }
     }
 
     fn on_write(&self, blocked: bool) {
--- a/crates/wagtailarch-gateway/src/settings.rs
+++ b/crates/wagtailarch-gateway/src/settings.rs
@@ -38,6 +38,9 @@
     /// Time in milliseconds from the return of the store, or of the path to it, until the bounds
     /// apply again; from 200 to 600000, by default one second more than `leaving_bound_ms`.
     recovery_bound_ms: Option<u64>,
+    /// Time in milliseconds between two heartbeats of a backend server; from 100 to 60000.
+    #[serde(default = "default_heartbeat_ms")]
+    heartbeat_ms: u64,
     /// Time in seconds between the request to stop and the forced end; from 1 to 3600.
     grace_s: f64,
     /// Retries of all instances per request; from 0 to 1.
@@ -57,6 +60,10 @@
     keys: KeySettings,
 }
 
+const fn default_heartbeat_ms() -> u64 {
+    1_000
+}
+
 /// Settings of the keys of teams.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -111,6 +118,11 @@
         Duration::from_millis(self.leaving_bound_ms)
     }
 
+    /// Returns the time between two heartbeats of a backend server.
+    pub fn heartbeat_interval(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
     /// Returns the time from the return of the store, or of the path to it, until the bounds apply
     /// again.
     pub fn recovery_bound(&self) -> Duration {
@@ -158,6 +170,9 @@
         if !(200..=60_000).contains(&self.leaving_bound_ms) {
             return out_of_range("leaving_bound_ms", "200 to 60000 milliseconds");
         }
+        if !(100..=60_000).contains(&self.heartbeat_ms) {
+            return out_of_range("heartbeat_ms", "100 to 60000 milliseconds");
+        }
         let recovery_bound_ms = self.recovery_bound_ms;
         if recovery_bound_ms.is_some_and(|bound_ms| !(200..=600_000).contains(&bound_ms)) {
             return out_of_range("recovery_bound_ms", "200 to 600000 milliseconds");
--- a/crates/wagtailarch-gateway/src/snapshot.rs
+++ b/crates/wagtailarch-gateway/src/snapshot.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
-use wagtailarch_dispatch::{BackendServer, RoutingConfig};
+use wagtailarch_dispatch::{BackendServer, Departures, RoutingConfig};
 use wagtailarch_types::{InstanceId, ObjectVersion, ServiceName, SoftwareVersion, ZoneName};
 use wagtailarch_wire::load_note::StoreVersions;
 
@@ -17,6 +17,8 @@
     pub config_proven_at: Duration,
     /// Servers that may receive requests.
     pub servers: Arc<Vec<BackendServer>>,
+    /// Servers that leave or have left.
+    pub departures: Arc<Departures>,
     /// Time since which all changes of the servers are known; absent while they cannot be read.
     pub servers_since: Option<Duration>,
     /// Version of the store up to which all changes of the servers are known.
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     attempts::Attempts,
-    backend_client::{CallFailure, RunProgress, is_declared_end, probe_for_crash},
+    backend_client::{CallFailure, RunProgress, probe_for_crash},
     connection::failure_cause,
     generation::{GenerationError, GenerationPlace, StartedGeneration, start},
     held_run::HeldRun,
@@ -334,8 +334,10 @@
                 GenerationPlace::Engine(_) if lacks_event => {
                     ReadOutcome::Failed("no event of the stream")
                 }
-                GenerationPlace::Engine(engine) => {
-                    match is_declared_end(self.framing, !run.has_event, &engine.call.server).await {
+                GenerationPlace::Engine(_) => {
+                    let guard = &run.started.response.guard;
+                    let limit = self.context.client_timeout_left();
+                    match guard.is_declared_end(!run.has_event, limit).await {
                         true => ReadOutcome::End,
                         false => ReadOutcome::Failed("undeclared end"),
                     }
--- a/crates/wagtailarch-traffic/src/lib.rs
+++ b/crates/wagtailarch-traffic/src/lib.rs
@@ -19,6 +19,7 @@
 mod retry_policy;
 mod router;
 mod selection;
+mod server_life;
 mod team_limit;
 
 pub use admission::{Admission, AdmitRequest, Admitted, Refusal, TeamUsage};
@@ -38,3 +39,6 @@
 pub use retry_policy::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 pub use router::Router;
 pub use selection::{Selection, SelectionRequest};
+pub use server_life::{
+    ANNOUNCEMENT_LIMIT, ConnectionEnd, Departure, EndVerdict, PortState, ServerLife,
+};
