The announced end of a server is no crash

Cause: a crash was concluded from a refused port, or from a registration that was gone, whatever the server had announced. Each stream that ended at a leaving engine then counted against its request.

The end of a server that had announced that it leaves, or whose registration was removed before, is no crash now.

--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -318,13 +318,17 @@
             .with_jitter(self.context.id)
     }
 
-    /// Checks a server after a connection to it broke; returns whether it seems to have crashed,
-    /// and records the crash.
+    /// Checks a server after a connection to it broke; returns whether its process seems to have
+    /// ended, and records a crash unless its end was announced.
     async fn probe_for_crash(&self, selection: &Selection) -> bool {
+        let shared = &self.context.shared;
+        let ended_at = shared.now();
         if probe(&selection.address).await != PortState::Closed {
             return false;
         }
-        self.context.shared.on_crash(&selection.id);
+        if !shared.server_ends.is_announced(&selection.id, ended_at) {
+            shared.on_crash(&selection.id);
+        }
         true
     }
 
--- a/crates/wagtailarch-entry/src/server_ends.rs
+++ b/crates/wagtailarch-entry/src/server_ends.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Returns whether the end of a server that was noticed at `ended_at` had been announced.
+    pub fn is_announced(&self, server: &InstanceId, ended_at: Duration) -> bool {
+        let state = self.lock();
+        let departure = state.departures.get(server);
+        departure.is_some_and(|departure| departure.explains_end(ended_at))
+    }
+
     /// Returns whether a response of a server was whole, as far as it is known.
     fn verdict(&self, now: Duration, server: &InstanceId, end: ConnectionEnd) -> EndVerdict {
         let state = self.lock();
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -417,11 +417,6 @@
         if !has_crashed(&gateway, &service, &server).await {
             return;
         }
-        let now = gateway.now();
-        gateway
-            .load_balancer
-            .borrow_mut()
-            .on_unreachable(now, &server.id);
         info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
             "progress" => ?progress, "parts" => part_ids);
         if progress == RunProgress::NotBegun {
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -385,6 +385,12 @@
         }
     }
 
+    /// Returns whether the end of a server that was noticed at `ended_at` had been announced.
+    pub fn is_announced(&self, server: &ServerEndpoint, ended_at: Duration) -> bool {
+        let departure = self.departure(server);
+        departure.is_some_and(|departure| departure.explains_end(ended_at))
+    }
+
     /// Returns what the registry says about a server that leaves or has left; `None` if it does not.
     pub fn departure(&self, server: &ServerEndpoint) -> Option<Departure> {
         let snapshot = self.snapshot.borrow();
--- a/crates/wagtailarch-gateway/src/paths.rs
+++ b/crates/wagtailarch-gateway/src/paths.rs
@@ -18,6 +18,7 @@
     ConnectAttempt, CrashCheck, CrashStep, ForwardRequest, ForwardTargets, MAX_SERVED_FOR_PEERS,
     PathChange, ServerEndpoint, ServicePaths,
 };
+use wagtailarch_traffic::ANNOUNCEMENT_LIMIT;
 use wagtailarch_types::{InstanceId, ServiceName, rendezvous_weight};
 use wagtailarch_wire::{load_note::LoadNote, path_report::PathReport};
 
@@ -266,8 +267,8 @@
     });
 }
 
-/// Returns whether a server whose connection broke has crashed: whether it refuses connections while
-/// other servers of its service accept them.
+/// Returns whether a server whose connection broke has crashed: whether it refuses connections without
+/// having announced that it leaves, while other servers of its service accept them.
 pub async fn has_crashed(
     gateway: &Gateway,
     service: &ServiceName,
@@ -277,9 +278,17 @@
         return false;
     }
     let refused_at = gateway.now();
+    gateway
+        .load_balancer
+        .borrow_mut()
+        .on_unreachable(refused_at, &server.id);
     let mut check = CrashCheck::new(refused_at, server.started_unix_ms);
     loop {
         let now = gateway.now();
+        if gateway.is_announced(server, refused_at) {
+            info!(gateway.log, "server ended as announced"; "server" => %server.id);
+            return false;
+        }
         let registered = gateway
             .load_balancer
             .borrow()
@@ -294,7 +303,9 @@
             lost_everywhere,
         );
         match step {
-            CrashStep::Crashed => return true,
+            CrashStep::Crashed if now >= refused_at + ANNOUNCEMENT_LIMIT => return true,
+            // The announcement of its leaving may be on its way.
+            CrashStep::Crashed => {}
             CrashStep::NotCrashed => {
                 info!(gateway.log, "server not crashed"; "server" => %server.id,
                     "after_ms" => now.saturating_sub(refused_at).as_millis() as u64);
