A request is blamed for crashes by evidence, not by two strikes

Cause: two strikes barred a fingerprint of method, path and body, for all callers, however close together they came and however often the page was served in between; a completion cleared only what its own instance knew, and a bar was never tried.

A whole request is now the deepest part of itself in PartEvidence: three crashes that are neither simultaneous nor shared with servers that did not run it, no completion since, and others that go well. A verdict is tried as for parts. In wagtail-entry, servers that crash together count once.

--- a/crates/wagtailarch-dispatch/src/evidence/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/evidence/part_evidence.rs
@@ -1,4 +1,5 @@
-//! Evidence about parts of prompts that crash the servers which begin to generate for them.
+//! Evidence about requests that crash the servers which run them, and about parts of prompts that crash
+//! the servers which begin to generate for them.
 
 use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
@@ -11,6 +12,7 @@
     LimitMembers,
     evidence::part_blame::{BLAME_TTL, Blame},
     evidence::part_outputs::PartOutputs,
+    evidence::request_crashes::RequestCrashes,
 };
 
 /// Number of crashes that a part must be a candidate for to be blamed.
@@ -52,7 +54,9 @@
 /// Maximum number of blamed parts; the one blamed first is evicted first.
 const MAX_BLAMES: usize = 64;
 
-/// Evidence about the parts of prompts, and the verdicts that follow from it.
+/// Evidence about requests and parts of prompts, and the verdicts that follow from it.
+///
+/// A whole request is the deepest part of itself; it is guilty of crashes until it is completed.
 ///
 /// Exactly one part of one of the requests that a server was beginning is guilty of its crash,
 /// unless the crash has another cause. A part that generates output after a crash is innocent of
@@ -62,6 +66,8 @@
     /// Crashes, in the order of their arrival; at most `MAX_CRASHES`.
     crashes: Vec<Crash>,
     outputs: PartOutputs,
+    /// Crashes of servers that ran whole requests.
+    requests: RequestCrashes,
     /// Blamed parts; at most `MAX_BLAMES`.
     blames: IndexMap<PartKey, Blame>,
     /// Outputs of suspects that have not been reported.
@@ -117,12 +123,43 @@
         }
     }
 
+    /// Records that `server` crashed at `at` while it ran a whole request since `began_at`.
+    pub fn on_request_crash(
+        &mut self,
+        at: Duration,
+        server: u32,
+        request: PartKey,
+        began_at: Duration,
+    ) {
+        self.requests
+            .on_crash(request, server, at, Some(began_at), None);
+        if let Some(blame) = self.blames.get_mut(&request) {
+            blame.on_crash(at);
+        }
+        self.update(at);
+    }
+
+    /// Records that a whole request was completed; `is_first_output` states whether nothing of it has
+    /// been recorded as output.
+    pub fn on_completed(&mut self, now: Duration, request: PartKey, is_first_output: bool) {
+        if is_first_output {
+            self.note_own_output(now);
+        }
+        let was_suspect = self.requests.on_completed(request, now);
+        if was_suspect || self.blames.contains_key(&request) {
+            self.new_outputs.insert(request, now);
+        }
+        self.clear_blame(now, request);
+    }
+
+    /// Returns whether a key is that of a whole request with crashes.
+    pub fn is_request(&self, key: PartKey) -> bool {
+        self.requests.contains(key)
+    }
+
     /// Records that a request with `parts` has generated output.
     pub fn on_output(&mut self, now: Duration, parts: &[ReportedPart]) {
-        if self.own_outputs.len() >= MIN_OTHER_OUTPUTS {
-            self.own_outputs.pop_front();
-        }
-        self.own_outputs.push_back(now);
+        self.note_own_output(now);
         for part in parts {
             if self.is_suspect(part.key) || self.blames.contains_key(&part.key) {
                 self.new_outputs.insert(part.key, now);
@@ -162,7 +199,7 @@
 
     /// Returns the verdict on a request with `parts`.
     pub fn verdict(&mut self, now: Duration, parts: &[ReportedPart]) -> PartVerdict {
-        if self.crashes.is_empty() && self.blames.is_empty() {
+        if self.crashes.is_empty() && self.requests.is_empty() && self.blames.is_empty() {
             return PartVerdict::Clear;
         }
         if self.settles_at.is_some_and(|at| at <= now) {
@@ -190,6 +227,7 @@
     /// Returns whether there is evidence that this instance is the first to report.
     pub fn has_unreported(&self) -> bool {
         !self.new_outputs.is_empty()
+            || self.requests.has_unreported()
             || self.crashes.iter().any(|crash| crash.reported_at.is_none())
             || self
                 .blames
@@ -201,7 +239,11 @@
     ///
     /// What is new is reported by the instance that found it, and again by a designated one.
     pub fn take_reports(&mut self, now: Duration, members: &LimitMembers) -> PartReports {
-        if self.crashes.is_empty() && self.blames.is_empty() && self.new_outputs.is_empty() {
+        if self.crashes.is_empty()
+            && self.requests.is_empty()
+            && self.blames.is_empty()
+            && self.new_outputs.is_empty()
+        {
             return PartReports::default();
         }
         self.update(now);
@@ -211,7 +253,10 @@
                 now >= at + missed || (now >= at + interval && members.is_coordinator(key))
             })
         };
-        let mut reports = PartReports::default();
+        let mut reports = PartReports {
+            crashes: self.requests.take_reports(now, members),
+            ..PartReports::default()
+        };
         for index in 0..self.crashes.len() {
             let crash = &self.crashes[index];
             let (at, server, reported_at) = (crash.at, crash.server, crash.reported_at);
@@ -262,11 +307,24 @@
     pub fn apply(&mut self, now: Duration, reports: &PartReports) {
         let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         for report in &reports.outputs {
-            self.add_output(time(report.age_ms), report.part);
+            let at = time(report.age_ms);
+            self.add_output(at, report.part);
+            self.requests.on_completed(report.part, at);
         }
         for report in &reports.crashes {
             let at = time(report.age_ms);
-            self.add_crash(now, at, report.server, &report.parts, Some(now));
+            let parts = report.parts.iter().copied();
+            let (requests, parts): (Vec<_>, Vec<_>) = parts.partition(ReportedPart::is_request);
+            for request in requests {
+                self.requests
+                    .on_crash(request.key, report.server, at, None, Some(now));
+                if let Some(blame) = self.blames.get_mut(&request.key) {
+                    blame.on_crash(at);
+                }
+            }
+            if !parts.is_empty() {
+                self.add_crash(now, at, report.server, &parts, Some(now));
+            }
         }
         for report in &reports.blames {
             self.add_blame(now, time(report.age_ms), report);
@@ -284,6 +342,7 @@
         parts: &[ReportedPart],
         reported_at: Option<Duration>,
     ) {
+        self.requests.on_server_crash(server, at);
         let same = self
             .crashes
             .iter_mut()
@@ -338,8 +397,19 @@
         }
     }
 
+    fn note_own_output(&mut self, now: Duration) {
+        if self.own_outputs.len() >= MIN_OTHER_OUTPUTS {
+            self.own_outputs.pop_front();
+        }
+        self.own_outputs.push_back(now);
+    }
+
     fn add_output(&mut self, at: Duration, part: PartKey) {
         self.outputs.insert(part, at);
+        self.clear_blame(at, part);
+    }
+
+    fn clear_blame(&mut self, at: Duration, part: PartKey) {
         let blame = self.blames.get(&part);
         if blame.is_some_and(|blame| blame.at < at) {
             self.blames.swap_remove(&part);
@@ -393,18 +463,16 @@
         self.crashes.retain(|crash| now < crash.at + CRASH_TTL);
         self.blames.retain(|_, blame| !blame.is_expired(now));
         self.settles_at = None;
+        self.requests.expire(now);
+        self.blame_requests(now);
         for _ in 0..MAX_CRASHES {
             let candidates = self.candidates();
-            let settled = candidates.iter().filter(|c| {
-                now >= c.first + SETTLING_TIME
-                    && self.own_outputs.len() >= MIN_OTHER_OUTPUTS
-                    && self.own_outputs.iter().all(|output| *output > c.first)
-            });
+            let settled = candidates.iter().filter(|c| self.is_settled(now, c.first));
             // The deepest of the parts that always occur together shuts out the fewest requests.
             let guilty = settled.max_by_key(|c| (c.crashes, c.depth, Reverse(c.part)));
             let Some(guilty) = guilty else {
                 let settling = candidates.iter().map(|c| c.first + SETTLING_TIME);
-                self.settles_at = settling.min();
+                self.settles_at = settling.chain(self.settles_at).min();
                 return;
             };
             let (part, last) = (guilty.part, guilty.last);
@@ -412,6 +480,29 @@
         }
     }
 
+    /// Returns whether others have had the time to show that servers run requests since a first crash.
+    fn is_settled(&self, now: Duration, first: Duration) -> bool {
+        now >= first + SETTLING_TIME
+            && self.own_outputs.len() >= MIN_OTHER_OUTPUTS
+            && self.own_outputs.iter().all(|output| *output > first)
+    }
+
+    /// Blames the requests with enough crashes.
+    fn blame_requests(&mut self, now: Duration) {
+        let guilty: Vec<_> = self.requests.guilty().collect();
+        for guilty in guilty {
+            if self.blames.contains_key(&guilty.request) {
+                continue;
+            }
+            if !self.is_settled(now, guilty.first) {
+                let settles_at = guilty.first + SETTLING_TIME;
+                self.settles_at = Some(self.settles_at.map_or(settles_at, |at| at.min(settles_at)));
+                continue;
+            }
+            self.insert_blame(guilty.request, guilty.last, 0, None);
+        }
+    }
+
     /// Returns the parts with enough crashes to be blamed.
     fn candidates(&self) -> Vec<Candidate> {
         if self.crashes.len() < MIN_CRASHES {
--- a/crates/wagtailarch-dispatch/src/request.rs
+++ b/crates/wagtailarch-dispatch/src/request.rs
@@ -2,7 +2,7 @@
 
 use smol_str::SmolStr;
 use wagtailarch_types::ModelName;
-use wagtailarch_wire::part_report::ReportedPart;
+use wagtailarch_wire::part_report::{ReportedPart, WHOLE_REQUEST};
 
 /// The kind of a request, which determines whether it may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -97,7 +97,9 @@
         let parts = shared.iter().enumerate();
         let parts = parts.map(|(depth, part)| ReportedPart {
             key: xxhash_rust::xxh3::xxh3_64_with_seed(part.id.as_bytes(), model),
-            depth: u8::try_from(depth).unwrap_or(u8::MAX),
+            depth: u8::try_from(depth)
+                .unwrap_or(u8::MAX)
+                .min(WHOLE_REQUEST - 1),
         });
         parts.collect()
     }
--- a/crates/wagtailarch-entry/src/attempts.rs
+++ b/crates/wagtailarch-entry/src/attempts.rs
@@ -16,7 +16,10 @@
 };
 
 use crate::{
-    engine_client::CallError, in_flight::InFlightGuard, refusal::Refusal, request::RequestContext,
+    engine_client::CallError,
+    in_flight::{InFlightGuard, Run},
+    refusal::Refusal,
+    request::RequestContext,
     server_ends::probe,
 };
 
@@ -213,10 +216,12 @@
 
     /// Counts the request as in flight on a server until the guard is dropped.
     pub fn track(&self, selection: &Selection) -> InFlightGuard {
-        self.context
-            .shared
-            .in_flight
-            .track(&selection.id, self.fingerprint)
+        let shared = &self.context.shared;
+        let run = Run {
+            fingerprint: self.fingerprint,
+            began_at: shared.now(),
+        };
+        shared.in_flight.track(&selection.id, run)
     }
 
     /// Records that a server has completed the request.
@@ -359,7 +364,17 @@
         }
         self.metrics.crashes.inc();
         self.router.suspend(server);
-        let strikes = self.quarantine.on_crash(now, server, &affected);
+        // A run that began before the last crash may have been ended by the same cause.
+        let is_new = |run: &&Run| {
+            let last_strike = self.quarantine.last_strike(now, run.fingerprint);
+            last_strike.is_none_or(|at| run.began_at >= at)
+        };
+        let struck: Vec<_> = affected
+            .iter()
+            .filter(is_new)
+            .map(|run| run.fingerprint)
+            .collect();
+        let strikes = self.quarantine.on_crash(now, server, &struck);
         let quarantined = strikes
             .iter()
             .filter(|s| s.kind == StrikeKind::Quarantined)
--- a/crates/wagtailarch-entry/src/control/gossip.rs
+++ b/crates/wagtailarch-entry/src/control/gossip.rs
@@ -40,6 +40,9 @@
 /// Maximum number of suspects and quarantined requests, the oldest first, that are read for a
 /// summary for another zone. The summary contains only the quarantined ones.
 const MAX_SUMMARY_ENTRIES: usize = 1_024;
+/// Time within which strikes of several instances may have a common cause, such as servers that lose
+/// their power together.
+const SIMULTANEOUS: Duration = Duration::from_millis(50);
 /// Time in seconds for which a request stays quarantined.
 const QUARANTINE_S: u16 = 600;
 /// Time without an update from a peer after which its usage of teams no longer counts.
@@ -428,6 +431,10 @@
                 fingerprints,
             } => {
                 for fingerprint in fingerprints {
+                    let last_strike = quarantine.last_strike(now, *fingerprint);
+                    if last_strike.is_some_and(|at| now < at + SIMULTANEOUS) {
+                        continue;
+                    }
                     let event = StrikeEvent {
                         fingerprint: *fingerprint,
                         server: backend.clone(),
--- a/crates/wagtailarch-entry/src/in_flight.rs
+++ b/crates/wagtailarch-entry/src/in_flight.rs
@@ -1,6 +1,7 @@
 //! The requests in flight on each backend server, which get strikes after a crash of the server.
 
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -27,20 +28,29 @@
 
 #[derive(Debug, Default)]
 struct ServerRequests {
-    running: HashMap<u64, Fingerprint>,
+    running: HashMap<u64, Run>,
     next_ticket: u64,
     /// Requests whose connection was lost, and when, the oldest first.
-    disconnected: Vec<(Duration, Fingerprint)>,
+    disconnected: Vec<(Duration, Run)>,
+}
+
+/// A run of a request on a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Run {
+    /// Fingerprint of the request.
+    pub fingerprint: Fingerprint,
+    /// When the run began.
+    pub began_at: Duration,
 }
 
 impl InFlight {
     /// Counts a request as in flight on a server until the guard is dropped.
-    pub fn track(self: &Arc<Self>, server: &InstanceId, request: Fingerprint) -> InFlightGuard {
+    pub fn track(self: &Arc<Self>, server: &InstanceId, run: Run) -> InFlightGuard {
         let mut servers = self.lock();
         let server_requests = servers.entry(server.clone()).or_default();
         let ticket = server_requests.next_ticket;
         server_requests.next_ticket += 1;
-        server_requests.running.insert(ticket, request);
+        server_requests.running.insert(ticket, run);
         InFlightGuard {
             in_flight: Arc::clone(self),
             server: server.clone(),
@@ -48,10 +58,10 @@
         }
     }
 
-    /// Returns the requests that a crash of `server` affects, each of them once.
+    /// Returns the requests that a crash of `server` affects, each of them once, with its last run.
     ///
     /// Disconnected requests are removed, so that the next call does not return them again.
-    pub fn take_affected(&self, now: Duration, server: &InstanceId) -> Vec<Fingerprint> {
+    pub fn take_affected(&self, now: Duration, server: &InstanceId) -> Vec<Run> {
         let mut servers = self.lock();
         let Some(server_requests) = servers.get_mut(server) else {
             return Vec::new();
@@ -61,11 +71,11 @@
             .disconnected
             .drain(..)
             .filter(|&(at, _)| recent(at))
-            .map(|(_, f)| f)
+            .map(|(_, run)| run)
             .collect();
         affected.extend(server_requests.running.values());
-        affected.sort_unstable();
-        affected.dedup();
+        affected.sort_unstable_by_key(|run| Reverse(*run));
+        affected.dedup_by_key(|run| run.fingerprint);
         affected
     }
 
@@ -94,14 +104,14 @@
         let Some(server_requests) = servers.get_mut(&self.server) else {
             return;
         };
-        let Some(request) = server_requests.running.remove(&self.ticket) else {
+        let Some(run) = server_requests.running.remove(&self.ticket) else {
             return;
         };
         server_requests
             .disconnected
             .retain(|&(at, _)| now.saturating_sub(at) < DISCONNECTED_RETENTION);
         if server_requests.disconnected.len() < MAX_DISCONNECTED {
-            server_requests.disconnected.push((now, request));
+            server_requests.disconnected.push((now, run));
         }
     }
 }
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -13,13 +13,17 @@
 };
 use wagtailarch_dispatch::ServerEndpoint;
 use wagtailarch_types::{Ran, RetryReason};
-use wagtailarch_wire::{body_framing::BodyFraming, response_status::is_final_status};
+use wagtailarch_wire::{
+    body_framing::BodyFraming,
+    part_report::{PartKey, ReportedPart},
+    response_status::is_final_status,
+};
 
 use crate::{
     body_buffer::{BufferError, BufferedBody},
     connection::{Driver, SilenceLimit, connect, describe},
     guards::{ForwardGuard, InFlightGuard},
-    paths::has_crashed,
+    paths::crash_time,
     permits::Permit,
     request_context::RequestContext,
     server_ends::WatchedResponse,
@@ -78,6 +82,8 @@
 pub struct ResponseGuard {
     _driver: Driver,
     _counted: CountedCall,
+    /// When the request was sent.
+    pub sent_at: Duration,
     /// Present if the response ends with the connection.
     watched: Option<Rc<WatchedResponse>>,
 }
@@ -93,9 +99,10 @@
 
 impl ResponseGuard {
     /// Keeps a connection to another instance open.
-    pub fn of_instance(driver: Driver, guard: ForwardGuard) -> Self {
+    pub fn of_instance(driver: Driver, guard: ForwardGuard, sent_at: Duration) -> Self {
         Self {
             _driver: driver,
+            sent_at,
             _counted: CountedCall::Instance { _guard: guard },
             watched: None,
         }
@@ -229,7 +236,7 @@
                 CallStep::Prefill => RunProgress::Prefill,
                 CallStep::Whole | CallStep::Decode(_) => RunProgress::NotBegun,
             };
-            probe_for_crash(context, &call.server, progress);
+            probe_for_crash(context, &call.server, sent_at, progress);
             return Err(CallFailure::CLOSED);
         }
         Ok(Ok(response)) => response,
@@ -278,6 +285,7 @@
             _counted: CountedCall::Server {
                 _in_flight: in_flight,
             },
+            sent_at,
             watched,
         },
     })
@@ -322,6 +330,7 @@
                     .borrow_mut()
                     .on_failure(now, &call.server.id);
                 on_call_failed(context, call, CallFailure::CLOSED, "undeclared end");
+                probe_for_crash(context, &call.server, guard.sent_at, RunProgress::Begun);
                 return Err(CallFailure::CLOSED);
             }
             Ok(body)
@@ -336,7 +345,11 @@
                     .on_failure(now, &call.server.id);
             }
             let cause = match error {
-                BufferError::Connection(error) => describe(&error),
+                BufferError::Connection(error) => {
+                    let sent_at = response.guard.sent_at;
+                    probe_for_crash(context, &call.server, sent_at, RunProgress::Begun);
+                    describe(&error)
+                }
                 error => error.to_string(),
             };
             on_call_failed(context, call, CallFailure::CLOSED, &cause);
@@ -402,27 +415,51 @@
     Begun,
 }
 
-/// Records a strike against the request if its server has crashed.
+/// A crash of a server that ran a request.
+#[derive(Debug)]
+pub struct RequestCrash {
+    /// When it was noticed.
+    pub at: Duration,
+    /// When the run began.
+    pub began_at: Duration,
+    /// How far the run had come.
+    pub progress: RunProgress,
+    /// Key of the request.
+    pub request_key: PartKey,
+    /// Parts of its prompt that others may share.
+    pub parts: Vec<ReportedPart>,
+}
+
+/// Records the crash of a server whose connection broke, if it has crashed.
 ///
-/// A server that only this instance cannot reach has not crashed.
-pub fn probe_for_crash(context: &RequestContext, server: &ServerEndpoint, progress: RunProgress) {
+/// A server that only this instance cannot reach, or that has announced that it leaves, has not.
+pub fn probe_for_crash(
+    context: &RequestContext,
+    server: &ServerEndpoint,
+    began_at: Duration,
+    progress: RunProgress,
+) {
     let gateway = Rc::clone(&context.gateway);
     let service = context.service.clone();
     let server = server.clone();
-    let fingerprint = context.fingerprint;
     let request = context.client.id.clone();
     let part_ids = shared_part_ids(context);
-    let parts = context.parts.clone();
+    let mut crash = RequestCrash {
+        at: Duration::ZERO,
+        began_at,
+        progress,
+        request_key: context.request_key,
+        parts: context.parts.clone(),
+    };
     tokio::task::spawn_local(async move {
-        if !has_crashed(&gateway, &service, &server).await {
+        let Some(crashed_at) = crash_time(&gateway, &service, &server).await else {
             return;
-        }
+        };
+        crash.at = crashed_at;
         info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
-            "progress" => ?progress, "parts" => part_ids);
-        if progress == RunProgress::NotBegun {
-            gateway.record_part_crash(&server.id, &parts);
-        }
-        gateway.record_strike(&server.id, fingerprint);
+            "progress" => ?progress, "parts" => part_ids,
+            "key" => format!("{:016x}", crash.request_key));
+        gateway.record_crash(&server.id, &crash);
     });
 }
 
--- a/crates/wagtailarch-gateway/src/explain.rs
+++ b/crates/wagtailarch-gateway/src/explain.rs
@@ -9,14 +9,14 @@
 use wagtailarch_dispatch::{
     Access, GenerationRequest, Placement, PrefillPlan, PrefixLink, Prompt, Route,
 };
-use wagtailarch_traffic::Verdict;
-use wagtailarch_types::{RefusalReason, ServiceName, fingerprint};
+use wagtailarch_types::{RefusalReason, ServiceName};
 use wagtailarch_wire::{
     explanation::{Decision, Explanation, WeighedChoice},
+    part_report::{ReportedPart, WHOLE_REQUEST},
     permit::PermitRank,
 };
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, request_context::request_key};
 
 /// Shortest time between two answers. A question compares all servers of a service, which takes
 /// about a millisecond in the largest fleets.
@@ -236,13 +236,13 @@
     /// Returns whether the request or a part of its prompt is refused because it crashed servers.
     fn is_quarantined(&self, body: &[u8]) -> bool {
         let client = self.client;
-        let target = client.uri.path_and_query().map_or("", |path| path.as_str());
-        let fields = [client.method.as_str().as_bytes(), target.as_bytes(), body];
-        let now = self.gateway.now();
         let parts = client.prompt.as_ref().map(Prompt::shared_parts);
-        let parts = parts.unwrap_or_default();
+        let mut parts = parts.unwrap_or_default();
+        parts.push(ReportedPart {
+            key: request_key(client, body),
+            depth: WHOLE_REQUEST,
+        });
         self.gateway.is_part_blamed(&parts)
-            || self.gateway.quarantine.check(now, fingerprint(&fields)) == Verdict::Quarantined
     }
 }
 
--- a/crates/wagtailarch-gateway/src/forward/client.rs
+++ b/crates/wagtailarch-gateway/src/forward/client.rs
@@ -382,7 +382,7 @@
             parts,
             body,
             framing,
-            guard: ResponseGuard::of_instance(connection.driver, guard),
+            guard: ResponseGuard::of_instance(connection.driver, guard, gateway.now()),
         },
         possible_runs,
         version,
--- a/crates/wagtailarch-gateway/src/gateway.rs
+++ b/crates/wagtailarch-gateway/src/gateway.rs
@@ -14,14 +14,15 @@
     LimitChange, LoadBalancer, NamedLimit, PartEvidence, RateLimit, RetryWindow, SecondCalls,
     ServerEndpoint, ServerProcess, SharedRetryBudget, ShutdownPlan,
 };
-use wagtailarch_traffic::{Departure, Quarantine, StrikeEvent, StrikeKind};
+use wagtailarch_traffic::Departure;
 use wagtailarch_types::{BootId, InstanceId, ServiceName};
 use wagtailarch_wire::{
-    load_note::{LimitReport, SentPrefixes, StrikeNote, server_key},
-    part_report::{PartReports, ReportedPart},
+    load_note::{LimitReport, SentPrefixes, server_key},
+    part_report::{PartKey, PartReports, ReportedPart},
 };
 
 use crate::{
+    backend_client::{RequestCrash, RunProgress},
     body_buffer::BufferBudget,
     explain::ExplainLimit,
     forward::ForwardState,
@@ -55,9 +56,7 @@
     pub paths: Paths,
     /// Servers with open responses that end with their connections.
     pub server_ends: ServerEnds,
-    /// Requests suspected of crashing servers.
-    pub quarantine: Quarantine,
-    /// Evidence about parts of prompts that crash servers.
+    /// Evidence about requests and parts of prompts that crash servers.
     part_evidence: RefCell<PartEvidence>,
     /// Number of suspects that each engine is beginning for this instance.
     pub suspect_runs: RefCell<IndexMap<InstanceId, u32>>,
@@ -149,7 +148,6 @@
             load_balancer: RefCell::default(),
             paths: Paths::default(),
             server_ends: ServerEnds::default(),
-            quarantine: Quarantine::new(),
             part_evidence: RefCell::default(),
             suspect_runs: RefCell::default(),
             outbox: Outbox::default(),
@@ -365,26 +363,6 @@
         self.outbox.wake();
     }
 
-    /// Records that a server crashed while it ran the given request, and queues the strike for
-    /// peers.
-    pub fn record_strike(&self, server: &InstanceId, fingerprint: u128) {
-        let events = self.quarantine.on_crash(self.now(), server, &[fingerprint]);
-        for event in events {
-            info!(self.log, "request suspected"; "fingerprint" => format!("{fingerprint:032x}"),
-                "server" => %server, "verdict" => ?event.kind);
-            let StrikeEvent {
-                fingerprint,
-                server,
-                ..
-            } = event;
-            let note = StrikeNote {
-                fingerprint,
-                server,
-            };
-            self.outbox.add_strike(note);
-        }
-    }
-
     /// Returns whether the end of a server that was noticed at `ended_at` had been announced.
     pub fn is_announced(&self, server: &ServerEndpoint, ended_at: Duration) -> bool {
         let departure = self.departure(server);
@@ -397,15 +375,23 @@
         snapshot.departures.get(&server.process()).copied()
     }
 
-    /// Records that a server crashed while it was beginning a request with the given parts.
-    pub fn record_part_crash(&self, server: &InstanceId, parts: &[ReportedPart]) {
-        // A server that leaves or was removed ends by itself.
-        if !self.load_balancer.borrow().is_listed(server) {
-            return;
-        }
-        let now = self.now();
+    /// Records that a server crashed while it ran a request.
+    pub fn record_crash(&self, server: &InstanceId, crash: &RequestCrash) {
+        let key = server_key(server);
         self.with_part_evidence("crash", |evidence| {
-            evidence.on_crash(now, server_key(server), parts);
+            if crash.progress == RunProgress::NotBegun {
+                evidence.on_crash(crash.at, key, &crash.parts);
+            }
+            evidence.on_request_crash(crash.at, key, crash.request_key, crash.began_at);
+        });
+    }
+
+    /// Records that a request was completed; `is_first_output` states whether nothing of it has been
+    /// recorded as output.
+    pub fn record_completion(&self, request: PartKey, is_first_output: bool) {
+        let now = self.now();
+        self.with_part_evidence("completion", |evidence| {
+            evidence.on_completed(now, request, is_first_output);
         });
     }
 
@@ -447,8 +433,10 @@
         let before: IndexSet<_> = evidence.blamed().collect();
         let result = operation(&mut evidence);
         let after: IndexSet<_> = evidence.blamed().collect();
-        for part in after.difference(&before) {
-            info!(self.log, "part blamed"; "part" => format!("{part:016x}"), "source" => source);
+        for &part in after.difference(&before) {
+            let kind = part_kind(&evidence, part);
+            info!(self.log, "part blamed"; "part" => format!("{part:016x}"), "kind" => kind,
+                "source" => source);
         }
         for part in before.difference(&after) {
             info!(self.log, "part cleared"; "part" => format!("{part:016x}"),
@@ -461,16 +449,6 @@
         result
     }
 
-    /// Applies a strike that a peer reported.
-    pub fn on_peer_strike(&self, strike: StrikeNote) {
-        let event = StrikeEvent {
-            fingerprint: strike.fingerprint,
-            server: strike.server,
-            kind: StrikeKind::Suspected,
-        };
-        self.quarantine.apply_remote(self.now(), event);
-    }
-
     /// Applies `operation` to this instance's share of a service's retry budget.
     fn with_retry_window<T>(
         &self,
@@ -495,3 +473,11 @@
         }
     }
 }
+
+/// Returns what a part is, as far as its crashes are known, for logs.
+fn part_kind(evidence: &PartEvidence, part: PartKey) -> &'static str {
+    match evidence.is_request(part) {
+        true => "request",
+        false => "part",
+    }
+}
--- a/crates/wagtailarch-gateway/src/generation.rs
+++ b/crates/wagtailarch-gateway/src/generation.rs
@@ -177,7 +177,7 @@
     };
     loop {
         context.check_shutdown(attempts.ran())?;
-        let isolated = context.judge_parts(attempts.ran())?;
+        let isolated = context.judge(attempts.ran())?;
         let plan = plan(context, attempts, rank, isolated, interrupted)
             .map_err(GenerationError::Refused)?;
         // A prefill without a permit for the decode step would be wasted.
@@ -215,7 +215,7 @@
             is_kept: Cell::new(false),
         };
         // Evidence may have arrived during the prefill or while a permit was awaited.
-        context.judge_parts(attempts.ran())?;
+        context.judge(attempts.ran())?;
         attempts.take_retry(context, CallKind::Run)?;
         attempts.calls += 1;
         let decode_guard = DecodeGuard::new(gateway, &decode_engine.id);
@@ -402,7 +402,7 @@
         return Err(PrefillError::Replan);
     };
     context
-        .judge_parts(attempts.ran())
+        .judge(attempts.ran())
         .map_err(PrefillError::Refused)?;
     if attempts.take_retry(context, CallKind::Prefill).is_err() {
         // A run of the whole generation needs one retry less.
--- a/crates/wagtailarch-gateway/src/outbox.rs
+++ b/crates/wagtailarch-gateway/src/outbox.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, time::Duration};
 
 use tokio::sync::Notify;
-use wagtailarch_wire::load_note::{SentPrefixes, StrikeNote};
+use wagtailarch_wire::load_note::SentPrefixes;
 
 /// Maximum number of datagrams per second with an instance's own load notes.
 const DATAGRAMS_PER_S: u32 = 1_000;
@@ -33,8 +33,6 @@
 pub struct PendingUpdates {
     /// Prefixes of sent prompts.
     pub sent_prefixes: Vec<SentPrefixes>,
-    /// Strikes against requests.
-    pub strikes: Vec<StrikeNote>,
 }
 
 /// Returns the delay of a load note to `receivers` receivers.
@@ -63,19 +61,12 @@
         self.wake();
     }
 
-    /// Adds a strike.
-    pub fn add_strike(&self, strike: StrikeNote) {
-        self.pending.borrow_mut().strikes.push(strike);
-        self.wake();
-    }
-
     /// Takes the updates that fit into one load note.
     pub fn take(&self) -> PendingUpdates {
         let mut pending = self.pending.borrow_mut();
         let count = pending.sent_prefixes.len().min(MAX_SENT_PREFIXES);
         let taken = PendingUpdates {
             sent_prefixes: pending.sent_prefixes.drain(..count).collect(),
-            strikes: std::mem::take(&mut pending.strikes),
         };
         if !pending.sent_prefixes.is_empty() {
             self.wake();
--- a/crates/wagtailarch-gateway/src/paths.rs
+++ b/crates/wagtailarch-gateway/src/paths.rs
@@ -33,6 +33,8 @@
 const CRASH_PROBE_LIMIT: Duration = Duration::from_millis(300);
 /// Interval between looks at an undecided crash; a probe of another server takes a few milliseconds.
 const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Maximum number of probes in a row that are reset.
+const MAX_RESET_PROBES: u32 = 3;
 /// Time after which a crash is looked at less often, since the path is probably lost.
 const SHORT_CRASH_CHECK: Duration = Duration::from_millis(200);
 /// Interval between later looks at an undecided crash.
@@ -267,15 +269,15 @@
     });
 }
 
-/// Returns whether a server whose connection broke has crashed: whether it refuses connections without
+/// Returns when a server whose connection broke crashed; `None` unless it refuses connections without
 /// having announced that it leaves, while other servers of its service accept them.
-pub async fn has_crashed(
+pub async fn crash_time(
     gateway: &Gateway,
     service: &ServiceName,
     server: &ServerEndpoint,
-) -> bool {
+) -> Option<Duration> {
     if !is_refused(gateway, service, server).await.unwrap_or(false) {
-        return false;
+        return None;
     }
     let refused_at = gateway.now();
     gateway
@@ -287,7 +289,7 @@
         let now = gateway.now();
         if gateway.is_announced(server, refused_at) {
             info!(gateway.log, "server ended as announced"; "server" => %server.id);
-            return false;
+            return None;
         }
         let registered = gateway
             .load_balancer
@@ -303,13 +305,15 @@
             lost_everywhere,
         );
         match step {
-            CrashStep::Crashed if now >= refused_at + ANNOUNCEMENT_LIMIT => return true,
+            CrashStep::Crashed if now >= refused_at + ANNOUNCEMENT_LIMIT => {
+                return Some(refused_at);
+            }
             // The announcement of its leaving may be on its way.
             CrashStep::Crashed => {}
             CrashStep::NotCrashed => {
                 info!(gateway.log, "server not crashed"; "server" => %server.id,
                     "after_ms" => now.saturating_sub(refused_at).as_millis() as u64);
-                return false;
+                return None;
             }
             CrashStep::Wait => {}
             CrashStep::ProbeAgain => match is_refused(gateway, service, server).await {
@@ -336,11 +340,17 @@
     service: &ServiceName,
     server: &ServerEndpoint,
 ) -> Option<bool> {
-    let started_at = gateway.now();
-    let opened = open(server.address, CRASH_PROBE_LIMIT).await;
-    gateway.on_connect(service, &server.id, started_at, &opened);
-    match opened {
-        Ok(_) => Some(false),
-        Err(error) => error.is_refused().then_some(true),
+    for _ in 0..MAX_RESET_PROBES {
+        let started_at = gateway.now();
+        let opened = open(server.address, CRASH_PROBE_LIMIT).await;
+        gateway.on_connect(service, &server.id, started_at, &opened);
+        match opened {
+            Ok(_) => return Some(false),
+            Err(error) if error.is_refused() => return Some(true),
+            // The process that ends had accepted the connection.
+            Err(error) if error.is_reset() => sleep(CRASH_POLL_INTERVAL).await,
+            Err(_) => return None,
+        }
     }
+    None
 }
--- a/crates/wagtailarch-gateway/src/peers.rs
+++ b/crates/wagtailarch-gateway/src/peers.rs
@@ -238,9 +238,6 @@
         gateway.on_peer_limits(now, &note.limits);
         gateway.on_peer_parts(&note.parts);
         origins::on_peer_versions(gateway, &note.versions).await;
-        for strike in &note.strikes {
-            gateway.on_peer_strike(strike.clone());
-        }
         self.queue_forward(&note);
     }
 
@@ -290,7 +287,7 @@
             open_prefills: load_balancer.open_prefills(),
             sent_prefixes: pending.sent_prefixes,
             running: load_balancer.own_running(),
-            strikes: pending.strikes,
+            strikes: Vec::new(),
             limits: load_balancer.take_limit_reports(gateway.now()),
             parts,
             versions: gateway.origins.report(),
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -5,6 +5,7 @@
 use http::Response;
 use slog::debug;
 use wagtailarch_adapter::CallStep;
+use wagtailarch_dispatch::ServerEndpoint;
 use wagtailarch_traffic::{AttemptFailure, RequestTraits, RetryDecision, RetryPolicy};
 use wagtailarch_types::{InstanceId, Ran, RefusalReason};
 
@@ -38,13 +39,10 @@
         if let Err(refusal) = context.check_shutdown(ran) {
             return error_response.unwrap_or_else(|| refusal.respond(&context));
         }
-        let selected = gateway.load_balancer.borrow().select_server(
-            gateway.now(),
-            &context.service,
-            &gateway.settings.zone,
-            context.rank(),
-            &excluded,
-        );
+        if let Err(refusal) = context.judge(ran) {
+            return error_response.unwrap_or_else(|| refusal.respond(&context));
+        }
+        let selected = select_server(&context, &excluded);
         let Some(selected) = selected else {
             let refusal = context.unavailable(ran, context.rank(), &excluded);
             return match error_response {
@@ -134,6 +132,27 @@
     }
 }
 
+/// Selects a server; for a trial of a blamed request, one that runs no others if there is one.
+fn select_server(context: &RequestContext, excluded: &[InstanceId]) -> Option<ServerEndpoint> {
+    let gateway = &context.gateway;
+    let now = gateway.now();
+    let load_balancer = gateway.load_balancer.borrow();
+    let select = |excluded: &[InstanceId]| {
+        let zone = &gateway.settings.zone;
+        load_balancer.select_server(now, &context.service, zone, context.rank(), excluded)
+    };
+    let mut selected = None;
+    if context.is_trial.get() {
+        let loads = load_balancer.loads(now);
+        let busy = loads
+            .filter(|load| load.in_flight > 0)
+            .map(|load| load.server);
+        let apart: Vec<_> = excluded.iter().cloned().chain(busy).collect();
+        selected = select(&apart);
+    }
+    selected.or_else(|| select(excluded))
+}
+
 /// Refuses a request, unless no server was reached last and another instance takes it.
 async fn refuse(
     context: &Rc<RequestContext>,
@@ -236,7 +255,7 @@
             load_balancer.on_plain_completed(now, &call.server.id, took);
         }
         drop(load_balancer);
-        gateway.quarantine.on_completed(context.fingerprint);
+        gateway.record_completion(context.request_key, true);
     }
     gateway
         .metrics
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -7,16 +7,21 @@
     time::Duration,
 };
 
+use http::{HeaderValue, header};
+use slog::info;
 use wagtailarch_adapter::ClientRequest;
 use wagtailarch_dispatch::{
     GenerationRequest, PartVerdict, PrefixLink, Prompt, Route, RoutingConfig, ServerProcess,
     TimeLeft,
 };
-use wagtailarch_traffic::Verdict;
 use wagtailarch_types::{
-    Fingerprint, InstanceId, Ran, RefusalReason, ServiceName, TeamName, VersionKey, fingerprint,
+    InstanceId, Ran, RefusalReason, ServiceName, TeamName, VersionKey, fingerprint,
+};
+use wagtailarch_wire::{
+    forward::ForwardCall,
+    part_report::{PartKey, ReportedPart, WHOLE_REQUEST},
+    permit::PermitRank,
 };
-use wagtailarch_wire::{forward::ForwardCall, part_report::ReportedPart, permit::PermitRank};
 
 use crate::{
     body_buffer::BufferedBody,
@@ -112,8 +117,28 @@
     pub possible_runs: Cell<u32>,
     /// Whether the request is counted in the retry budget of an instance.
     pub is_counted: Cell<bool>,
-    /// Hash of method, path and body, which identifies a repeated request.
-    pub fingerprint: Fingerprint,
+    /// Key by which the same request is recognized, and blamed if it crashes servers.
+    pub request_key: PartKey,
+}
+
+/// Returns the key of a request: a hash of its caller, host, method, path and body.
+///
+/// A caller is told from others by the credentials that it sends.
+pub fn request_key(client: &ClientRequest, body: &[u8]) -> PartKey {
+    let target = client.uri.path_and_query().map_or("", |path| path.as_str());
+    let mut fields = vec![
+        client.host.as_bytes(),
+        client.method.as_str().as_bytes(),
+        target.as_bytes(),
+        body,
+    ];
+    let credentials = client.headers.get_all(header::AUTHORIZATION).iter();
+    fields.extend(credentials.map(HeaderValue::as_bytes));
+    if let Some(key) = &client.key {
+        fields.push(key);
+    }
+    // Keys in reports have 64 bits.
+    fingerprint(&fields) as PartKey
 }
 
 impl RequestContext {
@@ -143,13 +168,7 @@
         let service = route.target(&client.id).clone();
         let prefixes = client.prompt.as_ref().map(|prompt| prompt.prefixes());
         let parts = client.prompt.as_ref().map(Prompt::shared_parts);
-        let target = client.uri.path_and_query().map_or("", |path| path.as_str());
-        let fields = [
-            client.method.as_str().as_bytes(),
-            target.as_bytes(),
-            &body.bytes,
-        ];
-        let fingerprint = fingerprint(&fields);
+        let request_key = request_key(&client, &body.bytes);
         Self {
             gateway: Rc::clone(gateway),
             prefixes: prefixes.unwrap_or_default(),
@@ -176,7 +195,7 @@
             config,
             arrived,
             last_event_at: Cell::new(None),
-            fingerprint,
+            request_key,
         }
     }
 
@@ -187,26 +206,27 @@
         let now = gateway.now();
         let verdict = gateway.with_part_evidence("request", |evidence| {
             let load_balancer = gateway.load_balancer.borrow();
-            evidence.admit(now, &self.parts, load_balancer.members())
+            evidence.admit(now, &self.judged_parts(), load_balancer.members())
         });
         match verdict {
-            PartVerdict::Blamed => return Err(self.quarantined(Ran::No)),
-            PartVerdict::Trial => self.is_trial.set(true),
-            PartVerdict::Clear | PartVerdict::Suspect => {}
-        }
-        match gateway.quarantine.check(now, self.fingerprint) {
-            Verdict::Quarantined => Err(self.quarantined(Ran::No)),
-            Verdict::Clear | Verdict::Suspect => Ok(()),
+            PartVerdict::Blamed => Err(self.quarantined(Ran::No)),
+            PartVerdict::Trial => {
+                self.is_trial.set(true);
+                info!(gateway.log, "trial of a blamed request"; "request" => %self.client.id,
+                    "key" => format!("{:016x}", self.request_key));
+                Ok(())
+            }
+            PartVerdict::Clear | PartVerdict::Suspect => Ok(()),
         }
     }
 
-    /// Judges the parts of the prompt again, immediately before a call; `ran` states whether the
-    /// request may have run. Returns whether the call is to run apart from others.
-    pub fn judge_parts(&self, ran: Ran) -> Result<bool, Refusal> {
+    /// Judges the request and the parts of its prompt again, immediately before a call; `ran` states
+    /// whether the request may have run. Returns whether the call is to run apart from others.
+    pub fn judge(&self, ran: Ran) -> Result<bool, Refusal> {
         let now = self.gateway.now();
-        let verdict = self
-            .gateway
-            .with_part_evidence("request", |evidence| evidence.verdict(now, &self.parts));
+        let verdict = self.gateway.with_part_evidence("request", |evidence| {
+            evidence.verdict(now, &self.judged_parts())
+        });
         match verdict {
             PartVerdict::Clear => Ok(false),
             // A trial is over with its first run.
@@ -217,6 +237,15 @@
         }
     }
 
+    /// Returns the parts of the prompt and the whole request.
+    fn judged_parts(&self) -> Vec<ReportedPart> {
+        let request = ReportedPart {
+            key: self.request_key,
+            depth: WHOLE_REQUEST,
+        };
+        self.parts.iter().copied().chain([request]).collect()
+    }
+
     fn quarantined(&self, ran: Ran) -> Refusal {
         Refusal {
             reason: RefusalReason::Quarantined,
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -150,7 +150,9 @@
                 ReadOutcome::End => {
                     let rest = self.active.take()?.splitter.take_rest();
                     let context = &self.context;
-                    context.gateway.quarantine.on_completed(context.fingerprint);
+                    context
+                        .gateway
+                        .record_completion(context.request_key, false);
                     origins::on_completed(context);
                     self.on_end("complete", rest.len());
                     if !rest.is_empty() {
@@ -385,7 +387,12 @@
                     false => RunProgress::NotBegun,
                 };
                 let server = &engine_run.call.server;
-                probe_for_crash(&context, server, progress);
+                probe_for_crash(
+                    &context,
+                    server,
+                    run.started.response.guard.sent_at,
+                    progress,
+                );
                 let mut load_balancer = gateway.load_balancer.borrow_mut();
                 load_balancer.on_failure(gateway.now(), &engine);
                 // The engine may have been started again with another version before this call
--- a/crates/wagtailarch-traffic/src/quarantine.rs
+++ b/crates/wagtailarch-traffic/src/quarantine.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Returns the time of the last strike that counts against a fingerprint.
+    pub fn last_strike(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
+        let entries = self.lock();
+        let entry = entries.map.get(&fingerprint)?;
+        (!entry.is_expired(now)).then_some(entry.at)
+    }
+
     /// Adds a strike to each request that was in flight on the crashed `server`.
     ///
     /// Returns the new strikes, which the caller sends to all peers.
--- a/crates/wagtailarch-wire/src/load_note.rs
+++ b/crates/wagtailarch-wire/src/load_note.rs
@@ -55,7 +55,7 @@
     /// Number of requests of the sender that an engine decodes, by `server_key`; engines without
     /// any are left out.
     pub running: Vec<(u32, u32)>,
-    /// Requests that were in flight on a server when it crashed.
+    /// Always empty: crashes of requests are in `parts`. Earlier revisions read the field.
     pub strikes: Vec<StrikeNote>,
     /// Rate limits that servers have named to the sender.
     pub limits: Vec<LimitReport>,
--- a/crates/wagtailarch-wire/src/part_report.rs
+++ b/crates/wagtailarch-wire/src/part_report.rs
@@ -2,9 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Hash of the model and the identifier of a part of a prompt.
+/// Hash of the model and the identifier of a part of a prompt, or of a whole request.
 pub type PartKey = u64;
 
+/// Depth of a whole request, which is the deepest part of itself.
+pub const WHOLE_REQUEST: u8 = u8::MAX;
+
 /// Maximum number of reports of each kind in a merged note; the others are reported again.
 const MAX_MERGED: usize = 24;
 
@@ -35,10 +38,17 @@
 pub struct ReportedPart {
     /// Key of the part.
     pub key: PartKey,
-    /// Number of parts before it.
+    /// Number of parts before it, or [`WHOLE_REQUEST`].
     pub depth: u8,
 }
 
+impl ReportedPart {
+    /// Returns whether this is a whole request.
+    pub const fn is_request(&self) -> bool {
+        self.depth == WHOLE_REQUEST
+    }
+}
+
 /// Output of a request with a part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutputReport {
