One definition for each rule of ends and crashes

No behavior changes. SIMULTANEOUS and the construction of a request's own part stood in several files, and a request kept its parts twice; PartEvidence recorded crashes of requests in two places. ServerEnds in wagtail-entry copied the list of servers at each publication, and the gateway's registry whole registrations.

--- a/crates/wagtailarch-dispatch/src/evidence/part_evidence.rs
+++ b/crates/wagtailarch-dispatch/src/evidence/part_evidence.rs
@@ -4,6 +4,7 @@
 use std::{cmp::Reverse, collections::VecDeque, time::Duration};
 
 use indexmap::IndexMap;
+use wagtailarch_traffic::SIMULTANEOUS;
 use wagtailarch_wire::part_report::{
     BlameReport, CrashReport, OutputReport, PartKey, PartReports, ReportedPart,
 };
@@ -12,7 +13,7 @@
     LimitMembers,
     evidence::part_blame::{BLAME_TTL, Blame},
     evidence::part_outputs::PartOutputs,
-    evidence::request_crashes::RequestCrashes,
+    evidence::request_crashes::{RequestCrashes, SAME_CRASH_TIME},
 };
 
 /// Number of crashes that a part must be a candidate for to be blamed.
@@ -33,12 +34,6 @@
 ///
 /// While no server is left that could begin any request, no part can show its innocence.
 const MIN_OTHER_OUTPUTS: usize = 3;
-/// Time within which crashes of several servers count as one: a guilty part ends servers one by one,
-/// while a common cause, or a peer that reports late, shows in many at once.
-const SIMULTANEOUS: Duration = Duration::from_millis(50);
-/// Time within which reports of a crash of one server mean the same crash; servers take longer to
-/// restart.
-const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 /// Time after which a crash is forgotten.
 const CRASH_TTL: Duration = Duration::from_secs(60);
 /// Interval at which verdicts are reported again, for instances that started or were out of reach.
@@ -131,11 +126,7 @@
         request: PartKey,
         began_at: Duration,
     ) {
-        self.requests
-            .on_crash(request, server, at, Some(began_at), None);
-        if let Some(blame) = self.blames.get_mut(&request) {
-            blame.on_crash(at);
-        }
+        self.add_request_crash(request, server, at, Some(began_at), None);
         self.update(at);
     }
 
@@ -316,11 +307,7 @@
             let parts = report.parts.iter().copied();
             let (requests, parts): (Vec<_>, Vec<_>) = parts.partition(ReportedPart::is_request);
             for request in requests {
-                self.requests
-                    .on_crash(request.key, report.server, at, None, Some(now));
-                if let Some(blame) = self.blames.get_mut(&request.key) {
-                    blame.on_crash(at);
-                }
+                self.add_request_crash(request.key, report.server, at, None, Some(now));
             }
             if !parts.is_empty() {
                 self.add_crash(now, at, report.server, &parts, Some(now));
@@ -334,6 +321,21 @@
         }
     }
 
+    fn add_request_crash(
+        &mut self,
+        request: PartKey,
+        server: u32,
+        at: Duration,
+        began_at: Option<Duration>,
+        reported_at: Option<Duration>,
+    ) {
+        self.requests
+            .on_crash(request, server, at, began_at, reported_at);
+        if let Some(blame) = self.blames.get_mut(&request) {
+            blame.on_crash(at);
+        }
+    }
+
     fn add_crash(
         &mut self,
         now: Duration,
@@ -526,6 +528,8 @@
                     last: crash.at,
                 });
                 candidate.depth = candidate.depth.max(depth);
+                // A guilty part ends servers one by one, while a common cause, or a peer that reports
+                // late, shows in many at once.
                 if candidate.crashes > 0 && crash.at < candidate.last + SIMULTANEOUS {
                     continue;
                 }
--- a/crates/wagtailarch-dispatch/src/evidence/request_crashes.rs
+++ b/crates/wagtailarch-dispatch/src/evidence/request_crashes.rs
@@ -3,17 +3,16 @@
 use std::{collections::VecDeque, time::Duration};
 
 use indexmap::IndexMap;
-use wagtailarch_wire::part_report::{CrashReport, PartKey, ReportedPart, WHOLE_REQUEST};
+use wagtailarch_traffic::SIMULTANEOUS;
+use wagtailarch_wire::part_report::{CrashReport, PartKey, ReportedPart};
 
 use crate::{LimitMembers, evidence::part_outputs::PartOutputs};
 
 /// Number of crashes for which a request is blamed.
 const MIN_CRASHES: usize = 3;
-/// Time within which servers that crash for a common reason are noticed.
-const SIMULTANEOUS: Duration = Duration::from_millis(50);
 /// Time within which reports of a crash of one server mean the same crash; servers take longer to
 /// restart.
-const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
+pub(crate) const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 /// Time after which a crash is forgotten.
 const CRASH_TTL: Duration = Duration::from_secs(600);
 /// Interval at which the crashes of a request with several are reported again.
@@ -189,10 +188,7 @@
                 reports.push(CrashReport {
                     server: crash.server,
                     age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
-                    parts: vec![ReportedPart {
-                        key: request,
-                        depth: WHOLE_REQUEST,
-                    }],
+                    parts: vec![ReportedPart::request(request)],
                 });
             }
         }
--- a/crates/wagtailarch-dispatch/src/membership/departures.rs
+++ b/crates/wagtailarch-dispatch/src/membership/departures.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use wagtailarch_traffic::Departure;
 
-use crate::{BackendServer, ServerProcess};
+use crate::ServerProcess;
 
 /// Time after which a removed server is forgotten; responses end long before.
 const DEPARTURE_TTL: Duration = Duration::from_secs(600);
@@ -35,23 +35,29 @@
             .map(|registered| &registered.departure)
     }
 
-    /// Records a registration; `leaving` states whether its server is known to leave. Returns whether
-    /// anything has changed.
-    pub fn on_registered(&mut self, now: Duration, server: &BackendServer, leaving: bool) -> bool {
-        let Some(registered) = self.map.get_mut(&server.process()) else {
+    /// Records a registration with the number of its heartbeat; `leaving` states whether its server is
+    /// known to leave. Returns whether anything has changed.
+    pub fn on_registered(
+        &mut self,
+        now: Duration,
+        process: ServerProcess,
+        heartbeat: u64,
+        leaving: bool,
+    ) -> bool {
+        let Some(registered) = self.map.get_mut(&process) else {
             if leaving {
-                self.insert(now, server.process(), server.heartbeat, None);
+                self.insert(now, process, heartbeat, None);
             }
             return leaving;
         };
         if !leaving {
-            self.map.shift_remove(&server.process());
+            self.map.shift_remove(&process);
             return true;
         }
-        if server.heartbeat <= registered.heartbeat {
+        if heartbeat <= registered.heartbeat {
             return false;
         }
-        registered.heartbeat = server.heartbeat;
+        registered.heartbeat = heartbeat;
         registered.departure.registered_at = now;
         registered.departure.removed_at = None;
         true
--- a/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
+++ b/crates/wagtailarch-dispatch/src/placing/load_balancer.rs
@@ -135,11 +135,6 @@
         self.leaving.insert(process)
     }
 
-    /// Returns whether a server is registered and not leaving.
-    pub fn is_listed(&self, id: &InstanceId) -> bool {
-        self.backends.contains_key(id)
-    }
-
     /// Returns the instances that share evidence and rate limits.
     pub fn members(&self) -> &LimitMembers {
         &self.limit_members
--- a/crates/wagtailarch-entry/src/control/backends.rs
+++ b/crates/wagtailarch-entry/src/control/backends.rs
@@ -244,12 +244,8 @@
     pub(super) fn publish(&mut self) {
         let now = self.shared.now();
         let statuses = self.membership.statuses(now);
-        let listed = statuses
-            .iter()
-            .map(|status| (status.id.clone(), status.leaving))
-            .collect();
-        let before: Vec<_> = self.shared.backends.load().keys().cloned().collect();
-        self.shared.server_ends.on_listed(now, &listed, &before);
+        let before = self.shared.backends.load();
+        self.shared.server_ends.on_statuses(now, &statuses, &before);
         let views = statuses
             .into_iter()
             .map(|status| self.backend_view(now, status))
--- a/crates/wagtailarch-entry/src/control/gossip.rs
+++ b/crates/wagtailarch-entry/src/control/gossip.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{mpsc, watch};
 use wagtailarch_control::{EngineUpdate, Gossip, GossipConfig, GossipEvent};
-use wagtailarch_traffic::{StrikeEvent, StrikeKind, Verdict};
+use wagtailarch_traffic::{SIMULTANEOUS, StrikeEvent, StrikeKind, Verdict};
 use wagtailarch_types::{Generation, InstanceId, rendezvous_weight};
 use wagtailarch_wire::{
     peer::{EngineLoad, PeerMessage, UrgentBody, UrgentMessage},
@@ -40,9 +40,6 @@
 /// Maximum number of suspects and quarantined requests, the oldest first, that are read for a
 /// summary for another zone. The summary contains only the quarantined ones.
 const MAX_SUMMARY_ENTRIES: usize = 1_024;
-/// Time within which strikes of several instances may have a common cause, such as servers that lose
-/// their power together.
-const SIMULTANEOUS: Duration = Duration::from_millis(50);
 /// Time in seconds for which a request stays quarantined.
 const QUARANTINE_S: u16 = 600;
 /// Time without an update from a peer after which its usage of teams no longer counts.
--- a/crates/wagtailarch-entry/src/server_ends.rs
+++ b/crates/wagtailarch-entry/src/server_ends.rs
@@ -2,6 +2,7 @@
 //! response was whole.
 
 use std::{
+    collections::HashSet,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -10,7 +11,10 @@
 use slog::info;
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
-use wagtailarch_traffic::{ConnectionEnd, Departure, EndVerdict, PortState, ServerLife};
+use wagtailarch_control::BackendStatus;
+use wagtailarch_traffic::{
+    BackendView, ConnectionEnd, Departure, EndVerdict, PortState, ServerLife,
+};
 use wagtailarch_types::InstanceId;
 
 use crate::shared::Shared;
@@ -49,28 +53,34 @@
 }
 
 impl ServerEnds {
-    /// Applies the servers that are listed; the flag states whether a server is known to leave.
-    pub fn on_listed(
+    /// Applies the state of all listed servers; `before` contains those that were listed before.
+    pub fn on_statuses(
         &self,
         now: Duration,
-        listed: &IndexMap<InstanceId, bool>,
-        before: &[InstanceId],
+        statuses: &[BackendStatus],
+        before: &IndexMap<InstanceId, BackendView>,
     ) {
         let departures = &mut self.lock().departures;
-        departures.retain(|id, departure| match listed.get(id) {
-            Some(leaving) => *leaving,
-            None => now < departure.announced_at + DEPARTURE_TTL,
-        });
-        let leaving = listed.iter().filter(|(_, leaving)| **leaving);
-        for (id, _) in leaving {
-            departures
-                .entry(id.clone())
-                .or_insert_with(|| Departure::new(now));
-        }
-        for id in before {
-            if listed.contains_key(id) {
-                continue;
+        let is_kept = |at: Duration| now < at + DEPARTURE_TTL;
+        departures.retain(|_, departure| departure.removed_at.is_none_or(is_kept));
+        let mut remaining = 0;
+        for status in statuses {
+            remaining += usize::from(before.contains_key(&status.id));
+            match status.leaving {
+                true => {
+                    let departure = departures.entry(status.id.clone());
+                    departure.or_insert_with(|| Departure::new(now));
+                }
+                false => {
+                    departures.swap_remove(&status.id);
+                }
             }
+        }
+        if remaining == before.len() {
+            return;
+        }
+        let listed: HashSet<_> = statuses.iter().map(|status| &status.id).collect();
+        for id in before.keys().filter(|id| !listed.contains(id)) {
             let departure = departures.entry(id.clone());
             let departure = departure.or_insert_with(|| Departure::new(now));
             departure.removed_at.get_or_insert(now);
--- a/crates/wagtailarch-gateway/src/backend_client.rs
+++ b/crates/wagtailarch-gateway/src/backend_client.rs
@@ -444,21 +444,22 @@
     let server = server.clone();
     let request = context.client.id.clone();
     let part_ids = shared_part_ids(context);
-    let mut crash = RequestCrash {
-        at: Duration::ZERO,
-        began_at,
-        progress,
-        request_key: context.request_key,
-        parts: context.parts.clone(),
-    };
+    let request_key = context.request_key();
+    let parts = context.shared_parts().to_vec();
     tokio::task::spawn_local(async move {
         let Some(crashed_at) = crash_time(&gateway, &service, &server).await else {
             return;
         };
-        crash.at = crashed_at;
         info!(gateway.log, "server crashed"; "server" => %server.id, "request" => %request,
             "progress" => ?progress, "parts" => part_ids,
-            "key" => format!("{:016x}", crash.request_key));
+            "key" => format!("{request_key:016x}"));
+        let crash = RequestCrash {
+            at: crashed_at,
+            began_at,
+            progress,
+            request_key,
+            parts,
+        };
         gateway.record_crash(&server.id, &crash);
     });
 }
--- a/crates/wagtailarch-gateway/src/control/servers.rs
+++ b/crates/wagtailarch-gateway/src/control/servers.rs
@@ -176,12 +176,15 @@
     /// Applies a complete list of registrations.
     fn on_list(&mut self, context: &ControlContext, now: Duration, listed: Vec<BackendServer>) {
         let before = self.membership.processes();
-        let registered = listed.clone();
+        let registered: Vec<_> = listed
+            .iter()
+            .map(|server| (server.process(), server.heartbeat))
+            .collect();
         for (id, change) in self.membership.on_list(now, listed) {
             log_change(context, &id, change);
         }
-        for server in &registered {
-            self.record_registration(now, server);
+        for (process, heartbeat) in registered {
+            self.record_registration(now, process, heartbeat);
         }
         for process in before {
             if self.membership.process(&process.id).is_none() {
@@ -197,10 +200,11 @@
         now: Duration,
         server: BackendServer,
     ) -> bool {
-        let change = self.membership.on_registered(server.clone());
-        log_change(context, &server.id, change);
-        let departs =
-            change != MembershipChange::Outdated && self.record_registration(now, &server);
+        let (process, heartbeat) = (server.process(), server.heartbeat);
+        let change = self.membership.on_registered(server);
+        log_change(context, &process.id, change);
+        let departs = change != MembershipChange::Outdated
+            && self.record_registration(now, process, heartbeat);
         departs || change != MembershipChange::Unchanged
     }
 
@@ -240,14 +244,18 @@
         }
     }
 
-    fn record_registration(&mut self, now: Duration, server: &BackendServer) -> bool {
-        let process = server.process();
+    fn record_registration(
+        &mut self,
+        now: Duration,
+        process: ServerProcess,
+        heartbeat: u64,
+    ) -> bool {
         let leaving = self.membership.is_leaving(&process);
         // Most registrations concern servers that stay, for which nothing is copied.
         if !leaving && self.departures.get(&process).is_none() {
             return false;
         }
-        Arc::make_mut(&mut self.departures).on_registered(now, server, leaving)
+        Arc::make_mut(&mut self.departures).on_registered(now, process, heartbeat, leaving)
     }
 }
 
--- a/crates/wagtailarch-gateway/src/explain.rs
+++ b/crates/wagtailarch-gateway/src/explain.rs
@@ -12,7 +12,7 @@
 use wagtailarch_types::{RefusalReason, ServiceName};
 use wagtailarch_wire::{
     explanation::{Decision, Explanation, WeighedChoice},
-    part_report::{ReportedPart, WHOLE_REQUEST},
+    part_report::ReportedPart,
     permit::PermitRank,
 };
 
@@ -238,10 +238,7 @@
         let client = self.client;
         let parts = client.prompt.as_ref().map(Prompt::shared_parts);
         let mut parts = parts.unwrap_or_default();
-        parts.push(ReportedPart {
-            key: request_key(client, body),
-            depth: WHOLE_REQUEST,
-        });
+        parts.push(ReportedPart::request(request_key(client, body)));
         self.gateway.is_part_blamed(&parts)
     }
 }
--- a/crates/wagtailarch-gateway/src/plain.rs
+++ b/crates/wagtailarch-gateway/src/plain.rs
@@ -255,7 +255,7 @@
             load_balancer.on_plain_completed(now, &call.server.id, took);
         }
         drop(load_balancer);
-        gateway.record_completion(context.request_key, true);
+        gateway.record_completion(context.request_key(), true);
     }
     gateway
         .metrics
--- a/crates/wagtailarch-gateway/src/request_context.rs
+++ b/crates/wagtailarch-gateway/src/request_context.rs
@@ -19,7 +19,7 @@
 };
 use wagtailarch_wire::{
     forward::ForwardCall,
-    part_report::{PartKey, ReportedPart, WHOLE_REQUEST},
+    part_report::{PartKey, ReportedPart},
     permit::PermitRank,
 };
 
@@ -95,8 +95,8 @@
     pub last_event_at: Cell<Option<Duration>>,
     /// Prefixes of the prompt.
     pub prefixes: Vec<PrefixLink>,
-    /// Parts of the prompt that other prompts may share.
-    pub parts: Vec<ReportedPart>,
+    /// Parts of the prompt that other prompts may share, and the whole request at the end.
+    judged_parts: Vec<ReportedPart>,
     /// Whether this request tests a part that is blamed for crashes.
     pub is_trial: Cell<bool>,
     /// Software version at which the stream of the request must go on; absent before its first event.
@@ -117,8 +117,6 @@
     pub possible_runs: Cell<u32>,
     /// Whether the request is counted in the retry budget of an instance.
     pub is_counted: Cell<bool>,
-    /// Key by which the same request is recognized, and blamed if it crashes servers.
-    pub request_key: PartKey,
 }
 
 /// Returns the key of a request: a hash of its caller, host, method, path and body.
@@ -167,12 +165,13 @@
         let waited = Duration::from_millis(call.map_or(0, |call| call.age_ms).into());
         let service = route.target(&client.id).clone();
         let prefixes = client.prompt.as_ref().map(|prompt| prompt.prefixes());
-        let parts = client.prompt.as_ref().map(Prompt::shared_parts);
-        let request_key = request_key(&client, &body.bytes);
+        let shared_parts = client.prompt.as_ref().map(Prompt::shared_parts);
+        let mut judged_parts = shared_parts.unwrap_or_default();
+        judged_parts.push(ReportedPart::request(request_key(&client, &body.bytes)));
         Self {
             gateway: Rc::clone(gateway),
             prefixes: prefixes.unwrap_or_default(),
-            parts: parts.unwrap_or_default(),
+            judged_parts,
             is_trial: Cell::new(false),
             version: Cell::new(resume.map(|resume| resume.version)),
             is_version_shared: Cell::new(resume.is_some()),
@@ -195,7 +194,6 @@
             config,
             arrived,
             last_event_at: Cell::new(None),
-            request_key,
         }
     }
 
@@ -206,14 +204,14 @@
         let now = gateway.now();
         let verdict = gateway.with_part_evidence("request", |evidence| {
             let load_balancer = gateway.load_balancer.borrow();
-            evidence.admit(now, &self.judged_parts(), load_balancer.members())
+            evidence.admit(now, &self.judged_parts, load_balancer.members())
         });
         match verdict {
             PartVerdict::Blamed => Err(self.quarantined(Ran::No)),
             PartVerdict::Trial => {
                 self.is_trial.set(true);
                 info!(gateway.log, "trial of a blamed request"; "request" => %self.client.id,
-                    "key" => format!("{:016x}", self.request_key));
+                    "key" => format!("{:016x}", self.request_key()));
                 Ok(())
             }
             PartVerdict::Clear | PartVerdict::Suspect => Ok(()),
@@ -225,7 +223,7 @@
     pub fn judge(&self, ran: Ran) -> Result<bool, Refusal> {
         let now = self.gateway.now();
         let verdict = self.gateway.with_part_evidence("request", |evidence| {
-            evidence.verdict(now, &self.judged_parts())
+            evidence.verdict(now, &self.judged_parts)
         });
         match verdict {
             PartVerdict::Clear => Ok(false),
@@ -237,13 +235,14 @@
         }
     }
 
-    /// Returns the parts of the prompt and the whole request.
-    fn judged_parts(&self) -> Vec<ReportedPart> {
-        let request = ReportedPart {
-            key: self.request_key,
-            depth: WHOLE_REQUEST,
-        };
-        self.parts.iter().copied().chain([request]).collect()
+    /// Returns the key by which the same request is recognized.
+    pub fn request_key(&self) -> PartKey {
+        self.judged_parts.last().expect("the request").key
+    }
+
+    /// Returns the parts of the prompt that other prompts may share.
+    pub fn shared_parts(&self) -> &[ReportedPart] {
+        &self.judged_parts[..self.judged_parts.len() - 1]
     }
 
     fn quarantined(&self, ran: Ran) -> Refusal {
--- a/crates/wagtailarch-gateway/src/stream_relay.rs
+++ b/crates/wagtailarch-gateway/src/stream_relay.rs
@@ -152,7 +152,7 @@
                     let context = &self.context;
                     context
                         .gateway
-                        .record_completion(context.request_key, false);
+                        .record_completion(context.request_key(), false);
                     origins::on_completed(context);
                     self.on_end("complete", rest.len());
                     if !rest.is_empty() {
@@ -245,7 +245,9 @@
                     origins::on_begun(&self.context, &engine.call.server);
                 }
                 if !std::mem::replace(&mut run.output_recorded, true) {
-                    self.context.gateway.record_part_output(&self.context.parts);
+                    self.context
+                        .gateway
+                        .record_part_output(self.context.shared_parts());
                 }
                 // The first event shows that the prefill is done.
                 if let Some(prefill) = engine.prefill.take() {
--- a/crates/wagtailarch-traffic/src/lib.rs
+++ b/crates/wagtailarch-traffic/src/lib.rs
@@ -40,5 +40,5 @@
 pub use router::Router;
 pub use selection::{Selection, SelectionRequest};
 pub use server_life::{
-    ANNOUNCEMENT_LIMIT, ConnectionEnd, Departure, EndVerdict, PortState, ServerLife,
+    ANNOUNCEMENT_LIMIT, ConnectionEnd, Departure, EndVerdict, PortState, SIMULTANEOUS, ServerLife,
 };
--- a/crates/wagtailarch-traffic/src/server_life.rs
+++ b/crates/wagtailarch-traffic/src/server_life.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+/// Time within which the ends of servers that have a common cause, such as a loss of power, are noticed.
+pub const SIMULTANEOUS: Duration = Duration::from_millis(50);
 /// Time within which an announcement that was made before the end of a server is known.
 pub const ANNOUNCEMENT_LIMIT: Duration = Duration::from_millis(300);
 /// Time after which data that a server had sent has arrived, with one retransmission.
--- a/crates/wagtailarch-wire/src/part_report.rs
+++ b/crates/wagtailarch-wire/src/part_report.rs
@@ -43,6 +43,14 @@
 }
 
 impl ReportedPart {
+    /// Creates the part that a whole request is of itself.
+    pub const fn request(key: PartKey) -> Self {
+        Self {
+            key,
+            depth: WHOLE_REQUEST,
+        }
+    }
+
     /// Returns whether this is a whole request.
     pub const fn is_request(&self) -> bool {
         self.depth == WHOLE_REQUEST
